--- /dev/null
+++ b/cmd/crocusspread/main.go
@@ -0,0 +1,4 @@
+// Command crocusspread is a placeholder until its first commands stand.
+package main
+
+func main() {}
