--- /dev/null
+++ b/adapters/peer/pool.go
@@ -0,0 +1,138 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	poolShards = 16
+	// connectionMaxAge retires a connection, so that none lives on in a state
+	// that something between the two ends has lost.
+	connectionMaxAge = 10 * time.Minute
+	// keepalivePing is the shortest interval that gRPC allows a client.
+	keepalivePing    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	initialWindow    = 1 << 20 // bytes
+)
+
+// pool holds one connection per peer address. A retired connection takes no new
+// streams and closes after its last one.
+type pool struct {
+	creds  credentials.TransportCredentials
+	now    func() time.Time
+	shards [poolShards]poolShard
+}
+
+type poolShard struct {
+	mu    sync.Mutex
+	conns map[string]*pooledConn
+}
+
+type pooledConn struct {
+	*grpc.ClientConn
+	address string
+	born    time.Time
+	// users and retired are guarded by the shard's lock.
+	users   int
+	retired bool
+}
+
+func newPool(creds credentials.TransportCredentials, now func() time.Time) *pool {
+	p := &pool{creds: creds, now: now}
+	for i := range p.shards {
+		p.shards[i].conns = make(map[string]*pooledConn)
+	}
+	return p
+}
+
+func (p *pool) shard(address string) *poolShard {
+	return &p.shards[xxhash.Sum64String(address)%poolShards]
+}
+
+// acquire returns a connection to address; release it after use.
+func (p *pool) acquire(address string) (*pooledConn, error) {
+	s := p.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.conns[address]
+	if c != nil && p.now().Sub(c.born) > connectionMaxAge {
+		s.retireLocked(c)
+		c = nil
+	}
+	if c == nil {
+		fresh, err := p.dial(address)
+		if err != nil {
+			return nil, err
+		}
+		c = fresh
+		s.conns[address] = c
+	}
+	c.users++
+	return c, nil
+}
+
+func (p *pool) dial(address string) (*pooledConn, error) {
+	cc, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(p.creds),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(initialWindow),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepalivePing, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return &pooledConn{ClientConn: cc, address: address, born: p.now()}, nil
+}
+
+// release gives a connection back.
+func (p *pool) release(c *pooledConn) {
+	s := p.shard(c.address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.users--
+	if c.retired && c.users == 0 {
+		c.Close()
+	}
+}
+
+// retire takes a connection out of use; the next acquire dials afresh.
+func (p *pool) retire(c *pooledConn) {
+	s := p.shard(c.address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retireLocked(c)
+}
+
+func (s *poolShard) retireLocked(c *pooledConn) {
+	if c.retired {
+		return
+	}
+	c.retired = true
+	if s.conns[c.address] == c {
+		delete(s.conns, c.address)
+	}
+	if c.users == 0 {
+		c.Close()
+	}
+}
+
+// close ends all connections.
+func (p *pool) close() {
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		for _, c := range s.conns {
+			c.retired = true
+			c.Close()
+		}
+		clear(s.conns)
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/core/gateway/attempt.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/event"
+)
+
+// attemptAll tries choices until one gives the whole answer, nothing is left to
+// try, or a further attempt could run the work twice.
+func (c *call) attemptAll(ctx context.Context) error {
+	var last error
+	for c.attempts = 1; c.attempts <= maxAttempts; c.attempts++ {
+		choice, err := c.route()
+		if err != nil {
+			return firstError(last, err)
+		}
+		err = c.attempt(ctx, choice)
+		if err == nil {
+			return nil
+		}
+		last = err
+		if !c.mayRetry(ctx, err) {
+			return err
+		}
+		c.exclude(choice)
+		c.note("retry", "attempt %d: %s", c.attempts, err)
+		c.g.deps.Log.Log(event.RequestRetried, event.F("request", c.req.ID), event.F("detail", err))
+	}
+	return last
+}
+
+// firstError prefers what an attempt saw over the statement that no other
+// choice is left.
+func firstError(attempt, route error) error {
+	if attempt != nil {
+		return attempt
+	}
+	return route
+}
+
+// route chooses by the lists in force now, which may have changed since the
+// request arrived or was last tried.
+func (c *call) route() (Choice, error) {
+	if err := c.refresh(); err != nil {
+		return Choice{}, err
+	}
+	return c.g.deps.Router.Route(RouteRequest{
+		Access: c.access, Target: c.req.Target, PromptTokens: c.req.PromptTokens, OutputTokens: c.req.OutputTokens,
+		Prefix: c.req.Prefix, Deadline: c.req.Deadline,
+		TriedUpstreams: c.tried.upstreams, TriedDomains: c.tried.domains,
+	})
+}
+
+// refresh takes over the lists in force, which may forbid by now what they
+// allowed before.
+func (c *call) refresh() error {
+	current := c.g.deps.Lists.Current()
+	if current.Version == c.snapshot.Version {
+		return nil
+	}
+	access, ok := current.Customer(c.access.Customer)
+	if !ok {
+		return errkind.New(errkind.Unauthenticated, "the customer was removed from the lists")
+	}
+	c.snapshot, c.access = current, access
+	return c.checkTarget()
+}
+
+// attempt runs one choice; a generation whose stream breaks is resumed where it
+// runs before the attempt counts as failed.
+func (c *call) attempt(ctx context.Context, choice Choice) error {
+	c.note("route", "attempt %d: %s", c.attempts, choice.Reason)
+	if choice.Node != nil {
+		c.forwarded = true
+	}
+	err := c.send(ctx, choice, "")
+	for resumes := 0; err != nil && resumes < maxResumes && c.mayResume(ctx, err); resumes++ {
+		before := c.w.events
+		c.note("resume", "after %d events: %s", before, err)
+		c.g.deps.Log.Log(event.AnswerResumed, event.F("request", c.req.ID), event.F("events", before), event.F("detail", err))
+		err = c.send(ctx, choice, c.w.head.RanOn)
+		if c.w.events > before {
+			resumes = 0
+		}
+	}
+	return err
+}
+
+// send makes one connection's worth of an attempt.
+func (c *call) send(ctx context.Context, choice Choice, pinned domain.UpstreamID) error {
+	fwd := c.forward()
+	fwd.Pinned = pinned
+	fwd.ResumeAfter = c.w.events
+	if choice.Upstream != nil {
+		return c.g.dispatch(ctx, *choice.Upstream, fwd, c.w)
+	}
+	fwd.Receiver = *choice.Node
+	s, err := c.g.deps.Peers.Execute(ctx, fwd)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	_, err = answer.Copy(c.w, s)
+	return err
+}
+
+func (c *call) forward() *Forward {
+	fwd := &Forward{
+		RequestID: c.req.ID, Customer: c.access.Customer, Target: c.req.Target, Method: c.req.Method,
+		Path: c.req.Path, Query: c.req.Query, Header: c.req.Header, ListsVersion: c.snapshot.Version,
+		Sender: c.g.deps.Self, Traceparent: c.req.Traceparent, Stream: c.req.Stream, Repeatable: c.repeatable,
+		Priority: c.access.Plan.Priority, PromptTokens: c.req.PromptTokens, Prefix: c.req.Prefix,
+		Payload: c.req.Payload, Body: c.req.Body,
+	}
+	if !c.req.Deadline.IsZero() {
+		fwd.Timeout = max(time.Millisecond, c.req.Deadline.Sub(c.g.deps.Now()))
+	}
+	return fwd
+}
+
+// mayResume tells if a generation can go on behind what the caller has.
+func (c *call) mayResume(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || !c.w.started || !c.req.Stream || c.req.Target.Kind != domain.TargetModel {
+		return false
+	}
+	switch errkind.From(err).Kind {
+	case errkind.Truncated, errkind.UpstreamSilent, errkind.PeerLost, errkind.PeerUnreachable:
+		return true
+	}
+	return false
+}
+
+// mayRetry tells if another choice may be tried after err: nothing of the
+// answer is out, and the work either did not run or may run again.
+func (c *call) mayRetry(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || c.w.started {
+		return false
+	}
+	e := errkind.From(err)
+	if !retryable(e.Kind) {
+		return false
+	}
+	if e.Verdict() != domain.RunNo && (!c.repeatable || c.req.Body != nil) {
+		return false
+	}
+	return c.g.deps.Admission.AllowRetry()
+}
+
+var retryableKinds = []errkind.Kind{
+	errkind.Overloaded, errkind.NoCapacity, errkind.Draining, errkind.ListsOutdated, errkind.ListsUnavailable,
+	errkind.UpstreamFailed, errkind.UpstreamSilent, errkind.Truncated, errkind.PeerUnreachable, errkind.PeerLost,
+	errkind.WrongIncarnation, errkind.RegionForbidden,
+}
+
+// retryable tells if another choice can end better than one that failed with k.
+func retryable(k errkind.Kind) bool { return slices.Contains(retryableKinds, k) }
+
+func (c *call) exclude(choice Choice) {
+	if choice.Upstream != nil {
+		c.tried.upstreams = append(c.tried.upstreams, choice.Upstream.ID)
+		return
+	}
+	c.tried.domains = append(c.tried.domains, choice.Node.Place.FailureDomain)
+}
--- /dev/null
+++ b/core/gateway/deps.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/explain"
+	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// Lists gives the lists in force.
+type Lists interface {
+	// Current returns the snapshot in force, nil before the first adoption.
+	Current() *lists.Snapshot
+	// CatchUp fetches from peer until at least version is in force, or fails
+	// with kind lists_outdated.
+	CatchUp(ctx context.Context, version domain.ListsVersion, peer domain.NodeRef) error
+}
+
+// RouteRequest is what a choice depends on.
+type RouteRequest struct {
+	Access       *lists.Access
+	Target       domain.Target
+	PromptTokens int
+	OutputTokens int
+	Prefix       uint64
+	Deadline     time.Time
+	// LocalOnly forbids forwarding: the Execute stage.
+	LocalOnly bool
+	// TriedUpstreams and TriedDomains are left out.
+	TriedUpstreams []domain.UpstreamID
+	TriedDomains   []domain.FailureDomain
+	// Pinned demands one upstream, to resume what it holds.
+	Pinned domain.UpstreamID
+}
+
+// Choice is where an attempt goes: to an upstream of the own failure domain,
+// or to a node of another one.
+type Choice struct {
+	Upstream *domain.UpstreamRef
+	Node     *domain.NodeRef
+	// Reason is a short text for explanations.
+	Reason string
+}
+
+// Router chooses. It fails with kind region_forbidden, unknown_target or
+// no_capacity, all of which prove that nothing ran.
+type Router interface {
+	Route(req RouteRequest) (Choice, error)
+}
+
+// Tracker accounts for work on upstreams of the own failure domain.
+type Tracker interface {
+	// Started reports a dispatch; the returned function reports its progress.
+	Started(up domain.UpstreamID, promptTokens int) Progress
+}
+
+// Progress reports on one dispatch.
+type Progress interface {
+	// FirstChunk reports the first chunk of the answer.
+	FirstChunk()
+	// Ended reports the end; err is nil for a whole answer.
+	Ended(err error)
+}
+
+// Peers reaches other nodes. An error with verdict "no" proves that the receiver
+// ran nothing and will run nothing for this attempt.
+type Peers interface {
+	Execute(ctx context.Context, fwd *Forward) (answer.Stream, error)
+	Join(ctx context.Context, fwd *Forward) (answer.Stream, error)
+}
+
+// AdmitRequest is what admission depends on.
+type AdmitRequest struct {
+	Access       *lists.Access
+	Target       domain.Target
+	PromptTokens int
+	OutputTokens int
+	Deadline     time.Time
+}
+
+// Grant is an admitted request's share of the limits.
+type Grant interface {
+	// FirstChunk reports the first byte of the answer.
+	FirstChunk()
+	// Done gives the share back; tokens is what was generated.
+	Done(tokens int)
+}
+
+// Admission holds requests back to the plan's limits. It fails with kind
+// limit_exceeded, deadline_unreachable or overloaded.
+type Admission interface {
+	Admit(ctx context.Context, req AdmitRequest) (Grant, error)
+	// AllowRetry takes one retry from the retry budget, if there is one.
+	AllowRetry() bool
+}
+
+// Outcome is the summary of a finished request, for metrics.
+type Outcome struct {
+	Customer   domain.CustomerID
+	Target     domain.Target
+	Err        error
+	Forwarded  bool
+	RanIn      domain.Place
+	FirstChunk time.Duration
+	Total      time.Duration
+	Bytes      int64
+	Attempts   int
+}
+
+// Observer receives outcomes. It must not block.
+type Observer interface {
+	Finished(Outcome)
+}
+
+// Deps are what a Gateway is made of; all fields are required.
+type Deps struct {
+	Self      domain.NodeRef
+	Lists     Lists
+	Router    Router
+	Tracker   Tracker
+	Peers     Peers
+	Admission Admission
+	Engine    ports.Engine
+	Service   ports.Service
+	Observer  Observer
+	Explain   *explain.Log
+	Log       event.Logger
+	Now       func() time.Time
+}
--- /dev/null
+++ b/core/gateway/execute.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+// Execute runs a request that another node sent here, on an upstream of the own
+// failure domain, or refuses it. It never passes a request on.
+func (g *Gateway) Execute(ctx context.Context, fwd *Forward, w answer.Writer) error {
+	if fwd.Receiver.Incarnation != g.deps.Self.Incarnation {
+		return errkind.New(errkind.WrongIncarnation, "this process is not the receiver that was meant").WithRun(domain.RunNo)
+	}
+	access, err := g.recheck(ctx, fwd)
+	if err != nil {
+		return err
+	}
+	choice, err := g.deps.Router.Route(RouteRequest{
+		Access: access, Target: fwd.Target, PromptTokens: fwd.PromptTokens, Prefix: fwd.Prefix,
+		LocalOnly: true, Pinned: fwd.Pinned,
+	})
+	if err != nil {
+		return err
+	}
+	return g.dispatch(ctx, *choice.Upstream, fwd, w)
+}
+
+// recheck decides by this node's own lists, which must be at least as new as
+// the sender's, whether the request may be processed here.
+func (g *Gateway) recheck(ctx context.Context, fwd *Forward) (*lists.Access, error) {
+	snapshot := g.deps.Lists.Current()
+	if snapshot == nil || snapshot.Version < fwd.ListsVersion {
+		if err := g.deps.Lists.CatchUp(ctx, fwd.ListsVersion, fwd.Sender); err != nil {
+			return nil, err
+		}
+		snapshot = g.deps.Lists.Current()
+	}
+	access, ok := snapshot.Customer(fwd.Customer)
+	if !ok {
+		return nil, errkind.New(errkind.NotInPlan, "customer %q is not in lists version %d", fwd.Customer, snapshot.Version)
+	}
+	return access, checkPlace(access, fwd.Target, g.deps.Self.Place.Region)
+}
+
+func checkPlace(access *lists.Access, target domain.Target, region domain.Region) error {
+	if !access.AllowsTarget(target) {
+		return errkind.New(errkind.NotInPlan, "plan %q does not hold %s %q", access.Plan.ID, target.Kind, target.Name)
+	}
+	if !access.AllowsRegion(region) {
+		return errkind.New(errkind.RegionForbidden, "plan %q forbids region %q", access.Plan.ID, region)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/gateway/gateway.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/explain"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request, resumptions included.
+	maxAttempts = 6
+	// maxResumes bounds the resumptions in a row without a new event.
+	maxResumes = 3
+)
+
+// Gateway serves requests at the entry and execute stages. It is safe for
+// concurrent use.
+type Gateway struct {
+	deps Deps
+}
+
+// New returns a gateway made of deps.
+func New(deps Deps) *Gateway { return &Gateway{deps: deps} }
+
+// call is the state of one request at its entry.
+type call struct {
+	g          *Gateway
+	req        *Request
+	access     *lists.Access
+	snapshot   *lists.Snapshot
+	repeatable bool
+	w          *trackedWriter
+	record     *explain.Record
+	grant      Grant
+	begun      time.Time
+	attempts   int
+	forwarded  bool
+	tried      triedSet
+}
+
+// triedSet holds what earlier attempts of a request found unusable.
+type triedSet struct {
+	upstreams []domain.UpstreamID
+	domains   []domain.FailureDomain
+}
+
+// Serve runs a caller's request and writes its answer. A nil error means that
+// the whole answer was written; otherwise *errkind.Error says what the caller
+// must be told, and Started on w says if the head is already out.
+func (g *Gateway) Serve(ctx context.Context, req *Request, w answer.Writer) error {
+	begun := g.deps.Now()
+	c := &call{g: g, req: req, begun: begun, w: newTrackedWriter(w, begun, g.deps.Now)}
+	c.record = &explain.Record{RequestID: req.ID, Target: req.Target.Kind.String() + "/" + req.Target.Name}
+	err := c.serve(ctx)
+	c.finish(err)
+	return err
+}
+
+func (c *call) serve(ctx context.Context) error {
+	if err := c.authorize(); err != nil {
+		return err
+	}
+	grant, err := c.g.deps.Admission.Admit(ctx, AdmitRequest{
+		Access: c.access, Target: c.req.Target, PromptTokens: c.req.PromptTokens,
+		OutputTokens: c.req.OutputTokens, Deadline: c.req.Deadline,
+	})
+	if err != nil {
+		return err
+	}
+	c.grant = grant
+	c.w.onFirst = grant.FirstChunk
+	return c.attemptAll(ctx)
+}
+
+// authorize resolves the caller's key to its plan and checks the target.
+func (c *call) authorize() error {
+	c.snapshot = c.g.deps.Lists.Current()
+	if c.snapshot == nil {
+		return errkind.New(errkind.ListsUnavailable, "this node holds no lists yet")
+	}
+	access, err := c.snapshot.Authenticate(c.req.BearerKey)
+	if err != nil {
+		return err
+	}
+	c.access = access
+	c.record.Customer = access.Customer
+	c.record.ListsVersion = c.snapshot.Version
+	return c.checkTarget()
+}
+
+func (c *call) checkTarget() error {
+	if !c.access.AllowsTarget(c.req.Target) {
+		return errkind.New(errkind.NotInPlan, "plan %q does not hold %s %q", c.access.Plan.ID, c.req.Target.Kind, c.req.Target.Name)
+	}
+	c.repeatable = true
+	if c.req.Target.Kind == domain.TargetService {
+		svc, ok := c.snapshot.Service(c.req.Target.Name)
+		if !ok {
+			return errkind.New(errkind.UnknownTarget, "service %q is not in the lists", c.req.Target.Name)
+		}
+		c.repeatable = svc.Repeatable(c.req.Method, c.req.Path)
+	}
+	return nil
+}
+
+// finish reports the request's end to the grant, the explanation and metrics.
+func (c *call) finish(err error) {
+	now := c.g.deps.Now()
+	if c.grant != nil {
+		c.grant.Done(int(c.w.chunks))
+	}
+	c.record.Outcome, c.record.Run = "ok", domain.RunYes
+	customer := domain.CustomerID("")
+	if c.access != nil {
+		customer = c.access.Customer
+	}
+	if err != nil {
+		e := errkind.From(err)
+		c.record.Outcome, c.record.Run = string(e.Kind), e.Verdict()
+		c.record.Add(now, "failed", e.Message)
+		c.g.deps.Log.Log(event.RequestFailed, event.F("request", c.req.ID), event.F("customer", customer),
+			event.F("kind", e.Kind), event.F("run", e.Verdict()), event.F("detail", e.Message))
+	}
+	c.g.deps.Explain.Put(c.record)
+	c.g.deps.Observer.Finished(Outcome{
+		Customer: customer, Target: c.req.Target, Err: err, Forwarded: c.forwarded, RanIn: c.w.head.RanIn,
+		FirstChunk: c.w.firstAfter, Total: now.Sub(c.begun), Bytes: c.w.bytes, Attempts: c.attempts,
+	})
+}
+
+func (c *call) note(name, format string, args ...any) {
+	c.record.Add(c.g.deps.Now(), name, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/core/gateway/writer.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+)
+
+// trackedWriter remembers what of an answer has reached the caller, so that a
+// further attempt continues behind it and never repeats it.
+type trackedWriter struct {
+	w          answer.Writer
+	head       answer.Head
+	started    bool
+	begun      time.Time
+	now        func() time.Time
+	onFirst    func()
+	firstAfter time.Duration
+	chunks     uint64
+	events     uint64
+	bytes      int64
+}
+
+func newTrackedWriter(w answer.Writer, begun time.Time, now func() time.Time) *trackedWriter {
+	return &trackedWriter{w: w, begun: begun, now: now}
+}
+
+// WriteHead implements answer.Writer. The head of a resumed answer is dropped.
+func (t *trackedWriter) WriteHead(h answer.Head) error {
+	if t.started {
+		return nil
+	}
+	t.started = true
+	t.head = h
+	return t.w.WriteHead(h)
+}
+
+// WriteChunk implements answer.Writer.
+func (t *trackedWriter) WriteChunk(p []byte) error {
+	if t.chunks == 0 {
+		t.firstAfter = t.now().Sub(t.begun)
+		if t.onFirst != nil {
+			t.onFirst()
+		}
+	}
+	if err := t.w.WriteChunk(p); err != nil {
+		return err
+	}
+	t.chunks++
+	t.events += countEvents(p)
+	t.bytes += int64(len(p))
+	return nil
+}
+
+var eventEnd = []byte("\n\n")
+
+// countEvents returns the number of server-sent events that end in p.
+func countEvents(p []byte) uint64 { return uint64(bytes.Count(p, eventEnd)) }
