Run non-repeatable calls through the operations ledger

Cause: a call that may not be repeated needs one process that alone may start it. The entry resolves the operation id, the issuer runs it detached from its caller, an executor elsewhere admits each attempt before anything else, and an issuer that lost an executor's answer asks before it tries another. Errors that come about before the issuer was asked say "unknown" for named operations, since an earlier copy may have run.

--- /dev/null
+++ b/adapters/callerapi/handlers.go
@@ -0,0 +1,237 @@
+package callerapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/gateway"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+func bearerKey(r *http.Request) string {
+	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// begin starts a request: it draws the id, checks that the node takes requests
+// and derives the deadline.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request) (*gateway.Request, context.Context, context.CancelFunc, error) {
+	req := &gateway.Request{ID: newRequestID(), BearerKey: bearerKey(r), Traceparent: r.Header.Get(headerTraceparent)}
+	w.Header().Set(HeaderRequestID, string(req.ID))
+	if !s.deps.Accepting() {
+		return req, nil, nil, errkind.New(errkind.Draining, "this node takes no new requests; use another entry")
+	}
+	timeout, err := s.timeout(r)
+	if err != nil {
+		return req, nil, nil, err
+	}
+	req.Deadline = time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	return req, ctx, cancel, nil
+}
+
+func (s *Server) timeout(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return s.cfg.RequestTimeout, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return 0, errkind.New(errkind.BadRequest, "%s %q is not a positive duration such as 30s", HeaderTimeout, text)
+	}
+	return min(d, s.cfg.RequestTimeout), nil
+}
+
+func (s *Server) serve(ctx context.Context, w http.ResponseWriter, req *gateway.Request) {
+	aw := newHTTPWriter(w, req)
+	err := s.deps.Gateway.Serve(ctx, req, aw)
+	if err == nil {
+		return
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		err = timedOut(err)
+	}
+	aw.fail(err)
+}
+
+// timedOut restates an error that followed from the request's own deadline.
+func timedOut(err error) error {
+	e := errkind.From(err)
+	if e.Kind != errkind.Canceled {
+		return err
+	}
+	return errkind.New(errkind.Timeout, "the request's time ran out: %w", err).WithRun(e.Verdict())
+}
+
+func (s *Server) chatCompletions(w http.ResponseWriter, r *http.Request) {
+	req, ctx, cancel, err := s.begin(w, r)
+	if err != nil {
+		writeError(w, req.ID, err)
+		return
+	}
+	defer cancel()
+	body, err := s.readBody(w, r)
+	if err == nil {
+		err = parseChat(body, req)
+	}
+	if err != nil {
+		writeError(w, req.ID, err)
+		return
+	}
+	s.serve(ctx, w, req)
+}
+
+// readBody holds a whole body in memory, up to the configured bound.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "the body broke off: %w", err)
+	}
+	return body, nil
+}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	req, ctx, cancel, err := s.begin(w, r)
+	if err != nil {
+		writeError(w, req.ID, err)
+		return
+	}
+	defer cancel()
+	req.Target = domain.Target{Kind: domain.TargetService, Name: r.PathValue("service")}
+	req.Method, req.Path, req.Query = r.Method, servicePath(r), r.URL.RawQuery
+	req.Header = serviceHeader(r.Header)
+	req.OperationID = domain.OperationID(r.Header.Get(HeaderOperationID))
+	req.IdempotencyKey = r.Header.Get(HeaderIdempotency)
+	if err := s.attachBody(w, r, req); err != nil {
+		writeError(w, req.ID, err)
+		return
+	}
+	s.serve(ctx, w, req)
+}
+
+// servicePath returns the escaped path below the service, with its slash.
+func servicePath(r *http.Request) string {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/services/")
+	if i := strings.IndexByte(rest, '/'); i >= 0 {
+		return rest[i:]
+	}
+	return "/"
+}
+
+// attachBody streams the body of a call that may be repeated and holds that of
+// any other, so that a refusal by one node leaves it for the next.
+func (s *Server) attachBody(w http.ResponseWriter, r *http.Request, req *gateway.Request) error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	snapshot := s.deps.Lists()
+	if snapshot != nil {
+		svc, ok := snapshot.Service(req.Target.Name)
+		if ok && svc.Repeatable(req.Method, req.Path) {
+			req.Body = r.Body
+			return nil
+		}
+	}
+	body, err := s.readBody(w, r)
+	req.Payload = body
+	return err
+}
+
+func (s *Server) access(w http.ResponseWriter, r *http.Request) (*lists.Access, domain.RequestID, error) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, string(id))
+	snapshot := s.deps.Lists()
+	if snapshot == nil {
+		return nil, id, errkind.New(errkind.ListsUnavailable, "this node holds no lists yet")
+	}
+	access, err := snapshot.Authenticate(bearerKey(r))
+	return access, id, err
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	access, id, err := s.access(w, r)
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range access.Plan.Models {
+		list.Data = append(list.Data, modelItem{ID: m, Object: "model", OwnedBy: "crocusspread"})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) entries(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.deps.Entries.Entries())
+}
+
+type issuedOperation struct {
+	OperationID domain.OperationID `json:"operation_id"`
+}
+
+func (s *Server) issueOperation(w http.ResponseWriter, r *http.Request) {
+	access, id, err := s.access(w, r)
+	if err == nil && !s.deps.Accepting() {
+		err = errkind.New(errkind.Draining, "this node issues no more operations; use another entry")
+	}
+	var op domain.OperationID
+	if err == nil {
+		op, err = s.deps.Operations.Issue(access.Customer)
+	}
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	writeJSON(w, http.StatusCreated, issuedOperation{OperationID: op})
+}
+
+func (s *Server) operationStatus(w http.ResponseWriter, r *http.Request) {
+	access, id, err := s.access(w, r)
+	var st OperationStatus
+	if err == nil {
+		st, err = s.deps.Operations.Status(r.Context(), access.Customer, domain.OperationID(r.PathValue("id")))
+	}
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, st)
+}
+
+func (s *Server) unknownPath(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	w.Header().Set(HeaderRequestID, string(id))
+	writeError(w, id, errkind.New(errkind.NotFound, "no such path: %s %s", r.Method, r.URL.Path))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/adapters/callerapi/server.go
@@ -0,0 +1,109 @@
+package callerapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/gateway"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+// Names of the headers that carry the product's own statements.
+const (
+	HeaderRequestID    = "X-Request-Id"
+	HeaderOperationID  = "Crocusspread-Operation-Id"
+	HeaderIdempotency  = "Idempotency-Key"
+	HeaderListsVersion = "Crocusspread-Lists-Version"
+	HeaderRanIn        = "Crocusspread-Ran-In"
+	HeaderRun          = "Crocusspread-Run"
+	HeaderErrorKind    = "Crocusspread-Error-Kind"
+	HeaderTimeout      = "Crocusspread-Timeout"
+	headerTraceparent  = "Traceparent"
+)
+
+// Gateway serves requests.
+type Gateway interface {
+	Serve(ctx context.Context, req *gateway.Request, w answer.Writer) error
+}
+
+// Operations issues ids for non-repeatable calls and tells what became of them.
+type Operations interface {
+	Issue(customer domain.CustomerID) (domain.OperationID, error)
+	Status(ctx context.Context, customer domain.CustomerID, id domain.OperationID) (OperationStatus, error)
+}
+
+// OperationStatus is the body of GET /v1/operations/{id}.
+type OperationStatus struct {
+	OperationID domain.OperationID `json:"operation_id"`
+	// State is "unused", "running", "done", "not_run" or "unknown".
+	State string     `json:"state"`
+	Run   domain.Run `json:"run"`
+}
+
+// Entry is a node that callers may use.
+type Entry struct {
+	Node          domain.NodeID        `json:"node"`
+	Address       string               `json:"address"`
+	Region        domain.Region        `json:"region"`
+	FailureDomain domain.FailureDomain `json:"failure_domain"`
+}
+
+// EntryList is the body of GET /v1/entries, best entry first.
+type EntryList struct {
+	Entries    []Entry `json:"entries"`
+	TTLSeconds int     `json:"ttl_seconds"`
+}
+
+// Entries lists the entries for callers of this node.
+type Entries interface {
+	Entries() EntryList
+}
+
+// Config bounds what callers may send.
+type Config struct {
+	// MaxBodyBytes bounds a body that has to be held: generations and
+	// non-repeatable calls.
+	MaxBodyBytes int64
+	// RequestTimeout bounds a request whose caller states no timeout.
+	RequestTimeout time.Duration
+}
+
+// Deps are what a Server is made of; all fields are required.
+type Deps struct {
+	Gateway    Gateway
+	Operations Operations
+	Entries    Entries
+	Lists      func() *lists.Snapshot
+	// Accepting tells if the node takes new requests.
+	Accepting func() bool
+}
+
+// Server handles callers' requests; it is an http.Handler.
+type Server struct {
+	cfg  Config
+	deps Deps
+	mux  *http.ServeMux
+}
+
+// New returns a server.
+func New(cfg Config, deps Deps) *Server {
+	s := &Server{cfg: cfg, deps: deps, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /v1/chat/completions", s.chatCompletions)
+	s.mux.HandleFunc("GET /v1/models", s.models)
+	s.mux.HandleFunc("GET /v1/entries", s.entries)
+	s.mux.HandleFunc("POST /v1/operations", s.issueOperation)
+	s.mux.HandleFunc("GET /v1/operations/{id}", s.operationStatus)
+	s.mux.HandleFunc("/services/{service}/{path...}", s.service)
+	s.mux.HandleFunc("/", s.unknownPath)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// An earlier answer on this connection may have left its write deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	s.mux.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/adapters/telemetry/doc.go
@@ -0,0 +1,3 @@
+// Package telemetry writes numbered log events through klog and keeps metrics
+// in a go-metrics registry.
+package telemetry
--- /dev/null
+++ b/adapters/telemetry/metrics.go
@@ -0,0 +1,75 @@
+package telemetry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/gateway"
+)
+
+const (
+	// reservoirSize and reservoirAlpha shape the exponentially decaying samples
+	// behind histograms.
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// Metrics counts what the node does. It implements gateway.Observer.
+type Metrics struct {
+	Registry metrics.Registry
+	self     domain.Place
+}
+
+// NewMetrics returns metrics of a node that stands at self.
+func NewMetrics(self domain.Place) *Metrics {
+	return &Metrics{Registry: metrics.NewRegistry(), self: self}
+}
+
+// Count adds n to a counter.
+func (m *Metrics) Count(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, m.Registry).Inc(n)
+}
+
+// Gauge sets a gauge.
+func (m *Metrics) Gauge(name string, v int64) {
+	metrics.GetOrRegisterGauge(name, m.Registry).Update(v)
+}
+
+// Observe adds a duration to a histogram of microseconds.
+func (m *Metrics) Observe(name string, d time.Duration) {
+	h := m.Registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	}).(metrics.Histogram)
+	h.Update(d.Microseconds())
+}
+
+// Finished implements gateway.Observer.
+func (m *Metrics) Finished(o gateway.Outcome) {
+	m.Count("requests.total", 1)
+	if o.Forwarded {
+		m.Count("requests.forwarded", 1)
+	}
+	if o.Attempts > 1 {
+		m.Count("requests.retried", 1)
+	}
+	if o.Err != nil {
+		m.Count("requests.failed."+string(errkind.From(o.Err).Kind), 1)
+		return
+	}
+	m.Observe("requests.total_us."+o.Target.Kind.String(), o.Total)
+	m.Observe("requests.first_chunk_us."+o.Target.Kind.String(), o.FirstChunk)
+	if o.RanIn.Region != m.self.Region {
+		m.Count("requests.other_region", 1)
+		m.Count(bytesName(o.Customer, m.self.Region, o.RanIn.Region), o.Bytes)
+	}
+}
+
+// bytesName names the counter of answer bytes that crossed between two regions
+// for one customer.
+func bytesName(customer domain.CustomerID, to, from domain.Region) string {
+	return strings.Join([]string{"region_bytes", string(customer), string(from), string(to)}, ".")
+}
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -28,7 +28,7 @@
 		if !c.mayRetry(ctx, err) {
 			return err
 		}
-		c.exclude(choice)
+		c.tried.exclude(choice)
 		c.note("retry", "attempt %d: %s", c.attempts, err)
 		c.g.deps.Log.Log(event.RequestRetried, event.F("request", c.req.ID), event.F("detail", err))
 	}
@@ -116,7 +116,7 @@
 		Path: c.req.Path, Query: c.req.Query, Header: c.req.Header, ListsVersion: c.snapshot.Version,
 		Sender: c.g.deps.Self, Traceparent: c.req.Traceparent, Stream: c.req.Stream, Repeatable: c.repeatable,
 		Priority: c.access.Plan.Priority, PromptTokens: c.req.PromptTokens, Prefix: c.req.Prefix,
-		Payload: c.req.Payload, Body: c.req.Body,
+		Payload: c.req.Payload, Body: c.req.Body, OperationID: c.req.OperationID, Fingerprint: c.fingerprint,
 	}
 	if !c.req.Deadline.IsZero() {
 		fwd.Timeout = max(time.Millisecond, c.req.Deadline.Sub(c.g.deps.Now()))
@@ -161,10 +161,10 @@
 // retryable tells if another choice can end better than one that failed with k.
 func retryable(k errkind.Kind) bool { return slices.Contains(retryableKinds, k) }
 
-func (c *call) exclude(choice Choice) {
+func (t *triedSet) exclude(choice Choice) {
 	if choice.Upstream != nil {
-		c.tried.upstreams = append(c.tried.upstreams, choice.Upstream.ID)
+		t.upstreams = append(t.upstreams, choice.Upstream.ID)
 		return
 	}
-	c.tried.domains = append(c.tried.domains, choice.Node.Place.FailureDomain)
+	t.domains = append(t.domains, choice.Node.Place.FailureDomain)
 }
--- a/core/gateway/deps.go
+++ b/core/gateway/deps.go
@@ -9,6 +9,7 @@
 	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/explain"
 	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/operations"
 	"github.com/crocusspread/crocusspread/core/ports"
 )
 
@@ -72,6 +73,34 @@
 type Peers interface {
 	Execute(ctx context.Context, fwd *Forward) (answer.Stream, error)
 	Join(ctx context.Context, fwd *Forward) (answer.Stream, error)
+	// Inquire asks the executor of an attempt what became of it.
+	Inquire(ctx context.Context, executor domain.NodeRef, a operations.Attempt) (operations.Outcome, error)
+	// OperationStatus asks the issuer of an operation where it stands.
+	OperationStatus(ctx context.Context, issuer domain.NodeRef, customer domain.CustomerID, id domain.OperationID) (operations.Status, error)
+}
+
+// Nodes finds nodes by name, in all failure domains.
+type Nodes interface {
+	Find(id domain.NodeID) (domain.NodeRef, bool)
+}
+
+// Operations is the ledger of the operations that this process issues.
+type Operations interface {
+	Issue(customer domain.CustomerID, now time.Time) domain.OperationID
+	Issues(p operations.IDParts) bool
+	Begin(id domain.OperationID, customer domain.CustomerID, fingerprint uint64, now time.Time) (operations.Began, error)
+	Status(id domain.OperationID, customer domain.CustomerID, now time.Time) (operations.Status, error)
+}
+
+// Keys binds caller-made keys to operations.
+type Keys interface {
+	Claim(ctx context.Context, customer domain.CustomerID, key string, fingerprint uint64) (operations.Claim, error)
+}
+
+// Executions is the ledger of the attempts that this process runs for issuers
+// elsewhere.
+type Executions interface {
+	Admit(a operations.Attempt, now time.Time) (*operations.Admission, error)
 }
 
 // AdmitRequest is what admission depends on.
@@ -119,16 +148,21 @@
 
 // Deps are what a Gateway is made of; all fields are required.
 type Deps struct {
-	Self      domain.NodeRef
-	Lists     Lists
-	Router    Router
-	Tracker   Tracker
-	Peers     Peers
-	Admission Admission
-	Engine    ports.Engine
-	Service   ports.Service
-	Observer  Observer
-	Explain   *explain.Log
-	Log       event.Logger
-	Now       func() time.Time
+	Self    domain.NodeRef
+	Lists   Lists
+	Router  Router
+	Tracker Tracker
+	Peers   Peers
+	Nodes   Nodes
+	// Operations, Keys and Executions carry non-repeatable calls.
+	Operations Operations
+	Keys       Keys
+	Executions Executions
+	Admission  Admission
+	Engine     ports.Engine
+	Service    ports.Service
+	Observer   Observer
+	Explain    *explain.Log
+	Log        event.Logger
+	Now        func() time.Time
 }
--- a/core/gateway/execute.go
+++ b/core/gateway/execute.go
@@ -15,23 +15,40 @@
 	if fwd.Receiver.Incarnation != g.deps.Self.Incarnation {
 		return errkind.New(errkind.WrongIncarnation, "this process is not the receiver that was meant").WithRun(domain.RunNo)
 	}
-	access, err := g.recheck(ctx, fwd)
+	if !fwd.Repeatable {
+		return g.executeOperation(ctx, fwd, w)
+	}
+	choice, err := g.place(ctx, fwd)
 	if err != nil {
 		return err
 	}
-	choice, err := g.deps.Router.Route(RouteRequest{
+	return g.dispatch(ctx, *choice.Upstream, fwd, w)
+}
+
+// place chooses an upstream of the own failure domain by the receiver's lists.
+func (g *Gateway) place(ctx context.Context, fwd *Forward) (Choice, error) {
+	access, err := g.recheck(ctx, fwd)
+	if err != nil {
+		return Choice{}, err
+	}
+	return g.deps.Router.Route(RouteRequest{
 		Access: access, Target: fwd.Target, PromptTokens: fwd.PromptTokens, Prefix: fwd.Prefix,
 		LocalOnly: true, Pinned: fwd.Pinned,
 	})
+}
+
+// recheck decides whether the request may be processed in this region.
+func (g *Gateway) recheck(ctx context.Context, fwd *Forward) (*lists.Access, error) {
+	access, err := g.customer(ctx, fwd)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return g.dispatch(ctx, *choice.Upstream, fwd, w)
+	return access, checkPlace(access, fwd.Target, g.deps.Self.Place.Region)
 }
 
-// recheck decides by this node's own lists, which must be at least as new as
-// the sender's, whether the request may be processed here.
-func (g *Gateway) recheck(ctx context.Context, fwd *Forward) (*lists.Access, error) {
+// customer finds the request's customer in this node's own lists, which must be
+// at least as new as the sender's.
+func (g *Gateway) customer(ctx context.Context, fwd *Forward) (*lists.Access, error) {
 	snapshot := g.deps.Lists.Current()
 	if snapshot == nil || snapshot.Version < fwd.ListsVersion {
 		if err := g.deps.Lists.CatchUp(ctx, fwd.ListsVersion, fwd.Sender); err != nil {
@@ -43,7 +60,7 @@
 	if !ok {
 		return nil, errkind.New(errkind.NotInPlan, "customer %q is not in lists version %d", fwd.Customer, snapshot.Version)
 	}
-	return access, checkPlace(access, fwd.Target, g.deps.Self.Place.Region)
+	return access, nil
 }
 
 func checkPlace(access *lists.Access, target domain.Target, region domain.Region) error {
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -43,6 +43,9 @@
 	attempts   int
 	forwarded  bool
 	tried      triedSet
+	// named is set if the caller named the operation by its id or a key.
+	named       bool
+	fingerprint uint64
 }
 
 // triedSet holds what earlier attempts of a request found unusable.
@@ -57,25 +60,36 @@
 func (g *Gateway) Serve(ctx context.Context, req *Request, w answer.Writer) error {
 	begun := g.deps.Now()
 	c := &call{g: g, req: req, begun: begun, w: newTrackedWriter(w, begun, g.deps.Now)}
-	c.record = &explain.Record{RequestID: req.ID, Target: req.Target.Kind.String() + "/" + req.Target.Name}
+	c.startRecord()
 	err := c.serve(ctx)
 	c.finish(err)
 	return err
 }
 
+func (c *call) startRecord() {
+	c.record = &explain.Record{RequestID: c.req.ID, Target: c.req.Target.Kind.String() + "/" + c.req.Target.Name}
+	if c.access != nil {
+		c.record.Customer, c.record.ListsVersion = c.access.Customer, c.snapshot.Version
+	}
+}
+
 func (c *call) serve(ctx context.Context) error {
+	c.named = c.req.OperationID != "" || c.req.IdempotencyKey != ""
 	if err := c.authorize(); err != nil {
-		return err
+		return c.beforeIssuer(err)
 	}
 	grant, err := c.g.deps.Admission.Admit(ctx, AdmitRequest{
 		Access: c.access, Target: c.req.Target, PromptTokens: c.req.PromptTokens,
 		OutputTokens: c.req.OutputTokens, Deadline: c.req.Deadline,
 	})
 	if err != nil {
-		return err
+		return c.beforeIssuer(err)
 	}
 	c.grant = grant
 	c.w.onFirst = grant.FirstChunk
+	if !c.repeatable {
+		return c.serveOperation(ctx)
+	}
 	return c.attemptAll(ctx)
 }
 
