Add the ledgers that run a call at most once

A call that may not be repeated needs one process that alone may start it, and an executor that refuses late copies. Times are passed in.

--- /dev/null
+++ b/core/operations/issuer_test.go
@@ -0,0 +1,407 @@
+package operations
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+)
+
+const customer = domain.CustomerID("acme")
+
+var (
+	origin     = time.Now()
+	executorA  = ExecutorRef{"node-a", 1}
+	smallSizes = IssuerConfig{
+		Shards: 1, FirstUse: time.Minute, MaxRun: time.Minute, Retention: 10 * time.Minute,
+		MaxRecords: 4, MaxAnswerBytes: 4 << 10, MaxTotalBytes: 8 << 10,
+	}
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func at(d time.Duration) time.Time { return origin.Add(d) }
+
+func newIssuer(t testing.TB, c IssuerConfig) *Issuer {
+	t.Helper()
+	i, err := NewIssuer("node-i", 7, origin, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return i
+}
+
+func mustRun(t testing.TB, i *Issuer, id domain.OperationID, now time.Time) *Run {
+	t.Helper()
+	b, err := i.Begin(id, customer, 1, now)
+	if err != nil || b.Run == nil {
+		t.Fatalf("Begin = %+v, %v, want a run", b, err)
+	}
+	return b.Run
+}
+
+func wantKind(t testing.TB, err error, k errkind.Kind, run domain.Run) {
+	t.Helper()
+	if !errors.Is(err, errkind.Of(k)) || errkind.From(err).Verdict() != run {
+		t.Fatalf("error %v, want kind %s with run %s", err, k, run)
+	}
+}
+
+func dispatchWithHead(t testing.TB, r *Run) {
+	t.Helper()
+	if _, err := r.Dispatch(executorA, origin); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.WriteHead(answer.Head{Status: 200}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func write(t testing.TB, r *Run, chunk string) {
+	t.Helper()
+	if err := r.WriteChunk([]byte(chunk)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func readAll(ctx context.Context, d *Reader) (string, error) {
+	s, err := d.Open(ctx)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	for {
+		p, err := s.Next()
+		if err == io.EOF {
+			return b.String(), nil
+		}
+		if err != nil {
+			return b.String(), err
+		}
+		b.Write(p)
+	}
+}
+
+func TestForgedOrForeignID(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	id := string(i.Issue(customer, at(time.Second)))
+	p, err := ParseID(domain.OperationID(id))
+	if err != nil || p.Node != "node-i" || p.Incarnation != 7 || p.Issued != time.Second || !i.Issues(p) {
+		t.Fatalf("ParseID = %+v, %v", p, err)
+	}
+	cut := strings.LastIndexByte(id, '.')
+	cases := []struct {
+		name, id string
+		customer domain.CustomerID
+		kind     errkind.Kind
+		run      domain.Run
+	}{
+		{"another customer", id, "other", errkind.BadRequest, domain.RunNo},
+		{"changed MAC", id[:cut+1] + strings.Repeat("A", len(id)-cut-1), customer, errkind.BadRequest, domain.RunNo},
+		{"changed sequence", strings.Replace(id, ".7.1.", ".7.2.", 1), customer, errkind.BadRequest, domain.RunNo},
+		{"changed time", id[:cut] + "0" + id[cut:], customer, errkind.BadRequest, domain.RunNo},
+		{"garbage", "op1.x", customer, errkind.BadRequest, domain.RunNo},
+		{"issuer restarted", strings.Replace(id, ".7.", ".8.", 1), customer, errkind.OperationLost, domain.RunUnknown},
+		{"another issuer", strings.Replace(id, "node-i", "node-j", 1), customer, errkind.WrongIncarnation, domain.RunUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := i.Begin(domain.OperationID(c.id), c.customer, 1, at(time.Second))
+			wantKind(t, err, c.kind, c.run)
+			_, err = i.Status(domain.OperationID(c.id), c.customer, at(time.Second))
+			wantKind(t, err, c.kind, c.run)
+		})
+	}
+}
+
+func TestAgeOfUnusedID(t *testing.T) {
+	cases := []struct {
+		name string
+		age  time.Duration
+		kind errkind.Kind // empty: starts
+		run  domain.Run
+	}{
+		{"in its first-use window", time.Minute, "", ""},
+		{"after its first-use window", time.Minute + 1, errkind.OperationBurned, domain.RunNo},
+		{"before any record can be forgotten", 10*time.Minute - 1, errkind.OperationBurned, domain.RunNo},
+		{"after its record may be forgotten", 10 * time.Minute, errkind.OperationExpired, domain.RunUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := newIssuer(t, smallSizes)
+			id := i.Issue(customer, at(time.Hour))
+			b, err := i.Begin(id, customer, 1, at(time.Hour+c.age))
+			if c.kind == "" {
+				if err != nil || b.Run == nil {
+					t.Fatalf("Begin = %+v, %v", b, err)
+				}
+				return
+			}
+			wantKind(t, err, c.kind, c.run)
+			if s, err := i.Status(id, customer, at(time.Hour+c.age)); err != nil || s.Run != c.run {
+				t.Fatalf("Status = %+v, %v", s, err)
+			}
+		})
+	}
+}
+
+func TestLateCopyAfterNotRun(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		i := newIssuer(t, smallSizes)
+		id := i.Issue(customer, origin)
+		for n := 0; full && n < smallSizes.MaxRecords; n++ {
+			mustRun(t, i, i.Issue(customer, origin), origin)
+		}
+		if s, err := i.Status(id, customer, origin); err != nil || s.Run != domain.RunNo {
+			t.Fatalf("Status = %+v, %v", s, err)
+		}
+		_, err := i.Begin(id, customer, 1, origin)
+		wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+	}
+}
+
+func TestLateCopyAfterOverload(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	late := i.Issue(customer, origin)
+	var runs []*Run
+	for range smallSizes.MaxRecords {
+		runs = append(runs, mustRun(t, i, i.Issue(customer, origin), origin))
+	}
+	refused := i.Issue(customer, origin)
+	_, err := i.Begin(refused, customer, 1, origin)
+	wantKind(t, err, errkind.Overloaded, domain.RunNo)
+	for _, r := range runs {
+		r.Close(origin)
+	}
+	i.shards[0].config.Retention = time.Minute / 2 // frees the records within the first-use window
+	if kept := i.Expire(at(time.Minute / 2)); kept != 0 {
+		t.Fatalf("kept %d", kept)
+	}
+	i.shards[0].config.Retention = smallSizes.Retention
+	for _, id := range []domain.OperationID{refused, late} {
+		_, err = i.Begin(id, customer, 1, at(time.Minute/2))
+		wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+	}
+}
+
+func TestStaleTimeDoesNotStartBurnedID(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	id := i.Issue(customer, origin)
+	if s, _ := i.Status(id, customer, at(2*time.Minute)); s.Run != domain.RunNo {
+		t.Fatalf("Status = %+v", s)
+	}
+	_, err := i.Begin(id, customer, 1, at(time.Second))
+	wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+}
+
+func TestLateDispatchOfFrozenIssuer(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	id := i.Issue(customer, origin)
+	r := mustRun(t, i, id, origin)
+	_, err := r.Dispatch(executorA, at(time.Minute+1))
+	wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+	if s, _ := i.Status(id, customer, at(time.Minute+1)); s.Run != domain.RunNo {
+		t.Fatalf("Status = %+v", s)
+	}
+}
+
+func TestRepeatWithDifferentRequest(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	id := i.Issue(customer, origin)
+	mustRun(t, i, id, origin)
+	_, err := i.Begin(id, customer, 2, origin)
+	wantKind(t, err, errkind.KeyConflict, domain.RunNo)
+}
+
+func TestEndsOfRun(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(r *Run) error
+		kind errkind.Kind // of a repeat; empty: joins
+		run  domain.Run
+	}{
+		{"burned", func(r *Run) error { return r.NotRun(errkind.New(errkind.NoCapacity, "none"), origin) }, errkind.NoCapacity, domain.RunNo},
+		{"given up before dispatch", func(r *Run) error { r.Close(origin); return nil }, errkind.OperationBurned, domain.RunNo},
+		{"given up after dispatch", func(r *Run) error { _, err := r.Dispatch(executorA, origin); r.Close(origin); return err }, errkind.OperationLost, domain.RunUnknown},
+		{"executor lost", func(r *Run) error {
+			_, err := r.Dispatch(executorA, origin)
+			return errors.Join(err, r.Lost(errkind.New(errkind.PeerUnreachable, "gone"), origin))
+		}, errkind.PeerUnreachable, domain.RunUnknown},
+		{"answer lost", func(r *Run) error { _, err := r.Dispatch(executorA, origin); return errors.Join(err, r.Ran(origin)) }, errkind.AnswerNotKept, domain.RunYes},
+		{"complete", func(r *Run) error {
+			_, err := r.Dispatch(executorA, origin)
+			return errors.Join(err, r.WriteHead(answer.Head{}), r.Complete(origin))
+		}, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := newIssuer(t, smallSizes)
+			id := i.Issue(customer, origin)
+			r := mustRun(t, i, id, origin)
+			if err := c.end(r); err != nil {
+				t.Fatal(err)
+			}
+			b, err := i.Begin(id, customer, 1, origin)
+			if c.kind == "" {
+				if err != nil || b.Join == nil {
+					t.Fatalf("Begin = %+v, %v", b, err)
+				}
+				return
+			}
+			wantKind(t, err, c.kind, c.run)
+			if _, err := r.Dispatch(executorA, origin); err == nil {
+				t.Fatal("dispatched after its end")
+			}
+		})
+	}
+}
+
+func TestRefusalAfterAnswerBegan(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	r := mustRun(t, i, i.Issue(customer, origin), origin)
+	dispatchWithHead(t, r)
+	wantKind(t, r.Refused(), errkind.Internal, domain.RunUnknown)
+}
+
+func TestRepeatsReadWholeAnswerWhileRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newIssuer(t, smallSizes)
+		id := i.Issue(customer, origin)
+		r := mustRun(t, i, id, origin)
+		results := make(chan string)
+		read := func(d *Reader) {
+			text, err := readAll(t.Context(), d)
+			d.Close()
+			if err != nil {
+				text = err.Error()
+			}
+			results <- text
+		}
+		join := func() *Reader {
+			b, err := i.Begin(id, customer, 1, origin)
+			if err != nil || b.Join == nil {
+				t.Fatalf("Begin = %+v, %v", b, err)
+			}
+			return b.Join.Reader()
+		}
+		go read(r.Reader())
+		go read(join())
+		slow := join() // reads only after the end
+		dispatchWithHead(t, r)
+		synctest.Wait()
+		write(t, r, "one ")
+		go read(join())
+		write(t, r, "two")
+		if err := r.Complete(origin); err != nil {
+			t.Fatal(err)
+		}
+		go read(slow)
+		go read(join())
+		for range 5 {
+			if got := <-results; got != "one two" {
+				t.Errorf("read %q", got)
+			}
+		}
+	})
+}
+
+func TestAnswerTooLargeReachesFirstCallerOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newIssuer(t, smallSizes)
+		id := i.Issue(customer, origin)
+		r := mustRun(t, i, id, origin)
+		b, err := i.Begin(id, customer, 1, origin)
+		if err != nil {
+			t.Fatal(err)
+		}
+		repeat, first := b.Join.Reader(), r.Reader()
+		chunk := strings.Repeat("x", 1<<10)
+		const chunks = 300
+		done := make(chan error)
+		go func() {
+			dispatchWithHead(t, r)
+			for range chunks {
+				write(t, r, chunk)
+			}
+			done <- r.Complete(origin)
+		}()
+		synctest.Wait()
+		if kept := i.KeptBytes(); kept > holdBackBytes+smallSizes.MaxAnswerBytes {
+			t.Errorf("holds %d bytes for a stalled first caller", kept)
+		}
+		_, err = readAll(t.Context(), repeat)
+		wantKind(t, err, errkind.AnswerNotKept, domain.RunUnknown)
+		got, err := readAll(t.Context(), first)
+		if err != nil || len(got) != chunks*len(chunk) {
+			t.Errorf("first caller read %d bytes, %v", len(got), err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		_, err = i.Begin(id, customer, 1, origin)
+		wantKind(t, err, errkind.AnswerNotKept, domain.RunYes)
+		first.Close()
+		repeat.Close()
+		if kept := i.KeptBytes(); kept != 0 {
+			t.Errorf("%d bytes kept", kept)
+		}
+	})
+}
+
+func TestGoneFirstCallerDoesNotStallLargeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newIssuer(t, smallSizes)
+		r := mustRun(t, i, i.Issue(customer, origin), origin)
+		first := r.Reader()
+		done := make(chan struct{})
+		go func() {
+			dispatchWithHead(t, r)
+			for range 300 {
+				write(t, r, strings.Repeat("x", 1<<10))
+			}
+			close(done)
+		}()
+		synctest.Wait()
+		first.Close()
+		<-done
+	})
+}
+
+func TestMemoryBoundKeepsNewestAnswers(t *testing.T) {
+	c := smallSizes
+	c.MaxRecords = 100
+	i := newIssuer(t, c)
+	var ids []domain.OperationID
+	for range 20 {
+		id := i.Issue(customer, origin)
+		r := mustRun(t, i, id, origin)
+		dispatchWithHead(t, r)
+		write(t, r, strings.Repeat("x", 2<<10))
+		if err := r.Complete(origin); err != nil {
+			t.Fatal(err)
+		}
+		ids = append(ids, id)
+		if kept := i.KeptBytes(); kept > c.MaxTotalBytes {
+			t.Fatalf("keeps %d bytes", kept)
+		}
+	}
+	_, err := i.Begin(ids[0], customer, 1, origin)
+	wantKind(t, err, errkind.AnswerNotKept, domain.RunYes)
+	if b, err := i.Begin(ids[19], customer, 1, origin); err != nil || b.Join == nil {
+		t.Fatalf("Begin = %+v, %v", b, err)
+	}
+	if kept := i.Expire(at(time.Hour)); kept != 0 || i.KeptBytes() != 0 {
+		t.Fatalf("after expiry %d records, %d bytes", kept, i.KeptBytes())
+	}
+	_, err = i.Begin(ids[19], customer, 1, at(time.Hour))
+	wantKind(t, err, errkind.OperationExpired, domain.RunUnknown)
+}
