--- /dev/null
+++ b/core/routing/filter_leaving.go
@@ -0,0 +1,17 @@
+package routing
+
+import "github.com/crocusspread/crocusspread/core/domain"
+
+// LeavingFilter drops upstreams that want no new work.
+type LeavingFilter struct{}
+
+// Name implements Filter.
+func (LeavingFilter) Name() string { return "leaving" }
+
+// Check implements Filter.
+func (LeavingFilter) Check(_ *View, c *Candidate) Reason {
+	if c.state == domain.UpstreamLeaving {
+		return ReasonLeaving
+	}
+	return Kept
+}
--- /dev/null
+++ b/core/routing/filter_live.go
@@ -0,0 +1,17 @@
+package routing
+
+import "github.com/crocusspread/crocusspread/core/domain"
+
+// LiveFilter drops upstreams that failed lately or are gone.
+type LiveFilter struct{}
+
+// Name implements Filter.
+func (LiveFilter) Name() string { return "live" }
+
+// Check implements Filter.
+func (LiveFilter) Check(_ *View, c *Candidate) Reason {
+	if c.state == domain.UpstreamSuspect || c.state == domain.UpstreamGone {
+		return ReasonNotLive
+	}
+	return Kept
+}
--- /dev/null
+++ b/core/routing/filter_reachable.go
@@ -0,0 +1,15 @@
+package routing
+
+// ReachableFilter drops failure domains that cannot be reached or have no slots.
+type ReachableFilter struct{}
+
+// Name implements Filter.
+func (ReachableFilter) Name() string { return "reachable" }
+
+// Check implements Filter.
+func (ReachableFilter) Check(_ *View, c *Candidate) Reason {
+	if !c.reachable {
+		return ReasonUnreachable
+	}
+	return Kept
+}
--- /dev/null
+++ b/core/routing/profile.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/errkind"
+)
+
+// Profile names a deployment's weighing of tail latency, cost and share sent
+// away.
+type Profile string
+
+const (
+	// ProfileLatency weighs the tail of the time to the first token most.
+	ProfileLatency Profile = "latency"
+	// ProfileCost weighs cost and the share sent away most.
+	ProfileCost Profile = "cost"
+)
+
+// Tuning holds the weights of a Policy.
+type Tuning struct {
+	CostSecondsPerUnit float64
+	AwaySeconds        float64
+	AffinityBound      float64
+	AffinityShare      float64
+	NearWithin         time.Duration
+	NearRatio          float64
+	GateStart          time.Duration
+	GateStop           time.Duration
+}
+
+// Tuning returns the weights of the profile; kind bad_request if unknown.
+func (p Profile) Tuning() (Tuning, error) {
+	t := Tuning{
+		AffinityBound: 1.25,
+		AffinityShare: 0.5,
+		NearWithin:    5 * time.Millisecond,
+		NearRatio:     0.1,
+	}
+	switch p {
+	case ProfileLatency:
+		t.CostSecondsPerUnit = 1
+		t.GateStart = 100 * time.Millisecond
+		t.GateStop = 20 * time.Millisecond
+	case ProfileCost:
+		t.CostSecondsPerUnit = 20
+		t.AwaySeconds = 0.3
+		t.GateStart = 500 * time.Millisecond
+		t.GateStop = 200 * time.Millisecond
+	default:
+		return Tuning{}, errkind.New(errkind.BadRequest, "routing profile %q is neither %q nor %q", p, ProfileLatency, ProfileCost)
+	}
+	return t, nil
+}
+
+// Filters returns the filters that every policy has.
+func Filters() []Filter {
+	return []Filter{
+		RegionFilter{},
+		HopFilter{},
+		LeavingFilter{},
+		LiveFilter{},
+		ReachableFilter{},
+		ExcludedFilter{},
+		LinkFilter{},
+	}
+}
+
+// Policy returns the policy with these weights.
+func (t Tuning) Policy() Policy {
+	return Policy{
+		Filters: Filters(),
+		Scorers: []Scorer{
+			LatencyScorer{Weight: 1},
+			AffinityScorer{Bound: t.AffinityBound, Share: t.AffinityShare},
+			CostScorer{SecondsPerUnit: t.CostSecondsPerUnit},
+			AwayScorer{Seconds: t.AwaySeconds},
+		},
+		Picker: NearPicker{Within: t.NearWithin, Ratio: t.NearRatio},
+		Gate:   NewGate(t.GateStart, t.GateStop),
+	}
+}
--- /dev/null
+++ b/core/routing/score_latency.go
@@ -0,0 +1,14 @@
+package routing
+
+// LatencyScorer counts the predicted time to the first token.
+type LatencyScorer struct{ Weight float64 }
+
+// Name implements Scorer.
+func (LatencyScorer) Name() string { return "first_token" }
+
+// Score implements Scorer.
+func (l LatencyScorer) Score(v *View) {
+	for i := range v.Scored {
+		v.Scored[i].Score += l.Weight * v.Scored[i].FirstToken
+	}
+}
