--- a/core/routing/builder.go
+++ b/core/routing/builder.go
@@ -25,6 +25,8 @@
 	// Running, Waiting, Slots and OthersInFlight count requests; the last is what
 	// the domain's other nodes have in flight there.
 	Running, Waiting, Slots, OthersInFlight int
+	// OthersSinceReport is how OthersInFlight changed since the load report.
+	OthersSinceReport int
 	// QueuedTokens is prompt work ahead of a new request, in tokens.
 	QueuedTokens           int
 	PrefillTokensPerSecond float64
@@ -144,16 +146,20 @@
 }
 
 func (s *Snapshot) localCandidate(i int32) Candidate {
-	u := &s.upstreams[i]
+	c := newLocalCandidate(&s.upstreams[i])
+	c.Upstream = i
+	c.region = s.regions.Index(s.own.Region)
+	return c
+}
+
+func newLocalCandidate(u *Upstream) Candidate {
 	return Candidate{
-		Upstream:     i,
 		Domain:       noDomain,
-		region:       s.regions.Index(s.own.Region),
 		state:        u.State,
 		reachable:    true,
 		weight:       1,
 		slots:        float64(max(u.Slots, defaultSlots)) * share(u.SlowStart),
-		busy:         float64(u.Running + u.Waiting),
+		busy:         float64(max(u.Running+u.Waiting+u.OthersSinceReport, 0)),
 		others:       float64(u.OthersInFlight),
 		queuedTokens: float64(u.QueuedTokens),
 		prefill:      orDefault(u.PrefillTokensPerSecond, defaultPrefillTokensPerSecond),
@@ -196,6 +202,24 @@
 	}
 }
 
+// Estimate is the load of one upstream now.
+type Estimate struct {
+	// Slots is usable; Requests is what runs or waits.
+	Slots, Requests float64
+	// Wait is the expected wait before a new request's prefill.
+	Wait time.Duration
+}
+
+// Estimate corrects the load report by own and others' work, for requests whose
+// answers are about outputTokens long.
+func (u *Upstream) Estimate(outputTokens int) Estimate {
+	c := newLocalCandidate(u)
+	requests, tokens := c.load()
+	service := float64(outputTokens) / c.decode
+	wait := max(requests+1-c.slots, 0)*service/c.slots + tokens/c.prefill
+	return Estimate{Slots: c.slots, Requests: requests, Wait: time.Duration(wait * float64(time.Second))}
+}
+
 func share(s float64) float64 {
 	if s <= 0 || s > 1 {
 		return 1
--- /dev/null
+++ b/core/upstreams/journal.go
@@ -0,0 +1,73 @@
+package upstreams
+
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/routing"
+)
+
+const (
+	// journalSpan is how far back a load report may reach.
+	journalSpan = 10 * time.Second
+	// maxJournal bounds the kept changes of one upstream.
+	maxJournal = 4096
+)
+
+// change is one step of own work: requests in flight, prompt tokens pending.
+type change struct {
+	at       time.Time
+	inFlight int
+	pending  int
+}
+
+// journal counts own work and can restate it as changes since a past moment. Its
+// owner's lock guards it; the counters inside own are read without.
+type journal struct {
+	own     *routing.OwnWork
+	changes []change
+	pending int
+}
+
+func newJournal() journal { return journal{own: new(routing.OwnWork)} }
+
+func (j *journal) start(now time.Time, promptTokens int) {
+	j.own.Start(promptTokens)
+	j.pending += promptTokens
+	j.add(change{at: now, inFlight: 1, pending: promptTokens})
+}
+
+func (j *journal) firstToken(now time.Time, promptTokens int) {
+	j.own.FirstToken(promptTokens)
+	j.pending -= promptTokens
+	j.add(change{at: now, pending: -promptTokens})
+}
+
+func (j *journal) end(now time.Time) {
+	j.own.End()
+	j.add(change{at: now, inFlight: -1})
+}
+
+func (j *journal) add(c change) {
+	j.prune(c.at)
+	j.changes = append(j.changes, c)
+}
+
+func (j *journal) prune(now time.Time) {
+	drop := max(len(j.changes)-maxJournal+1, 0)
+	for drop < len(j.changes) && now.Sub(j.changes[drop].at) > journalSpan {
+		drop++
+	}
+	if drop > 0 {
+		j.changes = append(j.changes[:0], j.changes[drop:]...)
+	}
+}
+
+// rebase restates own work as changes after the moment of a load reading.
+func (j *journal) rebase(reading time.Time) {
+	inFlight, pending := 0, 0
+	for i := len(j.changes) - 1; i >= 0 && j.changes[i].at.After(reading); i-- {
+		inFlight += j.changes[i].inFlight
+		pending += j.changes[i].pending
+	}
+	j.own.Rebase(inFlight, pending)
+}
--- /dev/null
+++ b/core/upstreams/peers.go
@@ -0,0 +1,82 @@
+package upstreams
+
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// maxSamples bounds the kept totals; heartbeats come every second or so.
+const maxSamples = 32
+
+// PeerLoad is one node's work at one upstream, as heartbeats carry it.
+type PeerLoad struct {
+	Upstream domain.UpstreamID
+	// InFlight counts the node's requests; PendingTokens the prompt tokens that
+	// have no first token yet.
+	InFlight      int
+	PendingTokens int
+	Leaving       bool
+	Suspect       bool
+}
+
+type peerCount struct {
+	inFlight int
+	at       time.Time
+}
+
+type sample struct {
+	at    time.Time
+	total int
+}
+
+// peers holds what the domain's other nodes have in flight at one upstream.
+type peers struct {
+	byNode  map[domain.NodeID]peerCount
+	samples []sample
+	// atReading is the total at the moment of the newest load reading.
+	atReading int
+}
+
+func newPeers() peers { return peers{byNode: make(map[domain.NodeID]peerCount)} }
+
+func (p *peers) observe(node domain.NodeID, inFlight int, now time.Time, ttl time.Duration) {
+	p.byNode[node] = peerCount{inFlight: inFlight, at: now}
+	if len(p.samples) >= maxSamples {
+		p.samples = append(p.samples[:0], p.samples[1:]...)
+	}
+	p.samples = append(p.samples, sample{at: now, total: p.inFlight(now, ttl)})
+}
+
+func (p *peers) forget(node domain.NodeID) { delete(p.byNode, node) }
+
+func (p *peers) inFlight(now time.Time, ttl time.Duration) int {
+	total := 0
+	for node, c := range p.byNode {
+		if now.Sub(c.at) > ttl {
+			delete(p.byNode, node)
+			continue
+		}
+		total += c.inFlight
+	}
+	return total
+}
+
+// rebase finds the total at a past moment; the oldest sample stands for what was
+// before it.
+func (p *peers) rebase(reading time.Time) {
+	p.atReading = 0
+	if len(p.samples) > 0 {
+		p.atReading = p.samples[0].total
+	}
+	for _, s := range p.samples {
+		if s.at.After(reading) {
+			return
+		}
+		p.atReading = s.total
+	}
+}
+
+func (p *peers) sinceReading(now time.Time, ttl time.Duration) int {
+	return p.inFlight(now, ttl) - p.atReading
+}
