--- /dev/null
+++ b/core/membership/config.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// Config sets a Group's identity, intervals and bounds per message.
+type Config struct {
+	Self domain.NodeRef
+	// Round is the time between calls of Beat.
+	Round time.Duration
+	// SuspectAfter is the silence after which a node takes no new work, and
+	// RemoveAfter the silence after which it is forgotten. Both stretch with
+	// the domain's size; see Group.stretch.
+	SuspectAfter time.Duration
+	RemoveAfter  time.Duration
+	// UnreachableAfter is the age of a domain's newest reading at which the
+	// domain counts as unreachable.
+	UnreachableAfter time.Duration
+	// Representatives is the number of own nodes that keep up the exchange with
+	// each other failure domain.
+	Representatives int
+	// Burst is the number of peers told at once of an urgent change.
+	Burst int
+	// MaxMembers, MaxTargets, MaxUpstreams and MaxDemands bound one message.
+	MaxMembers   int
+	MaxTargets   int
+	MaxUpstreams int
+	MaxDemands   int
+	// MaxNodes bounds the sample of nodes kept for another domain.
+	MaxNodes int
+}
+
+// DefaultConfig returns the settings for a node.
+func DefaultConfig(self domain.NodeRef) Config {
+	return Config{
+		Self:             self,
+		Round:            time.Second,
+		SuspectAfter:     8 * time.Second,
+		RemoveAfter:      30 * time.Second,
+		UnreachableAfter: 15 * time.Second,
+		Representatives:  2,
+		Burst:            4,
+		MaxMembers:       6,
+		MaxTargets:       8,
+		MaxUpstreams:     4,
+		MaxDemands:       2,
+		MaxNodes:         4,
+	}
+}
--- /dev/null
+++ b/core/membership/domains.go
@@ -0,0 +1,357 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+const (
+	// rttWeight is the weight of a new round trip time against the estimate.
+	rttWeight = 0.2
+	// maxFailures is the number of failed heartbeats in a row after which a
+	// node leaves the sample of its domain.
+	maxFailures = 2
+	// maxReadings bounds the failure domains in one heartbeat.
+	maxReadings = 4
+	// maxFutureRTT bounds a believable relayed round trip time.
+	maxFutureRTT = 10 * time.Second
+)
+
+// targetRecord is the newest reading of one target.
+type targetRecord struct {
+	load TargetLoad
+	turn turn
+}
+
+// sampleNode is a node of another domain to forward to.
+type sampleNode struct {
+	node   domain.NodeRef
+	failed int
+}
+
+// domainRecord is what a node knows of another failure domain.
+type domainRecord struct {
+	place     domain.Place
+	sequence  uint64
+	heard     time.Time // when a node of the domain itself last said so
+	rtt       time.Duration
+	rttOwn    bool // measured by this node
+	liveNodes uint32
+	targets   map[domain.Target]*targetRecord
+	nodes     []sampleNode
+	seeds     []domain.NodeRef // from the VM list
+	nextNode  int
+	turn      turn
+}
+
+// domainTable holds the other failure domains under one lock.
+type domainTable struct {
+	mu      sync.Mutex
+	records map[domain.FailureDomain]*domainRecord
+	order   []domain.FailureDomain
+	nextTo  int
+	picks   uint64 // counts relays, to order turns
+	max     int    // nodes in a sample
+}
+
+func newDomainTable(maxNodes int) *domainTable {
+	return &domainTable{records: make(map[domain.FailureDomain]*domainRecord), max: maxNodes}
+}
+
+func (t *domainTable) ensure(p domain.Place) *domainRecord {
+	if r, ok := t.records[p.FailureDomain]; ok {
+		return r
+	}
+	r := &domainRecord{place: p, targets: make(map[domain.Target]*targetRecord)}
+	t.records[p.FailureDomain] = r
+	i, _ := slices.BinarySearch(t.order, p.FailureDomain)
+	t.order = slices.Insert(t.order, i, p.FailureDomain)
+	return r
+}
+
+// learn takes a reading, direct or relayed. Each target's newest sequence wins,
+// so order and repetition of messages do not matter. A relayed reading counts as
+// news only with a higher sequence, so that relays in a circle do not refresh it.
+func (t *domainTable) learn(now time.Time, d DomainLoad, direct bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.ensure(d.Place)
+	for _, load := range d.Targets {
+		r.learnTarget(load)
+	}
+	if d.RTTMicros != 0 && !r.rttOwn {
+		r.rtt = min(time.Duration(d.RTTMicros)*time.Microsecond, maxFutureRTT)
+	}
+	if len(d.Nodes) > 0 && (direct || d.Sequence > r.sequence || len(r.nodes) == 0) {
+		r.sample(d.Nodes, t.max)
+	}
+	if !direct && d.Sequence <= r.sequence {
+		return
+	}
+	heard := now.Add(-time.Duration(d.AgeMillis) * time.Millisecond)
+	if heard.After(r.heard) {
+		r.heard = heard
+		r.turn.relays = 0
+	}
+	if d.Sequence > r.sequence {
+		r.sequence = d.Sequence
+		r.liveNodes = d.LiveNodes
+	}
+}
+
+func (r *domainRecord) learnTarget(load TargetLoad) {
+	known, ok := r.targets[load.Target]
+	if !ok {
+		r.targets[load.Target] = &targetRecord{load: load}
+		return
+	}
+	if load.Sequence <= known.load.Sequence {
+		return
+	}
+	same := known.load
+	same.Sequence = load.Sequence
+	if same != load {
+		known.turn.relays = 0
+	}
+	known.load = load
+}
+
+// sample merges newly named nodes in front of the ones known.
+func (r *domainRecord) sample(nodes []domain.NodeRef, limit int) {
+	merged := make([]sampleNode, 0, limit)
+	for _, n := range nodes {
+		if n.State == domain.NodeServing || n.State == "" {
+			merged = append(merged, sampleNode{node: n})
+		}
+	}
+	for _, old := range r.nodes {
+		named := slices.ContainsFunc(nodes, func(n domain.NodeRef) bool {
+			return n.ID == old.node.ID || n.PeerAddress == old.node.PeerAddress
+		})
+		if !named {
+			merged = append(merged, old)
+		}
+	}
+	r.nodes = merged[:min(limit, len(merged))]
+}
+
+// setSeeds takes the VM list's nodes of all other domains.
+func (t *domainTable) setSeeds(nodes []domain.NodeRef) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		r.seeds = nil
+	}
+	for _, n := range nodes {
+		r := t.ensure(n.Place)
+		r.seeds = append(r.seeds, n)
+	}
+}
+
+// contact returns the node of the next domain in turn that assigned accepts.
+func (t *domainTable) contact(assigned func(domain.FailureDomain) bool) (domain.NodeRef, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for range t.order {
+		t.nextTo = (t.nextTo + 1) % len(t.order)
+		fd := t.order[t.nextTo]
+		if !assigned(fd) {
+			continue
+		}
+		if n, ok := t.records[fd].next(); ok {
+			return n, true
+		}
+	}
+	return domain.NodeRef{}, false
+}
+
+// next takes nodes of the sample and of the VM list in turn.
+func (r *domainRecord) next() (domain.NodeRef, bool) {
+	total := len(r.nodes) + len(r.seeds)
+	if total == 0 {
+		return domain.NodeRef{}, false
+	}
+	r.nextNode = (r.nextNode + 1) % total
+	if len(r.nodes) > 0 && !r.nodes[0].bad() {
+		return r.nodes[r.nextNode%len(r.nodes)].node, true
+	}
+	if r.nextNode < len(r.nodes) {
+		return r.nodes[r.nextNode].node, true
+	}
+	return r.seeds[r.nextNode-len(r.nodes)], true
+}
+
+func (s sampleNode) bad() bool { return s.failed >= maxFailures }
+
+// measured notes a round trip to a node of the domain.
+func (t *domainTable) measured(fd domain.FailureDomain, rtt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records[fd]
+	if !ok {
+		return
+	}
+	if !r.rttOwn {
+		r.rtt = rtt
+	}
+	r.rttOwn = true
+	r.rtt += time.Duration(rttWeight * float64(rtt-r.rtt))
+}
+
+// fail notes a failed heartbeat; a node that keeps failing goes to the end.
+func (t *domainTable) fail(n domain.NodeRef) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records[n.Place.FailureDomain]
+	if !ok {
+		return
+	}
+	i := slices.IndexFunc(r.nodes, func(s sampleNode) bool { return s.node.ID == n.ID })
+	if i < 0 {
+		return
+	}
+	s := r.nodes[i]
+	s.failed++
+	if s.bad() {
+		r.nodes = append(slices.Delete(r.nodes, i, i+1), s)
+		return
+	}
+	r.nodes[i] = s
+}
+
+// forget drops domains that neither the VM list nor a reading holds any more.
+func (t *domainTable) forget(now time.Time, after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for fd, r := range t.records {
+		if len(r.seeds) > 0 || now.Sub(r.heard) <= after {
+			continue
+		}
+		delete(t.records, fd)
+		if i, ok := slices.BinarySearch(t.order, fd); ok {
+			t.order = slices.Delete(t.order, i, i+1)
+		}
+	}
+}
+
+// relay returns up to maxReadings domains with up to n targets in all: what
+// changed goes first, then the rest in turn. The first domain brings its nodes.
+func (t *domainTable) relay(now time.Time, n int) []DomainLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	picked := make([]DomainLoad, 0, maxReadings)
+	for _, r := range t.byTurn() {
+		left := maxReadings - len(picked)
+		if left == 0 {
+			break
+		}
+		d := r.message(now)
+		if len(picked) == 0 {
+			d.Nodes = r.refs()
+		}
+		t.picks++
+		r.turn.taken(t.picks)
+		d.Targets = r.pick((n+left-1)/left, &t.picks)
+		n -= len(d.Targets)
+		picked = append(picked, d)
+	}
+	return picked
+}
+
+func (t *domainTable) byTurn() []*domainRecord {
+	all := make([]*domainRecord, 0, len(t.order))
+	for _, fd := range t.order {
+		if r := t.records[fd]; !r.heard.IsZero() {
+			all = append(all, r)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *domainRecord) int { return a.turn.compare(b.turn) })
+	return all
+}
+
+// sequenceOf returns the newest sequence known of a domain.
+func (t *domainTable) sequenceOf(fd domain.FailureDomain) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.records[fd]; ok {
+		return r.sequence
+	}
+	return 0
+}
+
+func (r *domainRecord) message(now time.Time) DomainLoad {
+	return DomainLoad{
+		Place:     r.place,
+		Sequence:  r.sequence,
+		AgeMillis: uint32(max(0, now.Sub(r.heard).Milliseconds())),
+		RTTMicros: uint32(r.rtt.Microseconds()),
+		LiveNodes: r.liveNodes,
+	}
+}
+
+// pick returns up to n targets, changed ones first, then the rest in turn.
+func (r *domainRecord) pick(n int, picks *uint64) []TargetLoad {
+	all := make([]*targetRecord, 0, len(r.targets))
+	for _, rec := range r.targets {
+		all = append(all, rec)
+	}
+	slices.SortFunc(all, func(a, b *targetRecord) int {
+		if c := a.turn.compare(b.turn); c != 0 {
+			return c
+		}
+		return compareTargets(a.load.Target, b.load.Target)
+	})
+	picked := make([]TargetLoad, 0, n)
+	for _, rec := range all[:min(n, len(all))] {
+		*picks++
+		rec.turn.taken(*picks)
+		picked = append(picked, rec.load)
+	}
+	return picked
+}
+
+func (r *domainRecord) refs() []domain.NodeRef {
+	refs := make([]domain.NodeRef, 0, len(r.nodes))
+	for _, s := range r.nodes {
+		if !s.bad() {
+			refs = append(refs, s.node)
+		}
+	}
+	return refs
+}
+
+func compareTargets(a, b domain.Target) int {
+	if c := cmp.Compare(a.Kind, b.Kind); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
+
+// views returns the domains for a View, by name.
+func (t *domainTable) views(now time.Time, unreachableAfter time.Duration) []Domain {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Domain, 0, len(t.order))
+	for _, fd := range t.order {
+		r := t.records[fd]
+		d := Domain{
+			Place:     r.place,
+			Nodes:     r.refs(),
+			LiveNodes: int(r.liveNodes),
+			Heard:     r.heard,
+			RTT:       r.rtt,
+			Reachable: !r.heard.IsZero() && now.Sub(r.heard) <= unreachableAfter,
+			Targets:   make([]TargetLoad, 0, len(r.targets)),
+		}
+		for _, rec := range r.targets {
+			d.Targets = append(d.Targets, rec.load)
+		}
+		slices.SortFunc(d.Targets, func(a, b TargetLoad) int { return compareTargets(a.Target, b.Target) })
+		all = append(all, d)
+	}
+	return all
+}
--- /dev/null
+++ b/core/membership/message.go
@@ -0,0 +1,87 @@
+package membership
+
+import (
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// Heartbeat is what two nodes send each other, as request and as reply.
+type Heartbeat struct {
+	Sender       Member
+	ListsVersion domain.ListsVersion
+	// Members are nodes of the sender's failure domain that it heard of.
+	Members []Member
+	// Upstreams are the sender's own requests at upstreams of its domain.
+	Upstreams []UpstreamLoad
+	// Domains are readings of failure domains.
+	Domains []DomainLoad
+	// Demands are passed through without interpretation.
+	Demands []LimitDemand
+}
+
+// Member is a node with its heartbeat counter. A relayed member without
+// addresses only refreshes a record that the receiver already holds.
+type Member struct {
+	Node domain.NodeRef
+	// Beat grows by one a round. It starts at the process's start in Unix
+	// seconds, so that a restarted process outranks its predecessor.
+	Beat uint64
+	// Suspect says that a heartbeat to the node failed after Beat was heard.
+	Suspect bool
+}
+
+// UpstreamLoad is the sender's own work at one upstream.
+type UpstreamLoad struct {
+	Upstream domain.UpstreamID
+	InFlight uint32
+	// PendingTokens are prompt tokens dispatched and not yet answered.
+	PendingTokens uint64
+	Leaving       bool
+	Suspect       bool
+}
+
+// DomainLoad is a reading of one failure domain.
+type DomainLoad struct {
+	Place domain.Place
+	// Sequence grows with each reading that the domain publishes.
+	Sequence uint64
+	// AgeMillis is the time since a node of the domain itself said so.
+	AgeMillis uint32
+	// RTTMicros is the round trip time to the domain; zero if unknown.
+	RTTMicros uint32
+	// LiveNodes counts the domain's live nodes.
+	LiveNodes uint32
+	// Targets holds changed and rotated readings, not all.
+	Targets []TargetLoad
+	// Nodes is a sample of the domain's live nodes; empty if left out.
+	Nodes []domain.NodeRef
+}
+
+// TargetLoad is the load of one target in one failure domain.
+type TargetLoad struct {
+	Target domain.Target
+	// Slots is the number of requests run at once; zero: not served any more.
+	Slots uint32
+	Free  uint32
+	// WaitMillis is the expected wait before the first token.
+	WaitMillis uint32
+	// CostMilli is the cost per million tokens in thousandths of the unit.
+	CostMilli uint32
+	// Sequence is the origin's number of the reading.
+	Sequence uint64
+}
+
+// LimitDemand is a node's demand for a customer's shared limits.
+type LimitDemand struct {
+	Customer        domain.CustomerID
+	Node            domain.NodeID
+	Sequence        uint64
+	InFlight        uint32
+	Waiting         uint32
+	TokensPerSecond uint32
+}
+
+// Outgoing is a heartbeat to send.
+type Outgoing struct {
+	To      domain.NodeRef
+	Message Heartbeat
+}
