Add the node's settings, the lists' files and their change by compare-and-swap

Nodes need settings before they can start, and operators need a way to put the lists in force. Settings and lists are decoded by one strict YAML decoder over goccy/go-yaml's syntax tree, since the library's own strict mode stops at the first unknown key. A change is one compare-and-swap of lists, change and trail; a lost answer is settled by reading the change id back.

--- /dev/null
+++ b/adapters/adminapi/adminapi.go
@@ -0,0 +1,156 @@
+// Package adminapi holds the JSON types that a node serves to operators on its
+// admin address. All ages and times to wait are in milliseconds.
+package adminapi
+
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+)
+
+// Paths on the admin address.
+const (
+	// StatusPath answers GET with a Status.
+	StatusPath = "/status"
+	// ExplainPath, followed by a request id, answers GET with an Explanation, or
+	// with a Failure of kind not_found.
+	ExplainPath = "/explain/"
+)
+
+// Status is what one node sees.
+type Status struct {
+	Node domain.NodeID `json:"node"`
+	// Incarnation is in hex.
+	Incarnation string           `json:"incarnation"`
+	Place       domain.Place     `json:"place"`
+	State       domain.NodeState `json:"state"`
+	// Now is the node's wall clock.
+	Now      time.Time `json:"now"`
+	UptimeMS int64     `json:"uptime_ms"`
+	// InFlight is the number of requests that the node is serving.
+	InFlight  int        `json:"in_flight"`
+	Lists     Lists      `json:"lists"`
+	Platform  Platform   `json:"platform"`
+	Members   []Member   `json:"members"`
+	Upstreams []Upstream `json:"upstreams"`
+	Domains   []Domain   `json:"domains"`
+}
+
+// Lists is the version of the lists in force at a node.
+type Lists struct {
+	Version domain.ListsVersion `json:"version"`
+	// ChangeID, Author and ChangedAt are of the change that made the version.
+	ChangeID  string    `json:"change_id,omitempty"`
+	Author    string    `json:"author,omitempty"`
+	ChangedAt time.Time `json:"changed_at,omitzero"`
+	// AgeMS is the time since the node adopted the version.
+	AgeMS int64 `json:"age_ms"`
+	// ConfirmedMS is the time since the service or a peer last named a version.
+	ConfirmedMS int64 `json:"confirmed_ms"`
+	// Refused is the reason why a newer document was not adopted.
+	Refused string `json:"refused,omitempty"`
+}
+
+// Platform says when the platform's services last answered; -1 is "never".
+type Platform struct {
+	KVAgeMS     int64 `json:"kv_age_ms"`
+	VMListAgeMS int64 `json:"vm_list_age_ms"`
+}
+
+// Member is another node as the node sees it.
+type Member struct {
+	Node          domain.NodeID       `json:"node"`
+	Incarnation   string              `json:"incarnation"`
+	Place         domain.Place        `json:"place"`
+	State         domain.NodeState    `json:"state"`
+	PeerAddress   string              `json:"peer_address"`
+	CallerAddress string              `json:"caller_address"`
+	ListsVersion  domain.ListsVersion `json:"lists_version"`
+	// AgeMS is the time since the last heartbeat.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// Upstream is an upstream of the node's failure domain as the node sees it.
+type Upstream struct {
+	ID      domain.UpstreamID    `json:"id"`
+	Kind    string               `json:"kind"` // "model" or "service"
+	Targets []string             `json:"targets"`
+	Address string               `json:"address"`
+	State   domain.UpstreamState `json:"state"`
+	Running int                  `json:"running"`
+	Waiting int                  `json:"waiting"`
+	Slots   int                  `json:"slots"`
+	// InFlight is this node's own share of the work.
+	InFlight int `json:"in_flight"`
+	// AgeMS is the age of the load report.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// Domain is the summary of a failure domain for one target.
+type Domain struct {
+	Place          domain.Place `json:"place"`
+	Kind           string       `json:"kind"`
+	Target         string       `json:"target"`
+	Capacity       int          `json:"capacity"`
+	Free           int          `json:"free"`
+	ExpectedWaitMS int64        `json:"expected_wait_ms"`
+	AgeMS          int64        `json:"age_ms"`
+}
+
+// Explanation says why a request went where it went.
+type Explanation struct {
+	Request      domain.RequestID    `json:"request"`
+	Node         domain.NodeID       `json:"node"`
+	Customer     domain.CustomerID   `json:"customer"`
+	Plan         domain.PlanID       `json:"plan"`
+	Kind         string              `json:"kind"`
+	Target       string              `json:"target"`
+	ListsVersion domain.ListsVersion `json:"lists_version"`
+	StartedAt    time.Time           `json:"started_at"`
+	Candidates   []Candidate         `json:"candidates"`
+	Steps        []Step              `json:"steps"`
+	Result       Result              `json:"result"`
+}
+
+// Candidate is one place that routing weighed.
+type Candidate struct {
+	Place    domain.Place      `json:"place"`
+	Upstream domain.UpstreamID `json:"upstream,omitempty"`
+	// Refused names the filter that ruled the candidate out; empty if none did.
+	Refused string  `json:"refused,omitempty"`
+	Scores  []Score `json:"scores,omitempty"`
+	Chosen  bool    `json:"chosen"`
+}
+
+// Score is what one scorer gave a candidate.
+type Score struct {
+	Scorer string  `json:"scorer"`
+	Value  float64 `json:"value"`
+}
+
+// Step is an event in the life of a request.
+type Step struct {
+	// OffsetMS is the time since StartedAt.
+	OffsetMS float64 `json:"offset_ms"`
+	Event    string  `json:"event"`
+	Detail   string  `json:"detail,omitempty"`
+}
+
+// Result is how a request ended.
+type Result struct {
+	Done     bool              `json:"done"`
+	Run      domain.Run        `json:"run,omitempty"`
+	Kind     errkind.Kind      `json:"error_kind,omitempty"`
+	Place    domain.Place      `json:"place,omitzero"`
+	Upstream domain.UpstreamID `json:"upstream,omitempty"`
+	// TotalMS is the time from StartedAt to the end.
+	TotalMS float64 `json:"total_ms"`
+}
+
+// Failure is the JSON body of an error answer.
+type Failure struct {
+	Kind    errkind.Kind `json:"kind"`
+	Message string       `json:"message"`
+	Run     domain.Run   `json:"run"`
+}
--- /dev/null
+++ b/adapters/operatorcli/explain.go
@@ -0,0 +1,99 @@
+package operatorcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/adminapi"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+)
+
+// Explanations are the accounts of one request, one for each node that knows it.
+type Explanations struct {
+	Request domain.RequestID       `json:"request"`
+	Nodes   []adminapi.Explanation `json:"nodes"`
+}
+
+// Explain asks every node for a request. It fails with not_found if all nodes
+// answered and none knows it, and with another node's failure if that node might
+// have known it.
+func (a Admin) Explain(ctx context.Context, addresses []string, id domain.RequestID) (*Explanations, error) {
+	if err := checkAddresses(addresses); err != nil {
+		return nil, err
+	}
+	found := &Explanations{Request: id}
+	var failure error
+	for _, r := range askAll[adminapi.Explanation](ctx, a, addresses, adminapi.ExplainPath+string(id)) {
+		switch {
+		case r.err == nil:
+			found.Nodes = append(found.Nodes, *r.value)
+		case !isKind(r.err, errkind.NotFound) && failure == nil:
+			failure = r.err
+		}
+	}
+	switch {
+	case len(found.Nodes) > 0:
+		return found, nil
+	case failure != nil:
+		return nil, failure
+	}
+	return nil, errkind.New(errkind.NotFound, "none of %d nodes knows request %q", len(addresses), id)
+}
+
+// WriteText implements Result.
+func (e *Explanations) WriteText(w io.Writer) {
+	for _, n := range e.Nodes {
+		writeExplanation(w, n)
+	}
+}
+
+func writeExplanation(w io.Writer, e adminapi.Explanation) {
+	fmt.Fprintf(w, "request %s at node %s: customer %s, plan %s, %s %s, lists version %d, started %s\n",
+		e.Request, e.Node, e.Customer, e.Plan, e.Kind, e.Target, e.ListsVersion, e.StartedAt.UTC().Format(time.RFC3339Nano))
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, c := range e.Candidates {
+		fmt.Fprintf(table, "  %s\t%s\t%s\t%s\n", place(c.Place), c.Upstream, verdict(c), scores(c.Scores))
+	}
+	table.Flush()
+	for _, s := range e.Steps {
+		fmt.Fprintf(w, "  +%.1fms %s %s\n", s.OffsetMS, s.Event, s.Detail)
+	}
+	writeEnd(w, e.Result)
+}
+
+func verdict(c adminapi.Candidate) string {
+	switch {
+	case c.Chosen:
+		return "chosen"
+	case c.Refused != "":
+		return "refused by " + c.Refused
+	}
+	return "not chosen"
+}
+
+func scores(list []adminapi.Score) string {
+	text := ""
+	for _, s := range list {
+		text += fmt.Sprintf("%s=%g ", s.Scorer, s.Value)
+	}
+	return text
+}
+
+func writeEnd(w io.Writer, r adminapi.Result) {
+	if !r.Done {
+		fmt.Fprintln(w, "  still running")
+		return
+	}
+	fmt.Fprintf(w, "  ended after %.1fms: run %s", r.TotalMS, r.Run)
+	if r.Kind != "" {
+		fmt.Fprintf(w, ", error %s", r.Kind)
+	}
+	if r.Place != (domain.Place{}) {
+		fmt.Fprintf(w, ", at %s %s", place(r.Place), r.Upstream)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/adapters/operatorcli/lists.go
@@ -0,0 +1,170 @@
+package operatorcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/crocusspread/crocusspread/adapters/listfiles"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// readBackPause is the time between attempts to read a change back.
+const readBackPause = 300 * time.Millisecond
+
+// Counts are the sizes of the lists.
+type Counts struct {
+	Customers int `json:"customers"`
+	Plans     int `json:"plans"`
+	Regions   int `json:"regions"`
+	Services  int `json:"services"`
+}
+
+// WriteText implements Result.
+func (c *Counts) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "the lists are valid: %d customers, %d plans, %d regions, %d services\n",
+		c.Customers, c.Plans, c.Regions, c.Services)
+}
+
+// Validate reads the lists in dir and checks them without the service.
+func Validate(dir string) (*Counts, error) {
+	doc, err := listfiles.Load(dir)
+	if err != nil {
+		return nil, err
+	}
+	return &Counts{
+		Customers: len(doc.Customers),
+		Plans:     len(doc.Plans),
+		Regions:   len(doc.Regions),
+		Services:  len(doc.Services),
+	}, nil
+}
+
+// Difference is what applying the lists would change.
+type Difference struct {
+	// Base is the version in the service; pass it to Apply to be sure that nobody
+	// changed the lists in between.
+	Base       domain.ListsVersion `json:"base"`
+	Difference []string            `json:"difference"`
+}
+
+// WriteText implements Result.
+func (d *Difference) WriteText(w io.Writer) {
+	if len(d.Difference) == 0 {
+		fmt.Fprintf(w, "no change against version %d\n", d.Base)
+		return
+	}
+	fmt.Fprintf(w, "against version %d (apply with --base %d):\n", d.Base, d.Base)
+	writeLines(w, d.Difference)
+}
+
+func writeLines(w io.Writer, lines []string) {
+	for _, line := range lines {
+		fmt.Fprintf(w, "  %s\n", line)
+	}
+}
+
+// Plan compares the lists in dir with those in the service.
+func Plan(ctx context.Context, kv ports.KV, dir string) (*Difference, error) {
+	doc, err := listfiles.Load(dir)
+	if err != nil {
+		return nil, err
+	}
+	current, err := lists.Read(ctx, kv)
+	if err != nil {
+		return nil, err
+	}
+	return &Difference{Base: current.Version, Difference: lists.Diff(&current.Document, doc)}, nil
+}
+
+// ApplyRequest says what to apply, by whom and why.
+type ApplyRequest struct {
+	Dir    string
+	Author string
+	Reason string
+	// Base is the version that the operator edited; nil for "whichever is
+	// current".
+	Base *domain.ListsVersion
+	Now  time.Time
+}
+
+// Applied is an accepted change.
+type Applied struct {
+	lists.Outcome
+}
+
+// WriteText implements Result.
+func (a *Applied) WriteText(w io.Writer) {
+	if a.Unchanged {
+		fmt.Fprintf(w, "version %d is in force already; nothing was written\n", a.Change.Version)
+		return
+	}
+	fmt.Fprintf(w, "version %d accepted (change %s)\n", a.Change.Version, a.Change.ID)
+	if a.ReadBack {
+		fmt.Fprintln(w, "the write's answer was lost; the change was found in the service")
+	}
+	writeLines(w, a.Change.Difference)
+}
+
+// Apply writes the lists in req.Dir to the service.
+func Apply(ctx context.Context, kv ports.KV, req ApplyRequest) (*Applied, error) {
+	doc, err := listfiles.Load(req.Dir)
+	if err != nil {
+		return nil, err
+	}
+	applier := lists.Applier{KV: kv, Pause: pause}
+	outcome, err := applier.Apply(ctx, lists.Proposal{
+		ChangeID: ulid.Make().String(),
+		Author:   req.Author,
+		Reason:   req.Reason,
+		Time:     req.Now,
+		Document: *doc,
+		Base:     req.Base,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Applied{Outcome: *outcome}, nil
+}
+
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(readBackPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Trail is the audit trail, newest first.
+type Trail struct {
+	Changes []lists.Change `json:"changes"`
+}
+
+// WriteText implements Result.
+func (t *Trail) WriteText(w io.Writer) {
+	if len(t.Changes) == 0 {
+		fmt.Fprintln(w, "the service holds no lists")
+	}
+	for _, c := range t.Changes {
+		fmt.Fprintf(w, "version %d  %s  %s  %s  (change %s)\n",
+			c.Version, c.Time.UTC().Format(time.RFC3339), c.Author, c.Reason, c.ID)
+		writeLines(w, c.Difference)
+	}
+}
+
+// History returns the latest changes; all of them if limit is zero.
+func History(ctx context.Context, kv ports.KV, limit int) (*Trail, error) {
+	changes, err := lists.History(ctx, kv, limit)
+	if err != nil {
+		return nil, err
+	}
+	return &Trail{Changes: changes}, nil
+}
--- /dev/null
+++ b/adapters/settings/validate.go
@@ -0,0 +1,202 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/crocusspread/crocusspread/adapters/yamldoc"
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// heartbeatsPerProgress is the least number of heartbeats within the progress
+// limit, so that a dead node is noticed before its streams time out.
+const heartbeatsPerProgress = 2
+
+// Validate returns the problems of settings that were not read from a file.
+func (s *Settings) Validate() yamldoc.Problems {
+	file := yamldoc.Decode("settings", nil, &struct{}{})
+	s.validate(file)
+	return file.Problems
+}
+
+func (s *Settings) validate(file *yamldoc.File) {
+	failed := make(map[string]bool)
+	for _, p := range file.Problems {
+		failed[p.Key] = true
+	}
+	c := checker{Settings: s, file: file, failed: failed}
+	c.checkTags()
+	c.checkListen()
+	c.checkPlatform()
+	c.checkTLS("tls.callers", s.callerTLSFiles())
+	c.checkTLS("tls.nodes", s.nodeTLSFiles())
+	c.checkTimes()
+	c.checkSizes()
+	c.checkLinks()
+}
+
+// checker adds the problems of settings to their file. A key with one problem
+// gets no second one.
+type checker struct {
+	*Settings
+	file   *yamldoc.File
+	failed map[string]bool
+}
+
+func (c *checker) addf(key, format string, args ...any) {
+	if c.failed[key] {
+		return
+	}
+	c.failed[key] = true
+	c.file.Addf(key, format, args...)
+}
+
+// checkTags checks each value by itself, by its field's validate tag.
+func (c *checker) checkTags() {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(yamldoc.KeyName)
+	var faults validator.ValidationErrors
+	if !errors.As(v.Struct(c.Settings), &faults) {
+		return
+	}
+	for _, fault := range faults {
+		_, key, _ := strings.Cut(fault.Namespace(), ".")
+		c.addf(key, "%s", tagMessage(fault))
+	}
+}
+
+func tagMessage(fault validator.FieldError) string {
+	switch fault.Tag() {
+	case "required":
+		return "is required"
+	case "oneof":
+		return fmt.Sprintf("%q is not one of: %s", fault.Value(), strings.ReplaceAll(fault.Param(), " ", ", "))
+	case "min":
+		return fmt.Sprintf("%v is less than the least value, %s", fault.Value(), bound(fault))
+	}
+	if fault.Kind() == reflect.String {
+		return fmt.Sprintf("is longer than %s bytes", fault.Param())
+	}
+	return fmt.Sprintf("%v is more than the greatest value, %s", fault.Value(), bound(fault))
+}
+
+func bound(fault validator.FieldError) string {
+	if _, isSize := fault.Value().(yamldoc.ByteSize); !isSize {
+		return fault.Param()
+	}
+	size, err := yamldoc.ParseByteSize(fault.Param() + "B")
+	if err != nil {
+		return fault.Param()
+	}
+	return size.String()
+}
+
+func (c *checker) checkListen() {
+	byAddress := make(map[string]string)
+	for _, l := range []struct{ key, address string }{
+		{"listen.caller", c.Listen.Caller},
+		{"listen.peer", c.Listen.Peer},
+		{"listen.admin", c.Listen.Admin},
+	} {
+		c.checkAddress(l.key, l.address)
+		if other, ok := byAddress[l.address]; ok && l.address != "" {
+			c.addf(l.key, "%q is also the address of %s", l.address, other)
+		}
+		byAddress[l.address] = l.key
+	}
+}
+
+func (c *checker) checkAddress(key, address string) {
+	if address == "" {
+		return
+	}
+	ap, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		c.addf(key, "%q is not host:port with the host as an IP number", address)
+	case ap.Port() == 0:
+		c.addf(key, "%q lacks a port that others can use", address)
+	case ap.Addr().IsUnspecified():
+		c.addf(key, "%q is not an address that others can reach; name one of the VM's addresses", address)
+	}
+}
+
+func (c *checker) checkPlatform() {
+	const key = "platform.url"
+	if c.Platform.URL == "" {
+		return
+	}
+	u, err := url.Parse(c.Platform.URL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		c.addf(key, "%q is not an http or https URL", c.Platform.URL)
+		return
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		c.addf(key, "host %q is not an IP number", u.Hostname())
+	}
+	if u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+		c.addf(key, "%q holds more than scheme, host, port and path", u.Redacted())
+	}
+}
+
+// checkTLS refuses a group of files that is given in part.
+func (c *checker) checkTLS(group string, files []tlsFile) {
+	var given, missing []string
+	for _, f := range files {
+		if *f.path == "" {
+			missing = append(missing, f.key)
+			continue
+		}
+		given = append(given, f.key)
+	}
+	if len(given) == 0 || len(missing) == 0 {
+		return
+	}
+	c.addf(group, "is half-given: %s without %s", strings.Join(given, " and "), strings.Join(missing, " and "))
+}
+
+func (c *checker) checkTimes() {
+	t := c.TimeLimits
+	if t.Header > t.Request {
+		c.addf("time_limits.header", "%v is longer than time_limits.request, %v", t.Header, t.Request)
+	}
+	if t.Progress > t.Request {
+		c.addf("time_limits.progress", "%v is longer than time_limits.request, %v", t.Progress, t.Request)
+	}
+	if c.Heartbeat*heartbeatsPerProgress > t.Progress {
+		c.addf("heartbeat_interval", "%v is more than half of time_limits.progress, %v", c.Heartbeat, t.Progress)
+	}
+	if c.Drain.EntryTTL >= c.Drain.Max {
+		c.addf("drain.entry_ttl", "%v leaves no time within drain.max, %v", c.Drain.EntryTTL, c.Drain.Max)
+	}
+	if t.Request > c.Drain.Max-c.Drain.EntryTTL {
+		c.addf("drain.max", "%v cuts off requests: it is shorter than drain.entry_ttl (%v) and time_limits.request (%v) together",
+			c.Drain.Max, c.Drain.EntryTTL, t.Request)
+	}
+}
+
+func (c *checker) checkSizes() {
+	if c.Sizes.MaxHeader > c.Sizes.MaxBody {
+		c.addf("sizes.max_header", "%v is more than sizes.max_body, %v", c.Sizes.MaxHeader, c.Sizes.MaxBody)
+	}
+}
+
+func (c *checker) checkLinks() {
+	seen := make(map[domain.Region]bool)
+	for i, link := range c.Links {
+		key := fmt.Sprintf("link_budgets[%d].region", i)
+		if link.Region != "" && link.Region == c.Node.Region {
+			c.addf(key, "%q is the node's own region", link.Region)
+		}
+		if seen[link.Region] {
+			c.addf(key, "%q is listed twice", link.Region)
+		}
+		seen[link.Region] = true
+	}
+}
--- /dev/null
+++ b/cmd/crocusctl/history.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+
+	"github.com/crocusspread/crocusspread/adapters/operatorcli"
+)
+
+func init() {
+	register(command{
+		name:   "history",
+		short:  "Show the audit trail of the lists",
+		long:   "Prints the latest changes, newest first: who, when, why, and the difference.",
+		runner: func() runner { return &historyCommand{} },
+	})
+}
+
+type historyCommand struct {
+	platformOption
+	timeoutOption
+	Limit int `long:"limit" default:"20" description:"Number of changes; 0 for all"`
+}
+
+func (c *historyCommand) run(ctx context.Context, _ operatorcli.Output) (operatorcli.Result, error) {
+	ctx, cancel := c.context(ctx)
+	defer cancel()
+	kv, err := c.openKV()
+	if err != nil {
+		return nil, err
+	}
+	return operatorcli.AsResult(operatorcli.History(ctx, kv, c.Limit))
+}
--- a/cmd/crocusctl/main.go
+++ b/cmd/crocusctl/main.go
@@ -1,4 +1,64 @@
-// Command crocusctl is a placeholder until its first commands stand.
+// Command crocusctl is the tool for operators and newcomers. Each command stands
+// in a file of its own and registers itself; the work is done by packages.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/crocusspread/crocusspread/adapters/operatorcli"
+)
+
+// exitUsage is the exit code for a wrong command line. Other failures exit with
+// the code of their error kind.
+const exitUsage = 2
+
+func main() {
+	os.Exit(run(os.Args[1:], operatorcli.Output{Out: os.Stdout, Err: os.Stderr}))
+}
+
+// run executes the command line and returns the exit code.
+func run(args []string, out operatorcli.Output) int {
+	var global globalOptions
+	parser := flags.NewNamedParser("crocusctl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options for every command", "", &global); err != nil {
+		fmt.Fprintln(out.Err, "crocusctl:", err)
+		return exitUsage
+	}
+	runners := make(map[string]runner)
+	for _, c := range commands() {
+		r := c.runner()
+		if _, err := parser.AddCommand(c.name, c.short, c.long, r); err != nil {
+			fmt.Fprintln(out.Err, "crocusctl:", err)
+			return exitUsage
+		}
+		runners[c.name] = r
+	}
+	rest, err := parser.ParseArgs(args)
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		return usage(err, out)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	out.JSON = global.Output == "json"
+	return out.Print(runners[parser.Active.Name].run(ctx, out))
+}
+
+func usage(err error, out operatorcli.Output) int {
+	var flagError *flags.Error
+	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+		fmt.Fprintln(out.Out, flagError.Message)
+		return 0
+	}
+	fmt.Fprintln(out.Err, "crocusctl:", err)
+	return exitUsage
+}
--- /dev/null
+++ b/cmd/crocusctl/store.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// platformOption is embedded by commands that need the platform.
+type platformOption struct {
+	Platform string `long:"platform" env:"CROCUSSPREAD_PLATFORM" required:"true" value-name:"URL" description:"Base URL of the platform's services"`
+}
+
+// listsDirOption is embedded by commands that read the lists' files.
+type listsDirOption struct {
+	Dir string `long:"dir" default:"." value-name:"DIR" description:"Directory of customers.yaml and plans.yaml"`
+}
+
+// openKV connects to the key-value service.
+func (o platformOption) openKV() (ports.KV, error) {
+	return nil, errkind.New(errkind.StoreUnavailable, "the client of the platform at %s is not built in yet", o.Platform)
+}
--- /dev/null
+++ b/core/lists/apply.go
@@ -0,0 +1,235 @@
+package lists
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const (
+	maxAuthorBytes = 128
+	maxReasonBytes = 1024
+	maxChangeBytes = 64
+	// readBackAttempts is how often a change is looked for after its write's
+	// answer was lost.
+	readBackAttempts = 5
+)
+
+// Proposal is a change that an operator wants.
+type Proposal struct {
+	// ChangeID is unique; a write whose answer was lost is found again by it.
+	ChangeID string
+	Author   string
+	Reason   string
+	Time     time.Time
+	Document Document
+	// Base is the version that the operator edited. The change is refused if
+	// another version is current. Nil means "whichever is current".
+	Base *domain.ListsVersion
+}
+
+// Outcome is an accepted change.
+type Outcome struct {
+	Change Change `json:"change"`
+	// Unchanged is set if the proposed lists are already in force; nothing was
+	// written.
+	Unchanged bool `json:"unchanged"`
+	// ReadBack is set if the write's answer was lost and the change was found by
+	// its id.
+	ReadBack bool `json:"read_back"`
+}
+
+// Conflict is the cause of an apply's conflict error: the changes that others
+// made since the version read, newest first.
+type Conflict struct {
+	Base    domain.ListsVersion `json:"base"`
+	Current domain.ListsVersion `json:"current"`
+	Changes []Change            `json:"changes"`
+}
+
+// Error names who changed what.
+func (c *Conflict) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "the lists moved from version %d to %d", c.Base, c.Current)
+	for _, change := range c.Changes {
+		fmt.Fprintf(&b, "\nversion %d by %s at %s (%s)", change.Version, change.Author, change.Time.UTC().Format(time.RFC3339), change.Reason)
+		for _, line := range change.Difference {
+			b.WriteString("\n  " + line)
+		}
+	}
+	return b.String()
+}
+
+// Applier changes the lists in the key-value service.
+type Applier struct {
+	KV ports.KV
+	// Pause waits before another attempt to read a change back; nil means not to
+	// wait.
+	Pause func(ctx context.Context) error
+}
+
+// Read returns the current lists; a Versioned of version zero if there are none.
+func Read(ctx context.Context, kv ports.KV) (*Versioned, error) {
+	current, _, err := read(ctx, kv)
+	return current, err
+}
+
+// read also returns the revision for a compare-and-swap.
+func read(ctx context.Context, kv ports.KV) (*Versioned, uint64, error) {
+	entry, err := kv.Get(ctx, Key)
+	if err != nil {
+		return nil, 0, err
+	}
+	if entry.Revision == 0 {
+		return &Versioned{}, 0, nil
+	}
+	v, err := Decode(entry.Value)
+	return v, entry.Revision, err
+}
+
+// Decode reads a value stored under Key.
+func Decode(value []byte) (*Versioned, error) {
+	if len(value) > MaxDocumentBytes {
+		return nil, errkind.New(errkind.BodyTooLarge, "the stored lists have %d bytes; %d is the most", len(value), MaxDocumentBytes)
+	}
+	v := new(Versioned)
+	if err := json.Unmarshal(value, v); err != nil {
+		return nil, errkind.New(errkind.Internal, "the stored lists are not readable: %w", err)
+	}
+	if v.Version == 0 || v.Version != v.Change.Version {
+		return nil, errkind.New(errkind.Internal, "the stored lists name version %d and their change names %d", v.Version, v.Change.Version)
+	}
+	return v, nil
+}
+
+// Apply checks the proposal and writes it as the next version, by one
+// compare-and-swap on the version read. Errors: bad_request and body_too_large
+// for a refused proposal, conflict with a *Conflict as cause, and
+// store_unavailable, whose verdict is "unknown" if the change may yet appear.
+func (a *Applier) Apply(ctx context.Context, p Proposal) (*Outcome, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	current, revision, err := read(ctx, a.KV)
+	if err != nil {
+		return nil, err
+	}
+	if p.Base != nil && revision != 0 && *p.Base != current.Version {
+		return nil, conflict(*p.Base, current)
+	}
+	difference := Diff(&current.Document, &p.Document)
+	if len(difference) == 0 && revision != 0 {
+		return &Outcome{Change: current.Change, Unchanged: true}, nil
+	}
+	next, evicted, err := build(current, &p, difference)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.keepHistory(ctx, evicted); err != nil {
+		return nil, err
+	}
+	return a.write(ctx, current.Version, revision, next)
+}
+
+func (p *Proposal) check() error {
+	switch {
+	case p.ChangeID == "" || len(p.ChangeID) > maxChangeBytes:
+		return errkind.New(errkind.BadRequest, "the change id is empty or longer than %d bytes", maxChangeBytes)
+	case strings.TrimSpace(p.Author) == "" || len(p.Author) > maxAuthorBytes:
+		return errkind.New(errkind.BadRequest, "the author is empty or longer than %d bytes", maxAuthorBytes)
+	case strings.TrimSpace(p.Reason) == "" || len(p.Reason) > maxReasonBytes:
+		return errkind.New(errkind.BadRequest, "the reason is empty or longer than %d bytes", maxReasonBytes)
+	}
+	if problems := p.Document.Validate(); len(problems) > 0 {
+		return errkind.New(errkind.BadRequest, "the lists are refused: %s", strings.Join(problems, "; "))
+	}
+	return p.Document.CheckSize()
+}
+
+// encoded is a Versioned with its bytes.
+type encoded struct {
+	versioned *Versioned
+	bytes     []byte
+}
+
+// write swaps the current lists for next and settles a lost answer.
+func (a *Applier) write(ctx context.Context, base domain.ListsVersion, revision uint64, next *encoded) (*Outcome, error) {
+	change := next.versioned.Change
+	_, err := a.KV.CompareAndSwap(ctx, Key, revision, next.bytes, 0)
+	if err == nil {
+		return &Outcome{Change: change}, nil
+	}
+	failure := errkind.From(err)
+	if failure.Kind != errkind.Conflict && failure.Verdict() == domain.RunNo {
+		return nil, err
+	}
+	// Also after a conflict: the adapter may have sent the write twice.
+	return a.readBack(ctx, base, revision, change)
+}
+
+// readBack finds out what became of a write: its change is in the stored lists,
+// or another write took the revision and it can no longer take effect, or, with
+// the revision unchanged, it is not known.
+func (a *Applier) readBack(ctx context.Context, base domain.ListsVersion, revision uint64, change Change) (*Outcome, error) {
+	var last error
+	for attempt := range readBackAttempts {
+		if attempt > 0 && a.pause(ctx) != nil {
+			break
+		}
+		current, seen, err := read(ctx, a.KV)
+		switch {
+		case err != nil:
+			last = err
+		case seen == revision:
+			last = nil
+		default:
+			return a.settle(ctx, base, current, change)
+		}
+	}
+	return nil, unknownOutcome(change, last)
+}
+
+func (a *Applier) pause(ctx context.Context) error {
+	if a.Pause == nil {
+		return ctx.Err()
+	}
+	return a.Pause(ctx)
+}
+
+func unknownOutcome(change Change, cause error) error {
+	text := fmt.Sprintf("the answer to the write of change %s was lost and the change is not seen yet; it may still take effect: look for it with history before applying again", change.ID)
+	if cause == nil {
+		return errkind.New(errkind.StoreUnavailable, "%s", text).WithRun(domain.RunUnknown)
+	}
+	return errkind.New(errkind.StoreUnavailable, "%s: %w", text, cause).WithRun(domain.RunUnknown)
+}
+
+// settle decides by lists that were written after the version read.
+func (a *Applier) settle(ctx context.Context, base domain.ListsVersion, current *Versioned, change Change) (*Outcome, error) {
+	found, err := findVersion(ctx, a.KV, current, change.Version)
+	if err != nil {
+		return nil, unknownOutcome(change, err)
+	}
+	if found != nil && found.ID == change.ID {
+		return &Outcome{Change: *found, ReadBack: true}, nil
+	}
+	return nil, conflict(base, current)
+}
+
+func conflict(base domain.ListsVersion, current *Versioned) error {
+	c := &Conflict{Base: base, Current: current.Version, Changes: changesAfter(current, base)}
+	return errkind.New(errkind.Conflict, "%w", error(c))
+}
+
+// ConflictOf returns the conflict that caused err, if one did.
+func ConflictOf(err error) (*Conflict, bool) {
+	var c *Conflict
+	return c, errors.As(err, &c)
+}
--- /dev/null
+++ b/core/lists/trail.go
@@ -0,0 +1,248 @@
+package lists
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const (
+	// maxTrailChanges bounds the changes embedded besides the latest one.
+	maxTrailChanges = 32
+	// maxTrailBytes bounds the embedded changes' encoded size.
+	maxTrailBytes = 64 << 10
+	// maxDifferenceBytes bounds the difference kept of one change.
+	maxDifferenceBytes = 256 << 10
+	// historyPageDigits is the number of trailing digits of a version that one
+	// list call for older changes spans: a page holds up to 100 changes.
+	historyPageDigits = 2
+	historyPageSize   = 100
+	versionDigits     = 20
+)
+
+// HistoryKey returns the key of a change that left the embedded trail.
+func HistoryKey(v domain.ListsVersion) string {
+	return fmt.Sprintf("%s%0*d", HistoryPrefix, versionDigits, v)
+}
+
+// build makes the next version and the changes that no longer fit its trail,
+// oldest first.
+func build(current *Versioned, p *Proposal, difference []string) (*encoded, []Change, error) {
+	next := &Versioned{Version: nextVersion(current, p.Base), Document: p.Document}
+	next.Change = Change{
+		ID:         p.ChangeID,
+		Version:    next.Version,
+		Author:     p.Author,
+		Reason:     p.Reason,
+		Time:       p.Time.UTC(),
+		Difference: boundDifference(difference),
+	}
+	trail := current.Trail
+	if current.Version != 0 {
+		trail = append([]Change{current.Change}, trail...)
+	}
+	room, err := roomForTrail(next)
+	if err != nil {
+		return nil, nil, err
+	}
+	kept, err := fitting(trail, room)
+	if err != nil {
+		return nil, nil, err
+	}
+	next.Trail = trail[:kept]
+	bytes, err := json.Marshal(next)
+	if err != nil {
+		return nil, nil, errkind.New(errkind.Internal, "encode the lists: %w", err)
+	}
+	evicted := slices.Clone(trail[kept:])
+	slices.Reverse(evicted)
+	return &encoded{versioned: next, bytes: bytes}, evicted, nil
+}
+
+// nextVersion returns the current version plus one. If the store lost the lists,
+// the proposal's base says which version the nodes still hold.
+func nextVersion(current *Versioned, base *domain.ListsVersion) domain.ListsVersion {
+	if current.Version == 0 && base != nil {
+		return *base + 1
+	}
+	return current.Version + 1
+}
+
+// boundDifference cuts a difference that would crowd out the lists, and says so
+// in its last line.
+func boundDifference(lines []string) []string {
+	total := 0
+	for i, line := range lines {
+		total += len(line)
+		if total > maxDifferenceBytes {
+			rest := fmt.Sprintf("(%d more lines are not kept)", len(lines)-i)
+			return append(slices.Clone(lines[:i]), rest)
+		}
+	}
+	return lines
+}
+
+// roomForTrail returns the bytes left for the trail beside lists and change.
+func roomForTrail(next *Versioned) (int, error) {
+	bare, err := json.Marshal(next)
+	if err != nil {
+		return 0, errkind.New(errkind.Internal, "encode the lists: %w", err)
+	}
+	if len(bare) > MaxDocumentBytes {
+		return 0, errkind.New(errkind.BodyTooLarge,
+			"the lists and their change have %d bytes; the key-value service holds at most %d", len(bare), MaxDocumentBytes)
+	}
+	return min(MaxDocumentBytes-len(bare), maxTrailBytes), nil
+}
+
+// fitting returns how many of the newest changes fit into room bytes.
+func fitting(trail []Change, room int) (int, error) {
+	for i, c := range trail {
+		if i == maxTrailChanges {
+			return i, nil
+		}
+		bytes, err := json.Marshal(c)
+		if err != nil {
+			return 0, errkind.New(errkind.Internal, "encode change %d: %w", c.Version, err)
+		}
+		room -= len(bytes) + len(",")
+		if room < 0 {
+			return i, nil
+		}
+	}
+	return len(trail), nil
+}
+
+// keepHistory writes changes to their own keys. It runs before the write that
+// drops them from the trail, so a process that dies in between leaves them in
+// both places and never in none.
+func (a *Applier) keepHistory(ctx context.Context, changes []Change) error {
+	for _, c := range changes {
+		if err := a.keepChange(ctx, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *Applier) keepChange(ctx context.Context, c Change) error {
+	bytes, err := json.Marshal(c)
+	if err != nil {
+		return errkind.New(errkind.Internal, "encode change %d: %w", c.Version, err)
+	}
+	_, err = a.KV.CompareAndSwap(ctx, HistoryKey(c.Version), 0, bytes, 0)
+	if err == nil {
+		return nil
+	}
+	stored, readErr := readChange(ctx, a.KV, c.Version)
+	if readErr != nil || stored == nil {
+		failure := errkind.From(err)
+		return errkind.New(failure.Kind, "nothing was applied: change %d could not be moved to its own key: %w", c.Version, err).WithRun(domain.RunNo)
+	}
+	if stored.ID != c.ID {
+		return errkind.New(errkind.Internal, "nothing was applied: key %s holds change %s and the trail holds %s", HistoryKey(c.Version), stored.ID, c.ID).WithRun(domain.RunNo)
+	}
+	return nil
+}
+
+// readChange returns the change kept under its own key, or nil.
+func readChange(ctx context.Context, kv ports.KV, v domain.ListsVersion) (*Change, error) {
+	entry, err := kv.Get(ctx, HistoryKey(v))
+	if err != nil || entry.Revision == 0 {
+		return nil, err
+	}
+	return decodeChange(entry)
+}
+
+func decodeChange(entry ports.KVEntry) (*Change, error) {
+	c := new(Change)
+	if err := json.Unmarshal(entry.Value, c); err != nil {
+		return nil, errkind.New(errkind.Internal, "key %s is not readable: %w", entry.Key, err)
+	}
+	return c, nil
+}
+
+// changesAfter returns the embedded changes newer than base, newest first.
+func changesAfter(v *Versioned, base domain.ListsVersion) []Change {
+	var changes []Change
+	for _, c := range embedded(v) {
+		if c.Version > base {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+func embedded(v *Versioned) []Change {
+	if v.Version == 0 {
+		return nil
+	}
+	return append([]Change{v.Change}, v.Trail...)
+}
+
+// findVersion returns the change that made a version, from the embedded trail or
+// its own key; nil if there is none.
+func findVersion(ctx context.Context, kv ports.KV, v *Versioned, version domain.ListsVersion) (*Change, error) {
+	for _, c := range embedded(v) {
+		if c.Version == version {
+			return &c, nil
+		}
+	}
+	return readChange(ctx, kv, version)
+}
+
+// History returns the audit trail, newest first: the embedded changes, then
+// older ones from their own keys. A limit of zero or less means "all".
+func History(ctx context.Context, kv ports.KV, limit int) ([]Change, error) {
+	current, err := Read(ctx, kv)
+	if err != nil {
+		return nil, err
+	}
+	changes := embedded(current)
+	next := domain.ListsVersion(0)
+	if len(changes) > 0 {
+		next = changes[len(changes)-1].Version
+	}
+	for next > 1 && !reached(changes, limit) {
+		page := (next - 1) / historyPageSize
+		older, err := historyPage(ctx, kv, page, next)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, older...)
+		next = page * historyPageSize
+	}
+	if reached(changes, limit) {
+		changes = changes[:limit]
+	}
+	return changes, nil
+}
+
+func reached(changes []Change, limit int) bool {
+	return limit > 0 && len(changes) >= limit
+}
+
+// historyPage returns the changes of one page below version next, newest first.
+func historyPage(ctx context.Context, kv ports.KV, page, next domain.ListsVersion) ([]Change, error) {
+	prefix := fmt.Sprintf("%s%0*d", HistoryPrefix, versionDigits-historyPageDigits, page)
+	entries, err := kv.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	var changes []Change
+	for _, entry := range slices.Backward(entries) {
+		c, err := decodeChange(entry)
+		if err != nil {
+			return nil, err
+		}
+		if c.Version < next {
+			changes = append(changes, *c)
+		}
+	}
+	return changes, nil
+}
--- a/core/lists/validate.go
+++ b/core/lists/validate.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
 
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
 )
 
 const (
@@ -14,8 +16,36 @@
 	sha256HexLen = 64
 )
 
+// Problem is one fault of a document.
+type Problem struct {
+	// Key is the path of the faulty key, for instance "plans[2].regions[0]".
+	Key     string
+	Message string
+}
+
 // Validate returns every problem of the document, each naming its place.
 func (d *Document) Validate() []string {
+	var texts []string
+	for _, p := range d.Problems() {
+		texts = append(texts, p.Key+": "+p.Message)
+	}
+	return texts
+}
+
+// CheckSize refuses a document that the key-value service cannot hold.
+func (d *Document) CheckSize() error {
+	bytes, err := json.Marshal(d)
+	if err != nil {
+		return errkind.New(errkind.Internal, "encode the lists: %w", err)
+	}
+	if len(bytes) > MaxDocumentBytes {
+		return errkind.New(errkind.BodyTooLarge, "the lists have %d bytes; the key-value service holds at most %d", len(bytes), MaxDocumentBytes)
+	}
+	return nil
+}
+
+// Problems returns every problem of the document.
+func (d *Document) Problems() []Problem {
 	v := validator{regions: make(map[domain.Region]bool), services: make(map[string]bool), plans: make(map[domain.PlanID]bool)}
 	v.checkRegions(d.Regions)
 	v.checkServices(d.Services)
@@ -25,23 +55,28 @@
 }
 
 type validator struct {
-	problems []string
+	problems []Problem
 	regions  map[domain.Region]bool
 	services map[string]bool
 	plans    map[domain.PlanID]bool
 }
 
-func (v *validator) addf(format string, args ...any) {
-	v.problems = append(v.problems, fmt.Sprintf(format, args...))
+func (v *validator) addf(key, format string, args ...any) {
+	v.problems = append(v.problems, Problem{Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+// item returns the path of an item of a list.
+func item(list string, i int) string {
+	return fmt.Sprintf("%s[%d]", list, i)
 }
 
 func (v *validator) checkRegions(regions []domain.Region) {
 	for i, r := range regions {
 		if r == "" {
-			v.addf("regions[%d]: empty name", i)
+			v.addf(item("regions", i), "empty name")
 		}
 		if v.regions[r] {
-			v.addf("regions[%d]: %q is declared twice", i, r)
+			v.addf(item("regions", i), "%q is declared twice", r)
 		}
 		v.regions[r] = true
 	}
@@ -50,16 +85,20 @@
 func (v *validator) checkServices(services []Service) {
 	for i, s := range services {
 		if s.ID == "" || strings.Contains(s.ID, "/") {
-			v.addf("services[%d]: id %q is empty or holds a slash", i, s.ID)
+			v.addf(item("services", i)+".id", "%q is empty or holds a slash", s.ID)
 		}
 		if v.services[s.ID] {
-			v.addf("services[%d]: %q is declared twice", i, s.ID)
+			v.addf(item("services", i)+".id", "%q is declared twice", s.ID)
 		}
 		v.services[s.ID] = true
-		for j, r := range s.Routes {
-			if !strings.HasPrefix(r.PathPrefix, "/") {
-				v.addf("services[%d].routes[%d]: path_prefix %q lacks its leading slash", i, j, r.PathPrefix)
-			}
+		v.checkRoutes(item("services", i), s.Routes)
+	}
+}
+
+func (v *validator) checkRoutes(service string, routes []Route) {
+	for i, r := range routes {
+		if !strings.HasPrefix(r.PathPrefix, "/") {
+			v.addf(item(service+".routes", i)+".path_prefix", "%q lacks its leading slash", r.PathPrefix)
 		}
 	}
 }
@@ -67,41 +106,41 @@
 func (v *validator) checkPlans(plans []Plan) {
 	for i, p := range plans {
 		if p.ID == "" {
-			v.addf("plans[%d]: empty id", i)
+			v.addf(item("plans", i)+".id", "empty id")
 		}
 		if v.plans[p.ID] {
-			v.addf("plans[%d]: %q is declared twice", i, p.ID)
+			v.addf(item("plans", i)+".id", "%q is declared twice", p.ID)
 		}
 		v.plans[p.ID] = true
-		v.checkPlan(i, p)
+		v.checkPlan(item("plans", i), p)
 	}
 }
 
-func (v *validator) checkPlan(i int, p Plan) {
+func (v *validator) checkPlan(key string, p Plan) {
 	if len(p.Regions) == 0 {
-		v.addf("plans[%d] %q: no region allowed", i, p.ID)
+		v.addf(key+".regions", "plan %q allows no region", p.ID)
 	}
-	for _, r := range p.Regions {
+	for i, r := range p.Regions {
 		if !v.regions[r] {
-			v.addf("plans[%d] %q: unknown region %q", i, p.ID, r)
+			v.addf(item(key+".regions", i), "plan %q: unknown region %q", p.ID, r)
 		}
 	}
 	if p.Home != "" && !slices.Contains(p.Regions, p.Home) {
-		v.addf("plans[%d] %q: home %q is not among its regions", i, p.ID, p.Home)
+		v.addf(key+".home", "plan %q: home %q is not among its regions", p.ID, p.Home)
 	}
 	if p.HomeOnly && p.Home == "" {
-		v.addf("plans[%d] %q: home_only without home", i, p.ID)
+		v.addf(key+".home_only", "plan %q: home_only without home", p.ID)
 	}
-	for _, s := range p.Services {
+	for i, s := range p.Services {
 		if !v.services[s] {
-			v.addf("plans[%d] %q: unknown service %q", i, p.ID, s)
+			v.addf(item(key+".services", i), "plan %q: unknown service %q", p.ID, s)
 		}
 	}
 	if p.Priority < 0 || p.Priority > maxPriority {
-		v.addf("plans[%d] %q: priority %d is not within 0 to %d", i, p.ID, p.Priority, maxPriority)
+		v.addf(key+".priority", "plan %q: priority %d is not within 0 to %d", p.ID, p.Priority, maxPriority)
 	}
 	if p.Limits.Concurrency < 0 || p.Limits.TokensPerSecond < 0 || p.Limits.MaxOutputTokens < 0 {
-		v.addf("plans[%d] %q: a limit is negative", i, p.ID)
+		v.addf(key+".limits", "plan %q: a limit is negative", p.ID)
 	}
 }
 
@@ -110,27 +149,27 @@
 	hashes := make(map[string]domain.CustomerID)
 	for i, c := range customers {
 		if c.ID == "" {
-			v.addf("customers[%d]: empty id", i)
+			v.addf(item("customers", i)+".id", "empty id")
 		}
 		if ids[c.ID] {
-			v.addf("customers[%d]: %q is listed twice", i, c.ID)
+			v.addf(item("customers", i)+".id", "%q is listed twice", c.ID)
 		}
 		ids[c.ID] = true
 		if !v.plans[c.Plan] {
-			v.addf("customers[%d] %q: unknown plan %q", i, c.ID, c.Plan)
+			v.addf(item("customers", i)+".plan", "customer %q: unknown plan %q", c.ID, c.Plan)
 		}
-		v.checkKeyHashes(i, c, hashes)
+		v.checkKeyHashes(item("customers", i)+".key_hashes", c, hashes)
 	}
 }
 
-func (v *validator) checkKeyHashes(i int, c Customer, seen map[string]domain.CustomerID) {
-	for j, h := range c.KeyHashes {
+func (v *validator) checkKeyHashes(key string, c Customer, seen map[string]domain.CustomerID) {
+	for i, h := range c.KeyHashes {
 		h = strings.ToLower(h)
 		if _, err := hex.DecodeString(h); err != nil || len(h) != sha256HexLen {
-			v.addf("customers[%d] %q: key_hashes[%d] is not a SHA-256 in hex", i, c.ID, j)
+			v.addf(item(key, i), "customer %q: not a SHA-256 in hex", c.ID)
 		}
 		if other, ok := seen[h]; ok {
-			v.addf("customers[%d] %q: key_hashes[%d] is also a key of %q", i, c.ID, j, other)
+			v.addf(item(key, i), "customer %q: is also a key of %q", c.ID, other)
 		}
 		seen[h] = c.ID
 	}
