Compose the node from the core's parts

Cause: the decisions had no process. The node joins membership, lists adoption, routing, upstream tracking and the operation ledgers to sockets, and runs one loop for each source; every loop goes on with what it has when its source fails. Load calls are bounded a second, whatever the number of upstreams. No process has run it yet.

--- /dev/null
+++ b/adapters/node/config.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"crypto/tls"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/crocusspread/crocusspread/adapters/upstream"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/ports"
+	"github.com/crocusspread/crocusspread/core/routing"
+)
+
+const (
+	vmListInterval    = 2 * time.Second
+	loadInterval      = time.Second
+	snapshotInterval  = 50 * time.Millisecond
+	listsInterval     = 200 * time.Millisecond
+	upkeepInterval    = time.Second
+	urgentInterval    = 50 * time.Millisecond
+	directoryTTL      = 30 * time.Second
+	directoryInterval = 10 * time.Second
+	platformTimeout   = 3 * time.Second
+	// loadPollsPerSecond bounds a node's load calls, whatever the number of
+	// upstreams in its failure domain.
+	loadPollsPerSecond = 4
+	explainCapacity    = 8192
+	linkBurst          = 200 * time.Millisecond
+	bitsPerByte        = 8
+	bitsPerMegabit     = 1e6
+)
+
+// Platform is what a node needs of the platform.
+type Platform struct {
+	KV        ports.KV
+	VMList    ports.VMList
+	Directory ports.Directory
+	Weights   ports.WeightStore
+}
+
+// Config sets up a node. Addresses are host:port with the host as an IP number.
+type Config struct {
+	ID            domain.NodeID
+	Place         domain.Place
+	CallerAddress string
+	PeerAddress   string
+	AdminAddress  string
+	Profile       routing.Profile
+	// CallerTLS secures the callers' listener; nil for clear text.
+	CallerTLS *tls.Config
+	// PeerServerTLS and PeerClientTLS secure the connections between nodes.
+	PeerServerTLS *tls.Config
+	PeerClientTLS *tls.Config
+	// HeaderTimeout and RequestTimeout bound callers' requests.
+	HeaderTimeout  time.Duration
+	RequestTimeout time.Duration
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	// EntryTTL is how long callers may use an entry list; DrainMax bounds a
+	// planned stop.
+	EntryTTL time.Duration
+	DrainMax time.Duration
+	// KeptAnswerBytes and KeptAnswerRetention bound the answers of
+	// non-repeatable calls.
+	KeptAnswerBytes     int
+	KeptAnswerRetention time.Duration
+	HeartbeatInterval   time.Duration
+	// LinkMegabits is the budget to each other region, in megabits per second;
+	// regions that are missing have no bound.
+	LinkMegabits map[domain.Region]int
+	Upstream     upstream.Options
+	Platform     Platform
+	Log          event.Logger
+}
+
+func serverCredentials(c *tls.Config) credentials.TransportCredentials {
+	if c == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(c)
+}
+
+// linkBudget returns the budget towards a region, nil for no bound.
+func (c *Config) linkBudget(r domain.Region) *routing.LinkBudget {
+	megabits, ok := c.LinkMegabits[r]
+	if !ok || r == c.Place.Region {
+		return nil
+	}
+	return routing.NewLinkBudget(float64(megabits)*bitsPerMegabit/bitsPerByte, linkBurst)
+}
--- /dev/null
+++ b/adapters/node/members.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/callerapi"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/membership"
+	"github.com/crocusspread/crocusspread/core/ports"
+	"github.com/crocusspread/crocusspread/core/upstreams"
+)
+
+// registry finds nodes of all failure domains by name. It keeps the latest VM
+// list, and what heartbeats said last, when the platform is away.
+type registry struct {
+	mu    sync.RWMutex
+	nodes map[domain.NodeID]domain.NodeRef
+}
+
+func newRegistry() *registry {
+	return &registry{nodes: make(map[domain.NodeID]domain.NodeRef)}
+}
+
+// Find implements gateway.Nodes.
+func (r *registry) Find(id domain.NodeID) (domain.NodeRef, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	ref, ok := r.nodes[id]
+	return ref, ok
+}
+
+func (r *registry) setVMs(vms []ports.VM) {
+	nodes := make(map[domain.NodeID]domain.NodeRef, len(vms))
+	for _, vm := range vms {
+		if vm.Role == ports.RoleEntry {
+			id := domain.NodeID(vm.ID)
+			nodes[id] = domain.NodeRef{ID: id, Place: vm.Place, PeerAddress: vm.Address}
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = nodes
+}
+
+func (r *registry) heard(ref domain.NodeRef) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes[ref.ID] = ref
+}
+
+// heartbeatLoop exchanges heartbeats each round, and sooner when something
+// urgent changed.
+func (n *Node) heartbeatLoop(ctx context.Context) {
+	lastRound := time.Time{}
+	every(ctx, urgentInterval, func(now time.Time) {
+		due := now.Sub(lastRound) >= n.cfg.HeartbeatInterval
+		if !due && !n.group.Urgent() {
+			return
+		}
+		if due {
+			lastRound = now
+			n.publishLoad(now)
+		}
+		for _, out := range n.group.Beat(now) {
+			n.background.Go(func() { n.beat(ctx, out) })
+		}
+	})
+}
+
+func (n *Node) beat(ctx context.Context, out membership.Outgoing) {
+	sent := time.Now()
+	n.metrics.Count("heartbeats.sent", 1)
+	reply, err := n.peers.Heartbeat(ctx, out.To, out.Message)
+	if err != nil {
+		n.metrics.Count("heartbeats.failed", 1)
+		n.group.Failed(time.Now(), out.To)
+		return
+	}
+	n.group.Replied(time.Now(), out.To, sent, reply)
+	n.heard(reply)
+}
+
+// ReceiveHeartbeat implements peer.Control.
+func (n *Node) ReceiveHeartbeat(h membership.Heartbeat) membership.Heartbeat {
+	reply := n.group.Receive(time.Now(), h)
+	n.heard(h)
+	return reply
+}
+
+// heard passes on what a heartbeat says beside membership.
+func (n *Node) heard(h membership.Heartbeat) {
+	n.registry.heard(h.Sender.Node)
+	n.follower.PeerVersion(h.Sender.Node, h.ListsVersion)
+	if h.Sender.Node.Place.FailureDomain != n.self.Place.FailureDomain || h.Sender.Node.ID == n.self.ID {
+		return
+	}
+	loads := make([]upstreams.PeerLoad, 0, len(h.Upstreams))
+	for _, u := range h.Upstreams {
+		loads = append(loads, upstreams.PeerLoad{
+			Upstream: u.Upstream, InFlight: int(u.InFlight), PendingTokens: int(u.PendingTokens), Leaving: u.Leaving, Suspect: u.Suspect,
+		})
+	}
+	n.tracker.ObservePeer(time.Now(), h.Sender.Node.ID, loads)
+}
+
+// publishLoad hands the own load to membership, which spreads it.
+func (n *Node) publishLoad(now time.Time) {
+	own := n.tracker.PeerLoads()
+	loads := make([]membership.UpstreamLoad, 0, len(own))
+	for _, u := range own {
+		loads = append(loads, membership.UpstreamLoad{
+			Upstream: u.Upstream, InFlight: uint32(u.InFlight), PendingTokens: uint64(u.PendingTokens), Leaving: u.Leaving, Suspect: u.Suspect,
+		})
+	}
+	n.group.SetUpstreams(loads)
+	n.group.SetOwnLoad(now, targetLoads(n.tracker.Aggregate(now)))
+}
+
+const milli = 1000
+
+func targetLoads(a upstreams.Aggregate) []membership.TargetLoad {
+	out := make([]membership.TargetLoad, 0, len(a.Targets))
+	for _, t := range a.Targets {
+		out = append(out, membership.TargetLoad{
+			Target: t.Target, Slots: uint32(t.Slots), Free: uint32(max(0, t.Free)), WaitMillis: uint32(t.Wait.Milliseconds()),
+			CostMilli: uint32(t.CostPerMillionTokens * milli),
+		})
+	}
+	return out
+}
+
+// vmListLoop reads the platform's VM list.
+func (n *Node) vmListLoop(ctx context.Context) {
+	every(ctx, vmListInterval, func(time.Time) {
+		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+		defer cancel()
+		vms, err := n.cfg.Platform.VMList.VMs(ctx, "")
+		n.lost.report(n.log, &n.lost.vms, "VM list", err)
+		if err != nil {
+			return
+		}
+		now := time.Now()
+		n.vmsAnswered.Store(now.UnixNano())
+		n.registry.setVMs(vms)
+		n.group.SetVMs(now, vms)
+		n.tracker.ObserveVMs(now, vms)
+	})
+}
+
+// onState takes note of the node's own change of state.
+func (n *Node) onState(s domain.NodeState) {
+	n.group.SetState(time.Now(), s)
+	switch s {
+	case domain.NodeServing:
+		n.log.Log(event.NodeServing, event.F("lists", n.holder.Version()))
+	case domain.NodeDraining:
+		n.log.Log(event.NodeDraining)
+	}
+}
+
+// Entries implements callerapi.Entries.
+func (n *Node) Entries() callerapi.EntryList {
+	list := membership.Entries(n.group.View(), time.Now())
+	out := callerapi.EntryList{TTLSeconds: int(n.cfg.EntryTTL.Seconds()), Entries: []callerapi.Entry{}}
+	for _, e := range list.Entries {
+		out.Entries = append(out.Entries, callerapi.Entry{
+			Node: e.Node, Address: e.Address, Region: e.Place.Region, FailureDomain: e.Place.FailureDomain,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/adapters/node/node.go
@@ -0,0 +1,313 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+	"google.golang.org/grpc"
+
+	"github.com/crocusspread/crocusspread/adapters/callerapi"
+	"github.com/crocusspread/crocusspread/adapters/peer"
+	"github.com/crocusspread/crocusspread/adapters/telemetry"
+	"github.com/crocusspread/crocusspread/adapters/upstream"
+	"github.com/crocusspread/crocusspread/core/adoption"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/explain"
+	"github.com/crocusspread/crocusspread/core/gateway"
+	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/membership"
+	"github.com/crocusspread/crocusspread/core/operations"
+	"github.com/crocusspread/crocusspread/core/routing"
+	"github.com/crocusspread/crocusspread/core/upstreams"
+)
+
+// Node is one entry node. Make it with New and run it with Run.
+type Node struct {
+	cfg     Config
+	self    domain.NodeRef
+	started time.Time
+	log     event.Logger
+	metrics *telemetry.Metrics
+	explain *explain.Log
+
+	holder    *adoption.Holder
+	follower  *adoption.Follower
+	group     *membership.Group
+	lifecycle *membership.Lifecycle
+	registry  *registry
+	tracker   *upstreams.Tracker
+	domains   *upstreams.Domains
+	snapshot  atomic.Pointer[routing.Snapshot]
+	router    *routing.Router
+	pickers   pickers
+
+	issuer     *operations.Issuer
+	executions *operations.Executor
+	claims     *operations.Claims
+	peers      *peer.Client
+	engine     *upstream.Engine
+	service    *upstream.Service
+	gateway    *gateway.Gateway
+	callers    *callerapi.Server
+
+	listsAdopted atomic.Int64 // Unix nanoseconds
+	lastRefusal  atomic.Pointer[string]
+	kvAnswered   atomic.Int64
+	vmsAnswered  atomic.Int64
+	work         workCounter
+	catchUp      singleflight.Group
+	background   sync.WaitGroup
+	lost         sourceHealth
+	health       upstreamHealth
+	linkBudgets  map[domain.Region]*routing.LinkBudget
+	linkMu       sync.Mutex
+}
+
+// New builds a node; it opens no socket yet.
+func New(cfg Config) (*Node, error) {
+	now := time.Now()
+	n := &Node{
+		cfg: cfg, started: now, log: cfg.Log,
+		self: domain.NodeRef{
+			ID: cfg.ID, Incarnation: newIncarnation(), Place: cfg.Place, PeerAddress: cfg.PeerAddress,
+			CallerAddress: cfg.CallerAddress, State: domain.NodeStarting,
+		},
+		metrics:     telemetry.NewMetrics(cfg.Place),
+		explain:     explain.NewLog(explainCapacity),
+		registry:    newRegistry(),
+		linkBudgets: make(map[domain.Region]*routing.LinkBudget),
+	}
+	n.buildLists(now)
+	n.buildMembership(now)
+	if err := n.buildRouting(); err != nil {
+		return nil, err
+	}
+	if err := n.buildOperations(now); err != nil {
+		return nil, err
+	}
+	n.buildGateway()
+	return n, nil
+}
+
+func newIncarnation() domain.Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return domain.Incarnation(binary.BigEndian.Uint64(b[:]) | 1)
+}
+
+func (n *Node) buildLists(now time.Time) {
+	n.holder = adoption.NewHolder(n.onAdopted, n.onRefused)
+	n.follower = adoption.NewFollower(adoption.DefaultConfig(), n.holder, uint64(n.self.Incarnation), now)
+}
+
+func (n *Node) buildMembership(now time.Time) {
+	cfg := membership.DefaultConfig(n.self)
+	cfg.Round = n.cfg.HeartbeatInterval
+	n.group = membership.New(cfg, now)
+	n.lifecycle = membership.NewLifecycle(n.cfg.EntryTTL+membership.DrainWait-membership.EntryTTL, n.onState)
+}
+
+func (n *Node) buildRouting() error {
+	tuning, err := n.cfg.Profile.Tuning()
+	if err != nil {
+		return err
+	}
+	n.router = routing.New(tuning.Policy())
+	n.tracker = upstreams.New(upstreams.Options{Place: n.cfg.Place})
+	n.domains = upstreams.NewDomains(upstreams.Options{Place: n.cfg.Place})
+	return n.rebuildSnapshot(time.Now())
+}
+
+func (n *Node) buildOperations(now time.Time) error {
+	cfg := operations.DefaultIssuerConfig()
+	cfg.MaxTotalBytes = n.cfg.KeptAnswerBytes
+	cfg.Retention = max(n.cfg.KeptAnswerRetention, cfg.FirstUse+time.Second)
+	issuer, err := operations.NewIssuer(n.self.ID, n.self.Incarnation, now, cfg)
+	if err != nil {
+		return err
+	}
+	executor := operations.ExecutorRef{Node: n.self.ID, Incarnation: n.self.Incarnation}
+	n.issuer = issuer
+	if n.executions, err = operations.NewExecutor(executor, operations.DefaultExecutorConfig()); err != nil {
+		return err
+	}
+	lifetime := cfg.FirstUse + cfg.MaxRun + cfg.Retention
+	n.claims, err = operations.NewClaims(n.cfg.Platform.KV, issuer, lifetime, claimBatch, time.Now)
+	return err
+}
+
+// claimBatch is how long caller-made keys share one lease.
+const claimBatch = time.Minute
+
+func (n *Node) buildGateway() {
+	n.peers = peer.NewClient(peer.ClientConfig{Credentials: serverCredentials(n.cfg.PeerClientTLS), Log: n.log})
+	n.engine = upstream.NewEngine(n.cfg.Upstream)
+	n.service = upstream.NewService(n.cfg.Upstream)
+	n.gateway = gateway.New(gateway.Deps{
+		Self: n.self, Lists: n, Router: n, Tracker: n, Peers: n.peers, Nodes: n.registry,
+		Operations: n.issuer, Keys: n.claims, Executions: n.executions, Admission: openAdmission{},
+		Engine: n.engine, Service: n.service, Observer: n.metrics, Explain: n.explain, Log: n.log,
+		Accepting: n.lifecycle.Accepts, Now: time.Now,
+	})
+	n.callers = callerapi.New(
+		callerapi.Config{MaxBodyBytes: n.cfg.MaxBodyBytes, RequestTimeout: n.cfg.RequestTimeout},
+		callerapi.Deps{
+			Gateway: n.gateway, Operations: n, Entries: n, Lists: n.holder.Current, Accepting: n.lifecycle.Accepts,
+		},
+	)
+}
+
+// listeners are a node's open sockets.
+type listeners struct {
+	caller, peer, admin net.Listener
+}
+
+func (n *Node) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.caller, err = net.Listen("tcp", n.cfg.CallerAddress); err != nil {
+		return l, err
+	}
+	if l.peer, err = net.Listen("tcp", n.cfg.PeerAddress); err != nil {
+		return l, errors.Join(err, l.caller.Close())
+	}
+	if l.admin, err = net.Listen("tcp", n.cfg.AdminAddress); err != nil {
+		return l, errors.Join(err, l.caller.Close(), l.peer.Close())
+	}
+	return l, nil
+}
+
+// Run serves until a planned stop has ended. Canceling ctx asks for one; it
+// returns nil if the stop cut off nothing.
+func (n *Node) Run(ctx context.Context) error {
+	l, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.log.Log(event.NodeStarted, event.F("caller", l.caller.Addr()), event.F("peer", l.peer.Addr()), event.F("admin", l.admin.Addr()))
+	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	servers := n.serve(l)
+	loops := n.startLoops(loopCtx)
+	select {
+	case <-ctx.Done():
+	case err = <-servers.failed:
+	}
+	cut := n.drain(loopCtx)
+	servers.stop(cut > 0)
+	stopLoops()
+	loops()
+	n.close()
+	n.log.Log(event.NodeStopped, event.F("cut_off", cut))
+	if err == nil && cut > 0 {
+		err = errors.New("the planned stop reached its time limit and cut off requests")
+	}
+	return err
+}
+
+func (n *Node) close() {
+	n.background.Wait()
+	n.peers.Close()
+	n.engine.Close()
+	n.service.Close()
+}
+
+// servers are the running listeners.
+type servers struct {
+	caller, admin *http.Server
+	peer          *grpc.Server
+	failed        chan error
+}
+
+const (
+	idleTimeout     = 2 * time.Minute
+	shutdownTimeout = 5 * time.Second
+	listenerCount   = 3
+)
+
+func (n *Node) serve(l listeners) *servers {
+	s := &servers{
+		caller: &http.Server{
+			Handler: n.work.countHTTP(n.callers), ReadHeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: n.cfg.MaxHeaderBytes, TLSConfig: n.cfg.CallerTLS, Protocols: callerProtocols(),
+		},
+		admin:  &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: n.cfg.HeaderTimeout},
+		peer:   peer.NewServer(&countedHandler{gateway: n.gateway, work: &n.work}, n, serverCredentials(n.cfg.PeerServerTLS)),
+		failed: make(chan error, listenerCount),
+	}
+	go func() { s.failed <- serveCallers(s.caller, l.caller) }()
+	go func() { s.failed <- s.admin.Serve(l.admin) }()
+	go func() { s.failed <- s.peer.Serve(l.peer) }()
+	return s
+}
+
+// callerProtocols allows HTTP/1.1 and, over TLS, HTTP/2.
+func callerProtocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	return p
+}
+
+func serveCallers(s *http.Server, l net.Listener) error {
+	if s.TLSConfig != nil {
+		return s.ServeTLS(l, "", "")
+	}
+	return s.Serve(l)
+}
+
+// stop closes the listeners; now cuts off what still runs.
+func (s *servers) stop(now bool) {
+	if now {
+		s.caller.Close()
+		s.peer.Stop()
+	} else {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = s.caller.Shutdown(ctx)
+		s.peer.Stop()
+	}
+	_ = s.admin.Close()
+}
+
+// startLoops runs the loops until ctx ends; the returned function waits.
+func (n *Node) startLoops(ctx context.Context) (wait func()) {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, loop := range []func(context.Context){
+		n.heartbeatLoop, n.listsLoop, n.vmListLoop, n.loadLoop, n.snapshotLoop, n.upkeepLoop, n.directoryLoop,
+	} {
+		g.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+	return func() { _ = g.Wait() }
+}
+
+// every calls f at once and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	f(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f(time.Now())
+		}
+	}
+}
+
+// Current implements gateway.Lists.
+func (n *Node) Current() *lists.Snapshot { return n.holder.Current() }
--- /dev/null
+++ b/adapters/node/operations.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/callerapi"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/operations"
+)
+
+// Issue implements callerapi.Operations.
+func (n *Node) Issue(customer domain.CustomerID) (domain.OperationID, error) {
+	return n.issuer.Issue(customer, time.Now()), nil
+}
+
+// Status implements callerapi.Operations.
+func (n *Node) Status(ctx context.Context, customer domain.CustomerID, id domain.OperationID) (callerapi.OperationStatus, error) {
+	st, err := n.gateway.OperationStatus(ctx, customer, id)
+	if err != nil {
+		return callerapi.OperationStatus{}, err
+	}
+	return callerapi.OperationStatus{OperationID: id, State: st.State.String(), Run: st.Run}, nil
+}
+
+// Inquire implements peer.Control.
+func (n *Node) Inquire(a operations.Attempt) operations.Outcome {
+	outcome, err := n.executions.Inquire(a, time.Now())
+	if err != nil {
+		return operations.OutcomeUnknown
+	}
+	return outcome
+}
+
+// OwnOperationStatus implements peer.Control.
+func (n *Node) OwnOperationStatus(customer domain.CustomerID, id domain.OperationID) (operations.Status, error) {
+	return n.issuer.Status(id, customer, time.Now())
+}
--- /dev/null
+++ b/adapters/node/routing.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/gateway"
+	"github.com/crocusspread/crocusspread/core/membership"
+	"github.com/crocusspread/crocusspread/core/routing"
+	"github.com/crocusspread/crocusspread/core/upstreams"
+)
+
+// snapshotLoop rebuilds the snapshot that decisions read.
+func (n *Node) snapshotLoop(ctx context.Context) {
+	every(ctx, snapshotInterval, func(now time.Time) {
+		n.observeDomains(now)
+		_ = n.rebuildSnapshot(now)
+	})
+}
+
+func (n *Node) rebuildSnapshot(now time.Time) error {
+	b := routing.NewBuilder(n.self.Place)
+	if s := n.holder.Current(); s != nil {
+		for _, r := range s.Source.Document.Regions {
+			b.AddRegion(r)
+		}
+	}
+	n.tracker.AppendTo(now, b)
+	n.domains.AppendTo(now, b)
+	s, err := b.Build()
+	if err != nil {
+		return err
+	}
+	n.snapshot.Store(s)
+	return nil
+}
+
+// observeDomains hands to routing what membership knows of other domains.
+func (n *Node) observeDomains(now time.Time) {
+	view := n.group.View()
+	for i := range view.Others {
+		d := &view.Others[i]
+		n.domains.SetReachable(now, d.Place, d.Reachable && len(d.Nodes) > 0, d.RTT)
+		n.domains.SetLink(d.Place, n.linkTo(d.Place.Region))
+		if !d.Heard.IsZero() {
+			aggregate, sequence := aggregateOf(d)
+			n.domains.Observe(now, aggregate, sequence, d.Age(now))
+		}
+	}
+}
+
+// linkTo returns the one budget of the link to a region.
+func (n *Node) linkTo(r domain.Region) *routing.LinkBudget {
+	n.linkMu.Lock()
+	defer n.linkMu.Unlock()
+	budget, ok := n.linkBudgets[r]
+	if !ok {
+		budget = n.cfg.linkBudget(r)
+		n.linkBudgets[r] = budget
+	}
+	return budget
+}
+
+func aggregateOf(d *membership.Domain) (a upstreams.Aggregate, sequence uint64) {
+	a.Place = d.Place
+	for _, t := range d.Targets {
+		sequence = max(sequence, t.Sequence)
+		a.Targets = append(a.Targets, upstreams.TargetAggregate{
+			Target: t.Target, Slots: int(t.Slots), Free: int(t.Free), Wait: time.Duration(t.WaitMillis) * time.Millisecond,
+			CostPerMillionTokens: float64(t.CostMilli) / milli,
+		})
+	}
+	return a, sequence
+}
+
+// Route implements gateway.Router.
+func (n *Node) Route(req gateway.RouteRequest) (gateway.Choice, error) {
+	if req.Pinned != "" {
+		return n.pinned(req.Pinned)
+	}
+	s := n.snapshot.Load()
+	r := routing.Request{
+		Target: req.Target, Allowed: s.Regions().Set(req.Access.AllowsRegion), LocalOnly: req.LocalOnly,
+		PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens, PrefixHash: req.Prefix, PrefixTokens: req.PromptTokens,
+		BodyBytes: req.BodyBytes, Priority: req.Access.Plan.Priority, Deadline: req.Deadline, Home: req.Access.Plan.Home,
+		ExcludedUpstreams: req.TriedUpstreams, ExcludedDomains: req.TriedDomains, Seed: rand.Uint64(),
+	}
+	d := n.router.Decide(s, &r, time.Now())
+	switch d.Action {
+	case routing.ActionLocal:
+		ref := s.Upstream(d.Upstream).Ref
+		return gateway.Choice{Upstream: &ref, Reason: "upstream " + string(ref.ID) + ", first token in " + d.FirstToken.String()}, nil
+	case routing.ActionForward:
+		if d.Link != nil {
+			d.Link.Take(time.Now(), routing.LinkBytes(&r))
+		}
+		return n.forwardTo(s.Domain(d.Domain).Place, d)
+	}
+	return gateway.Choice{}, d.Err(&r)
+}
+
+// pinned returns the upstream that holds a generation, unless it is gone.
+func (n *Node) pinned(id domain.UpstreamID) (gateway.Choice, error) {
+	for _, ref := range n.tracker.Refs() {
+		if ref.ID == id {
+			return gateway.Choice{Upstream: &ref, Reason: "resumed at upstream " + string(id)}, nil
+		}
+	}
+	return gateway.Choice{}, errkind.New(errkind.NoCapacity, "upstream %q, which holds the generation, is gone", id)
+}
+
+func (n *Node) forwardTo(place domain.Place, d routing.Decision) (gateway.Choice, error) {
+	known, ok := n.group.View().Domain(place.FailureDomain)
+	if !ok || len(known.Nodes) == 0 {
+		return gateway.Choice{}, errkind.New(errkind.NoCapacity, "no node of failure domain %q is known", place.FailureDomain)
+	}
+	node := n.pickers.pick(known.Nodes)
+	return gateway.Choice{
+		Node: &node, Reason: "failure domain " + string(place.FailureDomain) + " over node " + string(node.ID) + ", first token in " + d.FirstToken.String(),
+	}, nil
+}
+
+// pickers counts this node's forwards in flight by receiver and chooses among
+// receivers by bounded-load rendezvous hashing.
+type pickers struct {
+	mu       sync.Mutex
+	inFlight map[domain.NodeID]int
+}
+
+// nodeLoadBound is the largest load of a receiver relative to the mean.
+const nodeLoadBound = 1.25
+
+func (p *pickers) pick(nodes []domain.NodeRef) domain.NodeRef {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loads := make([]routing.NodeLoad, len(nodes))
+	for i, node := range nodes {
+		loads[i] = routing.NodeLoad{Key: routing.HashKey(string(node.ID)), InFlight: p.inFlight[node.ID]}
+	}
+	return nodes[routing.ChooseNode(rand.Uint64(), loads, nodeLoadBound)]
+}
+
+// Start implements gateway.Tracker.
+func (n *Node) Start(up domain.UpstreamID, w gateway.Work) (gateway.Progress, error) {
+	d, err := n.tracker.Start(time.Now(), up, w.PromptTokens, w.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	return progress{d}, nil
+}
+
+// StartForward implements gateway.Tracker.
+func (n *Node) StartForward(to domain.FailureDomain, w gateway.Work) (gateway.Progress, error) {
+	d, err := n.domains.StartForward(time.Now(), to, w.Target, w.PromptTokens)
+	if err != nil {
+		return nil, err
+	}
+	return progress{d}, nil
+}
+
+// progress reports on one dispatch to the tracker.
+type progress struct {
+	dispatch *upstreams.Dispatch
+}
+
+// FirstChunk implements gateway.Progress.
+func (p progress) FirstChunk() { p.dispatch.FirstToken(time.Now()) }
+
+// Ended implements gateway.Progress.
+func (p progress) Ended(err error) { p.dispatch.End(time.Now(), outcomeOf(err)) }
+
+// outcomeOf says what an error tells about the upstream.
+func outcomeOf(err error) upstreams.Outcome {
+	if err == nil {
+		return upstreams.OutcomeSucceeded
+	}
+	switch errkind.From(err).Kind {
+	case errkind.UpstreamFailed, errkind.UpstreamSilent, errkind.Truncated:
+		return upstreams.OutcomeFailed
+	}
+	return upstreams.OutcomeNeutral
+}
--- /dev/null
+++ b/adapters/node/upkeep.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/gateway"
+	"github.com/crocusspread/crocusspread/core/membership"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// workCounter counts requests being served, for a planned stop.
+type workCounter struct {
+	requests atomic.Int64
+}
+
+func (w *workCounter) countHTTP(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.requests.Add(1)
+		defer w.requests.Add(-1)
+		h.ServeHTTP(rw, r)
+	})
+}
+
+// countedHandler counts what arrives from other nodes.
+type countedHandler struct {
+	gateway *gateway.Gateway
+	work    *workCounter
+}
+
+// Execute implements peer.Handler.
+func (h *countedHandler) Execute(ctx context.Context, fwd *gateway.Forward, w answer.Writer) error {
+	h.work.requests.Add(1)
+	defer h.work.requests.Add(-1)
+	return h.gateway.Execute(ctx, fwd, w)
+}
+
+// Join implements peer.Handler.
+func (h *countedHandler) Join(ctx context.Context, fwd *gateway.Forward, w answer.Writer) error {
+	h.work.requests.Add(1)
+	defer h.work.requests.Add(-1)
+	return h.gateway.Join(ctx, fwd, w)
+}
+
+// upkeepLoop forgets what has been remembered for long enough.
+func (n *Node) upkeepLoop(ctx context.Context) {
+	every(ctx, upkeepInterval, func(now time.Time) {
+		n.metrics.Gauge("operations.remembered", int64(n.issuer.Expire(now)))
+		n.metrics.Gauge("operations.kept_bytes", int64(n.issuer.KeptBytes()))
+		n.metrics.Gauge("executions.remembered", int64(n.executions.Expire(now)))
+		n.metrics.Gauge("requests.in_flight", n.work.requests.Load())
+	})
+}
+
+// directoryLoop keeps the node's record in the directory for clients.
+func (n *Node) directoryLoop(ctx context.Context) {
+	record := ports.DirectoryRecord{Node: n.self.ID, Place: n.self.Place, Address: n.self.CallerAddress}
+	announced := time.Time{}
+	every(ctx, upkeepInterval, func(now time.Time) {
+		if n.lifecycle.State() != domain.NodeServing || now.Sub(announced) < directoryInterval {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+		defer cancel()
+		err := n.cfg.Platform.Directory.Announce(callCtx, record, directoryTTL)
+		n.lost.report(n.log, &n.lost.directory, "directory", err)
+		if err == nil {
+			announced = now
+		}
+	})
+}
+
+// drainInterval is the time between two looks at what a planned stop waits for.
+const drainInterval = 50 * time.Millisecond
+
+// drain carries out a planned stop and returns how many requests it cut off.
+func (n *Node) drain(ctx context.Context) (cut int64) {
+	begun := time.Now()
+	n.lifecycle.Drain(begun)
+	n.withdraw(ctx)
+	t := time.NewTicker(drainInterval)
+	defer t.Stop()
+	for now := range t.C {
+		work := membership.Work{Requests: int(n.work.requests.Load()) + n.issuer.Unfinished()}
+		if n.lifecycle.Advance(now, work) == membership.StepStopped {
+			return 0
+		}
+		if now.Sub(begun) > n.cfg.DrainMax {
+			return int64(work.Requests)
+		}
+	}
+	return 0
+}
+
+func (n *Node) withdraw(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	err := n.cfg.Platform.Directory.Withdraw(ctx, n.self.ID)
+	n.lost.report(n.log, &n.lost.directory, "directory", err)
+}
+
+// sourceHealth remembers which sources of the platform fail, so that a failure
+// and its end are each logged once.
+type sourceHealth struct {
+	mu                 sync.Mutex
+	kv, vms, directory bool
+}
+
+func (s *sourceHealth) report(log event.Logger, failing *bool, source string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if (err != nil) == *failing {
+		return
+	}
+	*failing = err != nil
+	if err != nil {
+		log.Log(event.PlatformFailed, event.F("source", source), event.F("detail", err))
+		return
+	}
+	log.Log(event.PlatformRestored, event.F("source", source))
+}
+
+// openAdmission admits everything.
+type openAdmission struct{}
+
+// Admit implements gateway.Admission.
+func (openAdmission) Admit(context.Context, gateway.AdmitRequest) (gateway.Grant, error) {
+	return openGrant{}, nil
+}
+
+// AllowRetry implements gateway.Admission.
+func (openAdmission) AllowRetry() bool { return true }
+
+type openGrant struct{}
+
+// FirstChunk implements gateway.Grant.
+func (openGrant) FirstChunk() {}
+
+// Done implements gateway.Grant.
+func (openGrant) Done(int) {}
--- a/adapters/peer/server.go
+++ b/adapters/peer/server.go
@@ -39,18 +39,11 @@
 	Join(ctx context.Context, fwd *gateway.Forward, w answer.Writer) error
 }
 
-// Control answers the messages between nodes that carry no request.
-type Control interface {
-	Inquire(context.Context, *peerpb.InquireRequest) (*peerpb.InquireReply, error)
-	Heartbeat(context.Context, *peerpb.HeartbeatMessage) (*peerpb.HeartbeatMessage, error)
-	FetchLists(context.Context, *peerpb.FetchListsRequest) (*peerpb.FetchListsReply, error)
-}
-
 // Server is the receiving end of the protocol between nodes.
 type Server struct {
 	peerpb.UnimplementedPeerServer
 	handler Handler
-	Control
+	control Control
 }
 
 // NewServer returns a gRPC server with the protocol registered.
@@ -62,25 +55,10 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: serverMinPing, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepaliveTimeout}),
 	)
-	peerpb.RegisterPeerServer(s, &Server{handler: h, Control: c})
+	peerpb.RegisterPeerServer(s, &Server{handler: h, control: c})
 	return s
 }
 
-// Heartbeat implements peerpb.PeerServer.
-func (s *Server) Heartbeat(ctx context.Context, m *peerpb.HeartbeatMessage) (*peerpb.HeartbeatMessage, error) {
-	return s.Control.Heartbeat(ctx, m)
-}
-
-// Inquire implements peerpb.PeerServer.
-func (s *Server) Inquire(ctx context.Context, m *peerpb.InquireRequest) (*peerpb.InquireReply, error) {
-	return s.Control.Inquire(ctx, m)
-}
-
-// FetchLists implements peerpb.PeerServer.
-func (s *Server) FetchLists(ctx context.Context, m *peerpb.FetchListsRequest) (*peerpb.FetchListsReply, error) {
-	return s.Control.FetchLists(ctx, m)
-}
-
 type requestStream = grpc.BidiStreamingServer[peerpb.ExecuteRequest, peerpb.AnswerFrame]
 
 type runFunc func(context.Context, *gateway.Forward, answer.Writer) error
--- /dev/null
+++ b/adapters/peer/unary.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/crocusspread/crocusspread/adapters/peer/peerconv"
+	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
+	"github.com/crocusspread/crocusspread/core/adoption"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/membership"
+	"github.com/crocusspread/crocusspread/core/operations"
+)
+
+// call makes one request with one reply. Without a reply in time the connection
+// counts as silent and is retired.
+func call[Reply any](ctx context.Context, c *Client, address string, send func(context.Context, peerpb.PeerClient) (Reply, error)) (Reply, error) {
+	var none Reply
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return none, err
+	}
+	defer c.pool.release(conn)
+	callCtx, cancel := context.WithTimeout(ctx, c.silence)
+	defer cancel()
+	reply, err := send(callCtx, peerpb.NewPeerClient(conn))
+	if err != nil {
+		if callCtx.Err() != nil && ctx.Err() == nil {
+			c.pool.retire(conn)
+		}
+		return none, errkind.New(errkind.PeerLost, "call %s: %w", address, err)
+	}
+	return reply, nil
+}
+
+// Heartbeat exchanges heartbeats with a node.
+func (c *Client) Heartbeat(ctx context.Context, node domain.NodeRef, h membership.Heartbeat) (membership.Heartbeat, error) {
+	reply, err := call(ctx, c, node.PeerAddress, func(ctx context.Context, pc peerpb.PeerClient) (*peerpb.HeartbeatMessage, error) {
+		return pc.Heartbeat(ctx, peerconv.HeartbeatToProto(h))
+	})
+	if err != nil {
+		return membership.Heartbeat{}, err
+	}
+	return peerconv.HeartbeatFromProto(reply)
+}
+
+// FetchLists returns a node's lists, or nil if they are not newer than given.
+func (c *Client) FetchLists(ctx context.Context, node domain.NodeRef, newerThan domain.ListsVersion) (*lists.Versioned, error) {
+	reply, err := call(ctx, c, node.PeerAddress, func(ctx context.Context, pc peerpb.PeerClient) (*peerpb.FetchListsReply, error) {
+		return pc.FetchLists(ctx, &peerpb.FetchListsRequest{NewerThan: uint64(newerThan)})
+	})
+	if err != nil || len(reply.GetDocument()) == 0 {
+		return nil, err
+	}
+	return adoption.Decode(reply.GetDocument())
+}
+
+// Inquire implements gateway.Peers.
+func (c *Client) Inquire(ctx context.Context, executor domain.NodeRef, a operations.Attempt) (operations.Outcome, error) {
+	reply, err := call(ctx, c, executor.PeerAddress, func(ctx context.Context, pc peerpb.PeerClient) (*peerpb.InquireReply, error) {
+		return pc.Inquire(ctx, &peerpb.InquireRequest{
+			OperationId: string(a.Operation), Receiver: string(a.Executor.Node), ReceiverIncarnation: uint64(a.Executor.Incarnation),
+			Sender: string(a.Issuer), SenderIncarnation: uint64(a.IssuerIncarnation), Attempt: a.Number,
+		})
+	})
+	if err != nil {
+		return operations.OutcomeUnknown, err
+	}
+	return operations.Outcome(reply.GetOutcome()), nil
+}
+
+// OperationStatus implements gateway.Peers.
+func (c *Client) OperationStatus(ctx context.Context, issuer domain.NodeRef, customer domain.CustomerID, id domain.OperationID) (operations.Status, error) {
+	reply, err := call(ctx, c, issuer.PeerAddress, func(ctx context.Context, pc peerpb.PeerClient) (*peerpb.OperationStatusReply, error) {
+		return pc.OperationStatus(ctx, &peerpb.OperationStatusRequest{OperationId: string(id), Customer: string(customer)})
+	})
+	if err != nil {
+		return operations.Status{}, err
+	}
+	if reply.GetRefusal() != nil {
+		return operations.Status{}, endFromProto(reply.GetRefusal())
+	}
+	state, err := operations.ParseState(reply.GetState())
+	return operations.Status{State: state, Run: domain.Run(reply.GetRun())}, err
+}
+
+func attemptFromProto(m *peerpb.InquireRequest) operations.Attempt {
+	return operations.Attempt{
+		Operation: domain.OperationID(m.GetOperationId()), Issuer: domain.NodeID(m.GetSender()),
+		IssuerIncarnation: domain.Incarnation(m.GetSenderIncarnation()),
+		Executor: operations.ExecutorRef{
+			Node: domain.NodeID(m.GetReceiver()), Incarnation: domain.Incarnation(m.GetReceiverIncarnation()),
+		},
+		Number: m.GetAttempt(),
+	}
+}
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -28,6 +28,12 @@
 	// Outcome is "ok" or the error's kind.
 	Outcome string     `json:"outcome"`
 	Run     domain.Run `json:"run"`
+	// Begun is the request's arrival; Total the time from there to its end.
+	Begun time.Time     `json:"begun"`
+	Total time.Duration `json:"total_ns"`
+	// Upstream and Place say where it ran, if it did.
+	Upstream domain.UpstreamID `json:"upstream"`
+	Place    domain.Place      `json:"place"`
 }
 
 // Add appends a step.
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/crocusspread/crocusspread/core/answer"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/event"
@@ -52,7 +51,7 @@
 	}
 	return c.g.deps.Router.Route(RouteRequest{
 		Access: c.access, Target: c.req.Target, PromptTokens: c.req.PromptTokens, OutputTokens: c.req.OutputTokens,
-		Prefix: c.req.Prefix, Deadline: c.req.Deadline,
+		Prefix: c.req.Prefix, BodyBytes: len(c.req.Payload), Deadline: c.req.Deadline,
 		TriedUpstreams: c.tried.upstreams, TriedDomains: c.tried.domains,
 	})
 }
@@ -101,13 +100,7 @@
 		return c.g.dispatch(ctx, *choice.Upstream, fwd, c.w)
 	}
 	fwd.Receiver = *choice.Node
-	s, err := c.g.deps.Peers.Execute(ctx, fwd)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	_, err = answer.Copy(c.w, s)
-	return err
+	return c.g.forward(ctx, fwd, c.w)
 }
 
 func (c *call) forward() *Forward {
--- a/core/gateway/deps.go
+++ b/core/gateway/deps.go
@@ -29,6 +29,7 @@
 	PromptTokens int
 	OutputTokens int
 	Prefix       uint64
+	BodyBytes    int
 	Deadline     time.Time
 	// LocalOnly forbids forwarding: the Execute stage.
 	LocalOnly bool
@@ -54,10 +55,20 @@
 	Route(req RouteRequest) (Choice, error)
 }
 
-// Tracker accounts for work on upstreams of the own failure domain.
+// Work describes one dispatch for accounting.
+type Work struct {
+	Target       domain.Target
+	PromptTokens int
+	Prefix       uint64
+}
+
+// Tracker accounts for work under way.
 type Tracker interface {
-	// Started reports a dispatch; the returned function reports its progress.
-	Started(up domain.UpstreamID, promptTokens int) Progress
+	// Start reports a dispatch to an upstream of the own failure domain. It
+	// fails, with verdict "no", if the upstream takes no new work by now.
+	Start(up domain.UpstreamID, w Work) (Progress, error)
+	// StartForward reports a request sent to another failure domain.
+	StartForward(to domain.FailureDomain, w Work) (Progress, error)
 }
 
 // Progress reports on one dispatch.
@@ -164,5 +175,7 @@
 	Observer   Observer
 	Explain    *explain.Log
 	Log        event.Logger
-	Now        func() time.Time
+	// Accepting tells if the node takes new requests from other nodes.
+	Accepting func() bool
+	Now       func() time.Time
 }
--- a/core/gateway/dispatch.go
+++ b/core/gateway/dispatch.go
@@ -12,18 +12,42 @@
 
 // dispatch runs fwd on an upstream of the own failure domain.
 func (g *Gateway) dispatch(ctx context.Context, up domain.UpstreamRef, fwd *Forward, w answer.Writer) (err error) {
-	progress := g.deps.Tracker.Started(up.ID, fwd.PromptTokens)
+	progress, err := g.deps.Tracker.Start(up.ID, workOf(fwd))
+	if err != nil {
+		return err
+	}
 	defer func() { progress.Ended(err) }()
 	s, err := g.open(ctx, up, fwd)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
-	dw := &dispatchWriter{Writer: w, up: up, version: fwd.ListsVersion, progress: progress}
+	dw := &dispatchWriter{progressWriter: progressWriter{Writer: w, progress: progress}, up: up, version: fwd.ListsVersion}
 	_, err = answer.Copy(dw, s)
 	return err
 }
 
+func workOf(fwd *Forward) Work {
+	return Work{Target: fwd.Target, PromptTokens: fwd.PromptTokens, Prefix: fwd.Prefix}
+}
+
+// forward sends fwd to the node that it names as receiver and copies the
+// answer.
+func (g *Gateway) forward(ctx context.Context, fwd *Forward, w answer.Writer) (err error) {
+	progress, err := g.deps.Tracker.StartForward(fwd.Receiver.Place.FailureDomain, workOf(fwd))
+	if err != nil {
+		return err
+	}
+	defer func() { progress.Ended(err) }()
+	s, err := g.deps.Peers.Execute(ctx, fwd)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	_, err = answer.Copy(&progressWriter{Writer: w, progress: progress}, s)
+	return err
+}
+
 func (g *Gateway) open(ctx context.Context, up domain.UpstreamRef, fwd *Forward) (answer.Stream, error) {
 	if fwd.Target.Kind == domain.TargetModel {
 		return g.deps.Engine.Generate(ctx, up, ports.GenerateRequest{
@@ -47,14 +71,11 @@
 	return bytes.NewReader(fwd.Payload)
 }
 
-// dispatchWriter marks the head with where the request ran and reports the
-// first chunk.
+// dispatchWriter marks the head with where the request ran.
 type dispatchWriter struct {
-	answer.Writer
-	up       domain.UpstreamRef
-	version  domain.ListsVersion
-	progress Progress
-	first    bool
+	progressWriter
+	up      domain.UpstreamRef
+	version domain.ListsVersion
 }
 
 // WriteHead implements answer.Writer.
@@ -63,11 +84,18 @@
 	return d.Writer.WriteHead(h)
 }
 
+// progressWriter reports the first chunk.
+type progressWriter struct {
+	answer.Writer
+	progress Progress
+	first    bool
+}
+
 // WriteChunk implements answer.Writer.
-func (d *dispatchWriter) WriteChunk(p []byte) error {
-	if !d.first {
-		d.first = true
-		d.progress.FirstChunk()
+func (p *progressWriter) WriteChunk(chunk []byte) error {
+	if !p.first {
+		p.first = true
+		p.progress.FirstChunk()
 	}
-	return d.Writer.WriteChunk(p)
+	return p.Writer.WriteChunk(chunk)
 }
--- a/core/gateway/execute.go
+++ b/core/gateway/execute.go
@@ -27,6 +27,9 @@
 
 // place chooses an upstream of the own failure domain by the receiver's lists.
 func (g *Gateway) place(ctx context.Context, fwd *Forward) (Choice, error) {
+	if !g.deps.Accepting() {
+		return Choice{}, errkind.New(errkind.Draining, "node %q takes no new requests", g.deps.Self.ID)
+	}
 	access, err := g.recheck(ctx, fwd)
 	if err != nil {
 		return Choice{}, err
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -67,7 +67,9 @@
 }
 
 func (c *call) startRecord() {
-	c.record = &explain.Record{RequestID: c.req.ID, Target: c.req.Target.Kind.String() + "/" + c.req.Target.Name}
+	c.record = &explain.Record{
+		RequestID: c.req.ID, Target: c.req.Target.Kind.String() + "/" + c.req.Target.Name, Begun: c.begun,
+	}
 	if c.access != nil {
 		c.record.Customer, c.record.ListsVersion = c.access.Customer, c.snapshot.Version
 	}
@@ -131,6 +133,8 @@
 		c.grant.Done(int(c.w.chunks))
 	}
 	c.record.Outcome, c.record.Run = "ok", domain.RunYes
+	c.record.Total = now.Sub(c.begun)
+	c.record.Upstream, c.record.Place = c.w.head.RanOn, c.w.head.RanIn
 	customer := domain.CustomerID("")
 	if c.access != nil {
 		customer = c.access.Customer
--- a/core/gateway/operation.go
+++ b/core/gateway/operation.go
@@ -224,7 +224,7 @@
 	if choice.Upstream != nil {
 		err = o.g.dispatch(ctx, *choice.Upstream, o.fwd, o.run)
 	} else {
-		err = o.forward(ctx)
+		err = o.g.forward(ctx, o.fwd, o.run)
 	}
 	return o.settle(ctx, choice, err)
 }
@@ -236,16 +236,6 @@
 	return o.g.deps.Self
 }
 
-func (o *operationRun) forward(ctx context.Context) error {
-	s, err := o.g.deps.Peers.Execute(ctx, o.fwd)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	_, err = answer.Copy(o.run, s)
-	return err
-}
-
 // settle records what became of an attempt.
 func (o *operationRun) settle(ctx context.Context, choice Choice, err error) (again bool, _ error) {
 	now := o.g.deps.Now
