--- /dev/null
+++ b/adapters/contract/engine_test.go
@@ -0,0 +1,247 @@
+package contract
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
+	"github.com/crocusspread/crocusspread/adapters/standin/faults"
+	"github.com/crocusspread/crocusspread/adapters/upstream"
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const testModel = "m"
+
+// engineUnderTest is a client, the engine it talks to and how to reach it.
+type engineUnderTest struct {
+	*upstream.Engine
+	sim *enginesim.Sim
+	up  domain.UpstreamRef
+}
+
+func newEngine(t *testing.T, cfg enginesim.Config, o upstream.Options) *engineUnderTest {
+	cfg.ID, cfg.Models = "e1", []string{testModel}
+	sim := enginesim.New(cfg)
+	server := httptest.NewServer(sim)
+	t.Cleanup(server.Close)
+	client := upstream.NewEngine(o)
+	t.Cleanup(client.Close)
+	return &engineUnderTest{client, sim, domain.UpstreamRef{ID: "e1", Address: server.Listener.Addr().String()}}
+}
+
+func generateRequest(id domain.RequestID, tokens int, stream bool) ports.GenerateRequest {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"hello"}],"max_tokens":%d,"stream":%v}`, testModel, tokens, stream)
+	return ports.GenerateRequest{RequestID: id, Model: testModel, Body: []byte(body), Stream: stream}
+}
+
+// readAll returns the stream's bytes and how it ended; nil means whole.
+func readAll(s answer.Stream) ([]byte, error) {
+	var got []byte
+	for {
+		chunk, err := s.Next()
+		if err == io.EOF {
+			return got, nil
+		}
+		if err != nil {
+			return got, err
+		}
+		got = append(got, chunk...)
+	}
+}
+
+func transcript(t *testing.T, e *engineUnderTest, g ports.GenerateRequest) string {
+	want, err := e.sim.Transcript(g.RequestID, g.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(want)
+}
+
+func TestEngineStreamIsWhole(t *testing.T) {
+	e := newEngine(t, enginesim.Config{}, upstream.Options{})
+	g := generateRequest("r1", 300, true)
+	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
+	defer s.Close()
+	got, err := readAll(s)
+	if err != nil || string(got) != transcript(t, e, g) {
+		t.Fatalf("%d bytes, error %v", len(got), err)
+	}
+	if n := s.(*upstream.EventStream).Events(); n != 301 {
+		t.Errorf("%d events, want 301", n)
+	}
+	if x := e.sim.Execution("r1"); x.Starts != 1 || x.Completed != 1 {
+		t.Errorf("execution %+v", x)
+	}
+}
+
+func TestEngineDocumentIsWhole(t *testing.T) {
+	e := newEngine(t, enginesim.Config{}, upstream.Options{})
+	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 3, false)))
+	defer s.Close()
+	if got, err := readAll(s); err != nil || len(got) == 0 || s.Head().RanOn != "e1" {
+		t.Fatalf("%q, error %v, head %+v", got, err, s.Head())
+	}
+}
+
+func TestEngineFaultsInMidAnswer(t *testing.T) {
+	cases := []struct {
+		name   string
+		mode   faults.Mode
+		stream bool
+		want   errkind.Kind
+	}{
+		{"stream cut", faults.Die, true, errkind.Truncated},
+		{"document cut", faults.Die, false, errkind.Truncated},
+		{"stream silent", faults.Silent, true, errkind.UpstreamSilent},
+		{"document silent", faults.Silent, false, errkind.UpstreamSilent},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newEngine(t, enginesim.Config{}, upstream.Options{ProgressTimeout: shortWait})
+			e.sim.SetFaults(faults.Fault{Mode: c.mode, AfterEvents: 4, Times: 1})
+			g := generateRequest("r1", 10, c.stream)
+			s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
+			got, err := readAll(s)
+			s.Close()
+			wantKind(t, err, c.want, domain.RunUnknown)
+			if !c.stream {
+				return
+			}
+			g.ResumeAfter = s.(*upstream.EventStream).Events()
+			if g.ResumeAfter != 4 {
+				t.Errorf("%d events before the fault, want 4", g.ResumeAfter)
+			}
+			rest := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
+			defer rest.Close()
+			more, err := readAll(rest)
+			if err != nil || string(got)+string(more) != transcript(t, e, g) {
+				t.Errorf("resumed answer differs, error %v", err)
+			}
+		})
+	}
+}
+
+func TestEngineRefusals(t *testing.T) {
+	e := newEngine(t, enginesim.Config{}, upstream.Options{})
+	e.sim.SetFaults(faults.Fault{Mode: faults.Refuse, Times: 1})
+	_, err := e.Generate(testContext(t), e.up, generateRequest("r1", 1, true))
+	wantKind(t, err, errkind.Overloaded, domain.RunNo)
+
+	gone := newEngine(t, enginesim.Config{}, upstream.Options{})
+	gone.up.Address = closedAddress()
+	_, err = gone.Generate(testContext(t), gone.up, generateRequest("r1", 1, true))
+	wantKind(t, err, errkind.UpstreamFailed, domain.RunNo)
+}
+
+func closedAddress() string {
+	server := httptest.NewServer(nil)
+	server.Close()
+	return server.Listener.Addr().String()
+}
+
+// TestEngineCloseCancels closes a stream in its midst and sees the engine
+// become free.
+func TestEngineCloseCancels(t *testing.T) {
+	e := newEngine(t, enginesim.Config{TimeScale: 1, DecodeTokensPerSecond: 1000}, upstream.Options{})
+	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1_000_000, true)))
+	if _, err := s.Next(); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	ctx := testContext(t)
+	for e.sim.Load().Running > 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	if n := e.sim.Load().Running; n != 0 {
+		t.Errorf("%d generations still run", n)
+	}
+}
+
+// TestEngineCancelOnSilentConnection cancels by request, as a connection that
+// something in between has lost would not tell the engine.
+func TestEngineCancel(t *testing.T) {
+	e := newEngine(t, enginesim.Config{TimeScale: 1, DecodeTokensPerSecond: 1000}, upstream.Options{})
+	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1_000_000, true)))
+	defer s.Close()
+	if err := e.Cancel(testContext(t), e.up, "r1"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := readAll(s)
+	wantKind(t, err, errkind.Truncated, domain.RunUnknown)
+	if x := e.sim.Execution("r1"); x.Cancels != 1 {
+		t.Errorf("execution %+v", x)
+	}
+	if err := e.Cancel(testContext(t), e.up, "unknown"); err != nil {
+		t.Errorf("cancel of an unknown request: %v", err)
+	}
+}
+
+func TestEngineOrdersAndFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
+			e := newEngine(t, enginesim.Config{ChecksFencing: checks}, upstream.Options{})
+			ctx := testContext(t)
+			if err := e.Order(ctx, e.up, ports.EngineOrder{Models: []string{"x"}, Fencing: 7}); err != nil {
+				t.Fatal(err)
+			}
+			err := e.Order(ctx, e.up, ports.EngineOrder{Models: []string{"y"}, Fencing: 6})
+			want := "y"
+			if checks {
+				wantKind(t, err, errkind.Conflict, domain.RunNo)
+				want = "x"
+			}
+			if load := must[domain.LoadReport](t)(e.Load(ctx, e.up)); len(load.Models) != 1 || load.Models[0] != want {
+				t.Errorf("models %v, want %s", load.Models, want)
+			}
+		})
+	}
+}
+
+func TestEngineLoadLagAndLeaving(t *testing.T) {
+	clk := newClock()
+	e := newEngine(t, enginesim.Config{Now: clk.read, LoadLag: time.Second, TimeScale: 1}, upstream.Options{})
+	ctx, cancel := context.WithCancel(testContext(t))
+	defer cancel()
+	s := must[answer.Stream](t)(e.Generate(ctx, e.up, generateRequest("r1", 1000, true)))
+	defer s.Close()
+	if _, err := s.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if l := must[domain.LoadReport](t)(e.Load(ctx, e.up)); l.Running != 0 || l.Age != time.Second {
+		t.Errorf("before the lag: %+v", l)
+	}
+	clk.advance(time.Second)
+	e.sim.SetFaults(faults.Fault{Mode: faults.Leave})
+	if l := must[domain.LoadReport](t)(e.Load(ctx, e.up)); l.Running != 1 || !l.Leaving {
+		t.Errorf("after the lag: %+v", l)
+	}
+}
+
+func TestEngineCacheEventsGapsAndEviction(t *testing.T) {
+	e := newEngine(t, enginesim.Config{BlockBytes: 2, CacheBlocks: 2, CacheEventGapEvery: 3}, upstream.Options{})
+	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1, true)))
+	defer s.Close()
+	if _, err := readAll(s); err != nil {
+		t.Fatal(err)
+	}
+	events := must[[]ports.CacheEvent](t)(e.CacheEvents(testContext(t), e.up, 1))
+	evicted := 0
+	for _, ev := range events {
+		if ev.Sequence <= 1 || ev.Sequence%3 == 0 {
+			t.Errorf("event %d was to be left out", ev.Sequence)
+		}
+		if ev.Evicted {
+			evicted++
+		}
+	}
+	if evicted == 0 {
+		t.Errorf("no eviction among %d events", len(events))
+	}
+}
--- /dev/null
+++ b/adapters/contract/platform_test.go
@@ -0,0 +1,326 @@
+package contract
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/platform"
+	"github.com/crocusspread/crocusspread/adapters/standin/platformsim"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// hangBound only ends tests that would hang.
+const hangBound = 20 * time.Second
+
+// shortWait is how long a call waits where the test wants it to give up.
+const shortWait = 50 * time.Millisecond
+
+// platformPorts is what both the stand-in and the client offer.
+type platformPorts interface {
+	KV() ports.KV
+	VMList() ports.VMList
+	Directory() ports.Directory
+	WeightStore() ports.WeightStore
+}
+
+// clock is moved by hand.
+type clock struct{ now chan time.Time }
+
+func newClock() *clock {
+	c := &clock{now: make(chan time.Time, 1)}
+	c.now <- time.Unix(1_000_000, 0)
+	return c
+}
+
+func (c *clock) read() time.Time {
+	t := <-c.now
+	c.now <- t
+	return t
+}
+
+func (c *clock) advance(d time.Duration) { c.now <- (<-c.now).Add(d) }
+
+// forPlatform runs a test against the stand-in and against the client.
+func forPlatform(t *testing.T, cfg platformsim.Config, test func(t *testing.T, p platformPorts, sim *platformsim.Sim)) {
+	t.Run("standin", func(t *testing.T) {
+		sim := platformsim.New(cfg)
+		test(t, sim, sim)
+	})
+	t.Run("http", func(t *testing.T) {
+		sim := platformsim.New(cfg)
+		server := httptest.NewServer(sim)
+		t.Cleanup(server.Close)
+		client := platform.New(server.URL, platform.Options{PollWait: shortWait})
+		t.Cleanup(client.Close)
+		test(t, client, sim)
+	})
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), hangBound)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func wantKind(t *testing.T, err error, kind errkind.Kind, run domain.Run) {
+	t.Helper()
+	if !errors.Is(err, errkind.Of(kind)) {
+		t.Fatalf("error is %v, want kind %s", err, kind)
+	}
+	if got := errkind.From(err).Verdict(); got != run {
+		t.Errorf("verdict is %q, want %q", got, run)
+	}
+}
+
+func must[T any](t *testing.T) func(T, error) T {
+	return func(v T, err error) T {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+}
+
+func TestKVCompareAndSwap(t *testing.T) {
+	forPlatform(t, platformsim.Config{MaxValueBytes: 8}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
+		ctx, store := testContext(t), p.KV()
+		if e := must[ports.KVEntry](t)(store.Get(ctx, "a")); e.Revision != 0 {
+			t.Fatalf("absent key has revision %d", e.Revision)
+		}
+		first := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "a", 0, []byte("1"), 0))
+		current, err := store.CompareAndSwap(ctx, "a", 0, []byte("2"), 0)
+		wantKind(t, err, errkind.Conflict, domain.RunNo)
+		if current.Revision != first.Revision || string(current.Value) != "1" {
+			t.Errorf("conflict returned %+v, want the current entry %+v", current, first)
+		}
+		second := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "a", first.Revision, []byte("2"), 0))
+		if second.Revision <= first.Revision {
+			t.Errorf("revision went from %d to %d", first.Revision, second.Revision)
+		}
+		_, err = store.CompareAndSwap(ctx, "big", 0, []byte("123456789"), 0)
+		wantKind(t, err, errkind.BadRequest, domain.RunNo)
+		must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "a/b", 0, nil, 0))
+		if list := must[[]ports.KVEntry](t)(store.List(ctx, "a")); len(list) != 2 || list[1].Key != "a/b" {
+			t.Errorf("list is %+v", list)
+		}
+	})
+}
+
+func TestKVLeaseLapse(t *testing.T) {
+	for _, how := range []string{"lapsed", "revoked", "kept"} {
+		t.Run(how, func(t *testing.T) {
+			clk := newClock()
+			forPlatform(t, platformsim.Config{Now: clk.read}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
+				checkLease(t, p.KV(), clk, how)
+			})
+		})
+	}
+}
+
+func checkLease(t *testing.T, store ports.KV, clk *clock, how string) {
+	ctx := testContext(t)
+	lease := must[ports.Lease](t)(store.GrantLease(ctx, 10*time.Second))
+	held := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "owner", 0, []byte("n"), lease.ID))
+	if held.Revision <= lease.Revision || lease.TTL != 10*time.Second {
+		t.Errorf("lease %+v, entry %+v", lease, held)
+	}
+	clk.advance(9 * time.Second)
+	if err := store.KeepAlive(ctx, lease.ID); err != nil {
+		t.Fatal(err)
+	}
+	clk.advance(9 * time.Second)
+	switch how {
+	case "lapsed":
+		clk.advance(time.Second)
+	case "revoked":
+		if err := store.Revoke(ctx, lease.ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	entry := must[ports.KVEntry](t)(store.Get(ctx, "owner"))
+	if how == "kept" {
+		if entry.Revision != held.Revision {
+			t.Errorf("a kept lease lost its key: %+v", entry)
+		}
+		return
+	}
+	if entry.Revision != 0 {
+		t.Errorf("key outlived its lease: %+v", entry)
+	}
+	wantKind(t, store.KeepAlive(ctx, lease.ID), errkind.NotFound, domain.RunNo)
+	_, err := store.CompareAndSwap(ctx, "other", 0, nil, lease.ID)
+	wantKind(t, err, errkind.NotFound, domain.RunNo)
+	next := must[ports.Lease](t)(store.GrantLease(ctx, time.Second))
+	if next.Revision <= lease.Revision {
+		t.Errorf("fencing number went from %d to %d", lease.Revision, next.Revision)
+	}
+}
+
+func TestKVWatch(t *testing.T) {
+	forPlatform(t, platformsim.Config{}, func(t *testing.T, p platformPorts, sim *platformsim.Sim) {
+		ctx, store := testContext(t), p.KV()
+		first := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "k", 0, []byte("1"), 0))
+		if e := must[ports.KVEntry](t)(store.Watch(ctx, "k", 0)); e.Revision != first.Revision {
+			t.Fatalf("watch of an old revision returned %+v", e)
+		}
+		got := make(chan ports.KVEntry, 1)
+		go func() {
+			e, _ := store.Watch(ctx, "k", first.Revision)
+			got <- e
+		}()
+		for sim.Count(platformsim.CallWatch) < 2 && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		second := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "k", first.Revision, []byte("2"), 0))
+		if e := <-got; e.Revision != second.Revision {
+			t.Fatalf("watch returned %+v, want revision %d", e, second.Revision)
+		}
+		short, cancel := context.WithTimeout(ctx, 3*shortWait)
+		defer cancel()
+		_, err := store.Watch(short, "k", second.Revision)
+		wantKind(t, err, errkind.Timeout, domain.RunNo)
+	})
+}
+
+func TestPlatformFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		fault    platformsim.Fault
+		readRun  domain.Run // empty: the read succeeds
+		writeRun domain.Run // empty: the write succeeds
+		applied  bool
+	}{
+		{"slow", platformsim.Fault{Mode: platformsim.Slow, Delay: time.Millisecond}, "", "", true},
+		{"down", platformsim.Fault{Mode: platformsim.Down}, domain.RunNo, domain.RunNo, false},
+		{"lost answer", platformsim.Fault{Mode: platformsim.LostAnswer}, "", domain.RunUnknown, true},
+		{"silent", platformsim.Fault{Mode: platformsim.Silent}, domain.RunNo, domain.RunUnknown, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			forPlatform(t, platformsim.Config{}, func(t *testing.T, p platformPorts, sim *platformsim.Sim) {
+				sim.SetFaults(c.fault)
+				ctx := testContext(t)
+				if c.fault.Mode == platformsim.Silent {
+					short, cancel := context.WithTimeout(ctx, shortWait)
+					defer cancel()
+					ctx = short
+				}
+				_, readErr := p.KV().Get(ctx, "k")
+				_, writeErr := p.KV().CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+				checkFault(t, readErr, c.readRun)
+				checkFault(t, writeErr, c.writeRun)
+				sim.SetFaults()
+				e := must[ports.KVEntry](t)(p.KV().Get(testContext(t), "k"))
+				if (e.Revision > 0) != c.applied {
+					t.Errorf("write applied: %v, want %v", e.Revision > 0, c.applied)
+				}
+			})
+		})
+	}
+}
+
+func checkFault(t *testing.T, err error, run domain.Run) {
+	t.Helper()
+	if run != "" {
+		wantKind(t, err, errkind.StoreUnavailable, run)
+	} else if err != nil {
+		t.Error(err)
+	}
+}
+
+func TestKVStaleReads(t *testing.T) {
+	forPlatform(t, platformsim.Config{}, func(t *testing.T, p platformPorts, sim *platformsim.Sim) {
+		ctx, store := testContext(t), p.KV()
+		first := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "k", 0, []byte("1"), 0))
+		second := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "k", first.Revision, []byte("2"), 0))
+		sim.SetFaults(platformsim.Fault{Mode: platformsim.Stale})
+		if e := must[ports.KVEntry](t)(store.Get(ctx, "k")); e.Revision != first.Revision {
+			t.Errorf("stale get returned revision %d, want %d", e.Revision, first.Revision)
+		}
+		if e := must[ports.KVEntry](t)(store.Watch(ctx, "k", first.Revision)); e.Revision != first.Revision {
+			t.Errorf("stale watch returned revision %d, want %d", e.Revision, first.Revision)
+		}
+		sim.SetFaults()
+		if e := must[ports.KVEntry](t)(store.Get(ctx, "k")); e.Revision != second.Revision {
+			t.Errorf("healed get returned revision %d, want %d", e.Revision, second.Revision)
+		}
+	})
+}
+
+// TestUnreachablePlatform dials a port where nothing listens: not even a write
+// can have taken effect.
+func TestUnreachablePlatform(t *testing.T) {
+	server := httptest.NewServer(nil)
+	server.Close()
+	client := platform.New(server.URL, platform.Options{})
+	_, err := client.KV().CompareAndSwap(testContext(t), "k", 0, nil, 0)
+	wantKind(t, err, errkind.StoreUnavailable, domain.RunNo)
+}
+
+func TestVMListLag(t *testing.T) {
+	clk := newClock()
+	vm := func(id string, fd domain.FailureDomain) ports.VM {
+		return ports.VM{ID: id, Role: ports.RoleEngine, Place: domain.Place{Region: "r", FailureDomain: fd}, Address: "127.0.0.1:1"}
+	}
+	cfg := platformsim.Config{Now: clk.read, VMLag: 5 * time.Second, VMs: []ports.VM{vm("a", "r-a"), vm("b", "r-b")}}
+	forPlatform(t, cfg, func(t *testing.T, p platformPorts, sim *platformsim.Sim) {
+		ctx := testContext(t)
+		count := func(fd domain.FailureDomain) int { return len(must[[]ports.VM](t)(p.VMList().VMs(ctx, fd))) }
+		leaving := vm("a", "r-a")
+		leaving.Leaving = true
+		sim.UpdateVM(leaving)
+		sim.RemoveVM("b")
+		if count("") != 2 || count("r-a") != 1 || count("none") != 0 {
+			t.Errorf("before the lag: %d, %d, %d rows", count(""), count("r-a"), count("none"))
+		}
+		clk.advance(5 * time.Second)
+		rows := must[[]ports.VM](t)(p.VMList().VMs(ctx, ""))
+		if len(rows) != 1 || rows[0] != leaving {
+			t.Errorf("after the lag: %+v", rows)
+		}
+	})
+}
+
+func TestDirectoryExpiry(t *testing.T) {
+	clk := newClock()
+	forPlatform(t, platformsim.Config{Now: clk.read}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
+		ctx, dir := testContext(t), p.Directory()
+		for _, node := range []domain.NodeID{"n1", "n2", "n1"} {
+			if err := dir.Announce(ctx, ports.DirectoryRecord{Node: node, Address: "127.0.0.1:1"}, time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := dir.Withdraw(ctx, "n2"); err != nil {
+			t.Fatal(err)
+		}
+		if r := must[[]ports.DirectoryRecord](t)(dir.Lookup(ctx)); len(r) != 1 || r[0].Node != "n1" {
+			t.Errorf("records %+v, want n1 alone", r)
+		}
+		clk.advance(time.Second)
+		if r := must[[]ports.DirectoryRecord](t)(dir.Lookup(ctx)); len(r) != 0 {
+			t.Errorf("records outlived their time: %+v", r)
+		}
+	})
+}
+
+func TestWeightStoreRate(t *testing.T) {
+	clk := newClock()
+	forPlatform(t, platformsim.Config{Now: clk.read, ReservationsPerSecond: 2}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
+		ctx := testContext(t)
+		for i, want := range []time.Duration{0, 500 * time.Millisecond, time.Second} {
+			if got := must[time.Duration](t)(p.WeightStore().Reserve(ctx, "m")); got != want {
+				t.Errorf("reservation %d waits %v, want %v", i, got, want)
+			}
+		}
+		clk.advance(5 * time.Second)
+		if got := must[time.Duration](t)(p.WeightStore().Reserve(ctx, "m")); got != 0 {
+			t.Errorf("after a pause: %v", got)
+		}
+	})
+}
--- /dev/null
+++ b/adapters/standin/platformsim/kv.go
@@ -0,0 +1,252 @@
+package platformsim
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// record is a key's present entry and the one before it. A deleted key keeps
+// its record with a current revision of zero.
+type record struct {
+	current, previous ports.KVEntry
+	lease             ports.LeaseID
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+type kv struct{ s *Sim }
+
+// Get implements ports.KV.
+func (k kv) Get(ctx context.Context, key string) (ports.KVEntry, error) {
+	eff, err := k.s.begin(ctx, CallGet)
+	if err != nil {
+		return ports.KVEntry{}, err
+	}
+	k.s.mu.Lock()
+	defer k.s.mu.Unlock()
+	k.s.expire()
+	return k.s.entry(key, eff.stale), nil
+}
+
+// List implements ports.KV.
+func (k kv) List(ctx context.Context, prefix string) ([]ports.KVEntry, error) {
+	eff, err := k.s.begin(ctx, CallList)
+	if err != nil {
+		return nil, err
+	}
+	k.s.mu.Lock()
+	defer k.s.mu.Unlock()
+	k.s.expire()
+	entries := []ports.KVEntry{}
+	for key := range k.s.keys {
+		if e := k.s.entry(key, eff.stale); strings.HasPrefix(key, prefix) && e.Revision > 0 {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b ports.KVEntry) int { return strings.Compare(a.Key, b.Key) })
+	return entries, nil
+}
+
+// CompareAndSwap implements ports.KV.
+func (k kv) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, id ports.LeaseID) (ports.KVEntry, error) {
+	eff, err := k.s.begin(ctx, CallSwap)
+	if err != nil {
+		return ports.KVEntry{}, err
+	}
+	e, err := k.s.swap(key, prev, value, id)
+	if lost := eff.end(CallSwap); lost != nil {
+		return ports.KVEntry{}, lost
+	}
+	return e, err
+}
+
+func (s *Sim) swap(key string, prev uint64, value []byte, id ports.LeaseID) (ports.KVEntry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	current := s.entry(key, false)
+	if len(value) > s.cfg.MaxValueBytes {
+		return current, errkind.New(errkind.BadRequest, "value of %q has %d bytes, above %d", key, len(value), s.cfg.MaxValueBytes)
+	}
+	if current.Revision != prev {
+		return current, errkind.New(errkind.Conflict, "key %q has revision %d, not %d", key, current.Revision, prev)
+	}
+	if _, ok := s.leases[id]; id != 0 && !ok {
+		return current, errkind.New(errkind.NotFound, "lease %d has lapsed", id)
+	}
+	s.revision++
+	next := ports.KVEntry{Key: key, Value: slices.Clone(value), Revision: s.revision}
+	s.keys[key] = &record{current: next, previous: current, lease: id}
+	s.broadcast()
+	return s.entry(key, false), nil
+}
+
+// Watch implements ports.KV.
+func (k kv) Watch(ctx context.Context, key string, after uint64) (ports.KVEntry, error) {
+	eff, err := k.s.begin(ctx, CallWatch)
+	if err != nil {
+		return ports.KVEntry{}, err
+	}
+	for {
+		e, changed, lapse := k.s.look(key, after, eff.stale)
+		if changed == nil {
+			return e, nil
+		}
+		if err := wait(ctx, changed, lapse); err != nil {
+			return ports.KVEntry{}, err
+		}
+	}
+}
+
+// look returns the entry if it is newer than after; else a channel that closes
+// on the next change and the time until the next lease can lapse, if any.
+func (s *Sim) look(key string, after uint64, stale bool) (ports.KVEntry, <-chan struct{}, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.entry(key, false).Revision > after {
+		return s.entry(key, stale), nil, 0
+	}
+	var lapse time.Duration
+	now := s.now()
+	for _, l := range s.leases {
+		if d := l.expires.Sub(now); lapse == 0 || d < lapse {
+			lapse = d
+		}
+	}
+	return ports.KVEntry{}, s.changed, lapse
+}
+
+func wait(ctx context.Context, changed <-chan struct{}, lapse time.Duration) error {
+	var timer <-chan time.Time
+	if lapse > 0 {
+		t := time.NewTimer(lapse)
+		defer t.Stop()
+		timer = t.C
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-timer:
+		return nil
+	case <-ctx.Done():
+		return watchEnded(ctx)
+	}
+}
+
+func watchEnded(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return errkind.New(errkind.Canceled, "watch: %w", ctx.Err()).WithRun(domain.RunNo)
+	}
+	return errkind.New(errkind.Timeout, "watch: %w", ctx.Err()).WithRun(domain.RunNo)
+}
+
+// GrantLease implements ports.KV.
+func (k kv) GrantLease(ctx context.Context, ttl time.Duration) (ports.Lease, error) {
+	eff, err := k.s.begin(ctx, CallGrant)
+	if err != nil {
+		return ports.Lease{}, err
+	}
+	if ttl <= 0 {
+		return ports.Lease{}, errkind.New(errkind.BadRequest, "lease of %v", ttl)
+	}
+	l := k.s.grant(ttl)
+	if err := eff.end(CallGrant); err != nil {
+		return ports.Lease{}, err
+	}
+	return l, nil
+}
+
+func (s *Sim) grant(ttl time.Duration) ports.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.revision++
+	id := ports.LeaseID(s.revision)
+	s.leases[id] = &lease{ttl: ttl, expires: s.now().Add(ttl)}
+	s.broadcast()
+	return ports.Lease{ID: id, TTL: ttl, Revision: s.revision}
+}
+
+// KeepAlive implements ports.KV.
+func (k kv) KeepAlive(ctx context.Context, id ports.LeaseID) error {
+	return k.onLease(ctx, CallKeepAlive, id, func(l *lease) { l.expires = k.s.now().Add(l.ttl) })
+}
+
+// Revoke implements ports.KV.
+func (k kv) Revoke(ctx context.Context, id ports.LeaseID) error {
+	return k.onLease(ctx, CallRevoke, id, func(*lease) { k.s.end(id) })
+}
+
+func (k kv) onLease(ctx context.Context, c Call, id ports.LeaseID, do func(*lease)) error {
+	eff, err := k.s.begin(ctx, c)
+	if err != nil {
+		return err
+	}
+	k.s.mu.Lock()
+	defer k.s.mu.Unlock()
+	k.s.expire()
+	l, ok := k.s.leases[id]
+	if ok {
+		do(l)
+	}
+	if err := eff.end(c); err != nil {
+		return err
+	}
+	if !ok {
+		return errkind.New(errkind.NotFound, "lease %d has lapsed", id)
+	}
+	return nil
+}
+
+// entry returns a key's present or previous entry; the caller holds the lock.
+func (s *Sim) entry(key string, stale bool) ports.KVEntry {
+	r, ok := s.keys[key]
+	if !ok {
+		return ports.KVEntry{Key: key}
+	}
+	e := r.current
+	if stale {
+		e = r.previous
+	}
+	e.Key = key
+	e.Value = slices.Clone(e.Value)
+	return e
+}
+
+// expire ends the leases whose time is over; the caller holds the lock.
+func (s *Sim) expire() {
+	now := s.now()
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.end(id)
+		}
+	}
+}
+
+// end ends a lease and deletes its keys; the caller holds the lock.
+func (s *Sim) end(id ports.LeaseID) {
+	delete(s.leases, id)
+	for key, r := range s.keys {
+		if r.lease == id {
+			s.keys[key] = &record{previous: r.current}
+		}
+	}
+	s.broadcast()
+}
+
+// broadcast wakes the watches; the caller holds the lock.
+func (s *Sim) broadcast() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/adapters/standin/platformsim/lists.go
@@ -0,0 +1,159 @@
+package platformsim
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// vmState is the VM list from a time on.
+type vmState struct {
+	from time.Time
+	vms  []ports.VM
+}
+
+type directoryEntry struct {
+	rec     ports.DirectoryRecord
+	expires time.Time
+}
+
+// SetVMs replaces the VM list; it shows after the configured lag.
+func (s *Sim) SetVMs(vms []ports.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := s.now().Add(s.cfg.VMLag)
+	s.vmStates = append(s.vmStates, vmState{from: from, vms: slices.Clone(vms)})
+}
+
+// UpdateVM puts one VM into the list, or replaces it; it shows after the lag.
+func (s *Sim) UpdateVM(vm ports.VM) {
+	s.editVMs(vm.ID, func(vms []ports.VM) []ports.VM { return append(vms, vm) })
+}
+
+// RemoveVM takes one VM off the list; it shows after the lag.
+func (s *Sim) RemoveVM(id string) {
+	s.editVMs(id, func(vms []ports.VM) []ports.VM { return vms })
+}
+
+func (s *Sim) editVMs(id string, edit func([]ports.VM) []ports.VM) {
+	s.mu.Lock()
+	vms := slices.Clone(s.vmStates[len(s.vmStates)-1].vms)
+	s.mu.Unlock()
+	vms = slices.DeleteFunc(vms, func(vm ports.VM) bool { return vm.ID == id })
+	s.SetVMs(edit(vms))
+}
+
+type vmList struct{ s *Sim }
+
+// VMs implements ports.VMList.
+func (l vmList) VMs(ctx context.Context, fd domain.FailureDomain) ([]ports.VM, error) {
+	eff, err := l.s.begin(ctx, CallVMs)
+	if err != nil {
+		return nil, err
+	}
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	vms := []ports.VM{}
+	for _, vm := range l.s.visibleVMs(eff.stale) {
+		if fd == "" || vm.Place.FailureDomain == fd {
+			vms = append(vms, vm)
+		}
+	}
+	return vms, nil
+}
+
+// visibleVMs drops the states that are over; the caller holds the lock.
+func (s *Sim) visibleVMs(stale bool) []ports.VM {
+	now := s.now()
+	at := 0
+	for i, st := range s.vmStates {
+		if !st.from.After(now) {
+			at = i
+		}
+	}
+	if stale && at > 0 {
+		at--
+	}
+	return s.vmStates[at].vms
+}
+
+type directory struct{ s *Sim }
+
+// Announce implements ports.Directory.
+func (d directory) Announce(ctx context.Context, rec ports.DirectoryRecord, ttl time.Duration) error {
+	eff, err := d.s.begin(ctx, CallAnnounce)
+	if err != nil {
+		return err
+	}
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.s.removeRecord(rec.Node)
+	d.s.entries = append(d.s.entries, directoryEntry{rec: rec, expires: d.s.now().Add(ttl)})
+	return eff.end(CallAnnounce)
+}
+
+// Withdraw implements ports.Directory.
+func (d directory) Withdraw(ctx context.Context, node domain.NodeID) error {
+	eff, err := d.s.begin(ctx, CallWithdraw)
+	if err != nil {
+		return err
+	}
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.s.removeRecord(node)
+	return eff.end(CallWithdraw)
+}
+
+func (s *Sim) removeRecord(node domain.NodeID) {
+	s.entries = slices.DeleteFunc(s.entries, func(e directoryEntry) bool { return e.rec.Node == node })
+}
+
+// Lookup implements ports.Directory.
+func (d directory) Lookup(ctx context.Context) ([]ports.DirectoryRecord, error) {
+	if _, err := d.s.begin(ctx, CallLookup); err != nil {
+		return nil, err
+	}
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	now := d.s.now()
+	records := []ports.DirectoryRecord{}
+	for _, e := range d.s.entries {
+		if now.Before(e.expires) {
+			records = append(records, e.rec)
+		}
+	}
+	return records, nil
+}
+
+type weightStore struct{ s *Sim }
+
+// Reserve implements ports.WeightStore. Reservations are evenly spaced.
+func (w weightStore) Reserve(ctx context.Context, _ string) (time.Duration, error) {
+	eff, err := w.s.begin(ctx, CallReserve)
+	if err != nil {
+		return 0, err
+	}
+	hold := w.s.reserve()
+	if err := eff.end(CallReserve); err != nil {
+		return 0, err
+	}
+	return hold, nil
+}
+
+func (s *Sim) reserve() time.Duration {
+	if s.cfg.ReservationsPerSecond <= 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if s.nextSlot.Before(now) {
+		s.nextSlot = now
+	}
+	hold := s.nextSlot.Sub(now)
+	s.nextSlot = s.nextSlot.Add(time.Duration(float64(time.Second) / s.cfg.ReservationsPerSecond))
+	return hold
+}
--- /dev/null
+++ b/adapters/upstream/exchange.go
@@ -0,0 +1,163 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+)
+
+// exchange is one request and its answer, with a timer that ends it when there
+// is no progress. The timer only runs while the exchange waits for bytes, so a
+// slow reader does not make the upstream look silent.
+type exchange struct {
+	parent   context.Context
+	cancel   context.CancelFunc
+	timer    *time.Timer
+	progress time.Duration
+	silent   atomic.Bool
+	gotConn  atomic.Bool
+	resp     *http.Response
+}
+
+// start sends the request and waits for the head of its answer.
+func start(ctx context.Context, rt http.RoundTripper, o Options, req *http.Request) (*exchange, error) {
+	x := &exchange{parent: ctx, progress: o.ProgressTimeout}
+	ctx, x.cancel = context.WithCancel(ctx)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.gotConn.Store(true) }}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	x.timer = time.AfterFunc(o.HeadTimeout, func() {
+		x.silent.Store(true)
+		x.cancel()
+	})
+	resp, err := rt.RoundTrip(req)
+	x.timer.Stop()
+	if err != nil {
+		x.cancel()
+		return nil, x.headError(err)
+	}
+	x.resp = resp
+	return x, nil
+}
+
+// Read reads the answer's body under the progress bound.
+func (x *exchange) Read(p []byte) (int, error) {
+	x.timer.Reset(x.progress)
+	n, err := x.resp.Body.Read(p)
+	x.timer.Stop()
+	return n, err
+}
+
+// headError classifies a failure before the head. Without a connection, no
+// byte of the request can have left.
+func (x *exchange) headError(err error) error {
+	e := errkind.New(x.kind(errkind.UpstreamFailed), "send request: %w", err)
+	if !x.gotConn.Load() {
+		return e.WithRun(domain.RunNo)
+	}
+	return e.WithRun(domain.RunUnknown)
+}
+
+// bodyError classifies a failure after the head.
+func (x *exchange) bodyError(err error) error {
+	return errkind.New(x.kind(errkind.Truncated), "read answer: %w", err)
+}
+
+func (x *exchange) kind(otherwise errkind.Kind) errkind.Kind {
+	switch {
+	case x.silent.Load():
+		return errkind.UpstreamSilent
+	case errors.Is(x.parent.Err(), context.DeadlineExceeded):
+		return errkind.Timeout
+	case x.parent.Err() != nil:
+		return errkind.Canceled
+	}
+	return otherwise
+}
+
+// close cancels the exchange and releases its connection.
+func (x *exchange) close() {
+	x.timer.Stop()
+	x.cancel()
+	_ = x.resp.Body.Close() // nothing left to learn from it
+}
+
+func (x *exchange) head(up domain.UpstreamRef) answer.Head {
+	return answer.Head{
+		Status: x.resp.StatusCode,
+		Header: EndToEnd(x.resp.Header),
+		RanOn:  up.ID,
+		RanIn:  up.Place,
+	}
+}
+
+// delimited reports whether the end of the body can be told from a cut: it has
+// a length, or chunks with a last one, or there is none.
+func delimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || resp.Body == http.NoBody || len(resp.TransferEncoding) > 0
+}
+
+const bodyChunkBytes = 32 << 10
+
+// bodyStream is an answer whose end is that of the HTTP body.
+type bodyStream struct {
+	x         *exchange
+	up        domain.UpstreamRef
+	buf       []byte
+	failed    error
+	abandoned func() // called when closed before its end
+}
+
+// Head implements answer.Stream.
+func (s *bodyStream) Head() answer.Head { return s.x.head(s.up) }
+
+// Next implements answer.Stream.
+func (s *bodyStream) Next() ([]byte, error) {
+	if s.failed != nil {
+		return nil, s.failed
+	}
+	if s.buf == nil {
+		s.buf = make([]byte, bodyChunkBytes)
+	}
+	for {
+		n, err := s.x.Read(s.buf)
+		if err != nil {
+			s.failed = s.end(err)
+		}
+		if n > 0 {
+			return s.buf[:n], nil
+		}
+		if s.failed != nil {
+			return nil, s.failed
+		}
+	}
+}
+
+func (s *bodyStream) end(err error) error {
+	if err == io.EOF && delimited(s.x.resp) {
+		return io.EOF
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return s.x.bodyError(err)
+}
+
+// Close implements answer.Stream.
+func (s *bodyStream) Close() error {
+	s.x.close()
+	if s.failed == nil && s.abandoned != nil {
+		s.abandoned()
+	}
+	s.failed = errClosed
+	return nil
+}
+
+var errClosed error = errkind.New(errkind.Canceled, "stream is closed")
--- /dev/null
+++ b/adapters/upstream/service.go
@@ -0,0 +1,93 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+// Service implements ports.Service. It is safe for concurrent use.
+type Service struct {
+	o      Options
+	pooled *http.Transport
+	once   *http.Transport
+}
+
+// NewService returns a client of plain services.
+func NewService(o Options) *Service {
+	o = o.withDefaults()
+	return &Service{o: o, pooled: o.pooled(), once: o.once()}
+}
+
+// Close closes idle connections.
+func (s *Service) Close() { s.pooled.CloseIdleConnections() }
+
+// Call implements ports.Service. Every answer of the service is passed on,
+// whatever its status; redirects are not followed. A non-repeatable call gets
+// a connection of its own, so that net/http never sends it again.
+func (s *Service) Call(ctx context.Context, up domain.UpstreamRef, call ports.ServiceRequest) (answer.Stream, error) {
+	req, err := newServiceRequest(up, call)
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "build request: %w", err)
+	}
+	rt := s.once
+	if call.Repeatable {
+		rt = s.pooled
+	}
+	x, err := start(ctx, rt, s.o, req)
+	if err != nil {
+		return nil, err
+	}
+	return &bodyStream{x: x, up: up}, nil
+}
+
+func newServiceRequest(up domain.UpstreamRef, call ports.ServiceRequest) (*http.Request, error) {
+	path, err := url.PathUnescape(call.Path)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequest(call.Method, "http://"+up.Address, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.URL.Path, req.URL.RawPath, req.URL.RawQuery = path, call.Path, call.Query
+	req.Header = EndToEnd(call.Header)
+	req.Header.Set(HeaderRequestID, string(call.RequestID))
+	if call.OperationID != "" {
+		req.Header.Set(HeaderOperationID, string(call.OperationID))
+	}
+	if !call.Repeatable {
+		hideReplayNames(req.Header)
+	}
+	setBody(req, call.Body)
+	return req, nil
+}
+
+// setBody leaves GetBody unset: a streamed body cannot be read again.
+func setBody(req *http.Request, body answer.BodySource) {
+	if body == nil {
+		return
+	}
+	req.Body = io.NopCloser(body)
+	req.ContentLength = -1
+	if n, err := strconv.ParseInt(req.Header.Get("Content-Length"), 10, 64); err == nil && n >= 0 {
+		req.ContentLength = n
+	}
+	if req.ContentLength == 0 {
+		req.Body = http.NoBody
+	}
+}
+
+// Load implements ports.Service.
+func (s *Service) Load(ctx context.Context, up domain.UpstreamRef) (domain.LoadReport, error) {
+	var report domain.LoadReport
+	err := shortCall(ctx, s.pooled, s.o, http.MethodGet, "http://"+up.Address+PathLoad, nil, &report)
+	return report, err
+}
