--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"time"
 
 	"google.golang.org/grpc/credentials"
@@ -41,6 +42,13 @@
 	Weights   ports.WeightStore
 }
 
+// Listeners are a node's open sockets.
+type Listeners struct {
+	Caller net.Listener
+	Peer   net.Listener
+	Admin  net.Listener
+}
+
 // Config sets up a node. Addresses are host:port with the host as an IP number.
 type Config struct {
 	ID            domain.NodeID
@@ -73,7 +81,10 @@
 	LinkMegabits map[domain.Region]int
 	Upstream     upstream.Options
 	Platform     Platform
-	Log          event.Logger
+	// Listeners are sockets that are open already, at the addresses above; nil to
+	// open them in Run.
+	Listeners *Listeners
+	Log       event.Logger
 }
 
 func serverCredentials(c *tls.Config) credentials.TransportCredentials {
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -71,6 +71,8 @@
 	health       upstreamHealth
 	linkBudgets  map[domain.Region]*routing.LinkBudget
 	linkMu       sync.Mutex
+	killed       chan struct{}
+	kill         sync.Once
 }
 
 // New builds a node; it opens no socket yet.
@@ -86,6 +88,7 @@
 		explain:     explain.NewLog(explainCapacity),
 		registry:    newRegistry(),
 		linkBudgets: make(map[domain.Region]*routing.LinkBudget),
+		killed:      make(chan struct{}),
 	}
 	n.buildLists(now)
 	n.buildMembership(now)
@@ -167,22 +170,20 @@
 	)
 }
 
-// listeners are a node's open sockets.
-type listeners struct {
-	caller, peer, admin net.Listener
-}
-
-func (n *Node) listen() (listeners, error) {
-	var l listeners
+func (n *Node) listen() (Listeners, error) {
+	if n.cfg.Listeners != nil {
+		return *n.cfg.Listeners, nil
+	}
+	var l Listeners
 	var err error
-	if l.caller, err = net.Listen("tcp", n.cfg.CallerAddress); err != nil {
+	if l.Caller, err = net.Listen("tcp", n.cfg.CallerAddress); err != nil {
 		return l, err
 	}
-	if l.peer, err = net.Listen("tcp", n.cfg.PeerAddress); err != nil {
-		return l, errors.Join(err, l.caller.Close())
+	if l.Peer, err = net.Listen("tcp", n.cfg.PeerAddress); err != nil {
+		return l, errors.Join(err, l.Caller.Close())
 	}
-	if l.admin, err = net.Listen("tcp", n.cfg.AdminAddress); err != nil {
-		return l, errors.Join(err, l.caller.Close(), l.peer.Close())
+	if l.Admin, err = net.Listen("tcp", n.cfg.AdminAddress); err != nil {
+		return l, errors.Join(err, l.Caller.Close(), l.Peer.Close())
 	}
 	return l, nil
 }
@@ -194,13 +195,14 @@
 	if err != nil {
 		return err
 	}
-	n.log.Log(event.NodeStarted, event.F("caller", l.caller.Addr()), event.F("peer", l.peer.Addr()), event.F("admin", l.admin.Addr()))
+	n.log.Log(event.NodeStarted, event.F("caller", l.Caller.Addr()), event.F("peer", l.Peer.Addr()), event.F("admin", l.Admin.Addr()))
 	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	servers := n.serve(l)
 	loops := n.startLoops(loopCtx)
 	select {
 	case <-ctx.Done():
+	case <-n.killed:
 	case err = <-servers.failed:
 	}
 	cut := n.drain(loopCtx)
@@ -222,6 +224,29 @@
 	n.service.Close()
 }
 
+// Kill makes Run end at once, as if its process had died: nothing is drained.
+func (n *Node) Kill() { n.kill.Do(func() { close(n.killed) }) }
+
+// SeesFleet tells if the node serves, knows that many nodes, itself included,
+// and has load from that many failure domains.
+func (n *Node) SeesFleet(nodes, failureDomains int) bool {
+	if n.lifecycle.State() != domain.NodeServing {
+		return false
+	}
+	view := n.group.View()
+	known, loaded := len(view.Own), 0
+	for i := range view.Others {
+		known += len(view.Others[i].Nodes)
+		if len(view.Others[i].Targets) > 0 && view.Others[i].Reachable {
+			loaded++
+		}
+	}
+	if n.snapshot.Load().Upstreams() > 0 {
+		loaded++
+	}
+	return known >= nodes && loaded >= failureDomains
+}
+
 // servers are the running listeners.
 type servers struct {
 	caller, admin *http.Server
@@ -235,7 +260,7 @@
 	listenerCount   = 3
 )
 
-func (n *Node) serve(l listeners) *servers {
+func (n *Node) serve(l Listeners) *servers {
 	s := &servers{
 		caller: &http.Server{
 			Handler: n.work.countHTTP(n.callers), ReadHeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: idleTimeout,
@@ -245,9 +270,9 @@
 		peer:   peer.NewServer(&countedHandler{gateway: n.gateway, work: &n.work}, n, serverCredentials(n.cfg.PeerServerTLS)),
 		failed: make(chan error, listenerCount),
 	}
-	go func() { s.failed <- serveCallers(s.caller, l.caller) }()
-	go func() { s.failed <- s.admin.Serve(l.admin) }()
-	go func() { s.failed <- s.peer.Serve(l.peer) }()
+	go func() { s.failed <- serveCallers(s.caller, l.Caller) }()
+	go func() { s.failed <- s.admin.Serve(l.Admin) }()
+	go func() { s.failed <- s.peer.Serve(l.Peer) }()
 	return s
 }
 
--- a/adapters/node/upkeep.go
+++ b/adapters/node/upkeep.go
@@ -80,22 +80,26 @@
 const drainInterval = 50 * time.Millisecond
 
 // drain carries out a planned stop and returns how many requests it cut off.
-func (n *Node) drain(ctx context.Context) (cut int64) {
+func (n *Node) drain(ctx context.Context) (cut int) {
 	begun := time.Now()
 	n.lifecycle.Drain(begun)
-	n.withdraw(ctx)
+	n.background.Go(func() { n.withdraw(ctx) })
 	t := time.NewTicker(drainInterval)
 	defer t.Stop()
-	for now := range t.C {
+	for {
 		work := membership.Work{Requests: int(n.work.requests.Load()) + n.issuer.Unfinished()}
-		if n.lifecycle.Advance(now, work) == membership.StepStopped {
-			return 0
-		}
-		if now.Sub(begun) > n.cfg.DrainMax {
-			return int64(work.Requests)
+		select {
+		case <-n.killed:
+			return work.Requests
+		case now := <-t.C:
+			if n.lifecycle.Advance(now, work) == membership.StepStopped {
+				return 0
+			}
+			if now.Sub(begun) > n.cfg.DrainMax {
+				return work.Requests
+			}
 		}
 	}
-	return 0
 }
 
 func (n *Node) withdraw(ctx context.Context) {
--- /dev/null
+++ b/adapters/standin/fleet/fleet.go
@@ -0,0 +1,335 @@
+// Package fleet starts a whole small deployment in one process on loopback: a
+// platform, model engines, plain services and nodes in several failure domains.
+// The demo, tests and benchmarks share it.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/node"
+	"github.com/crocusspread/crocusspread/adapters/platform"
+	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
+	"github.com/crocusspread/crocusspread/adapters/standin/platformsim"
+	"github.com/crocusspread/crocusspread/adapters/standin/servicesim"
+	"github.com/crocusspread/crocusspread/adapters/upstream"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/ports"
+	"github.com/crocusspread/crocusspread/core/routing"
+)
+
+// Domain describes one failure domain of the deployment.
+type Domain struct {
+	Place domain.Place
+	// Nodes, Engines and Services are counts.
+	Nodes    int
+	Engines  int
+	Services int
+	// Engine is the configuration of each engine; its ID is set by the fleet.
+	Engine enginesim.Config
+	// Service is the name of the plain service.
+	Service       string
+	ServiceConfig servicesim.Config
+}
+
+// Config describes a deployment.
+type Config struct {
+	Domains []Domain
+	// Document is applied before the nodes start.
+	Document lists.Document
+	Platform platformsim.Config
+	Profile  routing.Profile
+	// Ports, if not zero, is the first port of the nodes' listeners: callers get
+	// Ports, Ports+1 and so on; peers and admin get free ones.
+	Ports int
+	// Adjust changes a node's configuration before it is made.
+	Adjust func(*node.Config)
+	Log    func(domain.NodeID) event.Logger
+}
+
+// Node is a running node.
+type Node struct {
+	ID      domain.NodeID
+	Place   domain.Place
+	Caller  string // host:port
+	Peer    string
+	Admin   string
+	Process *node.Node
+	stop    context.CancelFunc
+	done    chan struct{}
+	err     error
+}
+
+// Stop asks for a planned stop.
+func (n *Node) Stop() { n.stop() }
+
+// Wait waits for the node's end and returns what its Run did.
+func (n *Node) Wait() error {
+	<-n.done
+	return n.err
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Platform    *platformsim.Sim
+	PlatformURL string
+	Engines     []*Engine
+	Services    []*Service
+	Nodes       []*Node
+	servers     []*http.Server
+	client      *platform.Client
+	background  sync.WaitGroup
+}
+
+// Engine is a running model-engine stand-in.
+type Engine struct {
+	*enginesim.Sim
+	ID      domain.UpstreamID
+	Place   domain.Place
+	Address string
+}
+
+// Service is a running plain-service stand-in.
+type Service struct {
+	*servicesim.Sim
+	ID      domain.UpstreamID
+	Place   domain.Place
+	Address string
+}
+
+const loopback = "127.0.0.1"
+
+// Start starts a deployment. Stop it with Close.
+func Start(cfg Config) (*Fleet, error) {
+	f := &Fleet{Platform: platformsim.New(cfg.Platform)}
+	address, err := f.serve(f.Platform)
+	if err != nil {
+		return nil, err
+	}
+	f.PlatformURL = "http://" + address
+	f.client = platform.New(f.PlatformURL, platform.Options{})
+	if err := f.startUpstreams(cfg); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.Apply(context.Background(), cfg.Document, "fleet", "first lists"); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.startNodes(cfg); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Apply puts a document in force at the key-value service.
+func (f *Fleet) Apply(ctx context.Context, d lists.Document, author, reason string) error {
+	applier := lists.Applier{KV: f.Platform.KV()}
+	_, err := applier.Apply(ctx, lists.Proposal{
+		ChangeID: rand.Text(), Author: author, Reason: reason, Time: time.Now(), Document: d,
+	})
+	return err
+}
+
+// serve runs a handler on a free loopback port.
+func (f *Fleet) serve(h http.Handler) (address string, err error) {
+	l, err := net.Listen("tcp", loopback+":0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h}
+	f.servers = append(f.servers, s)
+	f.background.Go(func() { _ = s.Serve(l) })
+	return l.Addr().String(), nil
+}
+
+func (f *Fleet) startUpstreams(cfg Config) error {
+	for _, d := range cfg.Domains {
+		for i := range d.Engines {
+			if err := f.startEngine(d, i); err != nil {
+				return err
+			}
+		}
+		for i := range d.Services {
+			if err := f.startService(d, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startEngine(d Domain, i int) error {
+	c := d.Engine
+	c.ID = domain.UpstreamID(fmt.Sprintf("engine-%s-%d", d.Place.FailureDomain, i))
+	sim := enginesim.New(c)
+	address, err := f.serve(sim)
+	if err != nil {
+		return err
+	}
+	f.Engines = append(f.Engines, &Engine{Sim: sim, ID: c.ID, Place: d.Place, Address: address})
+	f.Platform.UpdateVM(ports.VM{ID: string(c.ID), Role: ports.RoleEngine, Place: d.Place, Address: address})
+	return nil
+}
+
+func (f *Fleet) startService(d Domain, i int) error {
+	c := d.ServiceConfig
+	c.ID = domain.UpstreamID(fmt.Sprintf("%s-%s-%d", d.Service, d.Place.FailureDomain, i))
+	sim := servicesim.New(c)
+	address, err := f.serve(sim)
+	if err != nil {
+		return err
+	}
+	f.Services = append(f.Services, &Service{Sim: sim, ID: c.ID, Place: d.Place, Address: address})
+	f.Platform.UpdateVM(ports.VM{ID: string(c.ID), Role: ports.RoleService, Place: d.Place, Target: d.Service, Address: address})
+	return nil
+}
+
+func (f *Fleet) startNodes(cfg Config) error {
+	var prepared []node.Config
+	for _, d := range cfg.Domains {
+		for i := range d.Nodes {
+			c, err := f.prepareNode(cfg, d, i, len(prepared))
+			if err != nil {
+				return err
+			}
+			prepared = append(prepared, c)
+			f.Platform.UpdateVM(ports.VM{ID: string(c.ID), Role: ports.RoleEntry, Place: c.Place, Address: c.PeerAddress})
+		}
+	}
+	for _, c := range prepared {
+		if err := f.startNode(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) prepareNode(cfg Config, d Domain, i, index int) (node.Config, error) {
+	callerPort := 0
+	if cfg.Ports != 0 {
+		callerPort = cfg.Ports + index
+	}
+	l, err := openListeners(callerPort)
+	if err != nil {
+		return node.Config{}, err
+	}
+	c := node.Config{
+		ID: domain.NodeID(fmt.Sprintf("node-%s-%d", d.Place.FailureDomain, i)), Place: d.Place, Listeners: l,
+		CallerAddress: l.Caller.Addr().String(), PeerAddress: l.Peer.Addr().String(), AdminAddress: l.Admin.Addr().String(),
+		Profile: cfg.Profile, HeaderTimeout: 5 * time.Second, RequestTimeout: 10 * time.Minute,
+		MaxBodyBytes: 8 << 20, MaxHeaderBytes: 64 << 10, EntryTTL: 2 * time.Second, DrainMax: time.Minute,
+		KeptAnswerBytes: 32 << 20, KeptAnswerRetention: 10 * time.Minute, HeartbeatInterval: 500 * time.Millisecond,
+		Upstream: upstream.Options{}, Log: event.Discard{},
+		Platform: node.Platform{
+			KV: f.client.KV(), VMList: f.client.VMList(), Directory: f.client.Directory(), Weights: f.client.WeightStore(),
+		},
+	}
+	if c.Profile == "" {
+		c.Profile = routing.ProfileLatency
+	}
+	if cfg.Log != nil {
+		c.Log = cfg.Log(c.ID)
+	}
+	if cfg.Adjust != nil {
+		cfg.Adjust(&c)
+	}
+	return c, nil
+}
+
+func openListeners(callerPort int) (*node.Listeners, error) {
+	caller, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, callerPort))
+	if err != nil {
+		return nil, err
+	}
+	peer, err := net.Listen("tcp", loopback+":0")
+	if err != nil {
+		return nil, err
+	}
+	admin, err := net.Listen("tcp", loopback+":0")
+	return &node.Listeners{Caller: caller, Peer: peer, Admin: admin}, err
+}
+
+func (f *Fleet) startNode(c node.Config) error {
+	process, err := node.New(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		ID: c.ID, Place: c.Place, Caller: c.CallerAddress, Peer: c.PeerAddress, Admin: c.AdminAddress,
+		Process: process, stop: cancel, done: make(chan struct{}),
+	}
+	f.Nodes = append(f.Nodes, n)
+	go func() {
+		defer close(n.done)
+		n.err = process.Run(ctx)
+	}()
+	return nil
+}
+
+// NodeIn returns the first node of a failure domain.
+func (f *Fleet) NodeIn(fd domain.FailureDomain) *Node {
+	for _, n := range f.Nodes {
+		if n.Place.FailureDomain == fd {
+			return n
+		}
+	}
+	return nil
+}
+
+// readyInterval is the time between two looks at what a fleet waits for.
+const readyInterval = 20 * time.Millisecond
+
+// WaitReady waits until every node serves, knows every other node and has load
+// from every failure domain.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, n := range f.Nodes {
+		for !n.Process.SeesFleet(len(f.Nodes), f.failureDomains()) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("node %s is not ready: %w", n.ID, ctx.Err())
+			case <-time.After(readyInterval):
+			}
+		}
+	}
+	return nil
+}
+
+// failureDomains counts the failure domains that have upstreams.
+func (f *Fleet) failureDomains() int {
+	seen := make(map[domain.FailureDomain]bool)
+	for _, e := range f.Engines {
+		seen[e.Place.FailureDomain] = true
+	}
+	for _, s := range f.Services {
+		seen[s.Place.FailureDomain] = true
+	}
+	return len(seen)
+}
+
+// Close stops everything at once.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes {
+		n.Process.Kill()
+		n.stop()
+	}
+	for _, n := range f.Nodes {
+		<-n.done
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.background.Wait()
+	if f.client != nil {
+		f.client.Close()
+	}
+}
--- a/cmd/crocusctl/store.go
+++ b/cmd/crocusctl/store.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/adapters/platform"
 	"github.com/crocusspread/crocusspread/core/ports"
 )
 
@@ -17,5 +17,5 @@
 
 // openKV connects to the key-value service.
 func (o platformOption) openKV() (ports.KV, error) {
-	return nil, errkind.New(errkind.StoreUnavailable, "the client of the platform at %s is not built in yet", o.Platform)
+	return platform.New(o.Platform, platform.Options{}).KV(), nil
 }
--- a/cmd/crocusspread/main.go
+++ b/cmd/crocusspread/main.go
@@ -1,4 +1,88 @@
-// Command crocusspread is a placeholder until its first commands stand.
+// Command crocusspread runs one entry node.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"github.com/crocusspread/crocusspread/adapters/node"
+	"github.com/crocusspread/crocusspread/adapters/settings"
+	"github.com/crocusspread/crocusspread/core/errkind"
+)
+
+const exitUsage = 2
+
+type options struct {
+	Settings      string `short:"s" long:"settings" value-name:"FILE" description:"Settings file of the node (YAML)"`
+	CheckSettings bool   `long:"check-settings" description:"Check the settings file and exit"`
+	PrintDefaults bool   `long:"print-defaults" description:"Print every setting with its default and exit"`
+	Verbosity     int    `short:"v" long:"verbosity" default:"0" description:"Verbosity of the log"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	_, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	var flagError *flags.Error
+	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+		fmt.Println(flagError.Message)
+		return 0
+	}
+	if err == nil && opts.Settings == "" && !opts.PrintDefaults {
+		err = errors.New("--settings is missing")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "crocusspread:", err)
+		return exitUsage
+	}
+	if err := execute(opts); err != nil {
+		fmt.Fprintln(os.Stderr, "crocusspread:", err)
+		return errkind.Lookup(errkind.From(err).Kind).ExitCode
+	}
+	return 0
+}
+
+func execute(opts options) error {
+	if opts.PrintDefaults {
+		return settings.PrintDefaults(os.Stdout)
+	}
+	s, err := settings.Load(opts.Settings)
+	if err != nil {
+		return err
+	}
+	if opts.CheckSettings {
+		fmt.Println(opts.Settings, "is valid")
+		return nil
+	}
+	return serve(opts, s)
+}
+
+// serve runs the node until it is asked to stop.
+func serve(opts options, s *settings.Settings) error {
+	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(logFlags)
+	if err := logFlags.Set("v", fmt.Sprint(opts.Verbosity)); err != nil {
+		return err
+	}
+	defer klog.Flush()
+	cfg, err := node.FromSettings(s)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(cfg)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return n.Run(ctx)
+}
