Measure an entry's overhead and the tokens that one process relays

The first run failed with 404: a node that had no load report yet called the plan's model unknown. It now answers no_capacity, asks new upstreams at once, and serves only once they answered or 3 s passed.

--- /dev/null
+++ b/adapters/benchmarks/doc.go
@@ -0,0 +1,4 @@
+// Package benchmarks measures a whole node in one process with stand-ins: the
+// time that an entry adds, the tokens that one process relays, and the memory
+// of open streams. docs/MEASUREMENTS.md holds the figures.
+package benchmarks
--- /dev/null
+++ b/adapters/benchmarks/setup_test.go
@@ -0,0 +1,104 @@
+package benchmarks
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/node"
+	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
+	"github.com/crocusspread/crocusspread/adapters/standin/fleet"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+const (
+	model = "bench-model"
+	key   = "bench-key"
+)
+
+// startFleet starts one node before engines in one failure domain.
+func startFleet(b *testing.B, engines int, engine enginesim.Config) *fleet.Fleet {
+	b.Helper()
+	engine.Models = []string{model}
+	place := domain.Place{Region: "r", FailureDomain: "r-a"}
+	f, err := fleet.Start(fleet.Config{
+		Domains: []fleet.Domain{{Place: place, Nodes: 1, Engines: engines, Engine: engine}},
+		Document: lists.Document{
+			Regions:   []domain.Region{"r"},
+			Customers: []lists.Customer{{ID: "c", Plan: "p", KeyHashes: []string{lists.HashKey(key)}}},
+			Plans:     []lists.Plan{{ID: "p", Models: []string{model}, Regions: []domain.Region{"r"}}},
+		},
+		Adjust: func(c *node.Config) { c.RequestTimeout = time.Hour },
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		b.Fatal(err)
+	}
+	return f
+}
+
+// newClient returns a client that keeps many connections to one host.
+func newClient(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns: connections, MaxIdleConnsPerHost: connections, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: 10 * time.Second}).DialContext,
+	}}
+}
+
+func chatBody(stream bool, tokens int) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"a short question"}]}`, model, stream, tokens)
+}
+
+func post(client *http.Client, address string, body []byte, id string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	if id != "" {
+		req.Header.Set("X-Request-Id", id)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		return nil, fmt.Errorf("status %d: %s", resp.StatusCode, text)
+	}
+	return resp, nil
+}
+
+var errNoEnd = errors.New("the stream ended without its end marker")
+
+// readStream counts the data events of a stream up to its end marker.
+func readStream(r io.Reader) (events int, err error) {
+	br := bufio.NewReaderSize(r, 64<<10)
+	for {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			return events, errors.Join(errNoEnd, err)
+		}
+		if bytes.HasPrefix(line, []byte("data: [DONE]")) {
+			return events, nil
+		}
+		if bytes.HasPrefix(line, []byte("data:")) {
+			events++
+		}
+	}
+}
--- a/adapters/node/lists.go
+++ b/adapters/node/lists.go
@@ -13,6 +13,10 @@
 	"github.com/crocusspread/crocusspread/core/lists"
 )
 
+// loadStartWait bounds how long a starting node waits for its upstreams to say
+// what they serve.
+const loadStartWait = 3 * time.Second
+
 // listsLoop carries out what the follower wants done.
 func (n *Node) listsLoop(ctx context.Context) {
 	every(ctx, listsInterval, func(now time.Time) {
@@ -20,7 +24,7 @@
 		for _, a := range n.follower.Next(now, view) {
 			n.background.Go(func() { n.carryOut(ctx, a) })
 		}
-		if n.follower.Ready(now, view) {
+		if n.follower.Ready(now, view) && (n.knowsOwnLoad() || now.Sub(n.started) > loadStartWait) {
 			n.lifecycle.Serve()
 		}
 	})
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -241,7 +241,7 @@
 			loaded++
 		}
 	}
-	if n.snapshot.Load().Upstreams() > 0 {
+	if n.knowsOwnLoad() {
 		loaded++
 	}
 	return known >= nodes && loaded >= failureDomains
--- a/adapters/node/routing.go
+++ b/adapters/node/routing.go
@@ -100,7 +100,17 @@
 		}
 		return n.forwardTo(s.Domain(d.Domain).Place, d)
 	}
-	return gateway.Choice{}, d.Err(&r)
+	return gateway.Choice{}, refusal(d.Err(&r))
+}
+
+// refusal returns a routing refusal for a target that the plan holds. That no
+// upstream has named the target yet does not make it unknown.
+func refusal(err error) error {
+	e := errkind.From(err)
+	if e.Kind != errkind.UnknownTarget {
+		return err
+	}
+	return errkind.New(errkind.NoCapacity, "%s", e.Message)
 }
 
 // pinned returns the upstream that holds a generation, unless it is gone.
--- a/adapters/node/upstreams.go
+++ b/adapters/node/upstreams.go
@@ -15,6 +15,28 @@
 	mu     sync.Mutex
 	states map[domain.UpstreamID]domain.UpstreamState
 	events map[domain.UpstreamID]uint64
+	asked  map[domain.UpstreamID]bool
+}
+
+// maxFirstPolls bounds the upstreams that are asked for the first time at once.
+const maxFirstPolls = 32
+
+// neverAsked returns up to limit upstreams that were not asked for their load
+// yet and marks them as asked.
+func (h *upstreamHealth) neverAsked(refs []domain.UpstreamRef, limit int) []domain.UpstreamRef {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.asked == nil {
+		h.asked = make(map[domain.UpstreamID]bool)
+	}
+	var fresh []domain.UpstreamRef
+	for _, ref := range refs {
+		if !h.asked[ref.ID] && len(fresh) < limit {
+			h.asked[ref.ID] = true
+			fresh = append(fresh, ref)
+		}
+	}
+	return fresh
 }
 
 // changed tells if the state differs from the one logged last.
@@ -46,12 +68,16 @@
 	h.events[id] = after
 }
 
-// loadLoop asks the upstreams for their load, a bounded number each second.
+// loadLoop asks the upstreams for their load, a bounded number each second;
+// those that were never asked come first and at once.
 func (n *Node) loadLoop(ctx context.Context) {
 	next := 0
 	every(ctx, loadInterval/loadPollsPerSecond, func(now time.Time) {
 		refs := n.tracker.Refs()
-		for range pollsPerTick(len(refs)) {
+		for _, ref := range n.health.neverAsked(refs, maxFirstPolls) {
+			n.background.Go(func() { n.pollLoad(ctx, ref) })
+		}
+		if len(refs) > 0 {
 			ref := refs[next%len(refs)]
 			next++
 			n.background.Go(func() { n.pollLoad(ctx, ref) })
@@ -62,10 +88,16 @@
 	})
 }
 
-// pollsPerTick spreads the polls so that few upstreams are asked once a second
-// each and many cost no more than loadPollsPerSecond.
-func pollsPerTick(upstreams int) int {
-	return min(upstreams, 1)
+// knowsOwnLoad tells if every upstream of the own failure domain has said what
+// it serves, and there is one.
+func (n *Node) knowsOwnLoad() bool {
+	s := n.snapshot.Load()
+	for i := range int32(s.Upstreams()) {
+		if u := s.Upstream(i); len(u.Targets) == 0 || u.Slots == 0 {
+			return false
+		}
+	}
+	return s.Upstreams() > 0
 }
 
 func (n *Node) load(ctx context.Context, ref domain.UpstreamRef) (domain.LoadReport, error) {
