--- /dev/null
+++ b/core/operations/claims_test.go
@@ -0,0 +1,218 @@
+package operations
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const (
+	claimLifetime = time.Hour
+	claimBatch    = time.Minute
+)
+
+// fakeKV is one map with the faults of the key-value service.
+type fakeKV struct {
+	ports.KV
+	mu       sync.Mutex
+	entries  map[string]ports.KVEntry
+	revision uint64
+	leases   uint64
+	down     bool // every call fails
+	cannotRead,
+	loseAnswer, // a write takes effect, its answer is lost
+	loseWrite, // a write is lost with its answer
+	leaseLapsed bool
+	onWrite func() // runs before a write
+}
+
+func (f *fakeKV) unavailable(r domain.Run) error {
+	return errkind.New(errkind.StoreUnavailable, "down").WithRun(r)
+}
+
+func (f *fakeKV) Get(_ context.Context, key string) (ports.KVEntry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || f.cannotRead {
+		return ports.KVEntry{}, f.unavailable(domain.RunNo)
+	}
+	return f.entries[key], nil
+}
+
+func (f *fakeKV) GrantLease(_ context.Context, ttl time.Duration) (ports.Lease, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return ports.Lease{}, f.unavailable(domain.RunNo)
+	}
+	f.leases++
+	f.leaseLapsed = false
+	return ports.Lease{ID: ports.LeaseID(f.leases), TTL: ttl}, nil
+}
+
+func (f *fakeKV) CompareAndSwap(_ context.Context, key string, prev uint64, value []byte, lease ports.LeaseID) (ports.KVEntry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.onWrite != nil {
+		f.onWrite()
+	}
+	switch {
+	case f.down:
+		return ports.KVEntry{}, f.unavailable(domain.RunNo)
+	case f.leaseLapsed:
+		return ports.KVEntry{}, errkind.New(errkind.NotFound, "lease")
+	case f.loseWrite:
+		return ports.KVEntry{}, f.unavailable(domain.RunUnknown)
+	case f.entries[key].Revision != prev:
+		return f.entries[key], errkind.New(errkind.Conflict, "revision")
+	}
+	f.revision++
+	f.entries[key] = ports.KVEntry{Key: key, Value: value, Revision: f.revision}
+	if f.loseAnswer {
+		return ports.KVEntry{}, f.unavailable(domain.RunUnknown)
+	}
+	return f.entries[key], nil
+}
+
+func newFakeKV() *fakeKV { return &fakeKV{entries: make(map[string]ports.KVEntry)} }
+
+func newClaims(t testing.TB, kv ports.KV, node domain.NodeID, now func() time.Time) *Claims {
+	t.Helper()
+	i, err := NewIssuer(node, 1, origin, smallSizes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := NewClaims(kv, i, claimLifetime, claimBatch, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func atOrigin() time.Time { return origin }
+
+func TestClaimUnderFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(kv *fakeKV)
+		kind  errkind.Kind // empty: claimed
+	}{
+		{"none", func(*fakeKV) {}, ""},
+		{"service away", func(kv *fakeKV) { kv.down = true }, errkind.StoreUnavailable},
+		{"claim answer lost", func(kv *fakeKV) { kv.loseAnswer = true }, ""},
+		{"claim answer lost, then service away", func(kv *fakeKV) { kv.loseAnswer, kv.cannotRead = true, true }, errkind.StoreUnavailable},
+		{"write lost", func(kv *fakeKV) { kv.loseWrite = true }, errkind.StoreUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			kv := newFakeKV()
+			c.fault(kv)
+			claims := newClaims(t, kv, "a", atOrigin)
+			got, err := claims.Claim(t.Context(), customer, "k", 1)
+			if c.kind == "" {
+				if err != nil || got.Node != "a" || got.Revision == 0 {
+					t.Fatalf("Claim = %+v, %v", got, err)
+				}
+				mustRun(t, claims.issuer, got.Operation, origin)
+				return
+			}
+			wantKind(t, err, c.kind, domain.RunNo)
+		})
+	}
+}
+
+func TestLateClaimAfterNotRunStartsNothing(t *testing.T) {
+	kv := newFakeKV()
+	kv.loseAnswer, kv.cannotRead = true, true
+	a := newClaims(t, kv, "a", atOrigin)
+	_, err := a.Claim(t.Context(), customer, "k", 1)
+	wantKind(t, err, errkind.StoreUnavailable, domain.RunNo)
+	kv.loseAnswer, kv.cannotRead = false, false
+	b := newClaims(t, kv, "b", atOrigin)
+	late, err := b.Claim(t.Context(), customer, "k", 1)
+	if err != nil || late.Node != "a" {
+		t.Fatalf("Claim = %+v, %v", late, err)
+	}
+	_, err = a.issuer.Begin(late.Operation, customer, 1, origin)
+	wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+	next, err := b.TakeOver(t.Context(), customer, "k", late)
+	if err != nil || next.Node != "b" {
+		t.Fatalf("TakeOver = %+v, %v", next, err)
+	}
+	again, err := a.TakeOver(t.Context(), customer, "k", late)
+	if err != nil || again.Operation != next.Operation {
+		t.Fatalf("second TakeOver = %+v, %v", again, err)
+	}
+}
+
+func TestRacingClaims(t *testing.T) {
+	kv := newFakeKV()
+	got := make(chan Claim)
+	for range 16 {
+		c := newClaims(t, kv, "a", atOrigin)
+		go func() {
+			claim, err := c.Claim(t.Context(), customer, "k", 1)
+			if err != nil {
+				t.Error(err)
+			}
+			got <- claim
+		}()
+	}
+	first := <-got
+	for range 15 {
+		if next := <-got; next != first {
+			t.Errorf("claims %+v and %+v", first, next)
+		}
+	}
+}
+
+func TestKeyUsedForDifferentRequest(t *testing.T) {
+	kv := newFakeKV()
+	if _, err := newClaims(t, kv, "a", atOrigin).Claim(t.Context(), customer, "k", 1); err != nil {
+		t.Fatal(err)
+	}
+	b := newClaims(t, kv, "b", atOrigin)
+	_, err := b.Claim(t.Context(), customer, "k", 2)
+	wantKind(t, err, errkind.KeyConflict, domain.RunNo)
+	if c, err := b.Claim(t.Context(), "other", "k", 2); err != nil || c.Node != "b" {
+		t.Fatalf("another customer's key: %+v, %v", c, err)
+	}
+}
+
+func TestFrozenBeforeClaimAnswer(t *testing.T) {
+	kv, now := newFakeKV(), origin
+	claims := newClaims(t, kv, "a", func() time.Time { return now })
+	kv.onWrite = func() { now = now.Add(2*claimBatch + 1) }
+	_, err := claims.Claim(t.Context(), customer, "k", 1)
+	wantKind(t, err, errkind.StoreUnavailable, domain.RunNo)
+}
+
+func TestLeaseSharedAndRenewed(t *testing.T) {
+	kv, now := newFakeKV(), origin
+	claims := newClaims(t, kv, "a", func() time.Time { return now })
+	steps := []struct {
+		key    string
+		after  time.Duration
+		lapsed bool
+		leases uint64
+	}{{"a", 0, false, 1}, {"b", claimBatch - 1, false, 1}, {"c", claimBatch, false, 2}, {"d", claimBatch, true, 3}}
+	for _, s := range steps {
+		now, kv.leaseLapsed = origin.Add(s.after), s.lapsed
+		if _, err := claims.Claim(t.Context(), customer, s.key, 1); err != nil || kv.leases != s.leases {
+			t.Fatalf("key %s: %v, %d leases, want %d", s.key, err, kv.leases, s.leases)
+		}
+	}
+}
+
+func TestClaimMustOutliveOperation(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	short := smallSizes.FirstUse + smallSizes.MaxRun + smallSizes.Retention - 1
+	if _, err := NewClaims(newFakeKV(), i, short, claimBatch, atOrigin); err == nil {
+		t.Fatal("accepted")
+	}
+}
