--- /dev/null
+++ b/adapters/peer/peerconv/control_bench_test.go
@@ -0,0 +1,223 @@
+package peerconv
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/membership"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const (
+	benchModels    = 17
+	benchServices  = 3
+	benchUpstreams = 23 // 600 upstreams in 26 failure domains
+	benchCustomers = 8  // customers with demand at one node
+	benchWarmUp    = 30 * time.Second
+	benchSeed      = 7
+)
+
+// fleet is a set of groups that exchange marshalled heartbeats in one process.
+type fleet struct {
+	now    time.Time
+	groups map[domain.NodeID]*membership.Group
+	order  []domain.NodeID
+	places map[domain.NodeID]domain.Place
+	rnd    *rand.Rand
+	bytes  int
+	msgs   int
+}
+
+func newFleet(domains, nodes int) *fleet {
+	f := &fleet{
+		now:    time.Unix(1_800_000_000, 0),
+		groups: make(map[domain.NodeID]*membership.Group),
+		places: make(map[domain.NodeID]domain.Place),
+		rnd:    rand.New(rand.NewPCG(benchSeed, benchSeed)),
+	}
+	var vms []ports.VM
+	for d := range domains {
+		place := domain.Place{
+			Region:        domain.Region(fmt.Sprintf("region-%02d", d*11/domains)),
+			FailureDomain: domain.FailureDomain(fmt.Sprintf("region-%02d-fd%02d", d*11/domains, d)),
+		}
+		for n := range nodes {
+			vms = append(vms, ports.VM{
+				ID:      fmt.Sprintf("%s-entry-%03d", place.FailureDomain, n),
+				Role:    ports.RoleEntry,
+				Place:   place,
+				Address: fmt.Sprintf("10.%d.1.%d:7001", d, n),
+			})
+		}
+	}
+	for _, vm := range vms {
+		f.add(vm)
+	}
+	for _, g := range f.groups {
+		g.SetVMs(f.now, vms)
+	}
+	return f
+}
+
+func (f *fleet) add(vm ports.VM) {
+	self := domain.NodeRef{
+		ID:            domain.NodeID(vm.ID),
+		Incarnation:   domain.Incarnation(f.rnd.Uint64()),
+		Place:         vm.Place,
+		PeerAddress:   vm.Address,
+		CallerAddress: vm.Address,
+		State:         domain.NodeServing,
+	}
+	f.groups[self.ID] = membership.New(membership.DefaultConfig(self), f.now)
+	f.places[self.ID] = vm.Place
+	f.order = append(f.order, self.ID)
+}
+
+// second lets every node run one round, spread over the second.
+func (f *fleet) second(tb testing.TB) {
+	step := time.Second / time.Duration(len(f.order))
+	for _, id := range f.order {
+		f.now = f.now.Add(step)
+		g := f.groups[id]
+		f.feed(id, g)
+		for _, out := range g.Beat(f.now) {
+			f.exchange(tb, g, out)
+		}
+	}
+	f.now = f.now.Add(time.Second - step*time.Duration(len(f.order)))
+}
+
+// feed gives a node its local readings; about a tenth of the targets change by
+// more than a rounding step each second.
+func (f *fleet) feed(id domain.NodeID, g *membership.Group) {
+	targets := make([]membership.TargetLoad, 0, benchModels+benchServices)
+	for i := range benchModels + benchServices {
+		t := membership.TargetLoad{Slots: 64, Free: uint32(32 + i%8), WaitMillis: 20, CostMilli: 1500}
+		t.Target = domain.Target{Kind: domain.TargetModel, Name: fmt.Sprintf("model-name-%02d", i)}
+		if f.rnd.IntN(20) == 0 {
+			t.Free = uint32(f.rnd.IntN(64))
+		}
+		targets = append(targets, t)
+	}
+	g.SetOwnLoad(f.now, targets)
+	ups := make([]membership.UpstreamLoad, 0, benchUpstreams)
+	for i := range benchUpstreams {
+		ups = append(ups, membership.UpstreamLoad{
+			Upstream: domain.UpstreamID(fmt.Sprintf("%s-engine-%02d", f.places[id].FailureDomain, i)),
+			InFlight: uint32(f.rnd.IntN(16)), PendingTokens: uint64(f.rnd.IntN(9000)),
+		})
+	}
+	g.SetUpstreams(ups)
+	var demands []membership.LimitDemand
+	for i := range benchCustomers {
+		demands = append(demands, membership.LimitDemand{
+			Customer: domain.CustomerID(fmt.Sprintf("customer-%04d", i)), Node: id,
+			Sequence: uint64(f.now.UnixMilli()), InFlight: uint32(f.rnd.IntN(9)), TokensPerSecond: uint32(f.rnd.IntN(9000)),
+		})
+	}
+	g.SetDemands(f.now, demands)
+}
+
+func (f *fleet) exchange(tb testing.TB, from *membership.Group, out membership.Outgoing) {
+	to := f.groups[out.To.ID]
+	reply := to.Receive(f.now, f.wire(tb, out.Message))
+	from.Replied(f.now.Add(time.Millisecond), out.To, f.now, f.wire(tb, reply))
+}
+
+// wire marshals and unmarshals a heartbeat and counts its bytes.
+func (f *fleet) wire(tb testing.TB, h membership.Heartbeat) membership.Heartbeat {
+	raw, err := proto.Marshal(HeartbeatToProto(h))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	f.bytes += len(raw)
+	f.msgs++
+	var m peerpb.HeartbeatMessage
+	if err := proto.Unmarshal(raw, &m); err != nil {
+		tb.Fatal(err)
+	}
+	got, err := HeartbeatFromProto(&m)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return got
+}
+
+func (f *fleet) run(tb testing.TB, d time.Duration) {
+	for range int(d / time.Second) {
+		f.second(tb)
+	}
+}
+
+// BenchmarkControlPlane measures what membership costs a node: bytes of payload
+// sent and received, messages, processor time and memory. One operation is one
+// second of the whole fleet.
+func BenchmarkControlPlane(b *testing.B) {
+	sizes := []struct{ domains, nodes int }{{26, 3}, {26, 13}, {26, 50}, {3, 13}, {100, 13}, {3, 130}}
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("domains=%d/nodes=%d", s.domains, s.nodes), func(b *testing.B) {
+			benchControlPlane(b, s.domains, s.nodes)
+		})
+	}
+}
+
+func benchControlPlane(b *testing.B, domains, nodes int) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	f := newFleet(domains, nodes)
+	f.run(b, benchWarmUp)
+	f.bytes, f.msgs = 0, 0
+	b.ResetTimer()
+	start := cpuTime(b)
+	for range b.N {
+		f.second(b)
+	}
+	used := cpuTime(b) - start
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	perNodeSecond := float64(b.N) * float64(len(f.order))
+	// Each byte is sent by one node and received by another.
+	b.ReportMetric(2*float64(f.bytes)/perNodeSecond, "B/s/node")
+	b.ReportMetric(2*float64(f.msgs)/perNodeSecond, "msg/s/node")
+	b.ReportMetric(100*used.Seconds()/perNodeSecond, "cpu%")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(f.order))/(1<<20), "MB")
+	f.reportAges(b)
+	runtime.KeepAlive(f)
+}
+
+// reportAges reports how old readings of other domains are, and if the nodes
+// of the domain are all seen as live.
+func (f *fleet) reportAges(b *testing.B) {
+	var ages []float64
+	missing := 0
+	for _, g := range f.groups {
+		v := g.View()
+		missing += len(v.Known) + 1 - len(v.Own)
+		for _, d := range v.Others {
+			ages = append(ages, d.Age(f.now).Seconds())
+		}
+	}
+	slices.Sort(ages)
+	b.ReportMetric(ages[len(ages)/2], "age-p50-s")
+	b.ReportMetric(ages[len(ages)*99/100], "age-p99-s")
+	b.ReportMetric(float64(missing), "false-suspects")
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/core/adoption/follower.go
+++ b/core/adoption/follower.go
@@ -30,23 +30,30 @@
 	// RetryLeast and RetryMost bound the wait after a failure.
 	RetryLeast time.Duration
 	RetryMost  time.Duration
+	// WatchRetryMost bounds the wait after a failed watch.
+	WatchRetryMost time.Duration
 	// StartWait bounds how long a node that holds lists waits at its start for
 	// the service and for peers that do not answer.
 	StartWait time.Duration
+	// StartPeers is the number of peers that must have told their version, if
+	// the domain has as many.
+	StartPeers int
 }
 
 // DefaultConfig returns the settings for a node.
 func DefaultConfig() Config {
 	return Config{
-		Watchers:     2,
-		WatchTimeout: 30 * time.Second,
-		ReadTimeout:  3 * time.Second,
-		PullTimeout:  2 * time.Second,
-		WatcherRead:  30 * time.Second,
-		OtherRead:    5 * time.Minute,
-		RetryLeast:   500 * time.Millisecond,
-		RetryMost:    15 * time.Second,
-		StartWait:    5 * time.Second,
+		Watchers:       2,
+		WatchTimeout:   30 * time.Second,
+		ReadTimeout:    3 * time.Second,
+		PullTimeout:    2 * time.Second,
+		WatcherRead:    30 * time.Second,
+		OtherRead:      5 * time.Minute,
+		RetryLeast:     500 * time.Millisecond,
+		RetryMost:      15 * time.Second,
+		WatchRetryMost: 4 * time.Second,
+		StartWait:      5 * time.Second,
+		StartPeers:     membership.StartPeers,
 	}
 }
 
@@ -97,7 +104,7 @@
 	pullAt                           time.Time
 	watchRetry, readRetry, pullRetry backoff
 	offers                           map[domain.NodeID]offer
-	// bad is the highest version that was refused; it is not pulled again.
+	// bad is the version that was refused last; it is not pulled again.
 	bad        domain.ListsVersion
 	readOnce   bool                   // a first read ended, well or not
 	asked      map[domain.NodeID]bool // peers that told their version at the start
@@ -114,7 +121,7 @@
 		holder:     holder,
 		rnd:        rand.New(rand.NewPCG(seed, seed)),
 		started:    now,
-		watchRetry: retry,
+		watchRetry: backoff{least: cfg.RetryLeast, most: cfg.WatchRetryMost},
 		readRetry:  retry,
 		pullRetry:  retry,
 		offers:     make(map[domain.NodeID]offer),
@@ -156,9 +163,8 @@
 
 // bestOffer prefers the highest version, then a node of the own domain.
 func (f *Follower) bestOffer(own domain.Place) (best offer, found bool) {
-	held := max(f.holder.Version(), f.bad)
 	for id, o := range f.offers {
-		if o.version <= held {
+		if !f.wants(o.version) {
 			delete(f.offers, id)
 			continue
 		}
@@ -170,6 +176,10 @@
 	return best, found
 }
 
+func (f *Follower) wants(v domain.ListsVersion) bool {
+	return v > f.holder.Version() && v != f.bad
+}
+
 func better(own domain.Place, a, b offer) bool {
 	if a.version != b.version {
 		return a.version > b.version
@@ -187,7 +197,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked[node.ID] = true
-	if version > max(f.holder.Version(), f.bad) {
+	if f.wants(version) {
 		f.offers[node.ID] = offer{node: node, version: version}
 	}
 }
@@ -272,13 +282,13 @@
 
 func (f *Follower) adopt(v *lists.Versioned) {
 	if _, err := f.holder.Adopt(v); err != nil {
-		f.bad = max(f.bad, v.Version)
+		f.bad = v.Version
 	}
 }
 
 // Ready tells if the node may serve: it holds lists, has asked the service and
-// each live peer of its domain, and none of them knows a higher version. What
-// does not answer is waited for only until StartWait. Once true, it stays true.
+// the peers of its domain, and none of them knows a higher version. What does
+// not answer is waited for only until StartWait. Once true, it stays true.
 func (f *Follower) Ready(now time.Time, view *membership.View) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -299,10 +309,14 @@
 	if _, behind := f.bestOffer(view.Self.Place); behind {
 		return false
 	}
-	for _, n := range view.Own {
-		if n.ID != view.Self.ID && !f.asked[n.ID] {
-			return false
+	if !view.Listed {
+		return false
+	}
+	told := 0
+	for _, id := range view.Known {
+		if f.asked[id] {
+			told++
 		}
 	}
-	return true
+	return told >= min(len(view.Known), f.cfg.StartPeers)
 }
--- a/core/membership/group.go
+++ b/core/membership/group.go
@@ -20,6 +20,17 @@
 	directPerRound = 2
 	// forgetAfter is the silence after which an unlisted domain is forgotten.
 	forgetAfter = time.Hour
+	// startRounds is the number of rounds in which a starting node speaks to
+	// StartPeers peers.
+	startRounds = 2
+)
+
+// StartPeers is the number of peers that a starting node speaks to at once.
+const StartPeers = 16
+
+const (
+	// ownSample is the own nodes named to other domains besides the sender.
+	ownSample = 2
 )
 
 // Group is one node's knowledge of the fleet. Its tables have a lock each. All
@@ -37,6 +48,7 @@
 	beat     uint64
 	lastBeat time.Time
 	urgent   bool
+	starting int // rounds left of the start
 }
 
 // New returns the group of a node that starts at now.
@@ -49,6 +61,7 @@
 		self:     cfg.Self,
 		beat:     uint64(now.Unix()),
 		lastBeat: now,
+		starting: startRounds,
 	}
 	if g.self.State == "" {
 		g.self.State = domain.NodeStarting
@@ -160,6 +173,10 @@
 	if g.urgent {
 		burst = g.cfg.Burst
 	}
+	if g.starting > 0 && g.members.size() > 0 {
+		burst = StartPeers
+		g.starting--
+	}
 	g.urgent = false
 	g.mu.Unlock()
 	if gap > standstill*g.cfg.Round {
@@ -204,7 +221,7 @@
 		Sequence:  sequence,
 		LiveNodes: uint32(len(v.Own)),
 		Targets:   targets,
-		Nodes:     serving[:min(g.cfg.MaxNodes-1, len(serving))],
+		Nodes:     serving[:min(1+ownSample, len(serving))],
 	}
 }
 
@@ -297,7 +314,10 @@
 	g.mu.Unlock()
 	own := append(g.members.live(), self)
 	slices.SortFunc(own, func(a, b domain.NodeRef) int { return cmp.Compare(a.ID, b.ID) })
+	known, listed := g.members.known()
 	v := &View{
+		Listed:   listed,
+		Known:    known,
 		At:       now,
 		Self:     self,
 		Own:      own,
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -46,6 +46,7 @@
 	order   []domain.NodeID // sorted; basis of rotations
 	nextTo  int
 	nextOf  int
+	listed  bool // a VM list was taken
 }
 
 func newMemberTable() *memberTable {
@@ -209,6 +210,7 @@
 func (t *memberTable) setListed(nodes []domain.NodeRef) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listed = true
 	for _, r := range t.records {
 		r.listed = false
 	}
@@ -241,6 +243,13 @@
 	return live
 }
 
+// known returns the ids of all peers and if a VM list was taken.
+func (t *memberTable) known() (ids []domain.NodeID, listed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.order), t.listed
+}
+
 func (t *memberTable) size() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -16,6 +16,10 @@
 	Self domain.NodeRef
 	// Own lists the live nodes of the own failure domain with Self, by id.
 	Own []domain.NodeRef
+	// Listed is set once a VM list was taken.
+	Listed bool
+	// Known names all peers of the own domain, live or not, by id.
+	Known []domain.NodeID
 	// Others lists the other failure domains, by name.
 	Others []Domain
 	// PeerWork sums, per upstream of the own domain, what peers said of their
