Bound control traffic to its budget

Cause: 7889 B/s a node (sent and received) at 26 domains of 13 nodes. Change: unchanged members go as 8-byte handles, replies leave out targets and demands, one heartbeat to another domain every second round, nodes of a domain in one heartbeat of four. Readings of other domains are at most 14.6 s old at the 99th percentile, so a domain counts as unreachable after 30 s, not 15 s.

--- a/adapters/peer/peerconv/heartbeat.go
+++ b/adapters/peer/peerconv/heartbeat.go
@@ -96,6 +96,9 @@
 }
 
 func memberToProto(m membership.Member, home domain.Place) *peerpb.Member {
+	if m.Handle != 0 {
+		return &peerpb.Member{Handle: m.Handle, Beat: m.Beat, Suspect: m.Suspect}
+	}
 	p := &peerpb.Member{
 		Id:            string(m.Node.ID),
 		Incarnation:   uint64(m.Node.Incarnation),
@@ -115,6 +118,9 @@
 }
 
 func memberFromProto(p *peerpb.Member, home domain.Place) membership.Member {
+	if p.GetHandle() != 0 {
+		return membership.Member{Handle: p.GetHandle(), Beat: p.GetBeat(), Suspect: p.GetSuspect()}
+	}
 	m := membership.Member{
 		Node: domain.NodeRef{
 			ID:            domain.NodeID(p.GetId()),
--- a/core/membership/config.go
+++ b/core/membership/config.go
@@ -24,6 +24,8 @@
 	Representatives int
 	// Burst is the number of peers told at once of an urgent change.
 	Burst int
+	// MaxOwnTargets bounds the own domain's readings in a message to another.
+	MaxOwnTargets int
 	// MaxMembers, MaxTargets, MaxUpstreams and MaxDemands bound one message.
 	MaxMembers   int
 	MaxTargets   int
@@ -40,12 +42,13 @@
 		Round:            time.Second,
 		SuspectAfter:     8 * time.Second,
 		RemoveAfter:      30 * time.Second,
-		UnreachableAfter: 15 * time.Second,
+		UnreachableAfter: 30 * time.Second,
 		Representatives:  2,
 		Burst:            4,
-		MaxMembers:       6,
-		MaxTargets:       8,
-		MaxUpstreams:     4,
+		MaxMembers:       8,
+		MaxOwnTargets:    7,
+		MaxTargets:       5,
+		MaxUpstreams:     2,
 		MaxDemands:       2,
 		MaxNodes:         4,
 	}
--- a/core/membership/domains.go
+++ b/core/membership/domains.go
@@ -16,7 +16,16 @@
 	// node leaves the sample of its domain.
 	maxFailures = 2
 	// maxReadings bounds the failure domains in one heartbeat.
-	maxReadings = 4
+	maxReadings = 6
+	// detailed bounds those among them that carry targets.
+	detailed = 3
+	// newsAfter is the growth of a reading's time that is passed on as a change.
+	newsAfter = 2 * time.Second
+	// detailEvery is the number of heartbeats of which one carries the nodes
+	// of a domain.
+	detailEvery = 4
+	// detailNodes bounds the nodes in it.
+	detailNodes = 2
 	// maxFutureRTT bounds a believable relayed round trip time.
 	maxFutureRTT = 10 * time.Second
 )
@@ -38,6 +47,7 @@
 	place     domain.Place
 	sequence  uint64
 	heard     time.Time // when a node of the domain itself last said so
+	told      time.Time // the reading's time when last counted as a change
 	rtt       time.Duration
 	rttOwn    bool // measured by this node
 	liveNodes uint32
@@ -54,6 +64,8 @@
 	records map[domain.FailureDomain]*domainRecord
 	order   []domain.FailureDomain
 	nextTo  int
+	nextOf  int
+	relays  int
 	picks   uint64 // counts relays, to order turns
 	max     int    // nodes in a sample
 }
@@ -79,7 +91,13 @@
 func (t *domainTable) learn(now time.Time, d DomainLoad, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.ensure(d.Place)
+	r, ok := t.records[d.Place.FailureDomain]
+	if !ok {
+		if d.Place.Region == "" {
+			return
+		}
+		r = t.ensure(d.Place)
+	}
 	for _, load := range d.Targets {
 		r.learnTarget(load)
 	}
@@ -95,10 +113,15 @@
 	heard := now.Add(-time.Duration(d.AgeMillis) * time.Millisecond)
 	if heard.After(r.heard) {
 		r.heard = heard
+	}
+	if heard.Sub(r.told) > newsAfter {
+		r.told = heard
 		r.turn.relays = 0
 	}
 	if d.Sequence > r.sequence {
 		r.sequence = d.Sequence
+	}
+	if d.LiveNodes > 0 {
 		r.liveNodes = d.LiveNodes
 	}
 }
@@ -239,29 +262,49 @@
 }
 
 // relay returns up to maxReadings domains with up to n targets in all: what
-// changed goes first, then the rest in turn. The first domain brings its nodes.
+// changed goes first, then the rest in turn. Now and then one domain more comes
+// with its nodes.
 func (t *domainTable) relay(now time.Time, n int) []DomainLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	picked := make([]DomainLoad, 0, maxReadings)
 	for _, r := range t.byTurn() {
-		left := maxReadings - len(picked)
-		if left == 0 {
+		if len(picked) == maxReadings {
 			break
 		}
-		d := r.message(now)
-		if len(picked) == 0 {
-			d.Nodes = r.refs()
-		}
 		t.picks++
 		r.turn.taken(t.picks)
-		d.Targets = r.pick((n+left-1)/left, &t.picks)
-		n -= len(d.Targets)
+		d := DomainLoad{Sequence: r.sequence, AgeMillis: r.ageMillis(now)}
+		d.Place.FailureDomain = r.place.FailureDomain
+		if left := detailed - len(picked); left > 0 && n > 0 {
+			d.Targets = r.pick((n+left-1)/left, &t.picks)
+			n -= len(d.Targets)
+		}
 		picked = append(picked, d)
 	}
+	t.relays++
+	if t.relays%detailEvery == 0 && len(t.order) > 0 {
+		picked = append(picked, t.nextDetail(now))
+	}
 	return picked
 }
 
+// nextDetail returns the next domain in turn with its region, round trip time
+// and nodes.
+func (t *domainTable) nextDetail(now time.Time) DomainLoad {
+	t.nextOf = (t.nextOf + 1) % len(t.order)
+	r := t.records[t.order[t.nextOf]]
+	nodes := r.refs()
+	return DomainLoad{
+		Place:     r.place,
+		Sequence:  r.sequence,
+		AgeMillis: r.ageMillis(now),
+		RTTMicros: uint32(r.rtt.Microseconds()),
+		LiveNodes: r.liveNodes,
+		Nodes:     nodes[:min(detailNodes, len(nodes))],
+	}
+}
+
 func (t *domainTable) byTurn() []*domainRecord {
 	all := make([]*domainRecord, 0, len(t.order))
 	for _, fd := range t.order {
@@ -283,14 +326,8 @@
 	return 0
 }
 
-func (r *domainRecord) message(now time.Time) DomainLoad {
-	return DomainLoad{
-		Place:     r.place,
-		Sequence:  r.sequence,
-		AgeMillis: uint32(max(0, now.Sub(r.heard).Milliseconds())),
-		RTTMicros: uint32(r.rtt.Microseconds()),
-		LiveNodes: r.liveNodes,
-	}
+func (r *domainRecord) ageMillis(now time.Time) uint32 {
+	return uint32(max(0, now.Sub(r.heard).Milliseconds()))
 }
 
 // pick returns up to n targets, changed ones first, then the rest in turn.
--- a/core/membership/group.go
+++ b/core/membership/group.go
@@ -15,14 +15,13 @@
 	// standstill is the number of missed own rounds that count as a pause of
 	// the own process.
 	standstill = 3
-	// directPerRound is the number of heartbeats, requests and replies, that a
-	// node gets from its own domain in one round on average.
-	directPerRound = 2
 	// forgetAfter is the silence after which an unlisted domain is forgotten.
 	forgetAfter = time.Hour
 	// startRounds is the number of rounds in which a starting node speaks to
 	// StartPeers peers.
 	startRounds = 2
+	// startMembers bounds the members that a starting node is told in a reply.
+	startMembers = 32
 )
 
 // StartPeers is the number of peers that a starting node speaks to at once.
@@ -30,7 +29,9 @@
 
 const (
 	// ownSample is the own nodes named to other domains besides the sender.
-	ownSample = 2
+	ownSample = 1
+	// crossEvery is the number of rounds of which one speaks to another domain.
+	crossEvery = 2
 )
 
 // Group is one node's knowledge of the fleet. Its tables have a lock each. All
@@ -49,6 +50,7 @@
 	lastBeat time.Time
 	urgent   bool
 	starting int // rounds left of the start
+	rounds   int
 }
 
 // New returns the group of a node that starts at now.
@@ -150,17 +152,27 @@
 
 	var out []Outgoing
 	for _, n := range g.members.peers(1 + burst) {
-		out = append(out, Outgoing{To: n, Message: g.message(now, n)})
+		out = append(out, Outgoing{To: n, Message: g.message(now, n, g.cfg.MaxTargets)})
 	}
 	assigned := func(fd domain.FailureDomain) bool {
 		return Ranks(string(fd), view.Self.ID, view.Own, g.cfg.Representatives)
 	}
+	if !g.crossRound() {
+		return out
+	}
 	if n, ok := g.domains.contact(assigned); ok {
-		out = append(out, Outgoing{To: n, Message: g.message(now, n)})
+		out = append(out, Outgoing{To: n, Message: g.message(now, n, g.cfg.MaxTargets)})
 	}
 	return out
 }
 
+func (g *Group) crossRound() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rounds++
+	return g.rounds%crossEvery == 0
+}
+
 // advance counts the round and returns how many more peers to tell.
 func (g *Group) advance(now time.Time) (burst int) {
 	g.mu.Lock()
@@ -185,15 +197,18 @@
 	return burst
 }
 
-// stretch is the factor on time limits for domains so large that a round's
-// relays cannot name every member.
+// stretch is the factor on time limits for domains so large that the relays of
+// one heartbeat cannot name every member. A node gets two heartbeats a round from
+// its domain; half of the relayed beats are no news.
 func (g *Group) stretch() time.Duration {
-	named := directPerRound * (g.cfg.MaxMembers + 1)
+	named := g.cfg.MaxMembers + 1
 	return time.Duration(max(1, (g.members.size()+named-1)/named))
 }
 
-// message builds the heartbeat for one node.
-func (g *Group) message(now time.Time, to domain.NodeRef) Heartbeat {
+// message builds the heartbeat for one node,
+// with up to targets readings of other domains' targets. Replies have none of
+// these and no demands: a request in the other direction brings them.
+func (g *Group) message(now time.Time, to domain.NodeRef, targets int) Heartbeat {
 	h := Heartbeat{ListsVersion: domain.ListsVersion(g.version.Load())}
 	g.mu.Lock()
 	h.Sender = Member{Node: g.self, Beat: g.beat}
@@ -205,30 +220,52 @@
 	}
 	h.Members = g.members.relay(g.cfg.MaxMembers, to.ID)
 	h.Upstreams = g.load.ownUpstreams(g.cfg.MaxUpstreams)
-	h.Domains = g.domains.relay(now, g.cfg.MaxTargets)
+	h.Domains = g.domains.relay(now, targets)
 	h.Domains = append(h.Domains, DomainLoad{Place: to.Place, Sequence: g.load.highest()})
-	h.Demands = g.load.relayDemands(g.cfg.MaxDemands)
+	if targets > 0 {
+		h.Demands = g.load.relayDemands(g.cfg.MaxDemands)
+	}
 	return h
 }
 
 // ownReading is what other domains are told of this one.
 func (g *Group) ownReading(now time.Time) DomainLoad {
 	v := g.view.Load()
-	sequence, targets := g.load.reading(now, g.cfg.MaxTargets)
-	serving := servingFrom(v.Own, v.Self.ID)
+	sequence, targets := g.load.reading(now, g.cfg.MaxOwnTargets)
 	return DomainLoad{
 		Place:     v.Self.Place,
 		Sequence:  sequence,
 		LiveNodes: uint32(len(v.Own)),
 		Targets:   targets,
-		Nodes:     serving[:min(1+ownSample, len(serving))],
+		Nodes:     g.ownNodes(v),
 	}
 }
 
+// ownNodes returns the node itself and the next other ones in turn.
+func (g *Group) ownNodes(v *View) []domain.NodeRef {
+	serving := servingFrom(v.Own, v.Self.ID)
+	if len(serving) < 1+ownSample {
+		return serving
+	}
+	g.mu.Lock()
+	turn := g.rounds
+	g.mu.Unlock()
+	others := serving[1:]
+	named := serving[:1:1]
+	for i := range ownSample {
+		named = append(named, others[(turn+i)%len(others)])
+	}
+	return named
+}
+
 // Receive takes a heartbeat and returns the reply.
 func (g *Group) Receive(now time.Time, h Heartbeat) Heartbeat {
 	g.learn(now, h)
-	return g.message(now, h.Sender.Node)
+	reply := g.message(now, h.Sender.Node, 0)
+	if h.Sender.Node.State == domain.NodeStarting && len(reply.Members) > 0 {
+		reply.Members = g.members.introduce(startMembers, h.Sender.Node.ID)
+	}
+	return reply
 }
 
 // Replied takes the reply to a heartbeat sent to a node. A reply by another
@@ -269,7 +306,7 @@
 			g.refute(m)
 			continue
 		}
-		if m.Node.PeerAddress != "" && m.Node.Place.FailureDomain != g.cfg.Self.Place.FailureDomain {
+		if m.Handle == 0 && m.Node.Place.FailureDomain != g.cfg.Self.Place.FailureDomain {
 			continue
 		}
 		changed = g.members.learnRelayed(now, m) || changed
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -2,19 +2,19 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/crocusspread/crocusspread/core/domain"
 )
 
 const (
 	// maxRetired bounds the remembered earlier incarnations of one node.
 	maxRetired = 4
-	// fullRotation is the share of unchanged members sent with addresses: one
-	// in fullRotation.
-	fullRotation = 3
 	// tombstoneRounds is a tombstone's life in removal periods.
 	tombstoneRounds = 4
 )
@@ -22,6 +22,7 @@
 // memberRecord is what a node knows of a peer of its own domain.
 type memberRecord struct {
 	node    domain.NodeRef
+	handle  uint64 // see handleOf
 	beat    uint64
 	heard   time.Time // zero: known from the VM list only
 	listed  bool
@@ -42,6 +43,7 @@
 type memberTable struct {
 	mu      sync.Mutex
 	records map[domain.NodeID]*memberRecord
+	handles map[uint64]*memberRecord
 	dead    map[domain.NodeID]tombstone
 	order   []domain.NodeID // sorted; basis of rotations
 	nextTo  int
@@ -52,6 +54,7 @@
 func newMemberTable() *memberTable {
 	return &memberTable{
 		records: make(map[domain.NodeID]*memberRecord),
+		handles: make(map[uint64]*memberRecord),
 		dead:    make(map[domain.NodeID]tombstone),
 	}
 }
@@ -69,18 +72,18 @@
 		return false
 	}
 	delete(t.dead, m.Node.ID)
-	return r.adopt(now, m)
+	return t.adopt(now, r, m)
 }
 
 // learnRelayed takes a record passed on by another node.
 func (t *memberTable) learnRelayed(now time.Time, m Member) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, known := t.records[m.Node.ID]
-	if !known && (m.Suspect || m.Beat <= t.dead[m.Node.ID].beat) {
+	if m.Handle != 0 && !t.resolve(&m) {
 		return false
 	}
-	if m.Node.PeerAddress == "" && (!known || r.node.Incarnation != m.Node.Incarnation) {
+	r, known := t.records[m.Node.ID]
+	if !known && (m.Suspect || m.Beat <= t.dead[m.Node.ID].beat) {
 		return false
 	}
 	r = t.ensure(m.Node.ID)
@@ -93,12 +96,7 @@
 	if m.Beat <= r.beat {
 		return false
 	}
-	if m.Node.PeerAddress == "" {
-		state := m.Node.State
-		m.Node = r.node
-		m.Node.State = state
-	}
-	return r.adopt(now, m)
+	return t.adopt(now, r, m)
 }
 
 func (t *memberTable) ensure(id domain.NodeID) *memberRecord {
@@ -113,7 +111,17 @@
 	return r
 }
 
-func (r *memberRecord) adopt(now time.Time, m Member) (changed bool) {
+// resolve puts the record that m's handle names in place of the handle.
+func (t *memberTable) resolve(m *Member) bool {
+	r, ok := t.handles[m.Handle]
+	if !ok {
+		return false
+	}
+	m.Node = r.node
+	return true
+}
+
+func (t *memberTable) adopt(now time.Time, r *memberRecord, m Member) (changed bool) {
 	changed = r.node != m.Node || r.suspect || r.heard.IsZero()
 	if r.node.Incarnation != m.Node.Incarnation && r.node.Incarnation != 0 {
 		r.retired = append(r.retired, r.node.Incarnation)
@@ -122,6 +130,11 @@
 	if changed {
 		r.relays = 0
 	}
+	if r.node != m.Node {
+		delete(t.handles, r.handle)
+		r.handle = handleOf(m.Node)
+		t.handles[r.handle] = r
+	}
 	r.node = m.Node
 	r.beat = m.Beat
 	r.heard = now
@@ -188,6 +201,7 @@
 }
 
 func (t *memberTable) remove(id domain.NodeID) {
+	delete(t.handles, t.records[id].handle)
 	delete(t.records, id)
 	if i, ok := slices.BinarySearch(t.order, id); ok {
 		t.order = slices.Delete(t.order, i, i+1)
@@ -274,11 +288,21 @@
 	return chosen
 }
 
+// handleOf returns a short name for a node's record in its present state.
+func handleOf(n domain.NodeRef) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	fmt.Fprintf(&d, "%s %d %s %s %s", n.ID, n.Incarnation, n.PeerAddress, n.CallerAddress, n.State)
+	return d.Sum64()
+}
+
 // relay returns up to n records: changed ones first, then the rotation.
 func (t *memberTable) relay(n int, to domain.NodeID) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	picked := t.changed(n, to)
+	picked := t.changed(n-1, to)
+	// One record in full spreads nodes that the VM list does not name yet.
+	full := false
 	for range t.order {
 		if len(picked) == n {
 			break
@@ -288,17 +312,34 @@
 		if r.heard.IsZero() || r.node.ID == to || r.relays < maxRelays {
 			continue
 		}
-		m := r.message()
-		if len(picked)%fullRotation != 0 {
-			m.Node.Place = domain.Place{}
-			m.Node.PeerAddress = ""
-			m.Node.CallerAddress = ""
+		m := Member{Handle: r.handle, Beat: r.beat, Suspect: r.suspect}
+		if !full {
+			m = r.message()
+			full = true
 		}
 		picked = append(picked, m)
 	}
 	return picked
 }
 
+// introduce returns the next n live records in turn, all in full.
+func (t *memberTable) introduce(n int, to domain.NodeID) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	picked := make([]Member, 0, n)
+	for range t.order {
+		if len(picked) == n {
+			break
+		}
+		t.nextOf = (t.nextOf + 1) % len(t.order)
+		r := t.records[t.order[t.nextOf]]
+		if !r.heard.IsZero() && !r.suspect && r.node.ID != to {
+			picked = append(picked, r.message())
+		}
+	}
+	return picked
+}
+
 func (t *memberTable) changed(n int, to domain.NodeID) []Member {
 	var fresh []*memberRecord
 	for _, id := range t.order {
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -18,10 +18,13 @@
 	Demands []LimitDemand
 }
 
-// Member is a node with its heartbeat counter. A relayed member without
-// addresses only refreshes a record that the receiver already holds.
+// Member is a node with its heartbeat counter.
 type Member struct {
+	// Node is empty if Handle is set.
 	Node domain.NodeRef
+	// Handle names, in place of Node, a record that the receiver should hold
+	// already; one that does not hold it ignores the member.
+	Handle uint64
 	// Beat grows by one a round. It starts at the process's start in Unix
 	// seconds, so that a restarted process outranks its predecessor.
 	Beat uint64
@@ -41,6 +44,7 @@
 
 // DomainLoad is a reading of one failure domain.
 type DomainLoad struct {
+	// Place has no region in a relayed reading without nodes.
 	Place domain.Place
 	// Sequence grows with each reading that the domain publishes.
 	Sequence uint64
