--- /dev/null
+++ b/adapters/telemetry/events_page_test.go
@@ -0,0 +1,41 @@
+package telemetry_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/crocusspread/crocusspread/core/event"
+)
+
+const eventsPage = "../../docs/EVENTS.md"
+
+func row(e event.Event) string { return fmt.Sprintf("| %d | `%s` | %s |", e.Number, e.Name, e.Help) }
+
+// TestEventsPageListsTheCatalogue holds docs/EVENTS.md and the catalogue
+// together.
+func TestEventsPageListsTheCatalogue(t *testing.T) {
+	text, err := os.ReadFile(eventsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := make(map[string]bool)
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "| ") && !strings.HasPrefix(line, "| number") && !strings.HasPrefix(line, "| ---") {
+			page[strings.TrimSpace(line)] = true
+		}
+	}
+	for i, e := range event.Catalogue() {
+		if !page[row(e)] {
+			t.Errorf("docs/EVENTS.md lacks: %s", row(e))
+		}
+		delete(page, row(e))
+		if i > 0 && event.Catalogue()[i-1].Number >= e.Number {
+			t.Errorf("event %d is out of order", e.Number)
+		}
+	}
+	for line := range page {
+		t.Errorf("docs/EVENTS.md has a row without an event: %s", line)
+	}
+}
