Bound platform calls and allow stale reads to be sent again

Cause: a read on a stale pooled connection failed although nothing was wrong with the platform, and no test showed that a silent platform is given up on.

Change: reads may be sent again by net/http on a fresh connection, writes may not. The contract suite runs in virtual time over in-memory connections, checks for leaked goroutines, and has cases for a silent platform and a stale connection. A watch returns whatever the platform sends; before, a stale watch of an absent key polled without a pause.

--- a/adapters/contract/platform_test.go
+++ b/adapters/contract/platform_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/platform"
@@ -14,11 +18,11 @@
 	"github.com/crocusspread/crocusspread/core/ports"
 )
 
-// hangBound only ends tests that would hang.
+// hangBound bounds each call of a test; in virtual time it costs nothing.
 const hangBound = 20 * time.Second
 
-// shortWait is how long a call waits where the test wants it to give up.
-const shortWait = 50 * time.Millisecond
+// pollWait is shorter than the watches of the tests, which so take many polls.
+const pollWait = 100 * time.Millisecond
 
 // platformPorts is what both the stand-in and the client offer.
 type platformPorts interface {
@@ -28,36 +32,23 @@
 	WeightStore() ports.WeightStore
 }
 
-// clock is moved by hand.
-type clock struct{ now chan time.Time }
-
-func newClock() *clock {
-	c := &clock{now: make(chan time.Time, 1)}
-	c.now <- time.Unix(1_000_000, 0)
-	return c
-}
-
-func (c *clock) read() time.Time {
-	t := <-c.now
-	c.now <- t
-	return t
-}
-
-func (c *clock) advance(d time.Duration) { c.now <- (<-c.now).Add(d) }
-
-// forPlatform runs a test against the stand-in and against the client.
+// forPlatform runs a test against the stand-in and against the client, in
+// virtual time.
 func forPlatform(t *testing.T, cfg platformsim.Config, test func(t *testing.T, p platformPorts, sim *platformsim.Sim)) {
 	t.Run("standin", func(t *testing.T) {
-		sim := platformsim.New(cfg)
-		test(t, sim, sim)
+		synctest.Test(t, func(t *testing.T) {
+			sim := platformsim.New(cfg)
+			test(t, sim, sim)
+		})
 	})
 	t.Run("http", func(t *testing.T) {
-		sim := platformsim.New(cfg)
-		server := httptest.NewServer(sim)
-		t.Cleanup(server.Close)
-		client := platform.New(server.URL, platform.Options{PollWait: shortWait})
-		t.Cleanup(client.Close)
-		test(t, client, sim)
+		synctest.Test(t, func(t *testing.T) {
+			sim := platformsim.New(cfg)
+			transport := &http.Transport{DialContext: serve(t, sim)}
+			client := platform.New("http://platform", platform.Options{PollWait: pollWait, Transport: transport})
+			t.Cleanup(client.Close)
+			test(t, client, sim)
+		})
 	})
 }
 
@@ -115,29 +106,28 @@
 func TestKVLeaseLapse(t *testing.T) {
 	for _, how := range []string{"lapsed", "revoked", "kept"} {
 		t.Run(how, func(t *testing.T) {
-			clk := newClock()
-			forPlatform(t, platformsim.Config{Now: clk.read}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
-				checkLease(t, p.KV(), clk, how)
+			forPlatform(t, platformsim.Config{}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
+				checkLease(t, p.KV(), how)
 			})
 		})
 	}
 }
 
-func checkLease(t *testing.T, store ports.KV, clk *clock, how string) {
+func checkLease(t *testing.T, store ports.KV, how string) {
 	ctx := testContext(t)
 	lease := must[ports.Lease](t)(store.GrantLease(ctx, 10*time.Second))
 	held := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "owner", 0, []byte("n"), lease.ID))
 	if held.Revision <= lease.Revision || lease.TTL != 10*time.Second {
 		t.Errorf("lease %+v, entry %+v", lease, held)
 	}
-	clk.advance(9 * time.Second)
+	time.Sleep(9 * time.Second)
 	if err := store.KeepAlive(ctx, lease.ID); err != nil {
 		t.Fatal(err)
 	}
-	clk.advance(9 * time.Second)
+	time.Sleep(9 * time.Second)
 	switch how {
 	case "lapsed":
-		clk.advance(time.Second)
+		time.Sleep(time.Second)
 	case "revoked":
 		if err := store.Revoke(ctx, lease.ID); err != nil {
 			t.Fatal(err)
@@ -174,14 +164,16 @@
 			e, _ := store.Watch(ctx, "k", first.Revision)
 			got <- e
 		}()
-		for sim.Count(platformsim.CallWatch) < 2 && ctx.Err() == nil {
-			time.Sleep(time.Millisecond)
-		}
+		time.Sleep(5 * pollWait)
+		synctest.Wait()
 		second := must[ports.KVEntry](t)(store.CompareAndSwap(ctx, "k", first.Revision, []byte("2"), 0))
+		if n := sim.Count(platformsim.CallWatch); n < 2 {
+			t.Errorf("%d watches counted", n)
+		}
 		if e := <-got; e.Revision != second.Revision {
 			t.Fatalf("watch returned %+v, want revision %d", e, second.Revision)
 		}
-		short, cancel := context.WithTimeout(ctx, 3*shortWait)
+		short, cancel := context.WithTimeout(ctx, 5*pollWait)
 		defer cancel()
 		_, err := store.Watch(short, "k", second.Revision)
 		wantKind(t, err, errkind.Timeout, domain.RunNo)
@@ -205,14 +197,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			forPlatform(t, platformsim.Config{}, func(t *testing.T, p platformPorts, sim *platformsim.Sim) {
 				sim.SetFaults(c.fault)
-				ctx := testContext(t)
-				if c.fault.Mode == platformsim.Silent {
-					short, cancel := context.WithTimeout(ctx, shortWait)
-					defer cancel()
-					ctx = short
-				}
-				_, readErr := p.KV().Get(ctx, "k")
-				_, writeErr := p.KV().CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+				_, readErr := p.KV().Get(testContext(t), "k")
+				_, writeErr := p.KV().CompareAndSwap(testContext(t), "k", 0, []byte("v"), 0)
 				checkFault(t, readErr, c.readRun)
 				checkFault(t, writeErr, c.writeRun)
 				sim.SetFaults()
@@ -253,6 +239,69 @@
 	})
 }
 
+// TestSilentPlatformIsBounded calls without a deadline of its own.
+func TestSilentPlatformIsBounded(t *testing.T) {
+	cases := []struct {
+		name string
+		call func(ctx context.Context, store ports.KV) error
+		want time.Duration
+	}{
+		{"get", func(ctx context.Context, store ports.KV) error {
+			_, err := store.Get(ctx, "k")
+			return err
+		}, time.Second},
+		{"watch", func(ctx context.Context, store ports.KV) error {
+			_, err := store.Watch(ctx, "k", 0)
+			return err
+		}, time.Second + pollWait},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hang := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					<-r.Context().Done()
+				})
+				o := platform.Options{CallTimeout: time.Second, PollWait: pollWait}
+				o.Transport = &http.Transport{DialContext: serve(t, hang)}
+				client := platform.New("http://platform", o)
+				t.Cleanup(client.Close)
+				began := time.Now()
+				err := c.call(testContext(t), client.KV())
+				wantKind(t, err, errkind.StoreUnavailable, domain.RunNo)
+				if took := time.Since(began); took != c.want {
+					t.Errorf("gave up after %v, want %v", took, c.want)
+				}
+			})
+		})
+	}
+}
+
+// TestStalePlatformConnection closes the pooled connection on the second call:
+// a read goes through on a fresh one, a write fails as unknown.
+func TestStalePlatformConnection(t *testing.T) {
+	sim := platformsim.New(platformsim.Config{})
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1)%3 == 2 {
+			panic(http.ErrAbortHandler)
+		}
+		sim.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	client := platform.New(server.URL, platform.Options{})
+	t.Cleanup(client.Close)
+	ctx := testContext(t)
+	must[ports.KVEntry](t)(client.KV().Get(ctx, "k"))
+	must[ports.KVEntry](t)(client.KV().Get(ctx, "k"))
+	must[ports.KVEntry](t)(client.KV().Get(ctx, "k"))
+	_, err := client.KV().CompareAndSwap(ctx, "k", 0, nil, 0)
+	wantKind(t, err, errkind.StoreUnavailable, domain.RunUnknown)
+	if n := sim.Count(platformsim.CallSwap); n != 0 {
+		t.Errorf("%d writes arrived, want none", n)
+	}
+}
+
 // TestUnreachablePlatform dials a port where nothing listens: not even a write
 // can have taken effect.
 func TestUnreachablePlatform(t *testing.T) {
@@ -264,11 +313,10 @@
 }
 
 func TestVMListLag(t *testing.T) {
-	clk := newClock()
 	vm := func(id string, fd domain.FailureDomain) ports.VM {
 		return ports.VM{ID: id, Role: ports.RoleEngine, Place: domain.Place{Region: "r", FailureDomain: fd}, Address: "127.0.0.1:1"}
 	}
-	cfg := platformsim.Config{Now: clk.read, VMLag: 5 * time.Second, VMs: []ports.VM{vm("a", "r-a"), vm("b", "r-b")}}
+	cfg := platformsim.Config{VMLag: 5 * time.Second, VMs: []ports.VM{vm("a", "r-a"), vm("b", "r-b")}}
 	forPlatform(t, cfg, func(t *testing.T, p platformPorts, sim *platformsim.Sim) {
 		ctx := testContext(t)
 		count := func(fd domain.FailureDomain) int { return len(must[[]ports.VM](t)(p.VMList().VMs(ctx, fd))) }
@@ -279,7 +327,7 @@
 		if count("") != 2 || count("r-a") != 1 || count("none") != 0 {
 			t.Errorf("before the lag: %d, %d, %d rows", count(""), count("r-a"), count("none"))
 		}
-		clk.advance(5 * time.Second)
+		time.Sleep(5 * time.Second)
 		rows := must[[]ports.VM](t)(p.VMList().VMs(ctx, ""))
 		if len(rows) != 1 || rows[0] != leaving {
 			t.Errorf("after the lag: %+v", rows)
@@ -288,8 +336,7 @@
 }
 
 func TestDirectoryExpiry(t *testing.T) {
-	clk := newClock()
-	forPlatform(t, platformsim.Config{Now: clk.read}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
+	forPlatform(t, platformsim.Config{}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
 		ctx, dir := testContext(t), p.Directory()
 		for _, node := range []domain.NodeID{"n1", "n2", "n1"} {
 			if err := dir.Announce(ctx, ports.DirectoryRecord{Node: node, Address: "127.0.0.1:1"}, time.Second); err != nil {
@@ -302,7 +349,7 @@
 		if r := must[[]ports.DirectoryRecord](t)(dir.Lookup(ctx)); len(r) != 1 || r[0].Node != "n1" {
 			t.Errorf("records %+v, want n1 alone", r)
 		}
-		clk.advance(time.Second)
+		time.Sleep(time.Second)
 		if r := must[[]ports.DirectoryRecord](t)(dir.Lookup(ctx)); len(r) != 0 {
 			t.Errorf("records outlived their time: %+v", r)
 		}
@@ -310,15 +357,14 @@
 }
 
 func TestWeightStoreRate(t *testing.T) {
-	clk := newClock()
-	forPlatform(t, platformsim.Config{Now: clk.read, ReservationsPerSecond: 2}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
+	forPlatform(t, platformsim.Config{ReservationsPerSecond: 2}, func(t *testing.T, p platformPorts, _ *platformsim.Sim) {
 		ctx := testContext(t)
 		for i, want := range []time.Duration{0, 500 * time.Millisecond, time.Second} {
 			if got := must[time.Duration](t)(p.WeightStore().Reserve(ctx, "m")); got != want {
 				t.Errorf("reservation %d waits %v, want %v", i, got, want)
 			}
 		}
-		clk.advance(5 * time.Second)
+		time.Sleep(5 * time.Second)
 		if got := must[time.Duration](t)(p.WeightStore().Reserve(ctx, "m")); got != 0 {
 			t.Errorf("after a pause: %v", got)
 		}
--- a/adapters/platform/client.go
+++ b/adapters/platform/client.go
@@ -119,6 +119,11 @@
 		return nil, errkind.New(errkind.Internal, "build %s: %w", path, err).WithRun(domain.RunNo)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if k == read {
+		// Lets net/http send the call again when a pooled connection proves
+		// stale; an empty list is not sent as a header.
+		req.Header["X-Idempotency-Key"] = []string{}
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, unavailable(k, path, err)
--- a/adapters/platform/kv.go
+++ b/adapters/platform/kv.go
@@ -49,10 +49,10 @@
 func (s kv) Watch(ctx context.Context, key string, after uint64) (ports.KVEntry, error) {
 	for ctx.Err() == nil {
 		e, err := s.poll(ctx, key, after)
-		if err == nil && e.Revision > 0 {
+		if err == nil {
 			return e, nil
 		}
-		if err != nil && !errors.Is(err, errkind.Of(errkind.Timeout)) && ctx.Err() == nil {
+		if !errors.Is(err, errkind.Of(errkind.Timeout)) && ctx.Err() == nil {
 			return ports.KVEntry{}, err
 		}
 	}
--- a/adapters/standin/platformsim/lists.go
+++ b/adapters/standin/platformsim/lists.go
@@ -65,7 +65,7 @@
 	return vms, nil
 }
 
-// visibleVMs drops the states that are over; the caller holds the lock.
+// visibleVMs returns the list as the lag shows it; the caller holds the lock.
 func (s *Sim) visibleVMs(stale bool) []ports.VM {
 	now := s.now()
 	at := 0
