Prove the upstream clients' guards and measure them

Cause: several guards of the upstream clients had no test that failed without them, a slow caller's upload could pass for a silent upstream, and a generation on a stale pooled connection failed though it may run twice.

Change: the head's bound stops while the caller's body is awaited; generations may be sent again on a stale connection; no User-Agent is added.

The lower-case spelling alone cannot fail a test, for the own connection already prevents a replay.

--- a/adapters/contract/engine_test.go
+++ b/adapters/contract/engine_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
@@ -29,11 +32,10 @@
 func newEngine(t *testing.T, cfg enginesim.Config, o upstream.Options) *engineUnderTest {
 	cfg.ID, cfg.Models = "e1", []string{testModel}
 	sim := enginesim.New(cfg)
-	server := httptest.NewServer(sim)
-	t.Cleanup(server.Close)
+	o.Dial = serve(t, sim)
 	client := upstream.NewEngine(o)
 	t.Cleanup(client.Close)
-	return &engineUnderTest{client, sim, domain.UpstreamRef{ID: "e1", Address: server.Listener.Addr().String()}}
+	return &engineUnderTest{client, sim, domain.UpstreamRef{ID: "e1", Address: "engine:80"}}
 }
 
 func generateRequest(id domain.RequestID, tokens int, stream bool) ports.GenerateRequest {
@@ -65,29 +67,33 @@
 }
 
 func TestEngineStreamIsWhole(t *testing.T) {
-	e := newEngine(t, enginesim.Config{}, upstream.Options{})
-	g := generateRequest("r1", 300, true)
-	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
-	defer s.Close()
-	got, err := readAll(s)
-	if err != nil || string(got) != transcript(t, e, g) {
-		t.Fatalf("%d bytes, error %v", len(got), err)
-	}
-	if n := s.(*upstream.EventStream).Events(); n != 301 {
-		t.Errorf("%d events, want 301", n)
-	}
-	if x := e.sim.Execution("r1"); x.Starts != 1 || x.Completed != 1 {
-		t.Errorf("execution %+v", x)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{}, upstream.Options{})
+		g := generateRequest("r1", 300, true)
+		s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
+		defer s.Close()
+		got, err := readAll(s)
+		if err != nil || string(got) != transcript(t, e, g) {
+			t.Fatalf("%d bytes, error %v", len(got), err)
+		}
+		if n := s.(*upstream.EventStream).Events(); n != 301 {
+			t.Errorf("%d events, want 301", n)
+		}
+		if x := e.sim.Execution("r1"); x.Starts != 1 || x.Completed != 1 {
+			t.Errorf("execution %+v", x)
+		}
+	})
 }
 
 func TestEngineDocumentIsWhole(t *testing.T) {
-	e := newEngine(t, enginesim.Config{}, upstream.Options{})
-	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 3, false)))
-	defer s.Close()
-	if got, err := readAll(s); err != nil || len(got) == 0 || s.Head().RanOn != "e1" {
-		t.Fatalf("%q, error %v, head %+v", got, err, s.Head())
-	}
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{}, upstream.Options{})
+		s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 3, false)))
+		defer s.Close()
+		if got, err := readAll(s); err != nil || len(got) == 0 || s.Head().RanOn != "e1" {
+			t.Fatalf("%q, error %v, head %+v", got, err, s.Head())
+		}
+	})
 }
 
 func TestEngineFaultsInMidAnswer(t *testing.T) {
@@ -104,40 +110,45 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			e := newEngine(t, enginesim.Config{}, upstream.Options{ProgressTimeout: shortWait})
-			e.sim.SetFaults(faults.Fault{Mode: c.mode, AfterEvents: 4, Times: 1})
-			g := generateRequest("r1", 10, c.stream)
-			s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
-			got, err := readAll(s)
-			s.Close()
-			wantKind(t, err, c.want, domain.RunUnknown)
-			if !c.stream {
-				return
-			}
-			g.ResumeAfter = s.(*upstream.EventStream).Events()
-			if g.ResumeAfter != 4 {
-				t.Errorf("%d events before the fault, want 4", g.ResumeAfter)
-			}
-			rest := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
-			defer rest.Close()
-			more, err := readAll(rest)
-			if err != nil || string(got)+string(more) != transcript(t, e, g) {
-				t.Errorf("resumed answer differs, error %v", err)
-			}
+			synctest.Test(t, func(t *testing.T) { checkMidAnswer(t, c.mode, c.stream, c.want) })
 		})
 	}
 }
 
-func TestEngineRefusals(t *testing.T) {
+func checkMidAnswer(t *testing.T, mode faults.Mode, stream bool, want errkind.Kind) {
 	e := newEngine(t, enginesim.Config{}, upstream.Options{})
-	e.sim.SetFaults(faults.Fault{Mode: faults.Refuse, Times: 1})
-	_, err := e.Generate(testContext(t), e.up, generateRequest("r1", 1, true))
-	wantKind(t, err, errkind.Overloaded, domain.RunNo)
+	e.sim.SetFaults(faults.Fault{Mode: mode, AfterEvents: 4, Times: 1})
+	g := generateRequest("r1", 10, stream)
+	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
+	got, err := readAll(s)
+	s.Close()
+	wantKind(t, err, want, domain.RunUnknown)
+	if !stream {
+		return
+	}
+	g.ResumeAfter = s.(*upstream.EventStream).Events()
+	if g.ResumeAfter != 4 {
+		t.Errorf("%d events before the fault, want 4", g.ResumeAfter)
+	}
+	rest := must[answer.Stream](t)(e.Generate(testContext(t), e.up, g))
+	defer rest.Close()
+	more, err := readAll(rest)
+	if err != nil || string(got)+string(more) != transcript(t, e, g) {
+		t.Errorf("resumed answer differs, error %v", err)
+	}
+}
 
-	gone := newEngine(t, enginesim.Config{}, upstream.Options{})
-	gone.up.Address = closedAddress()
-	_, err = gone.Generate(testContext(t), gone.up, generateRequest("r1", 1, true))
-	wantKind(t, err, errkind.UpstreamFailed, domain.RunNo)
+func TestEngineRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{}, upstream.Options{})
+		e.sim.SetFaults(faults.Fault{Mode: faults.Refuse, Times: 1})
+		_, err := e.Generate(testContext(t), e.up, generateRequest("r1", 1, true))
+		wantKind(t, err, errkind.Overloaded, domain.RunNo)
+
+		gone := upstream.NewEngine(upstream.Options{})
+		_, err = gone.Generate(testContext(t), domain.UpstreamRef{Address: closedAddress()}, generateRequest("r1", 1, true))
+		wantKind(t, err, errkind.UpstreamFailed, domain.RunNo)
+	})
 }
 
 func closedAddress() string {
@@ -149,99 +160,176 @@
 // TestEngineCloseCancels closes a stream in its midst and sees the engine
 // become free.
 func TestEngineCloseCancels(t *testing.T) {
-	e := newEngine(t, enginesim.Config{TimeScale: 1, DecodeTokensPerSecond: 1000}, upstream.Options{})
-	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1_000_000, true)))
-	if _, err := s.Next(); err != nil {
-		t.Fatal(err)
-	}
-	s.Close()
-	ctx := testContext(t)
-	for e.sim.Load().Running > 0 && ctx.Err() == nil {
-		time.Sleep(time.Millisecond)
-	}
-	if n := e.sim.Load().Running; n != 0 {
-		t.Errorf("%d generations still run", n)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{TimeScale: 1, DecodeTokensPerSecond: 1000}, upstream.Options{})
+		s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1_000_000, true)))
+		if _, err := s.Next(); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		synctest.Wait()
+		if n := e.sim.Load().Running; n != 0 {
+			t.Errorf("%d generations still run", n)
+		}
+	})
 }
 
-// TestEngineCancelOnSilentConnection cancels by request, as a connection that
-// something in between has lost would not tell the engine.
+// TestEngineCancel cancels by request, for a connection that something in
+// between has lost does not tell the engine.
 func TestEngineCancel(t *testing.T) {
-	e := newEngine(t, enginesim.Config{TimeScale: 1, DecodeTokensPerSecond: 1000}, upstream.Options{})
-	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1_000_000, true)))
-	defer s.Close()
-	if err := e.Cancel(testContext(t), e.up, "r1"); err != nil {
-		t.Fatal(err)
-	}
-	_, err := readAll(s)
-	wantKind(t, err, errkind.Truncated, domain.RunUnknown)
-	if x := e.sim.Execution("r1"); x.Cancels != 1 {
-		t.Errorf("execution %+v", x)
-	}
-	if err := e.Cancel(testContext(t), e.up, "unknown"); err != nil {
-		t.Errorf("cancel of an unknown request: %v", err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{TimeScale: 1, DecodeTokensPerSecond: 1000}, upstream.Options{})
+		s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1_000_000, true)))
+		defer s.Close()
+		if err := e.Cancel(testContext(t), e.up, "r1"); err != nil {
+			t.Fatal(err)
+		}
+		_, err := readAll(s)
+		wantKind(t, err, errkind.Truncated, domain.RunUnknown)
+		if x := e.sim.Execution("r1"); x.Cancels != 1 {
+			t.Errorf("execution %+v", x)
+		}
+		if err := e.Cancel(testContext(t), e.up, "unknown"); err != nil {
+			t.Errorf("cancel of an unknown request: %v", err)
+		}
+	})
 }
 
 func TestEngineOrdersAndFencing(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) {
-			e := newEngine(t, enginesim.Config{ChecksFencing: checks}, upstream.Options{})
-			ctx := testContext(t)
-			if err := e.Order(ctx, e.up, ports.EngineOrder{Models: []string{"x"}, Fencing: 7}); err != nil {
-				t.Fatal(err)
-			}
-			err := e.Order(ctx, e.up, ports.EngineOrder{Models: []string{"y"}, Fencing: 6})
-			want := "y"
-			if checks {
-				wantKind(t, err, errkind.Conflict, domain.RunNo)
-				want = "x"
-			}
-			if load := must[domain.LoadReport](t)(e.Load(ctx, e.up)); len(load.Models) != 1 || load.Models[0] != want {
-				t.Errorf("models %v, want %s", load.Models, want)
-			}
+			synctest.Test(t, func(t *testing.T) { checkFencing(t, checks) })
 		})
 	}
 }
 
-func TestEngineLoadLagAndLeaving(t *testing.T) {
-	clk := newClock()
-	e := newEngine(t, enginesim.Config{Now: clk.read, LoadLag: time.Second, TimeScale: 1}, upstream.Options{})
-	ctx, cancel := context.WithCancel(testContext(t))
-	defer cancel()
-	s := must[answer.Stream](t)(e.Generate(ctx, e.up, generateRequest("r1", 1000, true)))
-	defer s.Close()
-	if _, err := s.Next(); err != nil {
+func checkFencing(t *testing.T, checks bool) {
+	e := newEngine(t, enginesim.Config{ChecksFencing: checks}, upstream.Options{})
+	ctx := testContext(t)
+	if err := e.Order(ctx, e.up, ports.EngineOrder{Models: []string{"x"}, Fencing: 7}); err != nil {
 		t.Fatal(err)
 	}
-	if l := must[domain.LoadReport](t)(e.Load(ctx, e.up)); l.Running != 0 || l.Age != time.Second {
-		t.Errorf("before the lag: %+v", l)
+	err := e.Order(ctx, e.up, ports.EngineOrder{Models: []string{"y"}, Fencing: 6})
+	want := "y"
+	if checks {
+		wantKind(t, err, errkind.Conflict, domain.RunNo)
+		want = "x"
 	}
-	clk.advance(time.Second)
-	e.sim.SetFaults(faults.Fault{Mode: faults.Leave})
-	if l := must[domain.LoadReport](t)(e.Load(ctx, e.up)); l.Running != 1 || !l.Leaving {
-		t.Errorf("after the lag: %+v", l)
+	if load := must[domain.LoadReport](t)(e.Load(ctx, e.up)); len(load.Models) != 1 || load.Models[0] != want {
+		t.Errorf("models %v, want %s", load.Models, want)
 	}
 }
 
+func TestEngineLoadLagAndLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{LoadLag: time.Second, TimeScale: 1}, upstream.Options{})
+		ctx, cancel := context.WithCancel(testContext(t))
+		defer cancel()
+		s := must[answer.Stream](t)(e.Generate(ctx, e.up, generateRequest("r1", 1000, true)))
+		defer s.Close()
+		if _, err := s.Next(); err != nil {
+			t.Fatal(err)
+		}
+		if l := must[domain.LoadReport](t)(e.Load(ctx, e.up)); l.Running != 0 || l.Age != time.Second {
+			t.Errorf("before the lag: %+v", l)
+		}
+		time.Sleep(time.Second)
+		e.sim.SetFaults(faults.Fault{Mode: faults.Leave})
+		if l := must[domain.LoadReport](t)(e.Load(ctx, e.up)); l.Running != 1 || !l.Leaving {
+			t.Errorf("after the lag: %+v", l)
+		}
+	})
+}
+
 func TestEngineCacheEventsGapsAndEviction(t *testing.T) {
-	e := newEngine(t, enginesim.Config{BlockBytes: 2, CacheBlocks: 2, CacheEventGapEvery: 3}, upstream.Options{})
-	s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1, true)))
-	defer s.Close()
-	if _, err := readAll(s); err != nil {
-		t.Fatal(err)
-	}
-	events := must[[]ports.CacheEvent](t)(e.CacheEvents(testContext(t), e.up, 1))
-	evicted := 0
-	for _, ev := range events {
-		if ev.Sequence <= 1 || ev.Sequence%3 == 0 {
-			t.Errorf("event %d was to be left out", ev.Sequence)
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{BlockBytes: 2, CacheBlocks: 2, CacheEventGapEvery: 3}, upstream.Options{})
+		s := must[answer.Stream](t)(e.Generate(testContext(t), e.up, generateRequest("r1", 1, true)))
+		defer s.Close()
+		if _, err := readAll(s); err != nil {
+			t.Fatal(err)
+		}
+		events := must[[]ports.CacheEvent](t)(e.CacheEvents(testContext(t), e.up, 1))
+		evicted := 0
+		for _, ev := range events {
+			if ev.Sequence <= 1 || ev.Sequence%3 == 0 {
+				t.Errorf("event %d was to be left out", ev.Sequence)
+			}
+			if ev.Evicted {
+				evicted++
+			}
 		}
-		if ev.Evicted {
-			evicted++
+		if evicted == 0 {
+			t.Errorf("no eviction among %d events", len(events))
 		}
-	}
-	if evicted == 0 {
-		t.Errorf("no eviction among %d events", len(events))
+	})
+}
+
+// TestEngineQueueIsNotSilent waits in the queue for longer than the progress
+// bound: the engine's comments count as progress.
+func TestEngineQueueIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := enginesim.Config{Slots: 1, TimeScale: 1, DecodeTokensPerSecond: 10}
+		e := newEngine(t, cfg, upstream.Options{ProgressTimeout: 2 * time.Second})
+		ctx := t.Context()
+		first := must[answer.Stream](t)(e.Generate(ctx, e.up, generateRequest("r1", 100, true)))
+		second := must[answer.Stream](t)(e.Generate(ctx, e.up, generateRequest("r2", 5, true)))
+		defer first.Close()
+		defer second.Close()
+		done := make(chan error, 1)
+		go func() {
+			_, err := readAll(first)
+			done <- err
+		}()
+		got, err := readAll(second)
+		if err != nil || string(got) != transcript(t, e, generateRequest("r2", 5, true)) {
+			t.Errorf("queued generation: error %v", err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestEngineSlowReaderIsNotSilence reads so slowly that the engine blocks.
+func TestEngineSlowReaderIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, enginesim.Config{}, upstream.Options{})
+		g := generateRequest("r1", 10, true)
+		s := must[answer.Stream](t)(e.Generate(t.Context(), e.up, g))
+		defer s.Close()
+		var got []byte
+		chunk, err := s.Next()
+		for ; err == nil; chunk, err = s.Next() {
+			got = append(got, chunk...)
+			time.Sleep(time.Minute)
+		}
+		if err != io.EOF || string(got) != transcript(t, e, g) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+// TestEngineStaleConnection has the engine close the pooled connection: a
+// generation may be sent again, so the caller sees nothing of it.
+func TestEngineStaleConnection(t *testing.T) {
+	sim := enginesim.New(enginesim.Config{Models: []string{testModel}})
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 2 {
+			panic(http.ErrAbortHandler)
+		}
+		sim.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	client := upstream.NewEngine(upstream.Options{})
+	t.Cleanup(client.Close)
+	up := domain.UpstreamRef{Address: server.Listener.Addr().String()}
+	for _, id := range []domain.RequestID{"r1", "r2"} {
+		s := must[answer.Stream](t)(client.Generate(testContext(t), up, generateRequest(id, 1, false)))
+		if _, err := readAll(s); err != nil {
+			t.Error(err)
+		}
+		s.Close()
 	}
 }
--- a/adapters/contract/service_test.go
+++ b/adapters/contract/service_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/standin/faults"
 	"github.com/crocusspread/crocusspread/adapters/standin/servicesim"
@@ -31,6 +33,14 @@
 	return &serviceUnderTest{client, sim, domain.UpstreamRef{ID: "s1", Address: server.Listener.Addr().String()}}
 }
 
+// newMemService serves in memory, for tests in virtual time.
+func newMemService(t *testing.T) *serviceUnderTest {
+	sim := servicesim.New(servicesim.Config{ID: "s1"})
+	client := upstream.NewService(upstream.Options{Dial: serve(t, sim)})
+	t.Cleanup(client.Close)
+	return &serviceUnderTest{client, sim, domain.UpstreamRef{ID: "s1", Address: "service:80"}}
+}
+
 func serviceCall(id string, repeatable bool) ports.ServiceRequest {
 	return ports.ServiceRequest{
 		RequestID:   domain.RequestID(id),
@@ -64,6 +74,9 @@
 		if seen.RequestURI != "/vats/7%2F8?a=b" || seen.Header.Get("X-Hop") != "" {
 			t.Errorf("request %s, headers %v", seen.RequestURI, seen.Header)
 		}
+		if agent, ok := seen.Header["User-Agent"]; ok {
+			t.Errorf("user agent %q added", agent)
+		}
 		if seen.Header.Get("Idempotency-Key") != "k" || seen.Header.Get("X-Operation-Id") != "op" {
 			t.Errorf("headers %v", seen.Header)
 		}
@@ -86,14 +99,16 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := newService(t, upstream.Options{HeadTimeout: shortWait})
-			warm(t, s, c.repeatable)
-			s.sim.SetFaults(faults.Fault{Mode: c.mode, Times: 1})
-			_, err := s.Call(testContext(t), s.up, serviceCall("op", c.repeatable))
-			wantKind(t, err, c.want, domain.RunUnknown)
-			if n := s.sim.Count("op"); n != c.runs {
-				t.Errorf("ran %d times, want %d", n, c.runs)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				s := newMemService(t)
+				warm(t, s, c.repeatable)
+				s.sim.SetFaults(faults.Fault{Mode: c.mode, Times: 1})
+				_, err := s.Call(testContext(t), s.up, serviceCall("op", c.repeatable))
+				wantKind(t, err, c.want, domain.RunUnknown)
+				if n := s.sim.Count("op"); n != c.runs {
+					t.Errorf("ran %d times, want %d", n, c.runs)
+				}
+			})
 		})
 	}
 }
@@ -112,21 +127,26 @@
 // connection after it ran a call. Sent through the pooled transport with its
 // Idempotency-Key, the call would run twice and look like a success.
 func TestServiceStaleConnectionRunsOnce(t *testing.T) {
-	for _, body := range []string{"", "slot"} {
-		s := newService(t, upstream.Options{})
-		warm(t, s, true)
-		warm(t, s, false)
-		s.sim.SetFaults(faults.Fault{Mode: faults.CloseAfterRun, Times: 1})
-		call := serviceCall("op", false)
-		call.Body = nil
-		if body != "" {
-			call.Body = strings.NewReader(body)
-		}
-		_, err := s.Call(testContext(t), s.up, call)
-		if n := s.sim.Count("op"); n != 1 {
-			t.Errorf("body %q: ran %d times, want 1", body, n)
-		}
-		wantKind(t, err, errkind.UpstreamFailed, domain.RunUnknown)
+	cases := []struct{ method, body string }{
+		{http.MethodPost, ""}, {http.MethodPost, "slot"}, {http.MethodGet, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.method+" "+c.body, func(t *testing.T) {
+			s := newService(t, upstream.Options{})
+			warm(t, s, true)
+			warm(t, s, false)
+			s.sim.SetFaults(faults.Fault{Mode: faults.CloseAfterRun, Times: 1})
+			call := serviceCall("op", false)
+			call.Method, call.Body = c.method, nil
+			if c.body != "" {
+				call.Body = strings.NewReader(c.body)
+			}
+			_, err := s.Call(testContext(t), s.up, call)
+			if n := s.sim.Count("op"); n != 1 {
+				t.Errorf("ran %d times, want 1", n)
+			}
+			wantKind(t, err, errkind.UpstreamFailed, domain.RunUnknown)
+		})
 	}
 }
 
@@ -169,3 +189,38 @@
 		t.Errorf("load %+v", l)
 	}
 }
+
+// slowBody gives its bytes one at a time, each after a delay.
+type slowBody struct {
+	left  string
+	delay time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == "" {
+		return 0, io.EOF
+	}
+	time.Sleep(b.delay)
+	n := copy(p[:1], b.left)
+	b.left = b.left[n:]
+	return n, nil
+}
+
+// TestServiceSlowCallerIsNotSilence uploads for longer than the head may take.
+func TestServiceSlowCallerIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		client := upstream.NewService(upstream.Options{Dial: server, HeadTimeout: time.Second})
+		t.Cleanup(client.Close)
+		call := serviceCall("op", false)
+		call.Body = &slowBody{left: "slot", delay: 3 * time.Second}
+		stream := must[answer.Stream](t)(client.Call(t.Context(), domain.UpstreamRef{Address: "service:80"}, call))
+		defer stream.Close()
+		if _, err := readAll(stream); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/adapters/upstream/engine.go
+++ b/adapters/upstream/engine.go
@@ -64,6 +64,7 @@
 		return nil, errkind.New(errkind.Internal, "build request: %w", err).WithRun(domain.RunNo)
 	}
 	setGenerateHeaders(req.Header, g)
+	allowReplay(req.Header)
 	o := e.o
 	if !g.Stream {
 		o.HeadTimeout = o.WholeTimeout
--- a/adapters/upstream/exchange.go
+++ b/adapters/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,9 @@
 	silent   atomic.Bool
 	gotConn  atomic.Bool
 	resp     *http.Response
+
+	mu       sync.Mutex // guards headDone and the timer until then
+	headDone bool
 }
 
 // start sends the request and waits for the head of its answer.
@@ -37,8 +41,11 @@
 		x.silent.Store(true)
 		x.cancel()
 	})
+	if req.Body != nil && req.Body != http.NoBody && req.GetBody == nil {
+		req.Body = &upload{ReadCloser: req.Body, x: x, limit: o.HeadTimeout}
+	}
 	resp, err := rt.RoundTrip(req)
-	x.timer.Stop()
+	x.endHead()
 	if err != nil {
 		x.cancel()
 		return nil, x.headError(err)
@@ -47,6 +54,38 @@
 	return x, nil
 }
 
+// upload is a streamed request body. While it waits for the caller, the
+// upstream is not the one to be late.
+type upload struct {
+	io.ReadCloser
+	x     *exchange
+	limit time.Duration
+}
+
+// Read implements io.Reader.
+func (u *upload) Read(p []byte) (int, error) {
+	u.x.whileHead(func(t *time.Timer) { t.Stop() })
+	n, err := u.ReadCloser.Read(p)
+	u.x.whileHead(func(t *time.Timer) { t.Reset(u.limit) })
+	return n, err
+}
+
+// whileHead changes the timer if the head has not arrived.
+func (x *exchange) whileHead(change func(*time.Timer)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.headDone {
+		change(x.timer)
+	}
+}
+
+func (x *exchange) endHead() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.headDone = true
+	x.timer.Stop()
+}
+
 // Read reads the answer's body under the progress bound.
 func (x *exchange) Read(p []byte) (int, error) {
 	x.timer.Reset(x.progress)
--- a/adapters/upstream/headers.go
+++ b/adapters/upstream/headers.go
@@ -45,3 +45,7 @@
 		h[strings.ToLower(name)] = values
 	}
 }
+
+// allowReplay lets net/http send a request again when a pooled connection
+// proves stale. An empty list is not sent as a header.
+func allowReplay(h http.Header) { h[replayNames[1]] = []string{} }
--- a/adapters/upstream/service.go
+++ b/adapters/upstream/service.go
@@ -59,6 +59,9 @@
 	}
 	req.URL.Path, req.URL.RawPath, req.URL.RawQuery = path, call.Path, call.Query
 	req.Header = EndToEnd(call.Header)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header.Set("User-Agent", "") // keeps net/http from adding its own
+	}
 	req.Header.Set(HeaderRequestID, string(call.RequestID))
 	if call.OperationID != "" {
 		req.Header.Set(HeaderOperationID, string(call.OperationID))
