--- a/adapters/standin/enginesim/generate.go
+++ b/adapters/standin/enginesim/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -139,8 +140,7 @@
 	if !g.await(t) {
 		return false
 	}
-	seconds := float64(left) / g.sim.cfg.PrefillTokensPerSecond
-	return g.pause(g.sim.scaled(time.Duration(seconds * float64(time.Second))))
+	return g.pause(g.sim.scaled(workTime(left, g.sim.cfg.PrefillTokensPerSecond)))
 }
 
 // pause waits and sends comments meanwhile.
@@ -157,9 +157,14 @@
 	return g.ctx.Err() == nil
 }
 
+// workTime returns the time that tokens take at a speed in tokens a second.
+func workTime(tokens int, speed float64) time.Duration {
+	return time.Duration(math.Round(float64(tokens) / speed * float64(time.Second)))
+}
+
 // tokenTime returns the time that one token takes.
 func (g *generation) tokenTime() time.Duration {
-	d := g.sim.scaled(time.Duration(float64(time.Second) / g.sim.cfg.DecodeTokensPerSecond))
+	d := g.sim.scaled(workTime(1, g.sim.cfg.DecodeTokensPerSecond))
 	slow, _ := g.effects.Find(faults.Slow)
 	return d + slow.Delay
 }
