--- a/core/routing/builder.go
+++ b/core/routing/builder.go
@@ -27,13 +27,17 @@
 	Running, Waiting, Slots, OthersInFlight int
 	// OthersSinceReport is how OthersInFlight changed since the load report.
 	OthersSinceReport int
-	// QueuedTokens is prompt work ahead of a new request, in tokens.
+	// QueuedTokens is the prompt work ahead of a new request that is not this
+	// node's own, in tokens.
 	QueuedTokens           int
 	PrefillTokensPerSecond float64
 	DecodeTokensPerSecond  float64
 	CostPerMillionTokens   float64
 	// SlowStart is the usable share of the capacity, 0 to 1; zero means 1.
 	SlowStart float64
+	// Preferred is set for the upstreams that this node takes first among equals,
+	// so that the domain's nodes keep out of each other's way.
+	Preferred bool
 	// Prefixes are hashes of prompt prefixes thought to be cached.
 	Prefixes []uint64
 	// Own may be nil.
@@ -45,8 +49,6 @@
 	Place     domain.Place
 	Reachable bool
 	RoundTrip time.Duration
-	// SlowStart is the usable share of the capacity, 0 to 1; zero means 1.
-	SlowStart float64
 	// Link may be nil for "not budgeted".
 	Link    *LinkBudget
 	Targets []DomainTarget
@@ -166,6 +168,7 @@
 		decode:       orDefault(u.DecodeTokensPerSecond, defaultDecodeTokensPerSecond),
 		cost:         u.CostPerMillionTokens,
 		key:          xxhash.Sum64String(string(u.Ref.ID)),
+		preferred:    u.Preferred,
 		prefixes:     u.Prefixes,
 		own:          u.Own,
 	}
@@ -189,7 +192,7 @@
 		state:     domain.UpstreamLive,
 		reachable: d.Reachable && t.Slots > 0,
 		weight:    float64(max(t.Upstreams, 1)),
-		slots:     float64(max(t.Slots, defaultSlots)) * share(d.SlowStart),
+		slots:     float64(max(t.Slots, defaultSlots)),
 		busy:      float64(t.Slots - t.Free),
 		wait:      t.Wait.Seconds(),
 		roundTrip: d.RoundTrip.Seconds(),
--- a/core/routing/estimate.go
+++ b/core/routing/estimate.go
@@ -10,7 +10,8 @@
 		c := s.Candidate
 		requests, tokens := c.load()
 		uncached := prompt
-		if c.cached(v.Request.PrefixHash) {
+		s.Cached = c.cached(v.Request.PrefixHash)
+		if s.Cached {
 			uncached = max(prompt-float64(v.Request.PrefixTokens), 0)
 		}
 		service := prompt/c.prefill + output/c.decode
--- /dev/null
+++ b/core/routing/policies_test.go
@@ -0,0 +1,149 @@
+package routing_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/routing"
+)
+
+// variant is a policy under measurement.
+type variant struct {
+	name string
+	// ownWork and othersWork correct the lagging reports.
+	ownWork, othersWork bool
+	policy              func(routing.Profile) routing.Policy
+}
+
+func tuned(change func(*routing.Tuning)) func(routing.Profile) routing.Policy {
+	return func(p routing.Profile) routing.Policy {
+		t, err := p.Tuning()
+		if err != nil {
+			panic(err)
+		}
+		change(&t)
+		return t.Policy()
+	}
+}
+
+func variants() []variant {
+	keep := func(*routing.Tuning) {}
+	all := []variant{
+		{"full", true, true, tuned(keep)},
+		{"without_own_work", false, true, tuned(keep)},
+		{"without_others_work", true, false, tuned(keep)},
+		{"without_affinity", true, true, tuned(func(t *routing.Tuning) { t.AffinityShare = 0 })},
+		{"without_gate", true, true, tuned(func(t *routing.Tuning) { t.GateStart, t.GateStop = 0, 0 })},
+		{"without_hysteresis", true, true, tuned(func(t *routing.Tuning) { t.GateStop = t.GateStart })},
+		{"without_preferred", true, true, tuned(func(t *routing.Tuning) { t.PreferredSeconds = 0 })},
+		{"without_two_near", true, true, tuned(func(t *routing.Tuning) { t.NearRatio, t.NearWithin = 0, 0 })},
+	}
+	for i, b := range routing.Baselines() {
+		fresh := func(routing.Profile) routing.Policy { return routing.BaselinePolicy(routing.Baselines()[i]) }
+		all = append(all, variant{b.Name(), true, true, fresh})
+	}
+	return all
+}
+
+func grachtwerk() fleet {
+	return fleet{
+		name: "grachtwerk", engines: [3]int{10, 6, 2}, slots: [3]int{16, 16, 8}, cost: [3]float64{1, 0.8, 1.6},
+		demand: [3]float64{0.55, 0.35, 0.1}, oneWay: 55 * time.Millisecond, bytesPerSec: 140e6 / 8,
+		nodesByDomain: 3, profile: routing.ProfileLatency,
+	}
+}
+
+func rodopa() fleet {
+	return fleet{
+		name: "rodopa", engines: [3]int{5, 4, 3}, slots: [3]int{16, 16, 16}, cost: [3]float64{1, 2, 0.8},
+		demand: [3]float64{0.45, 0.3, 0.25}, oneWay: 55 * time.Millisecond, bytesPerSec: 2000e6 / 8,
+		nodesByDomain: 3, profile: routing.ProfileCost,
+	}
+}
+
+// condition is what happens to a fleet; demand are requests over capacity.
+type condition struct {
+	name   string
+	load   float64
+	demand *[3]float64
+	lose   bool
+	// refuse turns requests away whose predicted first token is late.
+	refuse bool
+}
+
+func conditions() []condition {
+	hot := [3]float64{0.3, 0.25, 0.45}
+	return []condition{
+		{name: "steady", load: 0.6},
+		{name: "hot_domain", load: 0.6, demand: &hot},
+		{name: "lost_and_returned", load: 0.6, lose: true},
+		{name: "overload", load: 3, refuse: true},
+	}
+}
+
+func measure(f fleet, c condition, v variant, seed uint64) result {
+	m := newModel(f, v, seed)
+	m.refuseLate = c.refuse
+	demand := f.demand
+	if c.demand != nil {
+		demand = *c.demand
+	}
+	for i := range m.sites {
+		rate := m.slotRate() * c.load * demand[i]
+		m.arrive(i, func() float64 { return rate })
+	}
+	if c.lose {
+		m.losing(m.sites[lostSite])
+	}
+	m.run(duration)
+	return m.result
+}
+
+func (r *result) quantile(q float64) time.Duration {
+	if len(r.firstTokens) == 0 {
+		return 0
+	}
+	slices.Sort(r.firstTokens)
+	return r.firstTokens[int(q*float64(len(r.firstTokens)-1))]
+}
+
+func BenchmarkPolicies(b *testing.B) {
+	for _, f := range []fleet{grachtwerk(), rodopa()} {
+		for _, c := range conditions() {
+			for _, v := range variants() {
+				b.Run(f.name+"/"+c.name+"/"+v.name, func(b *testing.B) { benchmarkPolicy(b, f, c, v) })
+			}
+		}
+	}
+}
+
+const seeds = 8
+
+func benchmarkPolicy(b *testing.B, f fleet, c condition, v variant) {
+	var total result
+	for b.Loop() {
+		total = result{}
+		for seed := range uint64(seeds) {
+			total.add(measure(f, c, v, seed+1))
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(total.quantile(0.5).Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(total.quantile(0.99).Milliseconds()), "p99-ms")
+	b.ReportMetric(total.cost/1000/float64(max(total.started, 1)), "cost/1k")
+	b.ReportMetric(100*float64(total.away)/float64(max(total.started, 1)), "away-%")
+	b.ReportMetric(float64(total.inTime)/seeds/(duration-warmUp).Seconds(), "good/s")
+	b.ReportMetric(100*float64(total.refused)/float64(max(total.offered, 1)), "refused-%")
+}
+
+func (r *result) add(o result) {
+	r.firstTokens = append(r.firstTokens, o.firstTokens...)
+	r.offered += o.offered
+	r.inTime += o.inTime
+	r.away += o.away
+	r.started += o.started
+	r.cost += o.cost
+	r.refused += o.refused
+	r.lost += o.lost
+}
--- /dev/null
+++ b/core/routing/policy_test.go
@@ -0,0 +1,153 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+func chosen(t *testing.T, s *Snapshot, d Decision) string {
+	t.Helper()
+	switch d.Action {
+	case ActionLocal:
+		return string(s.Upstream(d.Upstream).Ref.ID)
+	case ActionForward:
+		return string(s.Domain(d.Domain).Place.FailureDomain)
+	}
+	return string(d.Kind)
+}
+
+func TestScorersPreferTheBetterPlace(t *testing.T) {
+	cases := []struct {
+		name    string
+		a, b    func(*Upstream)
+		request func(*Request)
+		want    string
+	}{
+		{"full slots", func(u *Upstream) { u.Running = 6 }, nil, nil, "b"},
+		{"queued prompts", nil, func(u *Upstream) { u.QueuedTokens = 5000 }, nil, "a"},
+		{"own pending prompt", func(u *Upstream) { u.Own.Start(5000) }, nil, nil, "b"},
+		{"others in flight", nil, func(u *Upstream) { u.OthersInFlight = 8 }, nil, "a"},
+		{"others since the report", nil, func(u *Upstream) { u.OthersSinceReport = 8 }, nil, "a"},
+		{"cached prefix", nil, func(u *Upstream) { u.Prefixes = []uint64{3, 42} }, func(r *Request) { r.PrefixHash, r.PrefixTokens = 42, 900 }, "b"},
+		{"slow start", func(u *Upstream) { u.SlowStart, u.Running = 0.1, 1 }, func(u *Upstream) { u.Running = 1 }, nil, "b"},
+		{"price", func(u *Upstream) { u.CostPerMillionTokens = 1000 }, nil, nil, "b"},
+		{"another node's first choice", func(u *Upstream) { u.Preferred = true }, nil, nil, "a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := build(t, []Upstream{testUpstream("a", c.a), testUpstream("b", c.b)})
+			req := request(s, "sofia")
+			if c.request != nil {
+				c.request(&req)
+			}
+			for seed := range uint64(20) {
+				req.Seed = seed
+				if got := chosen(t, s, latencyRouter(t).Decide(s, &req, testTime)); got != c.want {
+					t.Fatalf("seed %d: chose %q, want %q", seed, got, c.want)
+				}
+			}
+		})
+	}
+}
+
+func TestHomeIsWorthItsDelay(t *testing.T) {
+	s := build(t, []Upstream{testUpstream("a", nil)}, testDomain(nil))
+	req := request(s, "sofia", "frankfurt")
+	req.Home = "frankfurt"
+	if got := chosen(t, s, latencyRouter(t).Decide(s, &req, testTime)); got != "frankfurt-b" {
+		t.Fatalf("chose %q", got)
+	}
+}
+
+func TestAffinityLeavesAnOverloadedOwner(t *testing.T) {
+	a := AffinityScorer{Bound: 1.25, Share: 1}
+	s := build(t, []Upstream{testUpstream("a", nil), testUpstream("b", nil), testUpstream("c", nil)})
+	scored := make([]Scored, 3)
+	for i := range scored {
+		scored[i].Candidate = &s.lists[0].candidates[i]
+	}
+	const prefix = 99
+	first := a.owner(scored, prefix)
+	if again := a.owner(scored, prefix); again != first {
+		t.Fatalf("owner moved from %d to %d", first, again)
+	}
+	scored[first].Load = 3
+	if moved := a.owner(scored, prefix); moved == first || moved < 0 {
+		t.Fatalf("owner %d stays at three times the others' load", moved)
+	}
+}
+
+func TestGateHoldsWithinItsHysteresis(t *testing.T) {
+	steps := []struct {
+		gain float64
+		want bool
+	}{{0.05, false}, {0.15, true}, {0.05, true}, {0.01, false}, {0.05, false}}
+	g := NewGate(100*time.Millisecond, 20*time.Millisecond)
+	for i, st := range steps {
+		got := g.sendAway(testTarget, st.gain)
+		g.record(testTarget, got)
+		if got != st.want {
+			t.Fatalf("step %d: gain %v sent away %v", i, st.gain, got)
+		}
+	}
+	if g.sendAway(domain.Target{Name: "other"}, 0.05) {
+		t.Error("another target shares the state")
+	}
+}
+
+func TestNearEqualsAreSpread(t *testing.T) {
+	s := build(t, []Upstream{testUpstream("a", nil), testUpstream("b", nil), testUpstream("c", func(u *Upstream) { u.Running = 9 })})
+	req := request(s, "sofia")
+	r := latencyRouter(t)
+	seen := make(map[string]int)
+	for seed := range uint64(200) {
+		req.Seed = seed
+		seen[chosen(t, s, r.Decide(s, &req, testTime))]++
+	}
+	if seen["a"] < 50 || seen["b"] < 50 || seen["c"] > 0 {
+		t.Fatalf("%v", seen)
+	}
+}
+
+func TestChooseNodeBoundsLoad(t *testing.T) {
+	nodes := []NodeLoad{{Key: HashKey("n1")}, {Key: HashKey("n2")}, {Key: HashKey("n3")}}
+	if ChooseNode(1, nil, 1.25) != -1 {
+		t.Error("chose among no nodes")
+	}
+	const forwards = 300
+	for range forwards {
+		nodes[ChooseNode(7, nodes, 1.25)].InFlight++
+	}
+	for i, n := range nodes {
+		if n.InFlight > forwards*125/300+1 {
+			t.Errorf("node %d has %d of %d", i, n.InFlight, forwards)
+		}
+	}
+}
+
+func TestLinkBudgetRefills(t *testing.T) {
+	l := NewLinkBudget(1000, 2*time.Second)
+	l.Take(testTime, 3000)
+	for _, c := range []struct {
+		after time.Duration
+		want  int64
+	}{{0, -1000}, {time.Second, 0}, {2 * time.Second, 1000}, {time.Minute, 2000}} {
+		if got := l.Left(testTime.Add(c.after)); got != c.want {
+			t.Errorf("after %v: %d bytes left, want %d", c.after, got, c.want)
+		}
+	}
+}
+
+func TestBaselinesPickByTheirRule(t *testing.T) {
+	s := build(t, []Upstream{testUpstream("busy", func(u *Upstream) { u.Running = 12 })}, testDomain(func(d *Domain) { d.RoundTrip = 2 * time.Second }))
+	req := request(s, "sofia", "frankfurt")
+	want := map[string]string{"least_in_flight": "frankfurt-b", "nearest": "busy", "fastest": "frankfurt-b"}
+	for _, p := range Baselines() {
+		got := chosen(t, s, New(BaselinePolicy(p)).Decide(s, &req, testTime))
+		if w := want[p.Name()]; w != "" && got != w {
+			t.Errorf("%s chose %q, want %q", p.Name(), got, w)
+		}
+	}
+}
--- a/core/routing/profile.go
+++ b/core/routing/profile.go
@@ -20,7 +20,8 @@
 // Tuning holds the weights of a Policy.
 type Tuning struct {
 	CostSecondsPerUnit float64
-	AwaySeconds        float64
+	HomeSeconds        float64
+	PreferredSeconds   float64
 	AffinityBound      float64
 	AffinityShare      float64
 	NearWithin         time.Duration
@@ -32,19 +33,21 @@
 // Tuning returns the weights of the profile; kind bad_request if unknown.
 func (p Profile) Tuning() (Tuning, error) {
 	t := Tuning{
-		AffinityBound: 1.25,
-		AffinityShare: 0.5,
-		NearWithin:    5 * time.Millisecond,
-		NearRatio:     0.1,
+		AffinityBound:    1.25,
+		AffinityShare:    1,
+		PreferredSeconds: 0.1,
+		NearWithin:       5 * time.Millisecond,
+		NearRatio:        0.1,
 	}
 	switch p {
 	case ProfileLatency:
 		t.CostSecondsPerUnit = 1
+		t.HomeSeconds = 0.25
 		t.GateStart = 100 * time.Millisecond
 		t.GateStop = 20 * time.Millisecond
 	case ProfileCost:
 		t.CostSecondsPerUnit = 20
-		t.AwaySeconds = 0.3
+		t.HomeSeconds = 0.75
 		t.GateStart = 500 * time.Millisecond
 		t.GateStop = 200 * time.Millisecond
 	default:
@@ -73,8 +76,9 @@
 		Scorers: []Scorer{
 			LatencyScorer{Weight: 1},
 			AffinityScorer{Bound: t.AffinityBound, Share: t.AffinityShare},
+			PreferredScorer{Seconds: t.PreferredSeconds},
 			CostScorer{SecondsPerUnit: t.CostSecondsPerUnit},
-			AwayScorer{Seconds: t.AwaySeconds},
+			HomeScorer{Seconds: t.HomeSeconds},
 		},
 		Picker: NearPicker{Within: t.NearWithin, Ratio: t.NearRatio},
 		Gate:   NewGate(t.GateStart, t.GateStop),
--- a/core/routing/rendezvous.go
+++ b/core/routing/rendezvous.go
@@ -7,8 +7,8 @@
 	mixB = 0x94d049bb133111eb
 )
 
-// rendezvous returns the rank of key for item; the highest rank owns the item.
-func rendezvous(item, key uint64) uint64 {
+// Rendezvous returns the rank of key for item; the highest rank owns the item.
+func Rendezvous(item, key uint64) uint64 {
 	x := item ^ key
 	x = (x ^ x>>30) * mixA
 	x = (x ^ x>>27) * mixB
@@ -37,7 +37,7 @@
 	limit := int(bound*float64(total)/float64(max(len(nodes), 1))) + 1
 	owner, best := -1, uint64(0)
 	for i := range nodes {
-		if h := rendezvous(item, nodes[i].Key); nodes[i].InFlight < limit && h >= best {
+		if h := Rendezvous(item, nodes[i].Key); nodes[i].InFlight < limit && h >= best {
 			owner, best = i, h
 		}
 	}
--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -23,8 +23,7 @@
 	Priority  int
 	// Deadline is when the first token is due; zero for none.
 	Deadline time.Time
-	// Home is the preferred region; empty for none. Running there never counts
-	// as sent away.
+	// Home is the preferred region; empty for none.
 	Home domain.Region
 	// ExcludedUpstreams and ExcludedDomains were tried already.
 	ExcludedUpstreams []domain.UpstreamID
--- a/core/routing/score_affinity.go
+++ b/core/routing/score_affinity.go
@@ -1,7 +1,9 @@
 package routing
 
 // AffinityScorer draws requests with one prompt prefix to one own upstream, the
-// highest by rendezvous hashing whose load is within Bound times the mean.
+// highest by rendezvous hashing whose load is within Bound times the mean. It
+// rests while an upstream within that bound has the prefix cached: the predicted
+// time draws there already.
 type AffinityScorer struct {
 	// Bound is the largest load relative to the mean, at least 1.
 	Bound float64
@@ -36,7 +38,10 @@
 	bound := a.Bound*total/float64(len(scored)) + loadSlack
 	owner, best := -1, uint64(0)
 	for i := range scored {
-		if h := rendezvous(prefix, scored[i].Candidate.key); scored[i].Load <= bound && h >= best {
+		if scored[i].Cached && scored[i].Load <= bound {
+			return -1
+		}
+		if h := Rendezvous(prefix, scored[i].Candidate.key); scored[i].Load <= bound && h >= best {
 			owner, best = i, h
 		}
 	}
--- a/core/routing/snapshot.go
+++ b/core/routing/snapshot.go
@@ -50,6 +50,7 @@
 	prefill, decode float64
 	cost            float64
 	key             uint64
+	preferred       bool
 	prefixes        []uint64
 	own             *OwnWork
 	link            *LinkBudget
@@ -84,7 +85,7 @@
 func (c *Candidate) load() (requests, tokens float64) {
 	inFlight, delta, pending := c.own.read()
 	requests = max(c.busy+delta, inFlight+c.others, 0)
-	tokens = max(c.queuedTokens+pending, 0)
+	tokens = c.queuedTokens + max(pending, 0)
 	return requests, tokens
 }
 
--- a/core/routing/work.go
+++ b/core/routing/work.go
@@ -8,18 +8,18 @@
 type OwnWork struct {
 	inFlight      atomic.Int64
 	inFlightDelta atomic.Int64
-	pendingDelta  atomic.Int64
+	pending       atomic.Int64
 }
 
 // Start counts a dispatch of a prompt of the given length, in tokens.
 func (w *OwnWork) Start(promptTokens int) {
 	w.inFlight.Add(1)
 	w.inFlightDelta.Add(1)
-	w.pendingDelta.Add(int64(promptTokens))
+	w.pending.Add(int64(promptTokens))
 }
 
 // FirstToken counts a prompt as prefilled.
-func (w *OwnWork) FirstToken(promptTokens int) { w.pendingDelta.Add(-int64(promptTokens)) }
+func (w *OwnWork) FirstToken(promptTokens int) { w.pending.Add(-int64(promptTokens)) }
 
 // End counts a dispatch as over.
 func (w *OwnWork) End() {
@@ -27,19 +27,19 @@
 	w.inFlightDelta.Add(-1)
 }
 
-// Rebase states how much in flight (requests) and pending (prompt tokens)
-// changed since the moment that the newest load report describes.
-func (w *OwnWork) Rebase(inFlightDelta, pendingDelta int) {
-	w.inFlightDelta.Store(int64(inFlightDelta))
-	w.pendingDelta.Store(int64(pendingDelta))
-}
+// Rebase states how the number of requests in flight changed since the moment
+// that the newest load report describes.
+func (w *OwnWork) Rebase(inFlightDelta int) { w.inFlightDelta.Store(int64(inFlightDelta)) }
 
 // InFlight returns the number of this node's requests in flight.
 func (w *OwnWork) InFlight() int { return int(w.inFlight.Load()) }
 
+// PendingTokens returns the prompt tokens dispatched and not yet prefilled.
+func (w *OwnWork) PendingTokens() int { return int(w.pending.Load()) }
+
 func (w *OwnWork) read() (inFlight, delta, pending float64) {
 	if w == nil {
 		return 0, 0, 0
 	}
-	return float64(w.inFlight.Load()), float64(w.inFlightDelta.Load()), float64(w.pendingDelta.Load())
+	return float64(w.inFlight.Load()), float64(w.inFlightDelta.Load()), float64(w.pending.Load())
 }
--- a/core/upstreams/aggregate.go
+++ b/core/upstreams/aggregate.go
@@ -9,7 +9,8 @@
 	"github.com/crocusspread/crocusspread/core/routing"
 )
 
-const meanServiceTokens = 300
+// meanOutputTokens is the answer length that the expected wait assumes.
+const meanOutputTokens = 300
 
 // TargetAggregate is what other failure domains learn about one target here.
 // Targets that share upstreams each count them whole.
@@ -60,7 +61,7 @@
 	if u.State != domain.UpstreamLive {
 		return
 	}
-	e := u.Estimate(meanServiceTokens)
+	e := u.Estimate(meanOutputTokens)
 	s.upstreams++
 	s.slots += e.Slots
 	s.cost += e.Slots * u.CostPerMillionTokens
--- a/core/upstreams/domains.go
+++ b/core/upstreams/domains.go
@@ -28,12 +28,9 @@
 	sequence  uint64
 	reading   time.Time
 	reachable bool
-	lostAt    time.Time
-	// returnedAt starts the slow start; zero for none.
-	returnedAt time.Time
-	roundTrip  time.Duration
-	link       *routing.LinkBudget
-	targets    map[domain.Target]*otherTarget
+	roundTrip time.Duration
+	link      *routing.LinkBudget
+	targets   map[domain.Target]*otherTarget
 }
 
 type otherTarget struct {
@@ -81,7 +78,6 @@
 	}
 	o.sequence = sequence
 	o.reading = now.Add(-age)
-	o.noteReturn(now, a)
 	for _, t := range o.targets {
 		t.load = TargetAggregate{Target: t.load.Target}
 	}
@@ -93,32 +89,6 @@
 	return true
 }
 
-// noteReturn starts the slow start of a domain whose capacity was lost.
-func (o *otherDomain) noteReturn(now time.Time, a Aggregate) {
-	if len(o.targets) == 0 {
-		return
-	}
-	if totalSlots(a) > 0 && o.slots() == 0 {
-		o.returnedAt = now
-	}
-}
-
-func totalSlots(a Aggregate) int {
-	n := 0
-	for i := range a.Targets {
-		n += a.Targets[i].Slots
-	}
-	return n
-}
-
-func (o *otherDomain) slots() int {
-	n := 0
-	for _, t := range o.targets {
-		n += t.load.Slots
-	}
-	return n
-}
-
 func (o *otherDomain) target(t domain.Target) *otherTarget {
 	ot, ok := o.targets[t]
 	if !ok {
@@ -128,20 +98,13 @@
 	return ot
 }
 
-// SetReachable says if a node of the domain answers. A domain that was away for
-// longer than Options.SlowStart returns by slow start: its caches are cold.
-func (d *Domains) SetReachable(now time.Time, place domain.Place, reachable bool, roundTrip time.Duration) {
+// SetReachable says if a node of the domain answers, and how far it is.
+func (d *Domains) SetReachable(place domain.Place, reachable bool, roundTrip time.Duration) {
 	o := d.getOrAdd(place)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.roundTrip = roundTrip
-	if o.reachable && !reachable {
-		o.lostAt = now
-	}
-	if !o.reachable && reachable && !o.lostAt.IsZero() && now.Sub(o.lostAt) > d.options.SlowStart {
-		o.returnedAt = now
-	}
 	o.reachable = reachable
+	o.roundTrip = roundTrip
 }
 
 // SetLink sets the budget of the link to the domain's region; nil for none.
@@ -188,7 +151,7 @@
 	d.mu.RLock()
 	var all []routing.Domain
 	for _, o := range d.byName {
-		all = append(all, o.routing(now, d.options))
+		all = append(all, o.routing(now))
 	}
 	d.mu.RUnlock()
 	slices.SortFunc(all, func(a, b routing.Domain) int {
@@ -199,14 +162,13 @@
 	}
 }
 
-func (o *otherDomain) routing(now time.Time, opts Options) routing.Domain {
+func (o *otherDomain) routing(now time.Time) routing.Domain {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := routing.Domain{
 		Place:     o.place,
 		Reachable: o.reachable,
 		RoundTrip: o.roundTrip,
-		SlowStart: rampShare(o.returnedAt, now, opts.SlowStart),
 		Link:      o.link,
 	}
 	for _, t := range o.targets {
--- a/core/upstreams/journal.go
+++ b/core/upstreams/journal.go
@@ -25,20 +25,17 @@
 type journal struct {
 	own     *routing.OwnWork
 	changes []change
-	pending int
 }
 
 func newJournal() journal { return journal{own: new(routing.OwnWork)} }
 
 func (j *journal) start(now time.Time, promptTokens int) {
 	j.own.Start(promptTokens)
-	j.pending += promptTokens
 	j.add(change{at: now, inFlight: 1, pending: promptTokens})
 }
 
 func (j *journal) firstToken(now time.Time, promptTokens int) {
 	j.own.FirstToken(promptTokens)
-	j.pending -= promptTokens
 	j.add(change{at: now, pending: -promptTokens})
 }
 
@@ -62,12 +59,14 @@
 	}
 }
 
-// rebase restates own work as changes after the moment of a load reading.
-func (j *journal) rebase(reading time.Time) {
+// rebase restates own requests as changes after the moment of a load reading. It
+// returns the prompt tokens that were pending at that moment.
+func (j *journal) rebase(reading time.Time) (pendingThen int) {
 	inFlight, pending := 0, 0
 	for i := len(j.changes) - 1; i >= 0 && j.changes[i].at.After(reading); i-- {
 		inFlight += j.changes[i].inFlight
 		pending += j.changes[i].pending
 	}
-	j.own.Rebase(inFlight, pending)
+	j.own.Rebase(inFlight)
+	return j.own.PendingTokens() - pending
 }
--- a/core/upstreams/options.go
+++ b/core/upstreams/options.go
@@ -19,9 +19,11 @@
 
 // Options configure a Tracker and a Domains. Zero fields get defaults.
 type Options struct {
+	// Node is the node's own id.
+	Node domain.NodeID
 	// Place is the node's own; only upstreams there are tracked.
 	Place domain.Place
-	// SlowStart is how long a returned upstream or domain takes to full share.
+	// SlowStart is how long a returned upstream takes to full share.
 	SlowStart time.Duration
 	// EjectAfter is the number of consecutive failures that make a suspect.
 	EjectAfter int
--- a/core/upstreams/peers.go
+++ b/core/upstreams/peers.go
@@ -22,6 +22,7 @@
 
 type peerCount struct {
 	inFlight int
+	pending  int
 	at       time.Time
 }
 
@@ -40,8 +41,8 @@
 
 func newPeers() peers { return peers{byNode: make(map[domain.NodeID]peerCount)} }
 
-func (p *peers) observe(node domain.NodeID, inFlight int, now time.Time, ttl time.Duration) {
-	p.byNode[node] = peerCount{inFlight: inFlight, at: now}
+func (p *peers) observe(node domain.NodeID, load PeerLoad, now time.Time, ttl time.Duration) {
+	p.byNode[node] = peerCount{inFlight: load.InFlight, pending: load.PendingTokens, at: now}
 	if len(p.samples) >= maxSamples {
 		p.samples = append(p.samples[:0], p.samples[1:]...)
 	}
@@ -50,6 +51,16 @@
 
 func (p *peers) forget(node domain.NodeID) { delete(p.byNode, node) }
 
+// backlog returns the others' pending prompt tokens, less what the upstream has
+// prefilled since their heartbeats at speed, in tokens a second.
+func (p *peers) backlog(now time.Time, speed float64) float64 {
+	total := 0.0
+	for _, c := range p.byNode {
+		total += max(float64(c.pending)-speed*now.Sub(c.at).Seconds(), 0)
+	}
+	return total
+}
+
 func (p *peers) inFlight(now time.Time, ttl time.Duration) int {
 	total := 0
 	for node, c := range p.byNode {
--- a/core/upstreams/tracker.go
+++ b/core/upstreams/tracker.go
@@ -131,7 +131,7 @@
 	}
 	t.each(func(_ *shard, u *upstream) {
 		l := byID[u.ref.ID]
-		u.others.observe(node, l.InFlight, now, t.options.PeerTTL)
+		u.others.observe(node, l, now, t.options.PeerTTL)
 		if l.Leaving {
 			u.leave()
 		}
@@ -151,7 +151,7 @@
 		l := PeerLoad{
 			Upstream:      u.ref.ID,
 			InFlight:      u.work.own.InFlight(),
-			PendingTokens: max(u.work.pending, 0),
+			PendingTokens: max(u.work.own.PendingTokens(), 0),
 			Leaving:       u.state() == domain.UpstreamLeaving,
 			Suspect:       u.state() == domain.UpstreamSuspect,
 		}
--- a/core/upstreams/upstream.go
+++ b/core/upstreams/upstream.go
@@ -30,6 +30,8 @@
 	// reading is the moment that the report describes.
 	reading time.Time
 	report  domain.LoadReport
+	// backlog is the report's prompt tokens that were not this node's own.
+	backlog int
 	work    journal
 	others  peers
 
@@ -74,7 +76,7 @@
 	u.reading = reading
 	u.report = rep
 	u.report.Models = slices.Clone(rep.Models)
-	u.work.rebase(reading)
+	u.backlog = max(rep.QueuedTokens-u.work.rebase(reading), 0)
 	u.others.rebase(reading)
 	if u.engine && len(rep.Models) > 0 {
 		u.ref.Target = domain.Target{Kind: domain.TargetModel, Name: rep.Models[0]}
@@ -101,14 +103,10 @@
 
 // slowStart returns the usable share of the capacity.
 func (u *upstream) slowStart(now time.Time, ramp time.Duration) float64 {
-	return rampShare(u.liveSince, now, ramp)
-}
-
-func rampShare(since, now time.Time, ramp time.Duration) float64 {
-	if since.IsZero() {
+	if u.liveSince.IsZero() {
 		return 1
 	}
-	return min(max(now.Sub(since).Seconds()/ramp.Seconds(), minSlowStartShare), 1)
+	return min(max(now.Sub(u.liveSince).Seconds()/ramp.Seconds(), minSlowStartShare), 1)
 }
 
 func (u *upstream) remember(prefix uint64) {
@@ -124,6 +122,31 @@
 	u.prefixes[prefix] = struct{}{}
 }
 
+// preferredBy tells if this node is the one of its domain's that the upstream
+// falls to by rendezvous hashing.
+func (u *upstream) preferredBy(now time.Time, o Options) bool {
+	item := routing.HashKey(string(u.ref.ID))
+	own := routing.Rendezvous(item, routing.HashKey(string(o.Node)))
+	for node, c := range u.others.byNode {
+		if now.Sub(c.at) <= o.PeerTTL && routing.Rendezvous(item, routing.HashKey(string(node))) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// othersBacklog estimates the prompt tokens ahead that are not this node's own:
+// the report and the heartbeats lag, and the upstream prefills meanwhile, unless
+// prompts waited for a slot.
+func (u *upstream) othersBacklog(now time.Time) int {
+	speed := u.report.PrefillTokensPerSecond
+	reported := float64(u.backlog)
+	if u.report.Waiting == 0 {
+		reported -= speed * now.Sub(u.reading).Seconds()
+	}
+	return int(max(reported, u.others.backlog(now, speed), 0))
+}
+
 func (u *upstream) routing(now time.Time, o Options) routing.Upstream {
 	prefixes := make([]uint64, 0, len(u.prefixes))
 	for p := range u.prefixes {
@@ -138,10 +161,11 @@
 		Slots:                  u.report.Slots,
 		OthersInFlight:         u.others.inFlight(now, o.PeerTTL),
 		OthersSinceReport:      u.others.sinceReading(now, o.PeerTTL),
-		QueuedTokens:           u.report.QueuedTokens,
+		QueuedTokens:           u.othersBacklog(now),
 		PrefillTokensPerSecond: u.report.PrefillTokensPerSecond,
 		DecodeTokensPerSecond:  u.report.DecodeTokensPerSecond,
 		CostPerMillionTokens:   u.report.CostPerMillionTokens,
+		Preferred:              u.preferredBy(now, o),
 		SlowStart:              u.slowStart(now, o.SlowStart),
 		Prefixes:               prefixes,
 		Own:                    u.work.own,
