--- a/core/operations/executor_test.go
+++ b/core/operations/executor_test.go
@@ -168,6 +168,13 @@
 	}
 }
 
+func TestOldTombstoneDoesNotForgetRunningAttempt(t *testing.T) {
+	e := newExecutor(t, executorSizes)
+	refuse(t, admit(t, e, attemptOf("i", 1, 1), origin))
+	admit(t, e, attemptOf("i", 1, 2), at(time.Second))
+	wantOutcome(t, e, attemptOf("i", 1, 2), at(time.Minute), OutcomeRunning)
+}
+
 func TestExecutorMemoryBound(t *testing.T) {
 	e := newExecutor(t, executorSizes)
 	for n := range executorSizes.MaxRecords {
--- a/core/operations/interleaving_test.go
+++ b/core/operations/interleaving_test.go
@@ -11,7 +11,10 @@
 	"github.com/crocusspread/crocusspread/core/errkind"
 )
 
-const tick = time.Second
+const (
+	tick   = time.Second
+	latest = 4 // things of each sort that steps choose from
+)
 
 // operationModel is what the world knows of one operation.
 type operationModel struct {
@@ -52,10 +55,12 @@
 	admissions  []admitted
 }
 
+// pick chooses one of the latest things.
 func pick[T any](t *rapid.T, from []T, label string) T {
 	if len(from) == 0 {
 		t.Skip("nothing to pick")
 	}
+	from = from[max(0, len(from)-latest):]
 	return from[rapid.IntRange(0, len(from)-1).Draw(t, label)]
 }
 
--- a/core/operations/issuer_test.go
+++ b/core/operations/issuer_test.go
@@ -1,12 +1,10 @@
 package operations
 
 import (
-	"context"
 	"errors"
-	"io"
+	"flag"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -27,7 +25,15 @@
 	}
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain fixes the seed and the length of the random tests; flags override it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "60"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
 
 func at(d time.Duration) time.Time { return origin.Add(d) }
 
@@ -56,41 +62,6 @@
 	}
 }
 
-func dispatchWithHead(t testing.TB, r *Run) {
-	t.Helper()
-	if _, err := r.Dispatch(executorA, origin); err != nil {
-		t.Fatal(err)
-	}
-	if err := r.WriteHead(answer.Head{Status: 200}); err != nil {
-		t.Fatal(err)
-	}
-}
-
-func write(t testing.TB, r *Run, chunk string) {
-	t.Helper()
-	if err := r.WriteChunk([]byte(chunk)); err != nil {
-		t.Fatal(err)
-	}
-}
-
-func readAll(ctx context.Context, d *Reader) (string, error) {
-	s, err := d.Open(ctx)
-	if err != nil {
-		return "", err
-	}
-	var b strings.Builder
-	for {
-		p, err := s.Next()
-		if err == io.EOF {
-			return b.String(), nil
-		}
-		if err != nil {
-			return b.String(), err
-		}
-		b.Write(p)
-	}
-}
-
 func TestForgedOrForeignID(t *testing.T) {
 	i := newIssuer(t, smallSizes)
 	id := string(i.Issue(customer, at(time.Second)))
@@ -272,136 +243,27 @@
 	wantKind(t, r.Refused(), errkind.Internal, domain.RunUnknown)
 }
 
-func TestRepeatsReadWholeAnswerWhileRunning(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		i := newIssuer(t, smallSizes)
-		id := i.Issue(customer, origin)
-		r := mustRun(t, i, id, origin)
-		results := make(chan string)
-		read := func(d *Reader) {
-			text, err := readAll(t.Context(), d)
-			d.Close()
-			if err != nil {
-				text = err.Error()
-			}
-			results <- text
-		}
-		join := func() *Reader {
-			b, err := i.Begin(id, customer, 1, origin)
-			if err != nil || b.Join == nil {
-				t.Fatalf("Begin = %+v, %v", b, err)
-			}
-			return b.Join.Reader()
-		}
-		go read(r.Reader())
-		go read(join())
-		slow := join() // reads only after the end
-		dispatchWithHead(t, r)
-		synctest.Wait()
-		write(t, r, "one ")
-		go read(join())
-		write(t, r, "two")
-		if err := r.Complete(origin); err != nil {
-			t.Fatal(err)
-		}
-		go read(slow)
-		go read(join())
-		for range 5 {
-			if got := <-results; got != "one two" {
-				t.Errorf("read %q", got)
-			}
-		}
-	})
-}
-
-func TestAnswerTooLargeReachesFirstCallerOnly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		i := newIssuer(t, smallSizes)
-		id := i.Issue(customer, origin)
-		r := mustRun(t, i, id, origin)
-		b, err := i.Begin(id, customer, 1, origin)
-		if err != nil {
-			t.Fatal(err)
-		}
-		repeat, first := b.Join.Reader(), r.Reader()
-		chunk := strings.Repeat("x", 1<<10)
-		const chunks = 300
-		done := make(chan error)
-		go func() {
-			dispatchWithHead(t, r)
-			for range chunks {
-				write(t, r, chunk)
-			}
-			done <- r.Complete(origin)
-		}()
-		synctest.Wait()
-		if kept := i.KeptBytes(); kept > holdBackBytes+smallSizes.MaxAnswerBytes {
-			t.Errorf("holds %d bytes for a stalled first caller", kept)
-		}
-		_, err = readAll(t.Context(), repeat)
-		wantKind(t, err, errkind.AnswerNotKept, domain.RunUnknown)
-		got, err := readAll(t.Context(), first)
-		if err != nil || len(got) != chunks*len(chunk) {
-			t.Errorf("first caller read %d bytes, %v", len(got), err)
-		}
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-		_, err = i.Begin(id, customer, 1, origin)
-		wantKind(t, err, errkind.AnswerNotKept, domain.RunYes)
-		first.Close()
-		repeat.Close()
-		if kept := i.KeptBytes(); kept != 0 {
-			t.Errorf("%d bytes kept", kept)
-		}
-	})
-}
-
-func TestGoneFirstCallerDoesNotStallLargeAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		i := newIssuer(t, smallSizes)
-		r := mustRun(t, i, i.Issue(customer, origin), origin)
-		first := r.Reader()
-		done := make(chan struct{})
+func TestConcurrentRepeatsStartOneRun(t *testing.T) {
+	i := newIssuer(t, smallSizes)
+	id := i.Issue(customer, origin)
+	const repeats = 32
+	began := make(chan Began)
+	for range repeats {
 		go func() {
-			dispatchWithHead(t, r)
-			for range 300 {
-				write(t, r, strings.Repeat("x", 1<<10))
+			b, err := i.Begin(id, customer, 1, origin)
+			if err != nil {
+				t.Error(err)
 			}
-			close(done)
+			began <- b
 		}()
-		synctest.Wait()
-		first.Close()
-		<-done
-	})
-}
-
-func TestMemoryBoundKeepsNewestAnswers(t *testing.T) {
-	c := smallSizes
-	c.MaxRecords = 100
-	i := newIssuer(t, c)
-	var ids []domain.OperationID
-	for range 20 {
-		id := i.Issue(customer, origin)
-		r := mustRun(t, i, id, origin)
-		dispatchWithHead(t, r)
-		write(t, r, strings.Repeat("x", 2<<10))
-		if err := r.Complete(origin); err != nil {
-			t.Fatal(err)
-		}
-		ids = append(ids, id)
-		if kept := i.KeptBytes(); kept > c.MaxTotalBytes {
-			t.Fatalf("keeps %d bytes", kept)
-		}
 	}
-	_, err := i.Begin(ids[0], customer, 1, origin)
-	wantKind(t, err, errkind.AnswerNotKept, domain.RunYes)
-	if b, err := i.Begin(ids[19], customer, 1, origin); err != nil || b.Join == nil {
-		t.Fatalf("Begin = %+v, %v", b, err)
+	runs := 0
+	for range repeats {
+		if (<-began).Run != nil {
+			runs++
+		}
 	}
-	if kept := i.Expire(at(time.Hour)); kept != 0 || i.KeptBytes() != 0 {
-		t.Fatalf("after expiry %d records, %d bytes", kept, i.KeptBytes())
+	if runs != 1 {
+		t.Fatalf("%d runs", runs)
 	}
-	_, err = i.Begin(ids[19], customer, 1, at(time.Hour))
-	wantKind(t, err, errkind.OperationExpired, domain.RunUnknown)
 }
--- /dev/null
+++ b/core/operations/transitions_test.go
@@ -0,0 +1,143 @@
+package operations
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+const (
+	transitionsFile = "../../spec/operations.transitions"
+	specification   = "../../spec/operations.pml"
+)
+
+// readTransitions returns the next state by "state event".
+func readTransitions(t *testing.T) map[string]string {
+	t.Helper()
+	text, err := os.ReadFile(transitionsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := make(map[string]string)
+	for line := range strings.Lines(string(text)) {
+		f := strings.Fields(line)
+		if len(f) == 3 && f[0] != "#" {
+			rows[f[0]+" "+f[1]] = f[2]
+		}
+	}
+	return rows
+}
+
+// operationAt is one operation of an issuer, brought to a state.
+type operationAt struct {
+	issuer *Issuer
+	id     domain.OperationID
+	run    *Run
+}
+
+func (o *operationAt) state() State {
+	s := o.issuer.shards[0]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.records[1]; ok {
+		return r.State()
+	}
+	return Issued
+}
+
+// apply drives the public interface by one event.
+func (o *operationAt) apply(e Event) error {
+	if o.run == nil && e != Start && e != Burn {
+		return burnedError() // nobody holds a run
+	}
+	switch e {
+	case Start:
+		b, err := o.issuer.Begin(o.id, customer, 1, origin)
+		if b.Run != nil {
+			o.run = b.Run
+		}
+		return err
+	case Dispatch:
+		_, err := o.run.Dispatch(executorA, origin)
+		return err
+	case Refuse:
+		return o.run.Refused()
+	case Complete:
+		_ = o.run.WriteHead(answer.Head{})
+		return o.run.Complete(origin)
+	case Lose:
+		return o.run.Lost(nil, origin)
+	}
+	if o.run != nil {
+		return o.run.NotRun(nil, origin)
+	}
+	_, err := o.issuer.Status(o.id, customer, origin)
+	return err
+}
+
+var pathsToStates = map[State][]Event{
+	Issued:     nil,
+	Started:    {Start},
+	Dispatched: {Start, Dispatch},
+	Done:       {Start, Dispatch, Complete},
+	NotRun:     {Start, Burn},
+	Unknown:    {Start, Dispatch, Lose},
+}
+
+func TestTransitionsEqualSpecification(t *testing.T) {
+	rows := readTransitions(t)
+	if len(rows) != len(transitions) {
+		t.Errorf("%d rows in the file, %d in the table", len(rows), len(transitions))
+	}
+	for from, path := range pathsToStates {
+		for e := range Event(len(eventNames)) {
+			name := from.String() + " " + e.String()
+			want, allowed := rows[name]
+			t.Run(name, func(t *testing.T) {
+				i := newIssuer(t, smallSizes)
+				o := &operationAt{issuer: i, id: i.Issue(customer, origin)}
+				for _, step := range path {
+					if err := o.apply(step); err != nil {
+						t.Fatal(err)
+					}
+				}
+				runs := o.run
+				err := o.apply(e)
+				if allowed && (err != nil || o.state().String() != want) {
+					t.Fatalf("to %s, %v, want %s", o.state(), err, want)
+				}
+				if !allowed && (o.state() != from || o.run != runs) {
+					t.Fatalf("moved to %s without a row", o.state())
+				}
+				if !allowed && e != Start && err == nil {
+					t.Fatal("accepted without a row")
+				}
+			})
+		}
+	}
+}
+
+func TestSpecificationUsesTheSameRows(t *testing.T) {
+	text, err := os.ReadFile(specification)
+	if err != nil {
+		t.Fatal(err)
+	}
+	used := make(map[string]string)
+	for _, m := range regexp.MustCompile(`MOVE\((\w+), (\w+), (\w+)\)`).FindAllStringSubmatch(string(text), -1) {
+		used[m[1]+" "+m[2]] = m[3]
+	}
+	delete(used, "from event") // the macro itself
+	for name, to := range readTransitions(t) {
+		if used[name] != to {
+			t.Errorf("specification has %q to %q, the table %q", name, used[name], to)
+		}
+		delete(used, name)
+	}
+	for name := range used {
+		t.Errorf("the specification has a row more: %s", name)
+	}
+}
