--- a/core/membership/domains.go
+++ b/core/membership/domains.go
@@ -19,8 +19,9 @@
 	maxReadings = 6
 	// detailed bounds those among them that carry targets.
 	detailed = 3
-	// newsAfter is the growth of a reading's time that is passed on as a change.
-	newsAfter = 2 * time.Second
+	// newsPerDomain, times the number of domains, is the growth of a reading's
+	// time that is passed on as a change; less would crowd each other out.
+	newsPerDomain = 250 * time.Millisecond
 	// detailEvery is the number of heartbeats of which one carries the nodes
 	// of a domain.
 	detailEvery = 4
@@ -114,7 +115,7 @@
 	if heard.After(r.heard) {
 		r.heard = heard
 	}
-	if heard.Sub(r.told) > newsAfter {
+	if heard.Sub(r.told) > newsPerDomain*time.Duration(len(t.order)) {
 		r.told = heard
 		r.turn.relays = 0
 	}
--- /dev/null
+++ b/core/membership/fleet_test.go
@@ -0,0 +1,145 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// testFleet connects groups in memory, with explicit time.
+type testFleet struct {
+	t      *testing.T
+	now    time.Time
+	groups map[domain.NodeID]*Group
+	order  []domain.NodeID
+	vms    []ports.VM
+	// down nodes neither run rounds nor answer.
+	down map[domain.NodeID]bool
+	// cut tells if two failure domains cannot reach each other.
+	cut func(a, b domain.FailureDomain) bool
+}
+
+func newTestFleet(t *testing.T, domains, nodes int) *testFleet {
+	f := &testFleet{
+		t:      t,
+		now:    start,
+		groups: make(map[domain.NodeID]*Group),
+		down:   make(map[domain.NodeID]bool),
+		cut:    func(a, b domain.FailureDomain) bool { return false },
+	}
+	for d := range domains {
+		for n := range nodes {
+			f.vms = append(f.vms, testVM(d, n))
+		}
+	}
+	for _, vm := range f.vms {
+		f.start(vm, 1)
+	}
+	return f
+}
+
+func testVM(d, n int) ports.VM {
+	fd := domain.FailureDomain(fmt.Sprintf("fd%d", d))
+	return ports.VM{
+		ID:      fmt.Sprintf("%s-n%02d", fd, n),
+		Role:    ports.RoleEntry,
+		Place:   domain.Place{Region: domain.Region(fmt.Sprintf("r%d", d)), FailureDomain: fd},
+		Address: fmt.Sprintf("10.0.%d.%d:1", d, n),
+	}
+}
+
+func testRef(vm ports.VM, inc domain.Incarnation) domain.NodeRef {
+	return domain.NodeRef{
+		ID: domain.NodeID(vm.ID), Incarnation: inc, Place: vm.Place,
+		PeerAddress: vm.Address, CallerAddress: vm.Address, State: domain.NodeServing,
+	}
+}
+
+// start starts a process for vm that knows the VM list.
+func (f *testFleet) start(vm ports.VM, inc domain.Incarnation) *Group {
+	g := New(DefaultConfig(testRef(vm, inc)), f.now)
+	g.SetVMs(f.now, f.vms)
+	id := domain.NodeID(vm.ID)
+	if !slices.Contains(f.order, id) {
+		f.order = append(f.order, id)
+	}
+	f.groups[id] = g
+	return g
+}
+
+// at returns the group that answers at an address.
+func (f *testFleet) at(address string) (domain.NodeID, *Group) {
+	for id, g := range f.groups {
+		if g.cfg.Self.PeerAddress == address && !f.down[id] {
+			return id, g
+		}
+	}
+	return "", nil
+}
+
+func (f *testFleet) round() {
+	f.now = f.now.Add(time.Second)
+	for _, id := range f.order {
+		if !f.down[id] {
+			f.beat(id)
+		}
+	}
+}
+
+func (f *testFleet) beat(id domain.NodeID) {
+	g := f.groups[id]
+	for _, out := range g.Beat(f.now) {
+		_, to := f.at(out.To.PeerAddress)
+		if to == nil || f.cut(g.cfg.Self.Place.FailureDomain, to.cfg.Self.Place.FailureDomain) {
+			g.Failed(f.now, out.To)
+			continue
+		}
+		reply := to.Receive(f.now, out.Message)
+		g.Replied(f.now.Add(8*time.Millisecond), out.To, f.now, reply)
+	}
+}
+
+func (f *testFleet) rounds(n int) {
+	for range n {
+		f.round()
+	}
+}
+
+// waitFor runs rounds until done, at most limit.
+func (f *testFleet) waitFor(limit int, what string, done func() bool) int {
+	f.t.Helper()
+	for n := range limit {
+		if done() {
+			return n
+		}
+		f.round()
+	}
+	if !done() {
+		f.t.Fatalf("%s: not so after %d rounds", what, limit)
+	}
+	return limit
+}
+
+func (f *testFleet) seesLive(at, id domain.NodeID) bool {
+	return slices.ContainsFunc(f.groups[at].View().Own, func(n domain.NodeRef) bool { return n.ID == id })
+}
+
+// allSee tells if every running node of id's domain sees it as wanted.
+func (f *testFleet) allSee(id domain.NodeID, live bool) bool {
+	fd := f.groups[id].cfg.Self.Place.FailureDomain
+	for other, g := range f.groups {
+		if other == id || f.down[other] || g.cfg.Self.Place.FailureDomain != fd {
+			continue
+		}
+		if f.seesLive(other, id) != live {
+			return false
+		}
+	}
+	return true
+}
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -82,11 +82,11 @@
 	if m.Handle != 0 && !t.resolve(&m) {
 		return false
 	}
-	r, known := t.records[m.Node.ID]
+	_, known := t.records[m.Node.ID]
 	if !known && (m.Suspect || m.Beat <= t.dead[m.Node.ID].beat) {
 		return false
 	}
-	r = t.ensure(m.Node.ID)
+	r := t.ensure(m.Node.ID)
 	if slices.Contains(r.retired, m.Node.Incarnation) {
 		return false
 	}
