Tell other nodes an address of their own and count forwards

A node behind address translation is reached at another address than it listens on, so settings take listen.advertised_peer. The counters forwards.sent and forwards.received show how often requests travel between nodes; a test that looks for loops needs both.

--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -56,7 +56,10 @@
 	CallerAddress string
 	PeerAddress   string
 	AdminAddress  string
-	Profile       routing.Profile
+	// AdvertisedPeer is where other nodes reach PeerAddress; empty if they reach it
+	// directly.
+	AdvertisedPeer string
+	Profile        routing.Profile
 	// CallerTLS secures the callers' listener; nil for clear text.
 	CallerTLS *tls.Config
 	// PeerServerTLS and PeerClientTLS secure the connections between nodes.
@@ -87,6 +90,14 @@
 	Log       event.Logger
 }
 
+// advertisedPeer returns the peer address that other nodes are told.
+func (c *Config) advertisedPeer() string {
+	if c.AdvertisedPeer != "" {
+		return c.AdvertisedPeer
+	}
+	return c.PeerAddress
+}
+
 func serverCredentials(c *tls.Config) credentials.TransportCredentials {
 	if c == nil {
 		return insecure.NewCredentials()
--- a/adapters/node/fromsettings.go
+++ b/adapters/node/fromsettings.go
@@ -21,8 +21,9 @@
 	cfg := Config{
 		ID: s.Node.ID, Place: s.Node.Place(),
 		CallerAddress: s.Listen.Caller, PeerAddress: s.Listen.Peer, AdminAddress: s.Listen.Admin,
-		Profile:       routing.Profile(s.Profile),
-		HeaderTimeout: s.TimeLimits.Header, RequestTimeout: s.TimeLimits.Request,
+		AdvertisedPeer: s.Listen.AdvertisedPeer,
+		Profile:        routing.Profile(s.Profile),
+		HeaderTimeout:  s.TimeLimits.Header, RequestTimeout: s.TimeLimits.Request,
 		MaxBodyBytes: int64(s.Sizes.MaxBody), MaxHeaderBytes: int(s.Sizes.MaxHeader),
 		EntryTTL: s.Drain.EntryTTL, DrainMax: s.Drain.Max,
 		KeptAnswerBytes: int(s.KeptAnswers.MaxBytes), KeptAnswerRetention: s.KeptAnswers.Retention,
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -81,7 +81,7 @@
 	n := &Node{
 		cfg: cfg, started: now, log: cfg.Log,
 		self: domain.NodeRef{
-			ID: cfg.ID, Incarnation: newIncarnation(), Place: cfg.Place, PeerAddress: cfg.PeerAddress,
+			ID: cfg.ID, Incarnation: newIncarnation(), Place: cfg.Place, PeerAddress: cfg.advertisedPeer(),
 			CallerAddress: cfg.CallerAddress, State: domain.NodeStarting,
 		},
 		metrics:     telemetry.NewMetrics(cfg.Place),
@@ -267,7 +267,7 @@
 			MaxHeaderBytes: n.cfg.MaxHeaderBytes, TLSConfig: n.cfg.CallerTLS, Protocols: callerProtocols(),
 		},
 		admin:  &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: n.cfg.HeaderTimeout},
-		peer:   peer.NewServer(&countedHandler{gateway: n.gateway, work: &n.work}, n, serverCredentials(n.cfg.PeerServerTLS)),
+		peer:   peer.NewServer(&countedHandler{gateway: n.gateway, work: &n.work, metrics: n.metrics}, n, serverCredentials(n.cfg.PeerServerTLS)),
 		failed: make(chan error, listenerCount),
 	}
 	go func() { s.failed <- serveCallers(s.caller, l.Caller) }()
--- a/adapters/node/routing.go
+++ b/adapters/node/routing.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/gateway"
@@ -159,6 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.metrics.Count(telemetry.ForwardsSent, 1)
 	return progress{d}, nil
 }
 
--- a/adapters/node/upkeep.go
+++ b/adapters/node/upkeep.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/core/answer"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
@@ -32,12 +33,14 @@
 type countedHandler struct {
 	gateway *gateway.Gateway
 	work    *workCounter
+	metrics *telemetry.Metrics
 }
 
 // Execute implements peer.Handler.
 func (h *countedHandler) Execute(ctx context.Context, fwd *gateway.Forward, w answer.Writer) error {
 	h.work.requests.Add(1)
 	defer h.work.requests.Add(-1)
+	h.metrics.Count(telemetry.ForwardsReceived, 1)
 	return h.gateway.Execute(ctx, fwd, w)
 }
 
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -48,7 +48,9 @@
 type Listen struct {
 	Caller string `yaml:"caller" doc:"Address for callers (HTTP)." unit:"IP:port" validate:"required"`
 	Peer   string `yaml:"peer" doc:"Address for other nodes (gRPC)." unit:"IP:port" validate:"required"`
-	Admin  string `yaml:"admin" doc:"Address for operators: status, metrics, liveness and readiness (HTTP). Keep it off public networks." unit:"IP:port" validate:"required"`
+	// AdvertisedPeer replaces Peer in what the node tells others; empty for Peer.
+	AdvertisedPeer string `yaml:"advertised_peer" doc:"Address at which other nodes reach listen.peer, where address translation stands between; empty for listen.peer itself." unit:"IP:port"`
+	Admin          string `yaml:"admin" doc:"Address for operators: status, metrics, liveness and readiness (HTTP). Keep it off public networks." unit:"IP:port" validate:"required"`
 }
 
 // Platform says where the platform's services are.
--- a/adapters/settings/validate.go
+++ b/adapters/settings/validate.go
@@ -110,6 +110,7 @@
 		}
 		byAddress[l.address] = l.key
 	}
+	c.checkAddress("listen.advertised_peer", c.Listen.AdvertisedPeer)
 }
 
 func (c *checker) checkAddress(key, address string) {
--- a/adapters/telemetry/metrics.go
+++ b/adapters/telemetry/metrics.go
@@ -18,6 +18,14 @@
 	reservoirAlpha = 0.015
 )
 
+// Counters of requests that travel between nodes.
+const (
+	// ForwardsSent counts what this node sent to be executed elsewhere.
+	ForwardsSent = "forwards.sent"
+	// ForwardsReceived counts what other nodes sent here to be executed.
+	ForwardsReceived = "forwards.received"
+)
+
 // Metrics counts what the node does. It implements gateway.Observer.
 type Metrics struct {
 	Registry metrics.Registry
