--- a/adapters/node/routing.go
+++ b/adapters/node/routing.go
@@ -45,7 +45,7 @@
 	view := n.group.View()
 	for i := range view.Others {
 		d := &view.Others[i]
-		n.domains.SetReachable(now, d.Place, d.Reachable && len(d.Nodes) > 0, d.RTT)
+		n.domains.SetReachable(d.Place, d.Reachable && len(d.Nodes) > 0, d.RTT)
 		n.domains.SetLink(d.Place, n.linkTo(d.Place.Region))
 		if !d.Heard.IsZero() {
 			aggregate, sequence := aggregateOf(d)
