--- a/core/lists/apply.go
+++ b/core/lists/apply.go
@@ -162,21 +162,30 @@
 // write swaps the current lists for next and settles a lost answer.
 func (a *Applier) write(ctx context.Context, base domain.ListsVersion, revision uint64, next *encoded) (*Outcome, error) {
 	change := next.versioned.Change
-	_, err := a.KV.CompareAndSwap(ctx, Key, revision, next.bytes, 0)
+	entry, err := a.KV.CompareAndSwap(ctx, Key, revision, next.bytes, 0)
 	if err == nil {
 		return &Outcome{Change: change}, nil
 	}
 	failure := errkind.From(err)
-	if failure.Kind != errkind.Conflict && failure.Verdict() == domain.RunNo {
+	isConflict := failure.Kind == errkind.Conflict
+	if !isConflict && failure.Verdict() == domain.RunNo {
 		return nil, err
 	}
-	// Also after a conflict: the adapter may have sent the write twice.
+	// A conflict may be with this very write, if the adapter sent it twice.
+	if isConflict && entry.Revision > revision {
+		current, err := Decode(entry.Value)
+		if err != nil {
+			return nil, unknownOutcome(change, err)
+		}
+		return a.settle(ctx, base, current, change)
+	}
 	return a.readBack(ctx, base, revision, change)
 }
 
 // readBack finds out what became of a write: its change is in the stored lists,
-// or another write took the revision and it can no longer take effect, or, with
-// the revision unchanged, it is not known.
+// or another write took the revision and it can no longer take effect, or it is
+// not known. A revision that is not newer than the one read proves nothing: the
+// write may be under way, and the service may serve an older value.
 func (a *Applier) readBack(ctx context.Context, base domain.ListsVersion, revision uint64, change Change) (*Outcome, error) {
 	var last error
 	for attempt := range readBackAttempts {
@@ -187,7 +196,7 @@
 		switch {
 		case err != nil:
 			last = err
-		case seen == revision:
+		case seen <= revision:
 			last = nil
 		default:
 			return a.settle(ctx, base, current, change)
--- a/core/lists/trail.go
+++ b/core/lists/trail.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
@@ -40,17 +41,21 @@
 		Author:     p.Author,
 		Reason:     p.Reason,
 		Time:       p.Time.UTC(),
-		Difference: boundDifference(difference),
 	}
+	room, err := roomBeside(next)
+	if err != nil {
+		return nil, nil, err
+	}
+	next.Change.Difference = boundDifference(difference, min(room/2, maxDifferenceBytes))
 	trail := current.Trail
 	if current.Version != 0 {
 		trail = append([]Change{current.Change}, trail...)
 	}
-	room, err := roomForTrail(next)
+	room, err = roomBeside(next)
 	if err != nil {
 		return nil, nil, err
 	}
-	kept, err := fitting(trail, room)
+	kept, err := fitting(trail, min(room, maxTrailBytes))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -75,11 +80,10 @@
 
 // boundDifference cuts a difference that would crowd out the lists, and says so
 // in its last line.
-func boundDifference(lines []string) []string {
-	total := 0
+func boundDifference(lines []string, room int) []string {
 	for i, line := range lines {
-		total += len(line)
-		if total > maxDifferenceBytes {
+		room -= len(strconv.Quote(line)) + len(",")
+		if room < 0 {
 			rest := fmt.Sprintf("(%d more lines are not kept)", len(lines)-i)
 			return append(slices.Clone(lines[:i]), rest)
 		}
@@ -87,17 +91,17 @@
 	return lines
 }
 
-// roomForTrail returns the bytes left for the trail beside lists and change.
-func roomForTrail(next *Versioned) (int, error) {
-	bare, err := json.Marshal(next)
+// roomBeside returns the bytes that next leaves within the bound.
+func roomBeside(next *Versioned) (int, error) {
+	bytes, err := json.Marshal(next)
 	if err != nil {
 		return 0, errkind.New(errkind.Internal, "encode the lists: %w", err)
 	}
-	if len(bare) > MaxDocumentBytes {
+	if len(bytes) > MaxDocumentBytes {
 		return 0, errkind.New(errkind.BodyTooLarge,
-			"the lists and their change have %d bytes; the key-value service holds at most %d", len(bare), MaxDocumentBytes)
+			"the lists and their change have %d bytes; the key-value service holds at most %d", len(bytes), MaxDocumentBytes)
 	}
-	return min(MaxDocumentBytes-len(bare), maxTrailBytes), nil
+	return MaxDocumentBytes - len(bytes), nil
 }
 
 // fitting returns how many of the newest changes fit into room bytes.
@@ -135,21 +139,28 @@
 	if err != nil {
 		return errkind.New(errkind.Internal, "encode change %d: %w", c.Version, err)
 	}
-	_, err = a.KV.CompareAndSwap(ctx, HistoryKey(c.Version), 0, bytes, 0)
-	if err == nil {
+	_, writeErr := a.KV.CompareAndSwap(ctx, HistoryKey(c.Version), 0, bytes, 0)
+	if writeErr == nil {
 		return nil
 	}
-	stored, readErr := readChange(ctx, a.KV, c.Version)
-	if readErr != nil || stored == nil {
-		failure := errkind.From(err)
-		return errkind.New(failure.Kind, "nothing was applied: change %d could not be moved to its own key: %w", c.Version, err).WithRun(domain.RunNo)
-	}
-	if stored.ID != c.ID {
-		return errkind.New(errkind.Internal, "nothing was applied: key %s holds change %s and the trail holds %s", HistoryKey(c.Version), stored.ID, c.ID).WithRun(domain.RunNo)
+	stored, err := readChange(ctx, a.KV, c.Version)
+	switch {
+	case err != nil:
+		return notKept(c, err)
+	case stored == nil:
+		return notKept(c, writeErr)
+	case stored.ID != c.ID:
+		return errkind.New(errkind.Internal, "nothing was applied: key %s holds change %s and the trail holds %s",
+			HistoryKey(c.Version), stored.ID, c.ID).WithRun(domain.RunNo)
 	}
 	return nil
 }
 
+func notKept(c Change, cause error) error {
+	return errkind.New(errkind.From(cause).Kind, "nothing was applied: change %d could not be moved to its own key: %w",
+		c.Version, cause).WithRun(domain.RunNo)
+}
+
 // readChange returns the change kept under its own key, or nil.
 func readChange(ctx context.Context, kv ports.KV, v domain.ListsVersion) (*Change, error) {
 	entry, err := kv.Get(ctx, HistoryKey(v))
