--- a/core/lists/trail.go
+++ b/core/lists/trail.go
@@ -36,11 +36,11 @@
 func build(current *Versioned, p *Proposal, difference []string) (*encoded, []Change, error) {
 	next := &Versioned{Version: nextVersion(current, p.Base), Document: p.Document}
 	next.Change = Change{
-		ID:         p.ChangeID,
-		Version:    next.Version,
-		Author:     p.Author,
-		Reason:     p.Reason,
-		Time:       p.Time.UTC(),
+		ID:      p.ChangeID,
+		Version: next.Version,
+		Author:  p.Author,
+		Reason:  p.Reason,
+		Time:    p.Time.UTC(),
 	}
 	room, err := roomBeside(next)
 	if err != nil {
