--- /dev/null
+++ b/adapters/operatorcli/operatorcli_test.go
@@ -0,0 +1,112 @@
+package operatorcli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/crocusspread/crocusspread/adapters/adminapi"
+	"github.com/crocusspread/crocusspread/adapters/operatorcli"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+// node serves a status, knows request "r1" and no other.
+func node(t *testing.T) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+adminapi.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(adminapi.Status{Node: "n1", Lists: adminapi.Lists{Version: 7}})
+	})
+	mux.HandleFunc("GET "+adminapi.ExplainPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		if r.PathValue("id") != "r1" {
+			w.WriteHeader(http.StatusNotFound)
+			_ = json.NewEncoder(w).Encode(adminapi.Failure{Kind: errkind.NotFound, Message: "unknown", Run: "no"})
+			return
+		}
+		_ = json.NewEncoder(w).Encode(adminapi.Explanation{Request: "r1", Node: "n1"})
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// stopped returns the address of a node that has stopped.
+func stopped() string {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestStatusWithOneNodeStoppedShowsTheOthers(t *testing.T) {
+	admin := operatorcli.Admin{Client: http.DefaultClient}
+	fleet, err := admin.Status(context.Background(), []string{stopped(), node(t)})
+	if !errors.Is(err, errkind.Of(errkind.PeerUnreachable)) {
+		t.Fatalf("error %v", err)
+	}
+	if fleet.Nodes[0].Error == nil || fleet.Nodes[1].Status.Lists.Version != 7 {
+		t.Fatalf("fleet %+v", fleet)
+	}
+}
+
+func TestExplain(t *testing.T) {
+	admin := operatorcli.Admin{Client: http.DefaultClient}
+	live, dead := node(t), stopped()
+	tests := map[string]struct {
+		addresses []string
+		request   string
+		want      errkind.Kind
+	}{
+		"known":                         {[]string{live}, "r1", ""},
+		"known, another node stopped":   {[]string{dead, live}, "r1", ""},
+		"unknown":                       {[]string{live}, "r2", errkind.NotFound},
+		"unknown, another node stopped": {[]string{live, dead}, "r2", errkind.PeerUnreachable},
+		"no address":                    {nil, "r1", errkind.BadRequest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			found, err := admin.Explain(context.Background(), test.addresses, domain.RequestID(test.request))
+			if test.want == "" && (err != nil || len(found.Nodes) != 1) {
+				t.Fatalf("found %+v, %v", found, err)
+			}
+			if test.want != "" && !errors.Is(err, errkind.Of(test.want)) {
+				t.Fatalf("error %v, want %s", err, test.want)
+			}
+		})
+	}
+}
+
+func TestConflictIsPrintedAsJSONWithItsExitCode(t *testing.T) {
+	var out bytes.Buffer
+	conflict := &lists.Conflict{Base: 1, Current: 2, Changes: []lists.Change{{ID: "c2", Author: "boris"}}}
+	output := operatorcli.Output{Out: &out, Err: &out, JSON: true}
+	code := output.Print(nil, errkind.New(errkind.Conflict, "%w", error(conflict)))
+	if code != errkind.Lookup(errkind.Conflict).ExitCode {
+		t.Errorf("exit code %d", code)
+	}
+	var envelope struct{ Error operatorcli.Failure }
+	if err := json.Unmarshal(out.Bytes(), &envelope); err != nil {
+		t.Fatal(err)
+	}
+	if envelope.Error.Conflict == nil || envelope.Error.Conflict.Changes[0].Author != "boris" {
+		t.Errorf("printed %s", out.String())
+	}
+}
+
+func TestHashKey(t *testing.T) {
+	hash, err := operatorcli.HashKey(strings.NewReader("secret\n"))
+	if err != nil || hash.SHA256 != lists.HashKey("secret") {
+		t.Errorf("hash %+v, %v", hash, err)
+	}
+	for _, bad := range []string{"", "\n", "two words", "two\nlines", strings.Repeat("k", 5000)} {
+		if _, err := operatorcli.HashKey(strings.NewReader(bad)); err == nil {
+			t.Errorf("%.20q was accepted", bad)
+		}
+	}
+}
--- a/adapters/settings/validate.go
+++ b/adapters/settings/validate.go
@@ -28,6 +28,10 @@
 func (s *Settings) validate(file *yamldoc.File) {
 	failed := make(map[string]bool)
 	for _, p := range file.Problems {
+		if p.Key == "" {
+			// The file was not decoded, so its keys' values say nothing.
+			return
+		}
 		failed[p.Key] = true
 	}
 	c := checker{Settings: s, file: file, failed: failed}
@@ -42,7 +46,7 @@
 }
 
 // checker adds the problems of settings to their file. A key with one problem
-// gets no second one.
+// gets no second one, nor does a key whose group has one.
 type checker struct {
 	*Settings
 	file   *yamldoc.File
@@ -50,7 +54,8 @@
 }
 
 func (c *checker) addf(key, format string, args ...any) {
-	if c.failed[key] {
+	group, _, _ := strings.Cut(key, ".")
+	if c.failed[key] || c.failed[group] {
 		return
 	}
 	c.failed[key] = true
