Test whole answers and calls at most once against real processes

The tests build the two binaries and run platform, upstreams and nodes as processes on loopback, with a TCP relay before each node, upstream and before the platform. Streamed answers are compared byte for byte with the engine's script; calls that may not be repeated are counted at the services by a path of their own, so that a second run under another id would show.

--- /dev/null
+++ b/cmd/faulttest/fleet_test.go
@@ -0,0 +1,472 @@
+package faulttest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/adminapi"
+	"github.com/crocusspread/crocusspread/adapters/platform"
+	"github.com/crocusspread/crocusspread/adapters/platform/wire"
+	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
+	"github.com/crocusspread/crocusspread/adapters/standin/faults"
+	"github.com/crocusspread/crocusspread/adapters/standin/platformsim"
+	"github.com/crocusspread/crocusspread/adapters/standin/servicesim"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const (
+	model       = "assistant"
+	serviceName = "ledger"
+)
+
+// site describes one region with one failure domain.
+type site struct {
+	region   string
+	nodes    int
+	engines  int
+	services int
+	// slots and rate (tokens a second of one stream) are of each engine.
+	slots int
+	rate  int
+	// work is how long each execution of a service takes.
+	work time.Duration
+}
+
+func (s site) place() domain.Place {
+	return domain.Place{Region: domain.Region(s.region), FailureDomain: domain.FailureDomain(s.region + "-a")}
+}
+
+// upstreamProc is an engine or a service.
+type upstreamProc struct {
+	*process
+	id     string
+	site   site
+	real   string // address of the process
+	relay  *relay // between nodes and the process
+	role   ports.VMRole
+	target string
+}
+
+// nodeProc is a node. Others reach it through peers, and it reaches the platform
+// through platform.
+type nodeProc struct {
+	*process
+	id       string
+	site     site
+	caller   string
+	admin    string
+	peers    *relay
+	platform *relay
+	entry    settingsOf
+}
+
+// settingsOf is what a node is started with.
+type settingsOf struct{ heartbeat string }
+
+// deployment is a platform, upstreams and nodes as processes.
+type deployment struct {
+	t           testing.TB
+	platform    *process
+	platformURL string
+	kv          ports.KV
+	sites       []site
+	nodes       map[string]*nodeProc
+	upstreams   map[string]*upstreamProc
+	leaving     map[string]bool
+}
+
+// processSlots bounds the processes that tests run at the same time.
+var processSlots = make(chan struct{}, 56)
+
+func reserve(t testing.TB, n int) {
+	for range n {
+		processSlots <- struct{}{}
+	}
+	t.Cleanup(func() {
+		for range n {
+			<-processSlots
+		}
+	})
+}
+
+// reserving lets one deployment at a time collect its slots.
+var reserving = make(chan struct{}, 1)
+
+// deploy starts a deployment and waits until every node serves and knows all of
+// it.
+func deploy(t testing.TB, sites ...site) *deployment {
+	t.Helper()
+	d := deployWith(t, settingsOf{heartbeat: "100ms"}, sites...)
+	d.waitReady()
+	return d
+}
+
+func deployWith(t testing.TB, entry settingsOf, sites ...site) *deployment {
+	t.Helper()
+	count := 1
+	for _, s := range sites {
+		count += s.nodes + s.engines + s.services
+	}
+	reserving <- struct{}{}
+	reserve(t, count)
+	<-reserving
+	d := &deployment{
+		t: t, sites: sites, nodes: make(map[string]*nodeProc), upstreams: make(map[string]*upstreamProc), leaving: make(map[string]bool),
+	}
+	var address string
+	d.platform, address = startStandin(t, "platform", "platform", "")
+	d.platformURL = "http://" + address
+	client := platform.New(d.platformURL, platform.Options{})
+	t.Cleanup(client.Close)
+	d.kv = client.KV()
+	for _, s := range sites {
+		d.startUpstreams(s)
+	}
+	if _, err := d.apply("deployment", document(sites)); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range sites {
+		for i := range s.nodes {
+			d.prepareNode(s, fmt.Sprintf("%s-%d", s.region, i+1), entry)
+		}
+	}
+	d.publishVMs()
+	for _, n := range d.nodes {
+		d.startNode(n)
+	}
+	return d
+}
+
+func (d *deployment) startUpstreams(s site) {
+	for i := range s.engines {
+		id := fmt.Sprintf("engine-%s-%d", s.region, i+1)
+		config := fmt.Sprintf("id: %s\nmodels: [%s]\nslots: %d\ndecode_tokens_per_second: %d\ntime_scale: 1\nkeep_alive_ns: 200000000\n",
+			id, model, max(1, s.slots), max(1, s.rate))
+		d.startUpstream(s, id, "engine", config, ports.RoleEngine, "")
+	}
+	for i := range s.services {
+		id := fmt.Sprintf("%s-%s-%d", serviceName, s.region, i+1)
+		config := fmt.Sprintf("id: %s\nwork_time_ns: %d\n", id, s.work.Nanoseconds())
+		d.startUpstream(s, id, "service", config, ports.RoleService, serviceName)
+	}
+}
+
+func (d *deployment) startUpstream(s site, id, kind, config string, role ports.VMRole, target string) {
+	p, address := startStandin(d.t, kind, id, config)
+	d.upstreams[id] = &upstreamProc{
+		process: p, id: id, site: s, real: address, relay: newRelay(d.t, address), role: role, target: target,
+	}
+}
+
+// publishVMs replaces the platform's VM list.
+func (d *deployment) publishVMs() {
+	var list wire.VMs
+	for _, u := range d.upstreams {
+		list.VMs = append(list.VMs, ports.VM{
+			ID: u.id, Role: u.role, Place: u.site.place(), Address: u.relay.address(), Target: u.target, Leaving: d.leaving[u.id],
+		})
+	}
+	for _, n := range d.nodes {
+		list.VMs = append(list.VMs, ports.VM{ID: n.id, Role: ports.RoleEntry, Place: n.site.place(), Address: n.peers.address()})
+	}
+	d.post(d.platformURL+platformsim.PathSetVMs, list)
+}
+
+func (d *deployment) prepareNode(s site, id string, entry settingsOf) {
+	d.nodes[id] = &nodeProc{
+		id: id, site: s, entry: entry,
+		peers: newRelay(d.t, ""), platform: newRelay(d.t, strings.TrimPrefix(d.platformURL, "http://")),
+	}
+}
+
+const nodeSettings = `
+node: {id: %s, region: %s, failure_domain: %s}
+listen: {caller: %q, peer: %q, admin: %q, advertised_peer: %q}
+platform: {url: "http://%s"}
+time_limits: {header: 2s, request: 55s, progress: %s}
+drain: {entry_ttl: 1s, max: 2m}
+heartbeat_interval: %s
+`
+
+// maxPortTries bounds the tries to start a node on ports that others take first.
+const maxPortTries = 10
+
+// startNode starts a node on free ports.
+func (d *deployment) startNode(n *nodeProc) {
+	d.t.Helper()
+	for range maxPortTries {
+		if d.tryNode(n) {
+			return
+		}
+	}
+	d.t.Fatalf("no free ports for node %s: %s", n.id, n.out.String())
+}
+
+func (d *deployment) tryNode(n *nodeProc) bool {
+	ports := freePorts(d.t, 3)
+	n.caller, n.admin = ports[0], ports[2]
+	n.peers.setTarget(ports[1])
+	place := n.site.place()
+	progress := "1s"
+	if n.entry.heartbeat != "100ms" {
+		progress = "20s"
+	}
+	text := fmt.Sprintf(nodeSettings, n.id, place.Region, place.FailureDomain, ports[0], ports[1], ports[2],
+		n.peers.address(), n.platform.address(), progress, n.entry.heartbeat)
+	path := filepath.Join(d.t.TempDir(), n.id+".yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	n.process = start(d.t, n.id, nodeBinary, "--settings", path)
+	up := false
+	waitFor(d.t, n.id+" to listen", func() bool {
+		_, err := d.tryStatus(n)
+		up = err == nil
+		return up || n.ended()
+	})
+	if n.ended() && !strings.Contains(n.out.String(), "address already in use") {
+		d.t.Fatalf("node %s ended: %s", n.id, n.out.String())
+	}
+	return up && !n.ended()
+}
+
+// freePorts returns addresses that are free at this moment.
+func freePorts(t testing.TB, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+var admin = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (d *deployment) tryStatus(n *nodeProc) (adminapi.Status, error) {
+	var st adminapi.Status
+	return st, getJSON("http://"+n.admin+adminapi.StatusPath, &st)
+}
+
+func getJSON(url string, out any) error {
+	resp, err := admin.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// get reads JSON from a stand-in or a node that must answer.
+func (d *deployment) get(url string, out any) {
+	d.t.Helper()
+	if err := getJSON(url, out); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *deployment) post(url string, in any) {
+	d.t.Helper()
+	body, err := json.Marshal(in)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	resp, err := admin.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(resp.Body)
+		d.t.Fatalf("POST %s: %s: %s", url, resp.Status, text)
+	}
+}
+
+func (d *deployment) platformFaults(f ...platformsim.Fault) {
+	d.t.Helper()
+	if f == nil {
+		f = []platformsim.Fault{}
+	}
+	d.post(d.platformURL+platformsim.PathFaults, f)
+}
+
+func (d *deployment) upstreamFaults(id string, f ...faults.Fault) {
+	d.t.Helper()
+	if f == nil {
+		f = []faults.Fault{}
+	}
+	d.post("http://"+d.upstreams[id].real+faults.Path, f)
+}
+
+// waitReady waits until every node serves and knows all nodes and load.
+func (d *deployment) waitReady() {
+	d.t.Helper()
+	for _, n := range d.nodes {
+		waitFor(d.t, n.id+" to know the deployment", func() bool { return d.knowsAll(n) })
+		for _, s := range d.sites {
+			waitFor(d.t, n.id+" to reach "+s.region, func() bool { return d.reaches(n, s) })
+		}
+	}
+}
+
+// reaches tells if a node gets answers from the upstreams of a region.
+func (d *deployment) reaches(n *nodeProc, s site) bool {
+	key := "key-" + s.region
+	if s.engines > 0 && d.ask(n, key, "ready?", 1).finish().status != http.StatusOK {
+		return false
+	}
+	return s.services == 0 || call(n, key, http.MethodGet, "/services/"+serviceName+"/ready", nil, "").status == http.StatusOK
+}
+
+func (d *deployment) knowsAll(n *nodeProc) bool {
+	st, err := d.tryStatus(n)
+	if err != nil || st.State != domain.NodeServing || len(st.Members) < len(d.nodes) {
+		return false
+	}
+	known := make(map[domain.FailureDomain]bool)
+	for _, other := range st.Domains {
+		if other.Capacity > 0 {
+			known[other.Place.FailureDomain] = true
+		}
+	}
+	for _, s := range d.sites {
+		has := s.engines+s.services > 0
+		if has && s.region != n.site.region && !known[s.place().FailureDomain] {
+			return false
+		}
+		if s.region == n.site.region && len(st.Upstreams) < s.engines+s.services {
+			return false
+		}
+	}
+	for _, u := range st.Upstreams {
+		if u.Slots == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// document is the lists of a deployment: one customer with all regions, and one
+// for each region alone. Keys are "key-all" and "key-REGION".
+func document(sites []site) lists.Document {
+	doc := lists.Document{Services: []lists.Service{{ID: serviceName, Routes: []lists.Route{
+		{Methods: []string{http.MethodPost}, PathPrefix: "/apply"},
+		{Methods: []string{http.MethodPost}, PathPrefix: "/validate", Repeatable: true},
+	}}}}
+	for _, s := range sites {
+		doc.Regions = append(doc.Regions, domain.Region(s.region))
+	}
+	addPlan(&doc, "all", doc.Regions...)
+	for _, s := range sites {
+		addPlan(&doc, s.region, domain.Region(s.region))
+	}
+	return doc
+}
+
+func addPlan(doc *lists.Document, name string, regions ...domain.Region) {
+	doc.Plans = append(doc.Plans, lists.Plan{
+		ID: domain.PlanID(name), Models: []string{model}, Services: []string{serviceName}, Regions: regions,
+	})
+	doc.Customers = append(doc.Customers, lists.Customer{
+		ID: domain.CustomerID(name), Plan: domain.PlanID(name), KeyHashes: []string{lists.HashKey("key-" + name)},
+	})
+}
+
+var changes = make(chan int, 1)
+
+func init() { changes <- 0 }
+
+// nextChange returns a number that no other change of this run has.
+func nextChange() int {
+	n := <-changes + 1
+	changes <- n
+	return n
+}
+
+// apply puts a document in force at the key-value service.
+func (d *deployment) apply(author string, doc lists.Document) (domain.ListsVersion, error) {
+	applier := lists.Applier{KV: d.kv}
+	ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
+	defer cancel()
+	out, err := applier.Apply(ctx, lists.Proposal{
+		ChangeID: fmt.Sprintf("change-%d", nextChange()), Author: author, Reason: "test", Time: time.Now(), Document: doc,
+	})
+	if err != nil {
+		return 0, err
+	}
+	return out.Change.Version, nil
+}
+
+// waitLogged waits until a node has logged an event.
+func (d *deployment) waitLogged(node, event string) {
+	d.t.Helper()
+	waitFor(d.t, node+" to log "+event, func() bool { return strings.Contains(d.nodes[node].out.String(), event) })
+}
+
+func (d *deployment) version(n *nodeProc) domain.ListsVersion {
+	st, err := d.tryStatus(n)
+	if err != nil {
+		return 0
+	}
+	return st.Lists.Version
+}
+
+func (d *deployment) counter(n *nodeProc, name string) int {
+	d.t.Helper()
+	var all map[string]struct {
+		Count int `json:"count"`
+	}
+	d.get("http://"+n.admin+"/metrics", &all)
+	return all[name].Count
+}
+
+// engineRuns returns the executions at the engines of a region.
+func (d *deployment) engineRuns(region string) map[string]enginesim.Execution {
+	d.t.Helper()
+	runs := make(map[string]enginesim.Execution)
+	for _, u := range d.upstreams {
+		if u.role != ports.RoleEngine || u.site.region != region || u.ended() {
+			continue
+		}
+		var list []enginesim.Execution
+		d.get("http://"+u.real+enginesim.PathExecutions, &list)
+		for _, e := range list {
+			runs[string(e.RequestID)] = e
+		}
+	}
+	return runs
+}
+
+// serviceRuns returns how often each id ran at the services of a region, or of
+// all regions if it is empty.
+func (d *deployment) serviceRuns(region string) map[string]int {
+	d.t.Helper()
+	runs := make(map[string]int)
+	for _, u := range d.upstreams {
+		if u.role != ports.RoleService || (region != "" && u.site.region != region) {
+			continue
+		}
+		var list []servicesim.Execution
+		d.get("http://"+u.real+servicesim.PathExecutions, &list)
+		for _, e := range list {
+			runs[e.ID] += e.Count
+		}
+	}
+	return runs
+}
