--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/crocusspread/crocusspread/adapters/peer"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
@@ -87,7 +88,11 @@
 	// Listeners are sockets that are open already, at the addresses above; nil to
 	// open them in Run.
 	Listeners *Listeners
-	Log       event.Logger
+	// PeerDial replaces the dialer for connections to other nodes; nil for TCP.
+	PeerDial peer.DialFunc
+	// Policy replaces the profile's routing policy; nil to keep it.
+	Policy *routing.Policy
+	Log    event.Logger
 }
 
 // advertisedPeer returns the peer address that other nodes are told.
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -125,7 +125,11 @@
 	if err != nil {
 		return err
 	}
-	n.router = routing.New(tuning.Policy())
+	policy := tuning.Policy()
+	if n.cfg.Policy != nil {
+		policy = *n.cfg.Policy
+	}
+	n.router = routing.New(policy)
 	n.tracker = upstreams.New(upstreams.Options{Place: n.cfg.Place})
 	n.domains = upstreams.NewDomains(upstreams.Options{Place: n.cfg.Place})
 	return n.rebuildSnapshot(time.Now())
@@ -153,7 +157,9 @@
 const claimBatch = time.Minute
 
 func (n *Node) buildGateway() {
-	n.peers = peer.NewClient(peer.ClientConfig{Credentials: serverCredentials(n.cfg.PeerClientTLS), Log: n.log})
+	n.peers = peer.NewClient(peer.ClientConfig{
+		Credentials: serverCredentials(n.cfg.PeerClientTLS), Dial: n.cfg.PeerDial, Log: n.log,
+	})
 	n.engine = upstream.NewEngine(n.cfg.Upstream)
 	n.service = upstream.NewService(n.cfg.Upstream)
 	n.gateway = gateway.New(gateway.Deps{
--- a/adapters/peer/client.go
+++ b/adapters/peer/client.go
@@ -33,7 +33,9 @@
 	Credentials credentials.TransportCredentials
 	Silence     time.Duration
 	DialTimeout time.Duration
-	Log         event.Logger
+	// Dial replaces the dialer; nil for TCP.
+	Dial DialFunc
+	Log  event.Logger
 }
 
 // Client reaches other nodes. It implements gateway.Peers and is safe for
@@ -47,7 +49,7 @@
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{pool: newPool(cfg.Credentials, time.Now), silence: cfg.Silence, dialTimeout: cfg.DialTimeout, log: cfg.Log}
+	c := &Client{pool: newPool(cfg.Credentials, cfg.Dial, time.Now), silence: cfg.Silence, dialTimeout: cfg.DialTimeout, log: cfg.Log}
 	if c.silence == 0 {
 		c.silence = DefaultSilence
 	}
--- a/adapters/peer/pool.go
+++ b/adapters/peer/pool.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -25,6 +27,7 @@
 // streams and closes after its last one.
 type pool struct {
 	creds  credentials.TransportCredentials
+	dialer DialFunc
 	now    func() time.Time
 	shards [poolShards]poolShard
 }
@@ -43,8 +46,11 @@
 	retired bool
 }
 
-func newPool(creds credentials.TransportCredentials, now func() time.Time) *pool {
-	p := &pool{creds: creds, now: now}
+// DialFunc opens a connection to a host:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+func newPool(creds credentials.TransportCredentials, dialer DialFunc, now func() time.Time) *pool {
+	p := &pool{creds: creds, dialer: dialer, now: now}
 	for i := range p.shards {
 		p.shards[i].conns = make(map[string]*pooledConn)
 	}
@@ -78,13 +84,17 @@
 }
 
 func (p *pool) dial(address string) (*pooledConn, error) {
-	cc, err := grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(p.creds),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithInitialWindowSize(initialWindow),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepalivePing, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
-	)
+	}
+	if p.dialer != nil {
+		options = append(options, grpc.WithContextDialer(p.dialer))
+	}
+	cc, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, err
 	}
--- a/adapters/standin/fleet/fleet.go
+++ b/adapters/standin/fleet/fleet.go
@@ -49,6 +49,9 @@
 	// Ports, if not zero, is the first port of the nodes' listeners: callers get
 	// Ports, Ports+1 and so on; peers and admin get free ones.
 	Ports int
+	// BetweenRegions and BetweenDomains are one-way delays between nodes.
+	BetweenRegions time.Duration
+	BetweenDomains time.Duration
 	// Adjust changes a node's configuration before it is made.
 	Adjust func(*node.Config)
 	Log    func(domain.NodeID) event.Logger
@@ -85,6 +88,7 @@
 	Nodes       []*Node
 	servers     []*http.Server
 	client      *platform.Client
+	wan         *wan
 	background  sync.WaitGroup
 }
 
@@ -108,7 +112,10 @@
 
 // Start starts a deployment. Stop it with Close.
 func Start(cfg Config) (*Fleet, error) {
-	f := &Fleet{Platform: platformsim.New(cfg.Platform)}
+	f := &Fleet{
+		Platform: platformsim.New(cfg.Platform),
+		wan:      &wan{betweenRegions: cfg.BetweenRegions, betweenDomains: cfg.BetweenDomains, places: make(map[string]domain.Place)},
+	}
 	address, err := f.serve(f.Platform)
 	if err != nil {
 		return nil, err
@@ -233,6 +240,10 @@
 			KV: f.client.KV(), VMList: f.client.VMList(), Directory: f.client.Directory(), Weights: f.client.WeightStore(),
 		},
 	}
+	f.wan.add(c.PeerAddress, c.Place)
+	if cfg.BetweenRegions+cfg.BetweenDomains > 0 {
+		c.PeerDial = f.wan.dialer(c.Place)
+	}
 	if c.Profile == "" {
 		c.Profile = routing.ProfileLatency
 	}
