--- a/adapters/yamldoc/decode.go
+++ b/adapters/yamldoc/decode.go
@@ -14,9 +14,6 @@
 	"github.com/goccy/go-yaml/token"
 )
 
-// maxDepth bounds the nesting of a file.
-const maxDepth = 32
-
 // File is a decoded file: where its keys stand and what is wrong with it.
 type File struct {
 	Name     string
@@ -38,7 +35,7 @@
 	case 0:
 		return f
 	case 1:
-		f.decode("", tree.Docs[0].Body, reflect.ValueOf(into).Elem(), 0)
+		f.decode("", tree.Docs[0].Body, reflect.ValueOf(into).Elem())
 	default:
 		f.Problems = append(f.Problems, Problem{File: name, Message: "holds more than one YAML document"})
 	}
@@ -94,29 +91,26 @@
 	return Position{Line: t.Position.Line, Column: t.Position.Column}
 }
 
-// decode reads node into v; key is the path of the node's key.
-func (f *File) decode(key string, node ast.Node, v reflect.Value, depth int) {
+// decode reads node into v; key is the path of the node's key. Its recursion is
+// bounded by the nesting of the types, not of the file.
+func (f *File) decode(key string, node ast.Node, v reflect.Value) {
 	if node == nil || node.Type() == ast.NullType {
 		return
 	}
 	if key != "" && !f.Holds(key) {
 		f.positions[key] = positionOf(node.GetToken())
 	}
-	if depth > maxDepth {
-		f.Addf(key, "is nested deeper than %d", maxDepth)
-		return
-	}
 	switch {
 	case v.Kind() == reflect.Struct:
-		f.decodeStruct(key, node, v, depth)
+		f.decodeStruct(key, node, v)
 	case v.Kind() == reflect.Slice:
-		f.decodeSlice(key, node, v, depth)
+		f.decodeSlice(key, node, v)
 	default:
 		f.decodeScalar(key, node, v)
 	}
 }
 
-func (f *File) decodeStruct(key string, node ast.Node, v reflect.Value, depth int) {
+func (f *File) decodeStruct(key string, node ast.Node, v reflect.Value) {
 	pairs, ok := mappingPairs(node)
 	if !ok {
 		f.Addf(key, "want a mapping of keys, found %s", describe(node))
@@ -135,7 +129,7 @@
 			f.addAt(pair, child, "key is repeated")
 		default:
 			f.positions[child] = positionOf(pair.Key.GetToken())
-			f.decode(child, pair.Value, v.Field(index), depth+1)
+			f.decode(child, pair.Value, v.Field(index))
 		}
 		seen[name] = true
 	}
@@ -150,7 +144,7 @@
 	})
 }
 
-func (f *File) decodeSlice(key string, node ast.Node, v reflect.Value, depth int) {
+func (f *File) decodeSlice(key string, node ast.Node, v reflect.Value) {
 	sequence, ok := node.(*ast.SequenceNode)
 	if !ok {
 		f.Addf(key, "want a list, found %s", describe(node))
@@ -158,7 +152,7 @@
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(sequence.Values), len(sequence.Values)))
 	for i, item := range sequence.Values {
-		f.decode(key+"["+strconv.Itoa(i)+"]", item, v.Index(i), depth+1)
+		f.decode(key+"["+strconv.Itoa(i)+"]", item, v.Index(i))
 	}
 }
 
