Say "not run" only if no attempt may have run

Cause: a repeatable request whose first attempt reached a service or an engine and failed was tried again, and the verdict of the last attempt alone went to the caller. If that one was refused or could not connect, the caller was told run: no of a call that had run. The same happened to a generation whose resumption was refused, after a part of the answer was out.

Change: the entry remembers that an attempt may have run the request, and weakens a last "no" to "unknown".

Seen first: TestNotRunIsTrueOfRepeatableCalls/runs_and_closes failed with 'told "not run", ran 1 times' (5 of 12 calls) and once with 2 runs; TestForbiddenRegionsResumeNothing/entry_north-1 with an error event that said run: no. Ruled out: a second run by net/http, for each run has its attempt in the explanation, and operations, whose verdict their ledger keeps.

--- a/cmd/faulttest/relay_test.go
+++ b/cmd/faulttest/relay_test.go
@@ -49,10 +49,7 @@
 	}
 	r := &relay{listener: l, target: target, open: make(map[*relayed]struct{})}
 	go r.accept()
-	t.Cleanup(func() {
-		l.Close()
-		r.cut()
-	})
+	t.Cleanup(r.gone)
 	return r
 }
 
@@ -159,6 +156,12 @@
 	r.closeOpen()
 }
 
+// gone closes all connections and the port, so that dialing fails.
+func (r *relay) gone() {
+	r.listener.Close()
+	r.cut()
+}
+
 // closeOpen closes all connections; new ones work.
 func (r *relay) closeOpen() {
 	r.mu.Lock()
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -10,9 +10,23 @@
 	"github.com/crocusspread/crocusspread/core/event"
 )
 
-// attemptAll tries choices until one gives the whole answer, nothing is left to
-// try, or a further attempt could run the work twice.
+// attemptAll tries choices and corrects the verdict of the last one by what
+// became of the earlier ones.
 func (c *call) attemptAll(ctx context.Context) error {
+	err := c.tryChoices(ctx)
+	if err == nil || !(c.mayHaveRun || c.w.started) {
+		return err
+	}
+	e := *errkind.From(err)
+	if e.Verdict() == domain.RunNo {
+		return e.WithRun(domain.RunUnknown)
+	}
+	return err
+}
+
+// tryChoices tries choices until one gives the whole answer, nothing is left to
+// try, or a further attempt could run the work twice.
+func (c *call) tryChoices(ctx context.Context) error {
 	var last error
 	for c.attempts = 1; c.attempts <= maxAttempts; c.attempts++ {
 		choice, err := c.route()
@@ -24,6 +38,7 @@
 			return nil
 		}
 		last = err
+		c.mayHaveRun = c.mayHaveRun || errkind.From(err).Verdict() != domain.RunNo
 		if !c.mayRetry(ctx, err) {
 			return err
 		}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -43,6 +43,8 @@
 	attempts   int
 	forwarded  bool
 	tried      triedSet
+	// mayHaveRun is set once an attempt failed that the work may have reached.
+	mayHaveRun bool
 	// named is set if the caller named the operation by its id or a key.
 	named       bool
 	fingerprint uint64
