Check the plan's region before each resumption and each attempt

Cause: a generation that an entry's own failure domain ran was resumed there without another look at the lists, and the attempts of a non-repeatable call were all routed by the lists that were in force when it began. After a change that forbids the region, work began anew in it.

Change: a resumption looks at the lists in force first, as an attempt does, and so does every attempt of an operation.

Seen first: TestForbiddenRegionsResumeNothing/entry_south-1 failed ('the generation was started 2 times, also where the plan forbids it'), and TestOperationAttemptsFollowNarrowedLists with the second attempt routed by [north south]. A resumption at another node was refused before, by its Execute stage. What already runs when the lists change is not cut off.

--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -95,6 +95,9 @@
 	}
 	err := c.send(ctx, choice, "")
 	for resumes := 0; err != nil && resumes < maxResumes && c.mayResume(ctx, err); resumes++ {
+		if forbidden := c.mayStay(choice); forbidden != nil {
+			return forbidden
+		}
 		before := c.w.events
 		c.note("resume", "after %d events: %s", before, err)
 		c.g.deps.Log.Log(event.AnswerResumed, event.F("request", c.req.ID), event.F("events", before), event.F("detail", err))
@@ -106,6 +109,17 @@
 	return err
 }
 
+// mayStay fails if the lists in force by now forbid to go on where choice runs.
+func (c *call) mayStay(choice Choice) error {
+	if err := c.refresh(); err != nil {
+		return err
+	}
+	if choice.Upstream != nil {
+		return checkPlace(c.access, c.req.Target, choice.Upstream.Place.Region)
+	}
+	return checkPlace(c.access, c.req.Target, choice.Node.Place.Region)
+}
+
 // send makes one connection's worth of an attempt.
 func (c *call) send(ctx context.Context, choice Choice, pinned domain.UpstreamID) error {
 	fwd := c.forward()
--- a/core/gateway/operation.go
+++ b/core/gateway/operation.go
@@ -184,6 +184,10 @@
 	o.run = o.run.WithContext(ctx)
 	var last error
 	for range maxAttempts {
+		if err := o.refresh(); err != nil {
+			last = firstError(last, err)
+			break
+		}
 		choice, err := o.g.deps.Router.Route(RouteRequest{
 			Access: o.access, Target: o.fwd.Target, TriedUpstreams: o.tried.upstreams, TriedDomains: o.tried.domains,
 		})
@@ -201,6 +205,22 @@
 	o.giveUp(last)
 }
 
+// refresh takes over the lists in force, which may forbid by now what they
+// allowed before.
+func (o *operationRun) refresh() error {
+	current := o.g.deps.Lists.Current()
+	access, ok := current.Customer(o.access.Customer)
+	if !ok {
+		return errkind.New(errkind.Unauthenticated, "the customer was removed from the lists")
+	}
+	if !access.AllowsTarget(o.fwd.Target) {
+		return errkind.New(errkind.NotInPlan, "plan %q does not hold %s %q", access.Plan.ID, o.fwd.Target.Kind, o.fwd.Target.Name)
+	}
+	o.access = access
+	o.fwd.ListsVersion = current.Version
+	return nil
+}
+
 // giveUp burns the operation: it is at no executor.
 func (o *operationRun) giveUp(cause error) {
 	e := *errkind.From(cause)
