--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -10,9 +10,23 @@
 	"github.com/crocusspread/crocusspread/core/event"
 )
 
-// attemptAll tries choices until one gives the whole answer, nothing is left to
-// try, or a further attempt could run the work twice.
+// attemptAll tries choices and corrects the verdict of the last one by what
+// became of the earlier ones.
 func (c *call) attemptAll(ctx context.Context) error {
+	err := c.tryChoices(ctx)
+	if err == nil || !(c.mayHaveRun || c.w.started) {
+		return err
+	}
+	e := *errkind.From(err)
+	if e.Verdict() == domain.RunNo {
+		return e.WithRun(domain.RunUnknown)
+	}
+	return err
+}
+
+// tryChoices tries choices until one gives the whole answer, nothing is left to
+// try, or a further attempt could run the work twice.
+func (c *call) tryChoices(ctx context.Context) error {
 	var last error
 	for c.attempts = 1; c.attempts <= maxAttempts; c.attempts++ {
 		choice, err := c.route()
@@ -24,6 +38,7 @@
 			return nil
 		}
 		last = err
+		c.mayHaveRun = c.mayHaveRun || errkind.From(err).Verdict() != domain.RunNo
 		if !c.mayRetry(ctx, err) {
 			return err
 		}
@@ -80,6 +95,10 @@
 	}
 	err := c.send(ctx, choice, "")
 	for resumes := 0; err != nil && resumes < maxResumes && c.mayResume(ctx, err); resumes++ {
+		if forbidden := c.mayStay(choice); forbidden != nil {
+			err = forbidden
+			break
+		}
 		before := c.w.events
 		c.note("resume", "after %d events: %s", before, err)
 		c.g.deps.Log.Log(event.AnswerResumed, event.F("request", c.req.ID), event.F("events", before), event.F("detail", err))
@@ -106,6 +125,17 @@
 	}()
 }
 
+// mayStay fails if the lists in force by now forbid to go on where choice runs.
+func (c *call) mayStay(choice Choice) error {
+	if err := c.refresh(); err != nil {
+		return err
+	}
+	if choice.Upstream != nil {
+		return checkPlace(c.access, c.req.Target, choice.Upstream.Place.Region)
+	}
+	return checkPlace(c.access, c.req.Target, choice.Node.Place.Region)
+}
+
 // send makes one connection's worth of an attempt.
 func (c *call) send(ctx context.Context, choice Choice, pinned domain.UpstreamID) error {
 	fwd := c.forward()
