Hold requests back to limits and capacity at their entry

Cause: the entry admitted everything, so that limits of plans were not kept and overload filled the engines' queues.

Change: core/admission passes a request through two stages, the customer's share of its limits and the target's free slots, each with a bounded queue of two classes by weighted turns and priority with aging; it refuses early with the verdict "no", and bounds retries. The node uses it in place of the open admission. Grant tells of the dispatch in place of the first chunk, and of prompt and answer tokens at the end. An operation's further attempts count against the retry budget too.

--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/crocusspread/crocusspread/adapters/upstream"
+	"github.com/crocusspread/crocusspread/core/admission"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/ports"
@@ -80,7 +81,9 @@
 	// regions that are missing have no bound.
 	LinkMegabits map[domain.Region]int
 	Upstream     upstream.Options
-	Platform     Platform
+	// Admission bounds queues and retries; zero fields take defaults.
+	Admission admission.Config
+	Platform  Platform
 	// Listeners are sockets that are open already, at the addresses above; nil to
 	// open them in Run.
 	Listeners *Listeners
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/crocusspread/crocusspread/adapters/peer"
 	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
+	"github.com/crocusspread/crocusspread/core/admission"
 	"github.com/crocusspread/crocusspread/core/adoption"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
@@ -50,6 +51,7 @@
 	snapshot  atomic.Pointer[routing.Snapshot]
 	router    *routing.Router
 	pickers   pickers
+	admission *admission.Controller
 
 	issuer     *operations.Issuer
 	executions *operations.Executor
@@ -98,6 +100,7 @@
 	if err := n.buildOperations(now); err != nil {
 		return nil, err
 	}
+	n.buildAdmission()
 	n.buildGateway()
 	return n, nil
 }
@@ -158,7 +161,7 @@
 	n.service = upstream.NewService(n.cfg.Upstream)
 	n.gateway = gateway.New(gateway.Deps{
 		Self: n.self, Lists: n, Router: n, Tracker: n, Peers: n.peers, Nodes: n.registry,
-		Operations: n.issuer, Keys: n.claims, Executions: n.executions, Admission: openAdmission{},
+		Operations: n.issuer, Keys: n.claims, Executions: n.executions, Admission: n.admission,
 		Engine: n.engine, Service: n.service, Observer: n.metrics, Explain: n.explain, Log: n.log,
 		Accepting: n.lifecycle.Accepts, Now: time.Now,
 	})
--- a/adapters/node/upkeep.go
+++ b/adapters/node/upkeep.go
@@ -55,6 +55,7 @@
 		n.metrics.Gauge("operations.kept_bytes", int64(n.issuer.KeptBytes()))
 		n.metrics.Gauge("executions.remembered", int64(n.executions.Expire(now)))
 		n.metrics.Gauge("requests.in_flight", n.work.requests.Load())
+		n.shareLimits(now)
 	})
 }
 
@@ -129,22 +130,3 @@
 	}
 	log.Log(event.PlatformRestored, event.F("source", source))
 }
-
-// openAdmission admits everything.
-type openAdmission struct{}
-
-// Admit implements gateway.Admission.
-func (openAdmission) Admit(context.Context, gateway.AdmitRequest) (gateway.Grant, error) {
-	return openGrant{}, nil
-}
-
-// AllowRetry implements gateway.Admission.
-func (openAdmission) AllowRetry() bool { return true }
-
-type openGrant struct{}
-
-// FirstChunk implements gateway.Grant.
-func (openGrant) FirstChunk() {}
-
-// Done implements gateway.Grant.
-func (openGrant) Done(int) {}
--- /dev/null
+++ b/core/admission/divide.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// claim is what one party, a node or a failure domain, asks of a limit.
+type claim struct {
+	party string
+	// nodes is the number of nodes behind the party.
+	nodes  int
+	demand float64
+	// held is what the party uses now, which may be above its share.
+	held float64
+}
+
+// divide splits limit among claims and returns a share for each. Every party
+// gets what it asks for up to an equal part of the limit per node of the fleet;
+// the rest goes by what they ask beyond that, or by demand if nobody does. What a
+// party still holds above its share is taken from the others until it ends. The
+// shares sum up to at most limit. A share never grows with another's demand.
+func divide(limit float64, nodes int, claims []claim) []float64 {
+	shares := make([]float64, len(claims))
+	part := limit / float64(max(nodes, 1))
+	rest, beyond, demand := limit, 0.0, 0.0
+	for i, c := range claims {
+		equal := part * float64(c.nodes)
+		shares[i] = min(c.demand, equal)
+		rest -= shares[i]
+		beyond += max(c.demand-equal, 0)
+		demand += c.demand
+	}
+	for i, c := range claims {
+		switch {
+		case beyond > 0:
+			shares[i] += rest * max(c.demand-part*float64(c.nodes), 0) / beyond
+		case demand > 0:
+			shares[i] += rest * c.demand / demand
+		}
+	}
+	yield(shares, claims)
+	return shares
+}
+
+// yield takes what parties hold above their shares from the others' shares.
+func yield(shares []float64, claims []claim) {
+	excess, within := 0.0, 0.0
+	for i, c := range claims {
+		if c.held > shares[i] {
+			excess += c.held - shares[i]
+		} else {
+			within += shares[i]
+		}
+	}
+	if excess <= 0 || within <= 0 {
+		return
+	}
+	keep := max(1-excess/within, 0)
+	for i, c := range claims {
+		if c.held <= shares[i] {
+			shares[i] *= keep
+		}
+	}
+}
+
+// rounding absorbs the error of adding shares up.
+const rounding = 1e-9
+
+// whole rounds shares to whole numbers with the same sum, rounded down. What
+// remains goes by one each to parties with a fraction, in an order that changes
+// with turn, so that each of them has it in turn.
+func whole(shares []float64, claims []claim, key string, turn int64) []int {
+	out := make([]int, len(shares))
+	sum, given := 0.0, 0
+	var waiting []int
+	for i, s := range shares {
+		out[i] = int(s + rounding)
+		given += out[i]
+		sum += s
+		if s-math.Floor(s+rounding) > rounding {
+			waiting = append(waiting, i)
+		}
+	}
+	spare := min(len(waiting), max(int(sum+rounding)-given, 0))
+	slices.SortFunc(waiting, func(a, b int) int {
+		return cmp.Compare(rank(claims[a].party, key), rank(claims[b].party, key))
+	})
+	for n := range spare {
+		out[waiting[(int(turn%int64(len(waiting)))*spare+n)%len(waiting)]]++
+	}
+	return out
+}
+
+func rank(party, key string) uint64 { return xxhash.Sum64String(party + "\x00" + key) }
--- /dev/null
+++ b/core/admission/shares_compute.go
@@ -0,0 +1,111 @@
+package admission
+
+import (
+	"strings"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+// fleetNodes is the number of nodes that may take part in dividing.
+func (s *Shares) fleetNodes() int {
+	n := 0
+	for _, c := range s.nodes {
+		n += c
+	}
+	return n
+}
+
+func (s *Shares) compute(now time.Time, customer domain.CustomerID, limits lists.Limits, d *demands) Share {
+	var out Share
+	if limits.Concurrency > 0 {
+		out.Concurrency = s.concurrency(now, customer, limits.Concurrency, d)
+	}
+	if limits.TokensPerSecond > 0 {
+		out.TokensPerSecond = s.rate(now, float64(limits.TokensPerSecond), d)
+	}
+	return out
+}
+
+// concurrency returns the number of requests that this node may have in flight.
+func (s *Shares) concurrency(now time.Time, customer domain.CustomerID, limit int, d *demands) int {
+	turn := now.UnixNano() / int64(turnLength)
+	part := limit / s.fleetNodes()
+	domains := s.domainClaims(now, d, false)
+	shares := divide(float64(limit), s.fleetNodes(), domains)
+	ours := whole(shares, domains, string(customer), turn)[0]
+	if others := demandOf(domains[1:]); ours == 0 && others < float64(limit) {
+		ours = 1
+	}
+	ours = max(ours, part*s.nodes[s.domain])
+	nodes := s.nodeClaims(now, d, false)
+	shares = divide(float64(ours), s.nodes[s.domain], nodes)
+	share := whole(shares, nodes, string(customer), turn)[0]
+	// The others leave something over: one request may go on at once.
+	if share == 0 && demandOf(nodes[1:]) < float64(ours) {
+		share = 1
+	}
+	return max(share, part)
+}
+
+// rate returns the tokens a second that this node may use.
+func (s *Shares) rate(now time.Time, limit float64, d *demands) float64 {
+	part := limit / float64(s.fleetNodes())
+	ours := divide(limit, s.fleetNodes(), s.domainClaims(now, d, true))[0]
+	ours = max(ours, part*float64(s.nodes[s.domain]))
+	share := divide(ours, s.nodes[s.domain], s.nodeClaims(now, d, true))[0]
+	return max(share, part)
+}
+
+func demandOf(claims []claim) float64 {
+	sum := 0.0
+	for _, c := range claims {
+		sum += c.demand
+	}
+	return sum
+}
+
+// domainClaims returns the failure domains' claims, the own one first.
+func (s *Shares) domainClaims(now time.Time, d *demands, rate bool) []claim {
+	since := now.Add(-settleAfter)
+	own := claim{party: domainMark + string(s.domain), nodes: s.nodes[s.domain], demand: d.domain.lowest(since)}
+	if rate {
+		own.demand = d.domainRate.lowest(since)
+	}
+	claims := []claim{own}
+	if len(s.nodes) == 1 {
+		claims[0].demand = 1
+		return claims
+	}
+	for name, nodes := range s.nodes {
+		if name != s.domain {
+			claims = append(claims, d.claimOf(domainMark+string(name), nodes, rate))
+		}
+	}
+	return claims
+}
+
+// nodeClaims returns the claims of the own domain's nodes, the own one first.
+func (s *Shares) nodeClaims(now time.Time, d *demands, rate bool) []claim {
+	since := now.Add(-settleAfter)
+	own := claim{party: string(s.self), nodes: 1, demand: d.own.lowest(since)}
+	if rate {
+		own.demand = d.ownRate.lowest(since)
+	}
+	claims := []claim{own}
+	for party := range d.heard {
+		if !strings.HasPrefix(party, domainMark) {
+			claims = append(claims, d.claimOf(party, 1, rate))
+		}
+	}
+	return claims
+}
+
+func (d *demands) claimOf(party string, nodes int, rate bool) claim {
+	r := d.heard[party]
+	if rate {
+		return claim{party: party, nodes: nodes, demand: float64(r.TokensPerSecond)}
+	}
+	return claim{party: party, nodes: nodes, demand: float64(r.InFlight + r.Waiting), held: float64(r.InFlight)}
+}
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -19,6 +19,7 @@
 		if err != nil {
 			return firstError(last, err)
 		}
+		c.grant.Dispatched()
 		err = c.attempt(ctx, choice)
 		if err == nil {
 			return nil
--- a/core/gateway/deps.go
+++ b/core/gateway/deps.go
@@ -125,9 +125,9 @@
 
 // Grant is an admitted request's share of the limits.
 type Grant interface {
-	// FirstChunk reports the first byte of the answer.
-	FirstChunk()
-	// Done gives the share back; tokens is what was generated.
+	// Dispatched reports that the request is about to be sent to where it runs.
+	Dispatched()
+	// Done gives the share back; tokens is what the prompt and the answer used.
 	Done(tokens int)
 }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -88,13 +88,27 @@
 		return c.beforeIssuer(err)
 	}
 	c.grant = grant
-	c.w.onFirst = grant.FirstChunk
 	if !c.repeatable {
+		grant.Dispatched()
 		return c.serveOperation(ctx)
 	}
 	return c.attemptAll(ctx)
 }
 
+// answerBytesPerToken estimates the tokens of an answer that is one document.
+const answerBytesPerToken = 4
+
+// usedTokens estimates the tokens of prompt and answer, none if no answer began.
+func (c *call) usedTokens() int {
+	switch {
+	case !c.w.started || c.req.Target.Kind != domain.TargetModel:
+		return 0
+	case c.req.Stream:
+		return c.req.PromptTokens + int(c.w.events)
+	}
+	return c.req.PromptTokens + int(c.w.bytes)/answerBytesPerToken
+}
+
 // authorize resolves the caller's key to its plan and checks the target.
 func (c *call) authorize() error {
 	c.snapshot = c.g.deps.Lists.Current()
@@ -130,7 +144,7 @@
 func (c *call) finish(err error) {
 	now := c.g.deps.Now()
 	if c.grant != nil {
-		c.grant.Done(int(c.w.chunks))
+		c.grant.Done(c.usedTokens())
 	}
 	c.record.Outcome, c.record.Run = "ok", domain.RunYes
 	c.record.Total = now.Sub(c.begun)
--- a/core/gateway/operation.go
+++ b/core/gateway/operation.go
@@ -196,6 +196,9 @@
 			return
 		}
 		last = err
+		if !o.g.deps.Admission.AllowRetry() {
+			break
+		}
 		o.tried.exclude(choice)
 	}
 	o.giveUp(last)
--- a/core/gateway/writer.go
+++ b/core/gateway/writer.go
@@ -15,7 +15,6 @@
 	started    bool
 	begun      time.Time
 	now        func() time.Time
-	onFirst    func()
 	firstAfter time.Duration
 	chunks     uint64
 	events     uint64
@@ -40,9 +39,6 @@
 func (t *trackedWriter) WriteChunk(p []byte) error {
 	if t.chunks == 0 {
 		t.firstAfter = t.now().Sub(t.begun)
-		if t.onFirst != nil {
-			t.onFirst()
-		}
 	}
 	if err := t.w.WriteChunk(p); err != nil {
 		return err
