--- a/core/admission/divide.go
+++ b/core/admission/divide.go
@@ -6,11 +6,13 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocusspread/crocusspread/core/domain"
 )
 
 // claim is what one party, a node or a failure domain, asks of a limit.
 type claim struct {
-	party string
+	party domain.NodeID
 	// nodes is the number of nodes behind the party.
 	nodes  int
 	demand float64
@@ -95,4 +97,6 @@
 	return out
 }
 
-func rank(party, key string) uint64 { return xxhash.Sum64String(party + "\x00" + key) }
+func rank(party domain.NodeID, key string) uint64 {
+	return xxhash.Sum64String(string(party) + "\x00" + key)
+}
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -103,7 +102,7 @@
 	own, domain         window
 	ownRate, domainRate window
 	// heard holds the newest demands of the other parties.
-	heard map[string]membership.LimitDemand
+	heard map[domain.NodeID]membership.LimitDemand
 	// aggregated is the demand of the whole domain that this node published last.
 	aggregated   membership.LimitDemand
 	aggregatedAt time.Time
@@ -169,7 +168,7 @@
 	if d != nil {
 		return d
 	}
-	d = &demands{heard: make(map[string]membership.LimitDemand)}
+	d = &demands{heard: make(map[domain.NodeID]membership.LimitDemand)}
 	for _, r := range s.fleet.Demands {
 		if r.Customer == id {
 			d.take(r, s.self)
@@ -200,19 +199,6 @@
 	}
 }
 
-// domainMark starts the name under which a failure domain's demands together are
-// published.
-const domainMark = "@"
-
-// DomainParty returns the name under which the demands of a failure domain
-// together are published.
-func DomainParty(fd domain.FailureDomain) domain.NodeID {
-	return domain.NodeID(domainMark + string(fd))
-}
-
-// IsDomainParty tells if a demand is that of a whole failure domain.
-func IsDomainParty(id domain.NodeID) bool { return strings.HasPrefix(string(id), domainMark) }
-
 // hear takes the newest demands over, and drops those of parties that are gone.
 func (s *Shares) hear(now time.Time) {
 	newest := make(map[heardKey]bool, len(s.fleet.Demands))
@@ -229,7 +215,7 @@
 	}
 	for id, d := range s.customers {
 		for party := range d.heard {
-			if !s.keeps(party, newest[heardKey{id, domain.NodeID(party)}]) {
+			if !s.keeps(party, newest[heardKey{id, party}]) {
 				delete(d.heard, party)
 			}
 		}
@@ -242,8 +228,8 @@
 }
 
 func (d *demands) take(r membership.LimitDemand, self domain.NodeID) {
-	if r.Node != self && r.Sequence > d.heard[string(r.Node)].Sequence {
-		d.heard[string(r.Node)] = r
+	if r.Node != self && r.Sequence > d.heard[r.Node].Sequence {
+		d.heard[r.Node] = r
 	}
 }
 
@@ -257,15 +243,14 @@
 // keeps tells if a party's demand goes on to count. An isolated node keeps all,
 // and a domain that cannot be reached is kept; of others, what is not heard any
 // more is dropped.
-func (s *Shares) keeps(party string, newest bool) bool {
+func (s *Shares) keeps(party domain.NodeID, newest bool) bool {
 	if s.fleet.isolated() {
 		return true
 	}
-	if name, ok := strings.CutPrefix(party, domainMark); ok {
-		fd := domain.FailureDomain(name)
+	if fd, ok := membership.PartyDomain(party); ok {
 		return s.nodes[fd] > 0 && (newest || s.cut[fd])
 	}
-	return newest && slices.Contains(s.fleet.Own, domain.NodeID(party))
+	return newest && slices.Contains(s.fleet.Own, party)
 }
 
 // forget drops customers that neither this node nor others ask for.
--- a/core/admission/shares_compute.go
+++ b/core/admission/shares_compute.go
@@ -1,11 +1,11 @@
 package admission
 
 import (
-	"strings"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/lists"
+	"github.com/crocusspread/crocusspread/core/membership"
 )
 
 // fleetNodes is the number of nodes that may take part in dividing.
@@ -69,7 +69,7 @@
 // domainClaims returns the failure domains' claims, the own one first.
 func (s *Shares) domainClaims(now time.Time, d *demands, rate bool) []claim {
 	since := now.Add(-settleAfter)
-	own := claim{party: domainMark + string(s.domain), nodes: s.nodes[s.domain], demand: d.domain.lowest(since)}
+	own := claim{party: membership.DomainParty(s.domain), nodes: s.nodes[s.domain], demand: d.domain.lowest(since)}
 	if rate {
 		own.demand = d.domainRate.lowest(since)
 	}
@@ -80,7 +80,7 @@
 	}
 	for name, nodes := range s.nodes {
 		if name != s.domain {
-			claims = append(claims, d.claimOf(domainMark+string(name), nodes, rate))
+			claims = append(claims, d.claimOf(membership.DomainParty(name), nodes, rate))
 		}
 	}
 	return claims
@@ -89,20 +89,20 @@
 // nodeClaims returns the claims of the own domain's nodes, the own one first.
 func (s *Shares) nodeClaims(now time.Time, d *demands, rate bool) []claim {
 	since := now.Add(-settleAfter)
-	own := claim{party: string(s.self), nodes: 1, demand: d.own.lowest(since)}
+	own := claim{party: s.self, nodes: 1, demand: d.own.lowest(since)}
 	if rate {
 		own.demand = d.ownRate.lowest(since)
 	}
 	claims := []claim{own}
 	for party := range d.heard {
-		if !strings.HasPrefix(party, domainMark) {
+		if _, whole := membership.PartyDomain(party); !whole {
 			claims = append(claims, d.claimOf(party, 1, rate))
 		}
 	}
 	return claims
 }
 
-func (d *demands) claimOf(party string, nodes int, rate bool) claim {
+func (d *demands) claimOf(party domain.NodeID, nodes int, rate bool) claim {
 	r := d.heard[party]
 	if rate {
 		return claim{party: party, nodes: nodes, demand: float64(r.TokensPerSecond)}
--- a/core/admission/shares_publish.go
+++ b/core/admission/shares_publish.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -55,9 +54,9 @@
 // publishDomain appends the sum of the own domain's demands.
 func (s *Shares) publishDomain(now time.Time, out []membership.LimitDemand, customer domain.CustomerID, d *demands) []membership.LimitDemand {
 	next := d.published
-	next.Customer, next.Node = customer, DomainParty(s.domain)
+	next.Customer, next.Node = customer, membership.DomainParty(s.domain)
 	for party, r := range d.heard {
-		if !strings.HasPrefix(party, domainMark) {
+		if _, whole := membership.PartyDomain(party); !whole {
 			next.InFlight += r.InFlight
 			next.Waiting += r.Waiting
 			next.TokensPerSecond += r.TokensPerSecond
@@ -68,7 +67,7 @@
 	}
 	next.Sequence = uint64(now.UnixMilli())
 	d.aggregated, d.aggregatedAt = next, now
-	d.heard[string(next.Node)] = next
+	d.heard[next.Node] = next
 	return append(out, next)
 }
 
@@ -83,7 +82,7 @@
 	since := now.Add(-settleAfter)
 	d.own.add(now, float64(d.published.InFlight+d.published.Waiting), since)
 	d.ownRate.add(now, float64(d.published.TokensPerSecond), since)
-	ours := d.heard[domainMark+string(s.domain)]
+	ours := d.heard[membership.DomainParty(s.domain)]
 	d.domain.add(now, float64(ours.InFlight+ours.Waiting), since)
 	d.domainRate.add(now, float64(ours.TokensPerSecond), since)
 }
--- a/core/membership/group.go
+++ b/core/membership/group.go
@@ -129,8 +129,9 @@
 // SetUpstreams takes the node's own work at upstreams of its domain.
 func (g *Group) SetUpstreams(loads []UpstreamLoad) { g.load.setUpstreams(loads) }
 
-// SetDemands takes the node's own demands, each with a rising sequence. They
-// are passed to the nodes of the own domain.
+// SetDemands takes the node's own demands and those of its domain together, each
+// with a rising sequence. They are passed to the nodes of the own domain, and
+// those of the domain together to other domains.
 func (g *Group) SetDemands(now time.Time, demands []LimitDemand) { g.load.setDemands(now, demands) }
 
 // Urgent tells if Beat should be called before the round ends.
@@ -216,6 +217,7 @@
 	if to.Place.FailureDomain != g.cfg.Self.Place.FailureDomain {
 		known := DomainLoad{Place: to.Place, Sequence: g.domains.sequenceOf(to.Place.FailureDomain)}
 		h.Domains = []DomainLoad{g.ownReading(now), known}
+		h.Demands = g.load.domainDemands(DomainParty(g.cfg.Self.Place.FailureDomain), g.cfg.MaxDemands)
 		return h
 	}
 	h.Members = g.members.relay(g.cfg.MaxMembers, to.ID)
@@ -298,6 +300,7 @@
 	}
 	g.learnDomains(now, h)
 	if from.Place.FailureDomain != g.cfg.Self.Place.FailureDomain {
+		g.learnDomainDemands(now, h)
 		return
 	}
 	changed := g.members.learnDirect(now, h.Sender)
@@ -322,6 +325,15 @@
 	}
 }
 
+// learnDomainDemands takes what another domain's customers ask for together.
+func (g *Group) learnDomainDemands(now time.Time, h Heartbeat) {
+	for _, d := range h.Demands {
+		if d.Node == DomainParty(h.Sender.Node.Place.FailureDomain) {
+			g.load.learnDemand(now, d)
+		}
+	}
+}
+
 func (g *Group) learnDomains(now time.Time, h Heartbeat) {
 	for _, d := range h.Domains {
 		if d.Place.FailureDomain == g.cfg.Self.Place.FailureDomain {
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"strings"
+
 	"github.com/crocusspread/crocusspread/core/domain"
 )
 
@@ -74,7 +76,25 @@
 	Sequence uint64
 }
 
-// LimitDemand is a node's demand for a customer's shared limits.
+// domainMark starts the name under which a failure domain's demands together are
+// spread.
+const domainMark = "@"
+
+// DomainParty returns the name under which a failure domain's demands together
+// are spread. They alone cross between failure domains.
+func DomainParty(fd domain.FailureDomain) domain.NodeID {
+	return domain.NodeID(domainMark + string(fd))
+}
+
+// PartyDomain returns the failure domain that a demand's name stands for; false if
+// it is the name of a node.
+func PartyDomain(id domain.NodeID) (domain.FailureDomain, bool) {
+	name, ok := strings.CutPrefix(string(id), domainMark)
+	return domain.FailureDomain(name), ok
+}
+
+// LimitDemand is the demand of a node, or of a failure domain together, for a
+// customer's shared limits.
 type LimitDemand struct {
 	Customer        domain.CustomerID
 	Node            domain.NodeID
--- a/core/membership/own.go
+++ b/core/membership/own.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"sync"
@@ -43,6 +44,8 @@
 	demand LimitDemand
 	heard  time.Time
 	relays int
+	// crossed is how often the demand was sent to other domains.
+	crossed int
 }
 
 type peerLoads struct {
@@ -228,6 +231,7 @@
 	known.demand = d
 	known.heard = now
 	known.relays = 0
+	known.crossed = 0
 }
 
 // relayDemands returns up to n demands that are new or next in turn.
@@ -250,6 +254,26 @@
 	return picked
 }
 
+// domainDemands returns up to n demands of the whole domain, those that crossed
+// least often since they changed first.
+func (t *loadTable) domainDemands(party domain.NodeID, n int) []LimitDemand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var own []*demandRecord
+	for _, k := range t.queue {
+		if k.node == party {
+			own = append(own, t.demands[k])
+		}
+	}
+	slices.SortStableFunc(own, func(a, b *demandRecord) int { return cmp.Compare(a.crossed, b.crossed) })
+	picked := make([]LimitDemand, 0, min(n, len(own)))
+	for _, rec := range own[:min(n, len(own))] {
+		rec.crossed++
+		picked = append(picked, rec.demand)
+	}
+	return picked
+}
+
 // expire drops old demands and the loads of silent peers.
 func (t *loadTable) expire(now time.Time) {
 	t.mu.Lock()
