--- a/core/admission/divide.go
+++ b/core/admission/divide.go
@@ -48,12 +48,14 @@
 	return shares
 }
 
-// yield takes what parties hold above their shares from the others' shares.
+// yield takes what parties hold above their shares, rounded up, from the others'
+// shares. A fraction is left out: it goes by turns, and the turn of one party must
+// not wait for the end of the other's requests.
 func yield(shares []float64, claims []claim) {
 	excess, within := 0.0, 0.0
 	for i, c := range claims {
-		if c.held > shares[i] {
-			excess += c.held - shares[i]
+		if over := c.held - math.Ceil(shares[i]-rounding); over > 0 {
+			excess += over
 		} else {
 			within += shares[i]
 		}
@@ -63,12 +65,18 @@
 	}
 	keep := max(1-excess/within, 0)
 	for i, c := range claims {
-		if c.held <= shares[i] {
+		if c.held <= math.Ceil(shares[i]-rounding) {
 			shares[i] *= keep
 		}
 	}
 }
 
+// OvershootBound is the most requests of a customer that may be in flight at once
+// in a fleet of that many nodes, whose demands change as they like: the divided
+// limit, and for each level that divides, failure domain and node, what may be
+// used before a demand has spread. Settled demands keep the limit itself.
+func OvershootBound(limit, nodes int) int { return limit + 2*max(limit, nodes) }
+
 // rounding absorbs the error of adding shares up.
 const rounding = 1e-9
 
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -13,9 +12,14 @@
 const (
 	// settleAfter is how long a demand must have been published before it counts
 	// for the node's own share. It covers the spreading of demands.
-	settleAfter = 6 * time.Second
+	settleAfter = 10 * time.Second
 	// turnLength is how long parties keep what could not be divided.
 	turnLength = 4 * time.Second
+	// lostAfter is how long a party that is not heard of goes on to count.
+	lostAfter = 20 * time.Second
+	// turnGap is how long what could not be divided is left unused at the change
+	// of a turn; it covers the time between two updates and the skew of clocks.
+	turnGap = 1500 * time.Millisecond
 	// refreshAfter is the age at which an unchanged demand is published again;
 	// membership forgets after 30 s.
 	refreshAfter = 10 * time.Second
@@ -87,6 +91,8 @@
 	customers map[domain.CustomerID]*demands
 	// nodes holds the number of nodes by failure domain.
 	nodes map[domain.FailureDomain]int
+	// seen is when a node of the own domain was last live.
+	seen map[domain.NodeID]time.Time
 	// cut marks failure domains that cannot be reached.
 	cut map[domain.FailureDomain]bool
 }
@@ -103,6 +109,8 @@
 	ownRate, domainRate window
 	// heard holds the newest demands of the other parties.
 	heard map[domain.NodeID]membership.LimitDemand
+	// heardAt is when each was last among the newest.
+	heardAt map[domain.NodeID]time.Time
 	// aggregated is the demand of the whole domain that this node published last.
 	aggregated   membership.LimitDemand
 	aggregatedAt time.Time
@@ -116,6 +124,7 @@
 	return &Shares{
 		self: self, domain: fd, customers: make(map[domain.CustomerID]*demands),
 		nodes: map[domain.FailureDomain]int{fd: 1}, cut: make(map[domain.FailureDomain]bool),
+		seen: make(map[domain.NodeID]time.Time),
 	}
 }
 
@@ -138,7 +147,7 @@
 func (s *Shares) Update(now time.Time, fleet Fleet, usage []Usage) []membership.LimitDemand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observe(fleet)
+	s.observe(now, fleet)
 	s.hear(now)
 	var publish []membership.LimitDemand
 	for i := range usage {
@@ -168,7 +177,7 @@
 	if d != nil {
 		return d
 	}
-	d = &demands{heard: make(map[domain.NodeID]membership.LimitDemand)}
+	d = &demands{heard: make(map[domain.NodeID]membership.LimitDemand), heardAt: make(map[domain.NodeID]time.Time)}
 	for _, r := range s.fleet.Demands {
 		if r.Customer == id {
 			d.take(r, s.self)
@@ -179,11 +188,10 @@
 }
 
 // observe keeps the last known size of domains that are not heard of.
-func (s *Shares) observe(f Fleet) {
+func (s *Shares) observe(now time.Time, f Fleet) {
 	s.fleet = f
-	if !f.isolated() {
-		s.nodes[s.domain] = max(len(f.Own), 1)
-	}
+	s.see(now, f)
+	s.nodes[s.domain] = max(len(s.seen), 1)
 	listed := map[domain.FailureDomain]bool{s.domain: true}
 	for _, d := range f.Others {
 		listed[d.Name] = true
@@ -199,6 +207,23 @@
 	}
 }
 
+// see notes the live nodes of the own domain. One that falls silent counts for
+// lostAfter more, so that a node which is cut off from all of them, and loses them
+// one by one, finds out before it takes their shares over.
+func (s *Shares) see(now time.Time, f Fleet) {
+	for _, id := range f.Own {
+		s.seen[id] = now
+	}
+	for id, at := range s.seen {
+		switch {
+		case f.isolated():
+			s.seen[id] = now
+		case now.Sub(at) > lostAfter:
+			delete(s.seen, id)
+		}
+	}
+}
+
 // hear takes the newest demands over, and drops those of parties that are gone.
 func (s *Shares) hear(now time.Time) {
 	newest := make(map[heardKey]bool, len(s.fleet.Demands))
@@ -215,8 +240,12 @@
 	}
 	for id, d := range s.customers {
 		for party := range d.heard {
-			if !s.keeps(party, newest[heardKey{id, party}]) {
+			if newest[heardKey{id, party}] {
+				d.heardAt[party] = now
+			}
+			if !s.keeps(party, now.Sub(d.heardAt[party])) {
 				delete(d.heard, party)
+				delete(d.heardAt, party)
 			}
 		}
 	}
@@ -240,17 +269,18 @@
 	}
 }
 
-// keeps tells if a party's demand goes on to count. An isolated node keeps all,
-// and a domain that cannot be reached is kept; of others, what is not heard any
-// more is dropped.
-func (s *Shares) keeps(party domain.NodeID, newest bool) bool {
+// keeps tells if a party's demand, which was last among the newest that long ago,
+// goes on to count. An isolated node keeps all, and a domain that cannot be reached
+// is kept; of others, what is not heard any more is dropped.
+func (s *Shares) keeps(party domain.NodeID, silent time.Duration) bool {
 	if s.fleet.isolated() {
 		return true
 	}
 	if fd, ok := membership.PartyDomain(party); ok {
-		return s.nodes[fd] > 0 && (newest || s.cut[fd])
+		return s.nodes[fd] > 0 && (silent <= lostAfter || s.cut[fd])
 	}
-	return newest && slices.Contains(s.fleet.Own, party)
+	_, seen := s.seen[party]
+	return seen && silent <= lostAfter
 }
 
 // forget drops customers that neither this node nor others ask for.
--- a/core/admission/shares_compute.go
+++ b/core/admission/shares_compute.go
@@ -29,8 +29,20 @@
 }
 
 // concurrency returns the number of requests that this node may have in flight.
+// What goes by turns is had only if the turn began some time ago, so that a node
+// whose turn ends has noticed.
 func (s *Shares) concurrency(now time.Time, customer domain.CustomerID, limit int, d *demands) int {
-	turn := now.UnixNano() / int64(turnLength)
+	turn := turnAt(now)
+	share := s.inTurn(now, customer, limit, d, turn)
+	if before := turnAt(now.Add(-turnGap)); before != turn {
+		share = min(share, s.inTurn(now, customer, limit, d, before))
+	}
+	return share
+}
+
+func turnAt(t time.Time) int64 { return t.UnixNano() / int64(turnLength) }
+
+func (s *Shares) inTurn(now time.Time, customer domain.CustomerID, limit int, d *demands, turn int64) int {
 	part := limit / s.fleetNodes()
 	domains := s.domainClaims(now, d, false)
 	shares := divide(float64(limit), s.fleetNodes(), domains)
