--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -33,6 +33,7 @@
 		if err != nil {
 			return firstError(last, err)
 		}
+		c.grant.Dispatched()
 		err = c.attempt(ctx, choice)
 		if err == nil {
 			return nil
--- a/core/gateway/operation.go
+++ b/core/gateway/operation.go
@@ -200,6 +200,9 @@
 			return
 		}
 		last = err
+		if !o.g.deps.Admission.AllowRetry() {
+			break
+		}
 		o.tried.exclude(choice)
 	}
 	o.giveUp(last)
