Order engines under a lease for each failure domain

Cause: nothing loaded a model that the plans name and no engine had.

Change: core/orders holds the life cycle of a domain's orderer, its lease and the planning of changes; a node runs it as a loop. The specification names the states and events, and has giving the lease up.

Ruled out: the lease's own revision as fencing number. The holder of an older lease may create the key later, so its number would go back; the key's revision does not.

--- a/adapters/adminapi/adminapi.go
+++ b/adapters/adminapi/adminapi.go
@@ -35,6 +35,19 @@
 	Members   []Member   `json:"members"`
 	Upstreams []Upstream `json:"upstreams"`
 	Domains   []Domain   `json:"domains"`
+	Orders    Orders     `json:"orders,omitzero"`
+}
+
+// Orders is the node's part in ordering the engines of its failure domain.
+type Orders struct {
+	// State is "candidate", "waiting" or "ordering".
+	State string `json:"state"`
+	// Orderer is the domain's orderer as the node last saw it; empty if unknown.
+	Orderer domain.NodeID `json:"orderer,omitempty"`
+	// Fencing is the number of the node's own orders.
+	Fencing uint64 `json:"fencing,omitempty"`
+	// Changing counts the engines whose change this node has under way.
+	Changing int `json:"changing"`
 }
 
 // Lists is the version of the lists in force at a node.
--- a/adapters/node/admin.go
+++ b/adapters/node/admin.go
@@ -94,6 +94,7 @@
 		st.Domains = append(st.Domains, domainStatus(now, d)...)
 	}
 	st.Upstreams = n.upstreamStatus()
+	st.Orders = n.ordersStatus()
 	return st
 }
 
--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -11,6 +11,7 @@
 	"github.com/crocusspread/crocusspread/adapters/upstream"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/orders"
 	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/routing"
 )
@@ -21,6 +22,7 @@
 	snapshotInterval  = 50 * time.Millisecond
 	listsInterval     = 200 * time.Millisecond
 	upkeepInterval    = time.Second
+	orderInterval     = time.Second
 	urgentInterval    = 50 * time.Millisecond
 	directoryTTL      = 30 * time.Second
 	directoryInterval = 10 * time.Second
@@ -84,6 +86,8 @@
 	LinkMegabits map[domain.Region]int
 	Upstream     upstream.Options
 	Platform     Platform
+	// Orders replaces the settings of the orders to engines; nil for the defaults.
+	Orders *orders.Config
 	// Listeners are sockets that are open already, at the addresses above; nil to
 	// open them in Run.
 	Listeners *Listeners
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/crocusspread/crocusspread/core/lists"
 	"github.com/crocusspread/crocusspread/core/membership"
 	"github.com/crocusspread/crocusspread/core/operations"
+	"github.com/crocusspread/crocusspread/core/orders"
 	"github.com/crocusspread/crocusspread/core/routing"
 	"github.com/crocusspread/crocusspread/core/upstreams"
 )
@@ -54,6 +55,7 @@
 	issuer     *operations.Issuer
 	executions *operations.Executor
 	claims     *operations.Claims
+	orderer    *orders.Orderer
 	peers      *peer.Client
 	engine     *upstream.Engine
 	service    *upstream.Service
@@ -99,6 +101,7 @@
 		return nil, err
 	}
 	n.buildGateway()
+	n.buildOrderer()
 	return n, nil
 }
 
@@ -311,6 +314,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for _, loop := range []func(context.Context){
 		n.heartbeatLoop, n.listsLoop, n.vmListLoop, n.loadLoop, n.snapshotLoop, n.upkeepLoop, n.directoryLoop,
+		n.orderLoop,
 	} {
 		g.Go(func() error {
 			loop(ctx)
--- /dev/null
+++ b/adapters/node/orders.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/adminapi"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/membership"
+	"github.com/crocusspread/crocusspread/core/orders"
+	"github.com/crocusspread/crocusspread/core/routing"
+)
+
+func (n *Node) buildOrderer() {
+	cfg := orders.DefaultConfig(n.self.ID, n.self.Incarnation, n.self.Place.FailureDomain)
+	if n.cfg.Orders != nil {
+		cfg = *n.cfg.Orders
+		cfg.Node, cfg.Incarnation, cfg.Domain = n.self.ID, n.self.Incarnation, n.self.Place.FailureDomain
+	}
+	n.orderer = orders.New(cfg, orders.Deps{
+		KV: n.cfg.Platform.KV, Weights: n.cfg.Platform.Weights, Engines: n.engine, Log: n.log, Meter: n.metrics, Now: time.Now,
+	})
+}
+
+// orderLoop takes the node's part in ordering the engines of its domain. A
+// planned stop gives the lease up; a process that dies lets it lapse.
+func (n *Node) orderLoop(ctx context.Context) {
+	every(ctx, orderInterval, func(time.Time) { n.orderer.Round(ctx, n.orderSituation()) })
+}
+
+func (n *Node) orderSituation() orders.Situation {
+	s := orders.Situation{Engines: n.orderedEngines()}
+	if lists := n.holder.Current(); lists != nil {
+		s.Wanted = orders.Wanted(&lists.Source.Document, n.self.Place.Region)
+	}
+	s.Rank, s.Eligible = orderRank(n.group.View())
+	s.Eligible = s.Eligible && n.lifecycle.State() == domain.NodeServing && len(s.Engines) > 0
+	return s
+}
+
+// orderRank returns the node's rank among the serving nodes of its domain.
+func orderRank(v *membership.View) (rank int, serving bool) {
+	nodes := slices.DeleteFunc(slices.Clone(v.Own), func(r domain.NodeRef) bool { return r.State != domain.NodeServing })
+	ranked := membership.Rendezvous(orders.Key(v.Self.Place.FailureDomain), nodes, len(nodes))
+	rank = slices.IndexFunc(ranked, func(r domain.NodeRef) bool { return r.ID == v.Self.ID })
+	return max(rank, 0), rank >= 0
+}
+
+// orderedEngines returns the engines as the routing snapshot has them.
+func (n *Node) orderedEngines() []orders.Engine {
+	snapshot := n.snapshot.Load()
+	var engines []orders.Engine
+	for i := range int32(snapshot.Upstreams()) {
+		u := snapshot.Upstream(i)
+		if u.Ref.Target.Kind != domain.TargetService {
+			engines = append(engines, orderedEngine(u))
+		}
+	}
+	return engines
+}
+
+func orderedEngine(u *routing.Upstream) orders.Engine {
+	e := orders.Engine{
+		Ref: u.Ref, Live: u.State == domain.UpstreamLive, Reported: u.Slots > 0,
+		Requests: u.Estimate(0).Requests, Slots: float64(u.Slots),
+	}
+	for _, t := range u.Targets {
+		e.Models = append(e.Models, t.Name)
+	}
+	return e
+}
+
+func (n *Node) ordersStatus() adminapi.Orders {
+	s := n.orderer.Status()
+	return adminapi.Orders{State: string(s.State), Orderer: s.Holder, Fencing: s.Fencing, Changing: s.Changing}
+}
--- a/adapters/standin/enginesim/sim.go
+++ b/adapters/standin/enginesim/sim.go
@@ -114,6 +114,8 @@
 type OrderRecord struct {
 	Order    ports.EngineOrder `json:"order"`
 	Accepted bool              `json:"accepted"`
+	// At is when the order arrived, by the engine's clock.
+	At time.Time `json:"at"`
 }
 
 // Sim is the stand-in. It is safe for concurrent use.
@@ -230,7 +232,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	accepted := !s.cfg.ChecksFencing || o.Fencing >= s.fencing
-	s.orders = append(s.orders, OrderRecord{Order: o, Accepted: accepted})
+	s.orders = append(s.orders, OrderRecord{Order: o, Accepted: accepted, At: s.cfg.Now()})
 	if accepted {
 		s.fencing = max(s.fencing, o.Fencing)
 		s.wanted = &wantedModels{models: o.Models, ready: s.cfg.Now().Add(s.scaled(s.cfg.OrderDelay))}
--- a/core/ports/ports.go
+++ b/core/ports/ports.go
@@ -142,7 +142,7 @@
 	Models  []string `json:"models"`
 	Role    string   `json:"role,omitempty"`
 	Version string   `json:"version,omitempty"`
-	// Fencing is the orderer's lease revision; some engines ignore it.
+	// Fencing is the revision of the orderer's key; some engines ignore it.
 	Fencing uint64 `json:"fencing"`
 }
 
--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -1,6 +1,8 @@
 /*
  * One orderer per failure domain under a lease that may lapse.
  *
+ * The lives of the holders are those of orders.transitions.
+ *
  * The first holder wants every engine in state FIRST, the second, which gets the
  * lease when it has lapsed, in state SECOND. Engine 0 refuses an old fencing
  * number, engine 1 ignores it. A message arrives within SEND_DEADLINE or never.
@@ -28,6 +30,16 @@
 #define FIRST 1
 #define SECOND 2
 
+/* The life of a holder; orders.transitions has these rows, which the code
+ * follows. */
+#define candidate 0
+#define waiting 1
+#define ordering 2
+#define MOVE(holder, from, event, to) life[holder] == from -> life[holder] = to
+
+byte life[2] = { ordering, candidate }; /* of the first and the second holder */
+bool released;        /* the first holder gave its lease up */
+
 byte now;
 byte grantedAt;       /* of the second holder's lease */
 bool secondHolds;
@@ -86,10 +98,13 @@
 	od
 }
 
+/* Orders are given one after the other, and none is under way at a release. */
+#define IDLE (!looked[0] && !looked[1] && !inFlight[0] && !inFlight[1])
+
 active [ENGINES] proctype FirstHolder() {
 	byte e = _pid - 1;
 end:	do
-	:: atomic { !looked[e] && !inFlight[e] && now < END && SAFE ->
+	:: atomic { life[0] == ordering && !looked[e] && !inFlight[e] && now < END && SAFE ->
 		looked[e] = true;
 		lookedAt[e] = now }
 	/* Anything may happen to it in between. */
@@ -98,6 +113,8 @@
 		inFlight[e] = true;
 		sentAt[e] = now }
 	:: atomic { looked[e] -> looked[e] = false } /* stopped */
+	:: atomic { e == 0 && now >= LEASE && MOVE(0, ordering, lose, candidate) }
+	:: atomic { e == 0 && IDLE && MOVE(0, ordering, release, candidate); released = true }
 	od
 }
 
@@ -120,11 +137,14 @@
 	bool sent[ENGINES];
 	byte e;
 end:	do
-	:: atomic { !secondHolds && now >= LEASE && now + LEASE + SEND_DEADLINE <= END ->
+	:: atomic { (released || now >= LEASE) && now + LEASE + SEND_DEADLINE <= END && MOVE(1, candidate, take, waiting);
 		secondHolds = true;
 		grantedAt = now }
-	:: atomic { secondHolds && WAITED && runs[0] != SECOND && !sent[0] -> sent[0] = true; e = 0; goto order }
-	:: atomic { secondHolds && WAITED && runs[1] != SECOND && !sent[1] -> sent[1] = true; e = 1; goto order }
+	:: atomic { WAITED && MOVE(1, waiting, wait_out, ordering) }
+	:: atomic { MOVE(1, waiting, lose, candidate); secondHolds = false }
+	:: atomic { MOVE(1, waiting, release, candidate); secondHolds = false }
+	:: atomic { life[1] == ordering && runs[0] != SECOND && !sent[0] -> sent[0] = true; e = 0; goto order }
+	:: atomic { life[1] == ordering && runs[1] != SECOND && !sent[1] -> sent[1] = true; e = 1; goto order }
 	od;
 order:
 	atomic {
