--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -13,6 +13,7 @@
 	"github.com/crocusspread/crocusspread/core/admission"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/orders"
 	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/routing"
 )
@@ -23,6 +24,7 @@
 	snapshotInterval  = 50 * time.Millisecond
 	listsInterval     = 200 * time.Millisecond
 	upkeepInterval    = time.Second
+	orderInterval     = time.Second
 	urgentInterval    = 50 * time.Millisecond
 	directoryTTL      = 30 * time.Second
 	directoryInterval = 10 * time.Second
@@ -88,6 +90,8 @@
 	// Admission bounds queues and retries; zero fields take defaults.
 	Admission admission.Config
 	Platform  Platform
+	// Orders replaces the settings of the orders to engines; nil for the defaults.
+	Orders *orders.Config
 	// Listeners are sockets that are open already, at the addresses above; nil to
 	// open them in Run.
 	Listeners *Listeners
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/crocusspread/crocusspread/core/lists"
 	"github.com/crocusspread/crocusspread/core/membership"
 	"github.com/crocusspread/crocusspread/core/operations"
+	"github.com/crocusspread/crocusspread/core/orders"
 	"github.com/crocusspread/crocusspread/core/routing"
 	"github.com/crocusspread/crocusspread/core/upstreams"
 )
@@ -56,6 +57,7 @@
 	issuer     *operations.Issuer
 	executions *operations.Executor
 	claims     *operations.Claims
+	orderer    *orders.Orderer
 	peers      *peer.Client
 	engine     *upstream.Engine
 	service    *upstream.Service
@@ -102,6 +104,7 @@
 	}
 	n.buildAdmission()
 	n.buildGateway()
+	n.buildOrderer()
 	return n, nil
 }
 
@@ -133,7 +136,7 @@
 		policy = *n.cfg.Policy
 	}
 	n.router = routing.New(policy)
-	n.tracker = upstreams.New(upstreams.Options{Place: n.cfg.Place})
+	n.tracker = upstreams.New(upstreams.Options{Node: n.self.ID, Place: n.cfg.Place})
 	n.domains = upstreams.NewDomains(upstreams.Options{Place: n.cfg.Place})
 	return n.rebuildSnapshot(time.Now())
 }
@@ -320,6 +323,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for _, loop := range []func(context.Context){
 		n.heartbeatLoop, n.listsLoop, n.vmListLoop, n.loadLoop, n.snapshotLoop, n.upkeepLoop, n.directoryLoop,
+		n.orderLoop,
 	} {
 		g.Go(func() error {
 			loop(ctx)
--- a/core/gateway/operation_lists_test.go
+++ b/core/gateway/operation_lists_test.go
@@ -48,7 +48,7 @@
 
 func (n *narrowingNode) Admit(context.Context, AdmitRequest) (Grant, error) { return n, nil }
 func (n *narrowingNode) AllowRetry() bool                                   { return true }
-func (n *narrowingNode) FirstChunk()                                        {}
+func (n *narrowingNode) Dispatched()                                        {}
 func (n *narrowingNode) Done(int)                                           {}
 func (n *narrowingNode) Finished(Outcome)                                   {}
 
