Tell fresh claims and check refusals by a restarted executor

A caller's key whose first operation was burned can be used again only by TakeOver, which needs to know that the claim is an earlier one and that the issuer's own Status said not run: a refusal of another sort may come from before the ledger, and a take-over then could run the call twice. Claim.Fresh tells; the comment says what proves.

--- a/core/operations/claims.go
+++ b/core/operations/claims.go
@@ -29,6 +29,8 @@
 	Fingerprint uint64             `json:"fingerprint"`
 	// Revision is the claim's revision in the key-value service.
 	Revision uint64 `json:"-"`
+	// Fresh tells that this call made the claim.
+	Fresh bool `json:"-"`
 }
 
 // Claims binds caller-made keys to operations through the key-value service: one
@@ -83,9 +85,10 @@
 	return c.claim(ctx, customer, key, fingerprint, 0)
 }
 
-// TakeOver replaces a claim whose issuer said that its operation is burned, so
-// that the caller's key can be used again. If another entry was first, it
-// returns that entry's claim.
+// TakeOver replaces a claim that was not fresh and whose operation is burned, so
+// that the caller's key can be used again. Only the issuer's Status with verdict
+// "no" proves that, as it burns; a refusal of any other sort may come from before
+// the issuer's ledger. If another entry was first, it returns that entry's claim.
 func (c *Claims) TakeOver(ctx context.Context, customer domain.CustomerID, key string, burned Claim) (Claim, error) {
 	return c.claim(ctx, customer, key, burned.Fingerprint, burned.Revision)
 }
@@ -134,7 +137,8 @@
 		if err != nil {
 			return Claim{}, err
 		}
-		if got.Operation == mine.Operation && c.left(lease) < c.lifetime {
+		got.Fresh = got.Operation == mine.Operation
+		if got.Fresh && c.left(lease) < c.lifetime {
 			return Claim{}, errkind.New(errkind.StoreUnavailable, "the claim came too late").WithRun(domain.RunNo)
 		}
 		return got, nil
--- a/core/operations/claims_test.go
+++ b/core/operations/claims_test.go
@@ -115,7 +115,7 @@
 			claims := newClaims(t, kv, "a", atOrigin)
 			got, err := claims.Claim(t.Context(), customer, "k", 1)
 			if c.kind == "" {
-				if err != nil || got.Node != "a" || got.Revision == 0 {
+				if err != nil || got.Node != "a" || got.Revision == 0 || !got.Fresh {
 					t.Fatalf("Claim = %+v, %v", got, err)
 				}
 				mustRun(t, claims.issuer, got.Operation, origin)
@@ -164,10 +164,16 @@
 		}()
 	}
 	first := <-got
+	fresh := first.Fresh
 	for range 15 {
-		if next := <-got; next != first {
+		next := <-got
+		if next.Operation != first.Operation || next.Revision != first.Revision || next.Fresh && fresh {
 			t.Errorf("claims %+v and %+v", first, next)
 		}
+		fresh = fresh || next.Fresh
+	}
+	if !fresh {
+		t.Error("nobody made the claim")
 	}
 }
 
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -57,9 +57,10 @@
 	row "$1" "${*:2}" "$verdict"
 }
 
-guards() { grep -oE 'ifn?def NO_GUARD_[A-Z_]+' "$1.pml" | awk '{print $2}' | sort -u; }
+guards() { grep -oE '(def |defined\()NO_GUARD_[A-Z_]+' "$1.pml" | sed 's/.*NO_/NO_/' | sort -u; }
 
 holds operations -DATTEMPTS=3
+holds operations -DATTEMPTS=2 -DONE_COPY
 breaks operations -DATTEMPTS=3 -DWITNESS
 for guard in $(guards operations); do
 	breaks operations -DATTEMPTS=2 "-D$guard"
--- a/spec/operations.pml
+++ b/spec/operations.pml
@@ -12,6 +12,10 @@
  *   not_run_is_true   an operation called "not run" has not run and never does;
  *   run_is_true       an operation called "run" has run.
  *
+ * -DONE_COPY is a network that delivers a message at most once, as one stream of a
+ * connection does; a restarted executor may then call a message that was meant for
+ * its predecessor "not run". Where copies arrive it may not (NO_GUARD_SUCCESSOR).
+ *
  * -DNO_GUARD_x takes one guard away; a property must then fail. -DWITNESS claims
  * that no operation completes at its last attempt, which must fail as well: the
  * properties do not hold for want of runs.
@@ -56,6 +60,10 @@
 byte latest[EXECUTORS];
 bool forgotten[EXECUTORS]; /* a record was forgotten: the mark */
 
+#ifdef ONE_COPY
+bool arrived[ATTEMPTS + 1];
+#endif
+
 #define MOVE(from, event, to) state == from -> state = to
 
 inline check() {
@@ -215,7 +223,11 @@
 
 inline arrive(e, n) {
 	if
+#if !defined(ONE_COPY) && !defined(NO_GUARD_SUCCESSOR)
 	:: !MEANT(e, n) -> saidUnknown[n] = true
+#else
+	:: !MEANT(e, n) -> saidNotRun[n] = true /* its predecessor never got it */
+#endif
 	:: MEANT(e, n) && outcome[e] == none ->
 		if
 		:: forgotten[e] -> saidUnknown[n] = true
@@ -323,7 +335,11 @@
 		if
 		:: to[n] == e ->
 			if
+#ifndef ONE_COPY
 			:: arrive(e, n)
+#else
+			:: !arrived[n] -> arrived[n] = true; arrive(e, n)
+#endif
 			:: inquire(e, n)
 			:: hold(e, n)
 			fi
