Let a key be used again once its operation is burned

The entry now binds the key to a new operation if the claim was there before and the issuer's status, which burns, says "no". Ruled out: taking over on any refusal, as one that comes from before the ledger proves nothing.

--- a/adapters/standin/fleet/fleet.go
+++ b/adapters/standin/fleet/fleet.go
@@ -104,6 +104,7 @@
 type Service struct {
 	*servicesim.Sim
 	ID      domain.UpstreamID
+	Name    string
 	Place   domain.Place
 	Address string
 }
@@ -166,7 +167,7 @@
 			}
 		}
 		for i := range d.Services {
-			if err := f.startService(d, i); err != nil {
+			if err := f.AddService(d, i); err != nil {
 				return err
 			}
 		}
@@ -187,7 +188,8 @@
 	return nil
 }
 
-func (f *Fleet) startService(d Domain, i int) error {
+// AddService starts the i-th plain service of a failure domain.
+func (f *Fleet) AddService(d Domain, i int) error {
 	c := d.ServiceConfig
 	c.ID = domain.UpstreamID(fmt.Sprintf("%s-%s-%d", d.Service, d.Place.FailureDomain, i))
 	sim := servicesim.New(c)
@@ -195,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	f.Services = append(f.Services, &Service{Sim: sim, ID: c.ID, Place: d.Place, Address: address})
+	f.Services = append(f.Services, &Service{Sim: sim, ID: c.ID, Name: d.Service, Place: d.Place, Address: address})
 	f.Platform.UpdateVM(ports.VM{ID: string(c.ID), Role: ports.RoleService, Place: d.Place, Target: d.Service, Address: address})
 	return nil
 }
@@ -287,6 +289,21 @@
 	return nil
 }
 
+// VM returns the VM list's row of an upstream.
+func (f *Fleet) VM(id domain.UpstreamID) ports.VM {
+	for _, e := range f.Engines {
+		if e.ID == id {
+			return ports.VM{ID: string(id), Role: ports.RoleEngine, Place: e.Place, Address: e.Address}
+		}
+	}
+	for _, s := range f.Services {
+		if s.ID == id {
+			return ports.VM{ID: string(id), Role: ports.RoleService, Place: s.Place, Target: s.Name, Address: s.Address}
+		}
+	}
+	return ports.VM{}
+}
+
 // NodeIn returns the first node of a failure domain.
 func (f *Fleet) NodeIn(fd domain.FailureDomain) *Node {
 	for _, n := range f.Nodes {
--- a/core/gateway/deps.go
+++ b/core/gateway/deps.go
@@ -106,6 +106,8 @@
 // Keys binds caller-made keys to operations.
 type Keys interface {
 	Claim(ctx context.Context, customer domain.CustomerID, key string, fingerprint uint64) (operations.Claim, error)
+	// TakeOver binds a key to a new operation in place of a burned one.
+	TakeOver(ctx context.Context, customer domain.CustomerID, key string, burned operations.Claim) (operations.Claim, error)
 }
 
 // Executions is the ledger of the attempts that this process runs for issuers
--- a/core/gateway/operation.go
+++ b/core/gateway/operation.go
@@ -24,10 +24,30 @@
 	inquiryInterval = 250 * time.Millisecond
 )
 
-// serveOperation runs or joins a non-repeatable call.
+// serveOperation runs or joins a non-repeatable call. A caller-made key whose
+// operation turns out to be burned is bound to a new operation, once.
 func (c *call) serveOperation(ctx context.Context) error {
 	c.fingerprint = fingerprint(c.req)
-	issuer, err := c.resolveOperation(ctx)
+	claim, err := c.resolveOperation(ctx)
+	if err != nil {
+		return c.beforeIssuer(err)
+	}
+	err = c.runOperation(ctx)
+	if !c.mayTakeOver(ctx, claim, err) {
+		return err
+	}
+	next, takeErr := c.g.deps.Keys.TakeOver(ctx, c.access.Customer, c.req.IdempotencyKey, claim)
+	if takeErr != nil {
+		return c.beforeIssuer(takeErr)
+	}
+	c.note("operation", "%s was burned; the key now stands for %s", claim.Operation, next.Operation)
+	c.req.OperationID = next.Operation
+	return c.runOperation(ctx)
+}
+
+// runOperation asks the issuer of the request's operation for its answer.
+func (c *call) runOperation(ctx context.Context) error {
+	issuer, err := operations.ParseID(c.req.OperationID)
 	if err != nil {
 		return c.beforeIssuer(err)
 	}
@@ -38,6 +58,16 @@
 	return c.joinOperation(ctx, issuer)
 }
 
+// mayTakeOver tells if the operation that a caller-made key stood for already is
+// burned. Only the issuer's status proves it; a refusal may come from elsewhere.
+func (c *call) mayTakeOver(ctx context.Context, claim operations.Claim, err error) bool {
+	if err == nil || claim.Operation == "" || claim.Fresh || c.w.started || errkind.From(err).Verdict() != domain.RunNo {
+		return false
+	}
+	status, err := c.g.OperationStatus(ctx, c.access.Customer, claim.Operation)
+	return err == nil && status.Run == domain.RunNo
+}
+
 // beforeIssuer weakens the verdict of an error that came about before the
 // issuer was asked: an earlier copy of the request may have run.
 func (c *call) beforeIssuer(err error) error {
@@ -60,20 +90,17 @@
 }
 
 // resolveOperation finds the request's operation id: the caller's, the one that
-// its key stands for, or a fresh one.
-func (c *call) resolveOperation(ctx context.Context) (operations.IDParts, error) {
+// its key stands for, or a fresh one. The claim is zero unless there is a key.
+func (c *call) resolveOperation(ctx context.Context) (claim operations.Claim, err error) {
 	switch {
 	case c.req.OperationID != "":
 	case c.req.IdempotencyKey != "":
-		claim, err := c.g.deps.Keys.Claim(ctx, c.access.Customer, c.req.IdempotencyKey, c.fingerprint)
-		if err != nil {
-			return operations.IDParts{}, err
-		}
+		claim, err = c.g.deps.Keys.Claim(ctx, c.access.Customer, c.req.IdempotencyKey, c.fingerprint)
 		c.req.OperationID = claim.Operation
 	default:
 		c.req.OperationID = c.g.deps.Operations.Issue(c.access.Customer, c.g.deps.Now())
 	}
-	return operations.ParseID(c.req.OperationID)
+	return claim, err
 }
 
 // joinOperation asks the issuing process for the operation's answer.
