Let no turn wait for the end of requests of the last one

Cause: with demands counted after 10 s, turns of failure domains and nodes met in such a way that one node of nine served nothing in two minutes: what others held from their last turn was taken from every share.

Change: one request a node is left out of what is waited for.

--- a/core/admission/divide.go
+++ b/core/admission/divide.go
@@ -48,13 +48,13 @@
 	return shares
 }
 
-// yield takes what parties hold above their shares, rounded up, from the others'
-// shares. A fraction is left out: it goes by turns, and the turn of one party must
-// not wait for the end of the other's requests.
+// yield takes what parties hold above their shares from the others' shares. One
+// request a node is left out: it may go on from the party's last turn, and the turn
+// of one must not wait for the end of the other's requests.
 func yield(shares []float64, claims []claim) {
 	excess, within := 0.0, 0.0
 	for i, c := range claims {
-		if over := c.held - math.Ceil(shares[i]-rounding); over > 0 {
+		if over := c.over(shares[i]); over > 0 {
 			excess += over
 		} else {
 			within += shares[i]
@@ -65,12 +65,17 @@
 	}
 	keep := max(1-excess/within, 0)
 	for i, c := range claims {
-		if c.held <= math.Ceil(shares[i]-rounding) {
+		if c.over(shares[i]) <= 0 {
 			shares[i] *= keep
 		}
 	}
 }
 
+// over returns how much the party holds above its share.
+func (c *claim) over(share float64) float64 {
+	return c.held - math.Ceil(share-rounding) - float64(c.nodes)
+}
+
 // OvershootBound is the most requests of a customer that may be in flight at once
 // in a fleet of that many nodes, whose demands change as they like: the divided
 // limit, and for each level that divides, failure domain and node, what may be
