--- a/adapters/benchmarks/setup_test.go
+++ b/adapters/benchmarks/setup_test.go
@@ -26,6 +26,14 @@
 
 // startFleet starts one node before engines in one failure domain.
 func startFleet(b *testing.B, engines int, engine enginesim.Config) *fleet.Fleet {
+	b.Helper()
+	f := startFleetWith(b, engines, engine, func(*node.Config) {})
+	b.Cleanup(f.Close)
+	return f
+}
+
+// startFleetWith lets the caller adjust the node and close the fleet.
+func startFleetWith(b *testing.B, engines int, engine enginesim.Config, adjust func(*node.Config)) *fleet.Fleet {
 	b.Helper()
 	engine.Models = []string{model}
 	place := domain.Place{Region: "r", FailureDomain: "r-a"}
@@ -36,12 +44,14 @@
 			Customers: []lists.Customer{{ID: "c", Plan: "p", KeyHashes: []string{lists.HashKey(key)}}},
 			Plans:     []lists.Plan{{ID: "p", Models: []string{model}, Regions: []domain.Region{"r"}}},
 		},
-		Adjust: func(c *node.Config) { c.RequestTimeout = time.Hour },
+		Adjust: func(c *node.Config) {
+			c.RequestTimeout = time.Hour
+			adjust(c)
+		},
 	})
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(f.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	if err := f.WaitReady(ctx); err != nil {
--- a/adapters/callerapi/answer.go
+++ b/adapters/callerapi/answer.go
@@ -27,7 +27,8 @@
 // ownHeaders are for the node itself and are not passed to services.
 var ownHeaders = map[string]bool{
 	"Authorization": true, textproto.CanonicalMIMEHeaderKey(HeaderOperationID): true, HeaderIdempotency: true,
-	"X-Idempotency-Key": true, HeaderTimeout: true, HeaderRequestID: true,
+	"X-Idempotency-Key": true, HeaderTimeout: true, HeaderFirstTokenTimeout: true,
+	HeaderRequestID: true,
 }
 
 // serviceHeader returns the caller's headers that a service gets.
--- a/adapters/callerapi/handlers.go
+++ b/adapters/callerapi/handlers.go
@@ -31,23 +31,31 @@
 	if !s.deps.Accepting() {
 		return req, nil, nil, errkind.New(errkind.Draining, "this node takes no new requests; use another entry")
 	}
-	timeout, err := s.timeout(r)
+	timeout, err := s.timeout(r, HeaderTimeout)
 	if err != nil {
 		return req, nil, nil, err
 	}
-	req.Deadline = time.Now().Add(timeout)
+	first, err := s.timeout(r, HeaderFirstTokenTimeout)
+	if err != nil {
+		return req, nil, nil, err
+	}
+	now := time.Now()
+	req.Deadline = now.Add(timeout)
+	if r.Header.Get(HeaderFirstTokenTimeout) != "" {
+		req.FirstTokenBy = now.Add(first)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	return req, ctx, cancel, nil
 }
 
-func (s *Server) timeout(r *http.Request) (time.Duration, error) {
-	text := r.Header.Get(HeaderTimeout)
+func (s *Server) timeout(r *http.Request, header string) (time.Duration, error) {
+	text := r.Header.Get(header)
 	if text == "" {
 		return s.cfg.RequestTimeout, nil
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil || d <= 0 {
-		return 0, errkind.New(errkind.BadRequest, "%s %q is not a positive duration such as 30s", HeaderTimeout, text)
+		return 0, errkind.New(errkind.BadRequest, "%s %q is not a positive duration such as 30s", header, text)
 	}
 	return min(d, s.cfg.RequestTimeout), nil
 }
--- a/adapters/callerapi/server.go
+++ b/adapters/callerapi/server.go
@@ -21,7 +21,9 @@
 	HeaderRun          = "Crocusspread-Run"
 	HeaderErrorKind    = "Crocusspread-Error-Kind"
 	HeaderTimeout      = "Crocusspread-Timeout"
-	headerTraceparent  = "Traceparent"
+	// HeaderFirstTokenTimeout states how long the caller waits for the first token.
+	HeaderFirstTokenTimeout = "Crocusspread-First-Token-Timeout"
+	headerTraceparent       = "Traceparent"
 )
 
 // Gateway serves requests.
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -78,6 +78,9 @@
 	h := e.headroom()
 	e.cost = max(h.Service.Seconds(), minCost)
 	e.due = now.Add(bound + h.FirstToken)
+	if !req.FirstTokenBy.IsZero() {
+		e.due, e.stated = req.FirstTokenBy, true
+	}
 	if !req.Deadline.IsZero() && req.Deadline.Before(e.due) {
 		e.due, e.stated = req.Deadline, true
 	}
--- a/core/gateway/deps.go
+++ b/core/gateway/deps.go
@@ -120,7 +120,10 @@
 	Target       domain.Target
 	PromptTokens int
 	OutputTokens int
+	// Deadline is when the caller leaves, FirstTokenBy when the first token is due;
+	// each is zero if it is not known.
 	Deadline     time.Time
+	FirstTokenBy time.Time
 }
 
 // Grant is an admitted request's share of the limits.
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -82,7 +82,7 @@
 	}
 	grant, err := c.g.deps.Admission.Admit(ctx, AdmitRequest{
 		Access: c.access, Target: c.req.Target, PromptTokens: c.req.PromptTokens,
-		OutputTokens: c.req.OutputTokens, Deadline: c.req.Deadline,
+		OutputTokens: c.req.OutputTokens, Deadline: c.req.Deadline, FirstTokenBy: c.req.FirstTokenBy,
 	})
 	if err != nil {
 		return c.beforeIssuer(err)
--- a/core/gateway/request.go
+++ b/core/gateway/request.go
@@ -33,8 +33,10 @@
 	OperationID    domain.OperationID
 	IdempotencyKey string
 	// Deadline is when the caller stops waiting; zero if unknown.
-	Deadline    time.Time
-	Traceparent string
+	Deadline time.Time
+	// FirstTokenBy is when the first token is due; zero if the caller did not say.
+	FirstTokenBy time.Time
+	Traceparent  string
 }
 
 // Forward is a request on its way between two nodes.
