--- a/adapters/benchmarks/setup_test.go
+++ b/adapters/benchmarks/setup_test.go
@@ -26,18 +26,28 @@
 
 // startFleet starts one node before engines in one failure domain.
 func startFleet(b *testing.B, engines int, engine enginesim.Config) *fleet.Fleet {
+	b.Helper()
+	f := startFleetWith(b, engines, engine, func(*node.Config) {})
+	b.Cleanup(f.Close)
+	return f
+}
+
+// startFleetWith lets the caller adjust the node and close the fleet.
+func startFleetWith(b *testing.B, engines int, engine enginesim.Config, adjust func(*node.Config)) *fleet.Fleet {
 	b.Helper()
 	engine.Models = []string{model}
 	place := domain.Place{Region: "r", FailureDomain: "r-a"}
 	f, err := fleet.Start(fleet.Config{
 		Domains:  []fleet.Domain{{Place: place, Nodes: 1, Engines: engines, Engine: engine}},
 		Document: benchLists(),
-		Adjust:   func(c *node.Config) { c.RequestTimeout = time.Hour },
+		Adjust: func(c *node.Config) {
+			c.RequestTimeout = time.Hour
+			adjust(c)
+		},
 	})
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(f.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	if err := f.WaitReady(ctx); err != nil {
