Read stored lists by one decoder

Cause: core/lists and core/adoption each had one, and only the first refused a value whose version contradicts its change. A node now refuses such a value as well. The tests' documents named no version in their change and do so now.

--- a/adapters/peer/unary.go
+++ b/adapters/peer/unary.go
@@ -5,7 +5,6 @@
 
 	"github.com/crocusspread/crocusspread/adapters/peer/peerconv"
 	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
-	"github.com/crocusspread/crocusspread/core/adoption"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/lists"
@@ -53,7 +52,7 @@
 	if err != nil || len(reply.GetDocument()) == 0 {
 		return nil, err
 	}
-	return adoption.Decode(reply.GetDocument())
+	return lists.Decode(reply.GetDocument())
 }
 
 // Inquire implements gateway.Peers.
--- a/core/adoption/follower.go
+++ b/core/adoption/follower.go
@@ -272,7 +272,7 @@
 	if entry.Revision == 0 {
 		return
 	}
-	v, err := Decode(entry.Value)
+	v, err := lists.Decode(entry.Value)
 	if err != nil {
 		f.holder.refuse(0, err)
 		return
--- a/core/adoption/holder.go
+++ b/core/adoption/holder.go
@@ -1,12 +1,10 @@
 package adoption
 
 import (
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 
 	"github.com/crocusspread/crocusspread/core/domain"
-	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/lists"
 )
 
@@ -73,15 +71,3 @@
 		h.refused(version, err)
 	}
 }
-
-// Decode reads the value stored under lists.Key. Errors are of kind bad_request.
-func Decode(value []byte) (*lists.Versioned, error) {
-	if len(value) > lists.MaxDocumentBytes {
-		return nil, errkind.New(errkind.BadRequest, "the lists take %d bytes, more than %d", len(value), lists.MaxDocumentBytes)
-	}
-	var v lists.Versioned
-	if err := json.Unmarshal(value, &v); err != nil {
-		return nil, errkind.New(errkind.BadRequest, "the stored lists are not valid JSON: %w", err)
-	}
-	return &v, nil
-}
--- a/core/adoption/holder_test.go
+++ b/core/adoption/holder_test.go
@@ -12,11 +12,11 @@
 )
 
 func validLists(v domain.ListsVersion) *lists.Versioned {
-	return &lists.Versioned{Version: v, Document: lists.Document{Regions: []domain.Region{"r"}}}
+	return &lists.Versioned{Version: v, Change: lists.Change{Version: v}, Document: lists.Document{Regions: []domain.Region{"r"}}}
 }
 
 func badLists(v domain.ListsVersion) *lists.Versioned {
-	return &lists.Versioned{Version: v, Document: lists.Document{Regions: []domain.Region{""}}}
+	return &lists.Versioned{Version: v, Change: lists.Change{Version: v}, Document: lists.Document{Regions: []domain.Region{""}}}
 }
 
 func encoded(t interface{ Fatal(...any) }, v *lists.Versioned) []byte {
--- a/core/lists/apply.go
+++ b/core/lists/apply.go
@@ -94,7 +94,8 @@
 	return v, entry.Revision, err
 }
 
-// Decode reads a value stored under Key.
+// Decode reads a value stored under Key. Errors: body_too_large, and internal for
+// a value that is not readable or contradicts itself.
 func Decode(value []byte) (*Versioned, error) {
 	if len(value) > MaxDocumentBytes {
 		return nil, errkind.New(errkind.BodyTooLarge, "the stored lists have %d bytes; %d is the most", len(value), MaxDocumentBytes)
