--- /dev/null
+++ b/core/orders/bench_test.go
@@ -0,0 +1,31 @@
+package orders
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkPlan looks at the engines of a large failure domain and plans, with
+// one model missing and all engines full.
+func BenchmarkPlan(b *testing.B) {
+	const domainEngines, models = 24, 17
+	cfg := DefaultConfig("n", 1, "d")
+	var rows, wanted []string
+	for i := range models {
+		wanted = append(wanted, fmt.Sprintf("m%02d", i))
+	}
+	for i := range domainEngines {
+		m := func(k int) string { return wanted[(i+k)%(models-1)] }
+		rows = append(rows, fmt.Sprintf("e%02d %s,%s,%s,%s 5", i, m(0), m(1), m(2), m(3)))
+	}
+	s := Situation{Engines: engines(rows...), Wanted: wanted}
+	d := newDemand(cfg)
+	d.observe(start, s)
+	now := start.Add(longEnough)
+	for b.Loop() {
+		d.observe(now, s)
+		if len(newPlanner(cfg, now, d, s, nil).plan()) != 1 {
+			b.Fatal("the missing model was not planned")
+		}
+	}
+}
--- a/core/orders/config.go
+++ b/core/orders/config.go
@@ -32,7 +32,8 @@
 	LookStagger  time.Duration
 	LookInterval time.Duration
 
-	// MaxModelsPerEngine is how many models an engine is filled up to.
+	// MaxModelsPerEngine is how many models an engine is filled up to; with zero
+	// the node neither orders nor takes the lease.
 	MaxModelsPerEngine int
 	// Floor is the number of engines that each model of the plans should be on.
 	Floor int
--- a/core/orders/orderer.go
+++ b/core/orders/orderer.go
@@ -131,7 +131,7 @@
 func (o *Orderer) round(ctx context.Context, s Situation) {
 	now := o.deps.Now()
 	switch {
-	case !s.Eligible:
+	case !s.Eligible || o.cfg.MaxModelsPerEngine == 0:
 		o.eligible = false
 		if o.tenure.held() {
 			o.tenure.release(ctx)
