--- a/adapters/node/fromsettings.go
+++ b/adapters/node/fromsettings.go
@@ -12,6 +12,7 @@
 	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/orders"
 	"github.com/crocusspread/crocusspread/core/routing"
 )
 
@@ -32,6 +33,9 @@
 		Upstream:          upstream.Options{ProgressTimeout: s.TimeLimits.Progress},
 		Log:               telemetry.NewLog(s.Node.ID),
 	}
+	order := orders.DefaultConfig(s.Node.ID, 0, s.Node.FailureDomain)
+	order.MaxModelsPerEngine = s.Orders.MaxModelsPerEngine
+	cfg.Orders = &order
 	for _, l := range s.Links {
 		cfg.LinkMegabits[l.Region] = l.MegabitsPerSec
 	}
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -28,6 +28,7 @@
 	Drain       Drain         `yaml:"drain" doc:"How the node stops as planned."`
 	Sizes       Sizes         `yaml:"sizes" doc:"Bounds for what callers send."`
 	KeptAnswers KeptAnswers   `yaml:"kept_answers" doc:"Answers of calls that may not be repeated, kept in memory for callers that ask again."`
+	Orders      Orders        `yaml:"orders" doc:"Orders to the model engines of the node's failure domain."`
 	Heartbeat   time.Duration `yaml:"heartbeat_interval" doc:"Time between two heartbeats to another node." unit:"duration" validate:"min=100ms,max=10s"`
 	Links       []Link        `yaml:"link_budgets" doc:"What this node may send to each other region; a region that is not listed has no bound." unit:"list" validate:"dive"`
 }
@@ -108,6 +109,11 @@
 	Retention time.Duration    `yaml:"retention" doc:"How long an answer is kept." unit:"duration" validate:"min=1s,max=24h"`
 }
 
+// Orders bounds what engines are ordered to do.
+type Orders struct {
+	MaxModelsPerEngine int `yaml:"max_models_per_engine" doc:"How many models an engine is filled up to; 0 orders nothing. The same on all nodes of a failure domain." unit:"models" validate:"min=0,max=1000"`
+}
+
 // Link is the budget of the link to one other region.
 type Link struct {
 	Region         domain.Region `yaml:"region" doc:"The other region." unit:"text" validate:"required"`
@@ -123,6 +129,7 @@
 		Drain:       Drain{EntryTTL: 5 * time.Second, Max: 15 * time.Minute},
 		Sizes:       Sizes{MaxBody: 8 * yamldoc.MiB, MaxHeader: 32 * yamldoc.KiB},
 		KeptAnswers: KeptAnswers{MaxBytes: 32 * yamldoc.MiB, Retention: 10 * time.Minute},
+		Orders:      Orders{MaxModelsPerEngine: 4},
 		Heartbeat:   500 * time.Millisecond,
 	}
 }
