--- a/adapters/node/admin.go
+++ b/adapters/node/admin.go
@@ -84,16 +84,16 @@
 		},
 	}
 	for _, m := range view.Own {
-		st.Members = append(st.Members, member(m))
+		st.Members = append(st.Members, n.member(now, m))
 	}
 	for i := range view.Others {
 		d := &view.Others[i]
 		for _, m := range d.Nodes {
-			st.Members = append(st.Members, member(m))
+			st.Members = append(st.Members, n.member(now, m))
 		}
 		st.Domains = append(st.Domains, domainStatus(now, d)...)
 	}
-	st.Upstreams = n.upstreamStatus()
+	st.Upstreams = n.upstreamStatus(now)
 	st.Orders = n.ordersStatus()
 	return st
 }
@@ -118,11 +118,19 @@
 	return out
 }
 
-func member(m domain.NodeRef) adminapi.Member {
-	return adminapi.Member{
+// member describes another node; what only its own heartbeats tell is of age -1
+// if none came here.
+func (n *Node) member(now time.Time, m domain.NodeRef) adminapi.Member {
+	out := adminapi.Member{
 		Node: m.ID, Incarnation: strconv.FormatUint(uint64(m.Incarnation), 16), Place: m.Place, State: m.State,
-		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress,
+		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress, AgeMS: -1,
 	}
+	if m.ID == n.self.ID {
+		out.ListsVersion, out.AgeMS = n.holder.Version(), 0
+	} else if known, ok := n.registry.lastHeard(m.ID); ok {
+		out.ListsVersion, out.AgeMS = known.version, now.Sub(known.heard).Milliseconds()
+	}
+	return out
 }
 
 func domainStatus(now time.Time, d *membership.Domain) []adminapi.Domain {
@@ -136,14 +144,14 @@
 	return out
 }
 
-func (n *Node) upstreamStatus() []adminapi.Upstream {
+func (n *Node) upstreamStatus(now time.Time) []adminapi.Upstream {
 	var out []adminapi.Upstream
 	s := n.snapshot.Load()
 	for i := range int32(s.Upstreams()) {
 		u := s.Upstream(i)
 		row := adminapi.Upstream{
 			ID: u.Ref.ID, Kind: u.Ref.Target.Kind.String(), Address: u.Ref.Address, State: u.State,
-			Running: u.Running, Waiting: u.Waiting, Slots: u.Slots,
+			Running: u.Running, Waiting: u.Waiting, Slots: u.Slots, AgeMS: n.notes.reportAgeMS(now, u.Ref.ID),
 		}
 		if u.Own != nil {
 			row.InFlight = u.Own.InFlight()
--- a/adapters/node/members.go
+++ b/adapters/node/members.go
@@ -2,55 +2,15 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/callerapi"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/membership"
-	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/upstreams"
 )
 
-// registry finds nodes of all failure domains by name. It keeps the latest VM
-// list, and what heartbeats said last, when the platform is away.
-type registry struct {
-	mu    sync.RWMutex
-	nodes map[domain.NodeID]domain.NodeRef
-}
-
-func newRegistry() *registry {
-	return &registry{nodes: make(map[domain.NodeID]domain.NodeRef)}
-}
-
-// Find implements gateway.Nodes.
-func (r *registry) Find(id domain.NodeID) (domain.NodeRef, bool) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	ref, ok := r.nodes[id]
-	return ref, ok
-}
-
-func (r *registry) setVMs(vms []ports.VM) {
-	nodes := make(map[domain.NodeID]domain.NodeRef, len(vms))
-	for _, vm := range vms {
-		if vm.Role == ports.RoleEntry {
-			id := domain.NodeID(vm.ID)
-			nodes[id] = domain.NodeRef{ID: id, Place: vm.Place, PeerAddress: vm.Address}
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.nodes = nodes
-}
-
-func (r *registry) heard(ref domain.NodeRef) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.nodes[ref.ID] = ref
-}
-
 // heartbeatLoop exchanges heartbeats each round, and sooner when something
 // urgent changed.
 func (n *Node) heartbeatLoop(ctx context.Context) {
@@ -92,7 +52,7 @@
 
 // heard passes on what a heartbeat says beside membership.
 func (n *Node) heard(h membership.Heartbeat) {
-	n.registry.heard(h.Sender.Node)
+	n.registry.observe(time.Now(), h.Sender.Node, h.ListsVersion)
 	n.follower.PeerVersion(h.Sender.Node, h.ListsVersion)
 	if h.Sender.Node.Place.FailureDomain != n.self.Place.FailureDomain || h.Sender.Node.ID == n.self.ID {
 		return
@@ -144,7 +104,7 @@
 		}
 		now := time.Now()
 		n.vmsAnswered.Store(now.UnixNano())
-		n.registry.setVMs(vms)
+		n.registry.setVMs(now, vms)
 		n.group.SetVMs(now, vms)
 		n.tracker.ObserveVMs(now, vms)
 	})
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -72,7 +72,7 @@
 	catchUp      singleflight.Group
 	background   sync.WaitGroup
 	lost         sourceHealth
-	health       upstreamHealth
+	notes        upstreamNotes
 	linkBudgets  map[domain.Region]*routing.LinkBudget
 	linkMu       sync.Mutex
 	killed       chan struct{}
--- a/adapters/node/upstreams.go
+++ b/adapters/node/upstreams.go
@@ -9,63 +9,85 @@
 	"github.com/crocusspread/crocusspread/core/event"
 )
 
-// upstreamHealth remembers what was logged of each upstream, and the cache
-// events read so far.
-type upstreamHealth struct {
-	mu     sync.Mutex
-	states map[domain.UpstreamID]domain.UpstreamState
-	events map[domain.UpstreamID]uint64
-	asked  map[domain.UpstreamID]bool
-}
-
 // maxFirstPolls bounds the upstreams that are asked for the first time at once.
 const maxFirstPolls = 32
 
-// neverAsked returns up to limit upstreams that were not asked for their load
-// yet and marks them as asked.
-func (h *upstreamHealth) neverAsked(refs []domain.UpstreamRef, limit int) []domain.UpstreamRef {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.asked == nil {
-		h.asked = make(map[domain.UpstreamID]bool)
+// upstreamNote is what the load loop remembers of one upstream.
+type upstreamNote struct {
+	// state is the state that was logged last.
+	state domain.UpstreamState
+	// cacheEvents is the sequence number to ask for cache events after.
+	cacheEvents uint64
+	asked       bool
+	// read is when the latest load report was read off; zero without one.
+	read time.Time
+}
+
+// upstreamNotes holds a note for each upstream of the own failure domain.
+type upstreamNotes struct {
+	mu    sync.Mutex
+	notes map[domain.UpstreamID]*upstreamNote
+}
+
+// update changes one note under the lock.
+func (u *upstreamNotes) update(id domain.UpstreamID, change func(*upstreamNote)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.notes == nil {
+		u.notes = make(map[domain.UpstreamID]*upstreamNote)
 	}
-	var fresh []domain.UpstreamRef
-	for _, ref := range refs {
-		if !h.asked[ref.ID] && len(fresh) < limit {
-			h.asked[ref.ID] = true
-			fresh = append(fresh, ref)
-		}
+	if u.notes[id] == nil {
+		u.notes[id] = &upstreamNote{}
 	}
-	return fresh
+	change(u.notes[id])
 }
 
-// changed tells if the state differs from the one logged last.
-func (h *upstreamHealth) changed(id domain.UpstreamID, s domain.UpstreamState) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.states == nil {
-		h.states = make(map[domain.UpstreamID]domain.UpstreamState)
+// get returns a copy of one note.
+func (u *upstreamNotes) get(id domain.UpstreamID) upstreamNote {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if n := u.notes[id]; n != nil {
+		return *n
 	}
-	if h.states[id] == s {
-		return false
-	}
-	h.states[id] = s
-	return true
+	return upstreamNote{}
+}
+
+// changed tells if the state differs from the one logged last.
+func (u *upstreamNotes) changed(id domain.UpstreamID, s domain.UpstreamState) (changed bool) {
+	u.update(id, func(n *upstreamNote) { changed, n.state = n.state != s, s })
+	return changed
 }
 
-func (h *upstreamHealth) after(id domain.UpstreamID) uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.events[id]
+// neverAsked forgets upstreams that are not in refs any more, and returns up to
+// maxFirstPolls of refs that were not asked for their load yet, marked as asked.
+func (u *upstreamNotes) neverAsked(refs []domain.UpstreamRef) []domain.UpstreamRef {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var fresh []domain.UpstreamRef
+	kept := make(map[domain.UpstreamID]*upstreamNote, len(refs))
+	for _, ref := range refs {
+		n := u.notes[ref.ID]
+		if n == nil {
+			n = &upstreamNote{}
+		}
+		kept[ref.ID] = n
+		if !n.asked && len(fresh) < maxFirstPolls {
+			n.asked = true
+			fresh = append(fresh, ref)
+		}
+	}
+	u.notes = kept
+	return fresh
 }
 
-func (h *upstreamHealth) setAfter(id domain.UpstreamID, after uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.events == nil {
-		h.events = make(map[domain.UpstreamID]uint64)
+// reportAgeMS returns the age of the latest load report in milliseconds; -1
+// without one.
+func (u *upstreamNotes) reportAgeMS(now time.Time, id domain.UpstreamID) int64 {
+	read := u.get(id).read
+	if read.IsZero() {
+		return -1
 	}
-	h.events[id] = after
+	return now.Sub(read).Milliseconds()
 }
 
 // loadLoop asks the upstreams for their load, a bounded number each second;
@@ -74,7 +96,7 @@
 	next := 0
 	every(ctx, loadInterval/loadPollsPerSecond, func(now time.Time) {
 		refs := n.tracker.Refs()
-		for _, ref := range n.health.neverAsked(refs, maxFirstPolls) {
+		for _, ref := range n.notes.neverAsked(refs) {
 			n.background.Go(func() { n.pollLoad(ctx, ref) })
 		}
 		if len(refs) > 0 {
@@ -118,6 +140,7 @@
 		n.noteState(ref.ID)
 		return
 	}
+	n.notes.update(ref.ID, func(u *upstreamNote) { u.read = time.Now().Add(-report.Age) })
 	if err := n.tracker.ObserveReport(time.Now(), ref.ID, report); err != nil {
 		n.tracker.ObserveLeaving(ref.ID)
 	}
@@ -130,9 +153,10 @@
 func (n *Node) pollCache(ctx context.Context, ref domain.UpstreamRef) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	events, err := n.engine.CacheEvents(ctx, ref, n.health.after(ref.ID))
+	events, err := n.engine.CacheEvents(ctx, ref, n.notes.get(ref.ID).cacheEvents)
 	if err == nil && len(events) > 0 {
-		n.health.setAfter(ref.ID, n.tracker.ObserveCache(ref.ID, events))
+		next := n.tracker.ObserveCache(ref.ID, events)
+		n.notes.update(ref.ID, func(u *upstreamNote) { u.cacheEvents = next })
 	}
 }
 
@@ -144,7 +168,7 @@
 
 func (n *Node) noteState(id domain.UpstreamID) {
 	state := n.tracker.State(id)
-	if n.health.changed(id, state) {
+	if n.notes.changed(id, state) {
 		n.log.Log(event.UpstreamChanged, event.F("upstream", id), event.F("state", state))
 	}
 }
--- a/adapters/operatorcli/status.go
+++ b/adapters/operatorcli/status.go
@@ -1,6 +1,7 @@
 package operatorcli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -72,6 +73,10 @@
 	}
 	fmt.Fprintf(w, "platform: key-value service answered %s ago, VM list %s ago\n",
 		age(s.Platform.KVAgeMS), age(s.Platform.VMListAgeMS))
+	if s.Orders.State != "" {
+		fmt.Fprintf(w, "orders to engines: this node is %s, the orderer is %s, %d engines are changing\n",
+			s.Orders.State, cmp.Or(string(s.Orders.Orderer), "unknown"), s.Orders.Changing)
+	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	writeMembers(table, s.Members)
 	writeUpstreams(table, s.Upstreams)
