Leave a draining node out of the entry lists of other domains

Cause: a domain told others its serving nodes only, and the receiver kept every node that a message did not name. So a draining node stayed in the entry lists and in the choice of receivers of all other domains until it had ended and heartbeats to it failed.

Change: a domain names its draining nodes; the receiver takes them out, passes the word on to its own domain, and never takes that process of the node back.

Ruled out: slow heartbeats, for nodes of the stopping node's own domain left it out at once.

--- a/core/membership/domains.go
+++ b/core/membership/domains.go
@@ -57,6 +57,8 @@
 	seeds     []domain.NodeRef // from the VM list
 	nextNode  int
 	turn      turn
+	// draining holds nodes that said they leave, newest first.
+	draining []domain.NodeRef
 }
 
 // domainTable holds the other failure domains under one lock.
@@ -144,7 +146,8 @@
 	known.load = load
 }
 
-// sample merges newly named nodes in front of the ones known.
+// sample merges newly named nodes in front of the ones known. Draining nodes are
+// kept apart, so that the word of them is passed on.
 func (r *domainRecord) sample(nodes []domain.NodeRef, limit int) {
 	merged := make([]sampleNode, 0, limit)
 	for _, n := range nodes {
@@ -152,6 +155,7 @@
 			merged = append(merged, sampleNode{node: n})
 		}
 	}
+	r.sampleDraining(nodes, limit)
 	for _, old := range r.nodes {
 		named := slices.ContainsFunc(nodes, func(n domain.NodeRef) bool {
 			return n.ID == old.node.ID || n.PeerAddress == old.node.PeerAddress
@@ -160,9 +164,33 @@
 			merged = append(merged, old)
 		}
 	}
+	merged = slices.DeleteFunc(merged, func(s sampleNode) bool { return r.drains(s.node) })
 	r.nodes = merged[:min(limit, len(merged))]
 }
 
+// sampleDraining merges newly named draining nodes in front of the ones known. A
+// new process of a node takes its place.
+func (r *domainRecord) sampleDraining(nodes []domain.NodeRef, limit int) {
+	merged := draining(nodes)
+	for _, old := range r.draining {
+		named := slices.ContainsFunc(nodes, func(n domain.NodeRef) bool {
+			return n.ID == old.ID && (n.State == domain.NodeDraining || n.Incarnation != old.Incarnation)
+		})
+		if !named {
+			merged = append(merged, old)
+		}
+	}
+	r.draining = merged[:min(limit, len(merged))]
+}
+
+// drains tells if this very process of a node is known to drain: it never serves
+// again, whatever late messages say.
+func (r *domainRecord) drains(n domain.NodeRef) bool {
+	return slices.ContainsFunc(r.draining, func(d domain.NodeRef) bool {
+		return d.ID == n.ID && d.Incarnation == n.Incarnation
+	})
+}
+
 // setSeeds takes the VM list's nodes of all other domains.
 func (t *domainTable) setSeeds(nodes []domain.NodeRef) {
 	t.mu.Lock()
@@ -302,7 +330,7 @@
 		AgeMillis: r.ageMillis(now),
 		RTTMicros: uint32(r.rtt.Microseconds()),
 		LiveNodes: r.liveNodes,
-		Nodes:     nodes[:min(detailNodes, len(nodes))],
+		Nodes:     append(nodes[:min(detailNodes, len(nodes))], r.draining...),
 	}
 }
 
--- a/core/membership/group.go
+++ b/core/membership/group.go
@@ -245,6 +245,10 @@
 
 // ownNodes returns the node itself and the next other ones in turn.
 func (g *Group) ownNodes(v *View) []domain.NodeRef {
+	return append(g.servingSample(v), draining(v.Own)...)
+}
+
+func (g *Group) servingSample(v *View) []domain.NodeRef {
 	serving := servingFrom(v.Own, v.Self.ID)
 	if len(serving) < 1+ownSample {
 		return serving
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -142,6 +142,17 @@
 	return serving
 }
 
+// draining returns the nodes that other domains must stop using.
+func draining(nodes []domain.NodeRef) []domain.NodeRef {
+	var leaving []domain.NodeRef
+	for _, n := range nodes {
+		if n.State == domain.NodeDraining {
+			leaving = append(leaving, n)
+		}
+	}
+	return leaving
+}
+
 // compareDistance orders by round trip time; unknown ones go last, those of
 // the own region before others.
 func compareDistance(self domain.Place, a, b Domain) int {
