Try another upstream when one leaves before a forwarded request reaches it

If the chosen upstream was known to leave by the time of the dispatch, the receiver refused the request, and the entry left the whole domain out although another upstream there was free: the caller got no_capacity.

Change: the execute stage asks the router again without that upstream, as the entry does for its own domain. A resumption, which is bound to its upstream, is refused as before.

Seen first: TestLeavingUpstreamGetsNothingNew failed in 5 of 7 rows with 'no_capacity ... upstream "engine-north-1" is leaving' for callers at south-1. Nothing had run, so the verdict was true; the refusal was needless.

--- a/core/gateway/execute.go
+++ b/core/gateway/execute.go
@@ -18,15 +18,29 @@
 	if !fwd.Repeatable {
 		return g.executeOperation(ctx, fwd, w)
 	}
-	choice, err := g.place(ctx, fwd)
-	if err != nil {
-		return err
+	var tried triedSet
+	for {
+		choice, err := g.place(ctx, fwd, tried)
+		if err != nil {
+			return err
+		}
+		err = g.dispatch(ctx, *choice.Upstream, fwd, w)
+		if !refusedByTracker(err) || fwd.Pinned != "" || len(tried.upstreams) == maxAttempts {
+			return err
+		}
+		tried.exclude(choice)
 	}
-	return g.dispatch(ctx, *choice.Upstream, fwd, w)
+}
+
+// refusedByTracker tells if a dispatch was refused before anything was sent: the
+// upstream left between the decision and the dispatch.
+func refusedByTracker(err error) bool {
+	e := errkind.From(err)
+	return e != nil && e.Kind == errkind.NoCapacity && e.Verdict() == domain.RunNo
 }
 
 // place chooses an upstream of the own failure domain by the receiver's lists.
-func (g *Gateway) place(ctx context.Context, fwd *Forward) (Choice, error) {
+func (g *Gateway) place(ctx context.Context, fwd *Forward, tried triedSet) (Choice, error) {
 	if !g.deps.Accepting() {
 		return Choice{}, errkind.New(errkind.Draining, "node %q takes no new requests", g.deps.Self.ID)
 	}
@@ -36,7 +50,7 @@
 	}
 	return g.deps.Router.Route(RouteRequest{
 		Access: access, Target: fwd.Target, PromptTokens: fwd.PromptTokens, Prefix: fwd.Prefix,
-		LocalOnly: true, Pinned: fwd.Pinned,
+		LocalOnly: true, Pinned: fwd.Pinned, TriedUpstreams: tried.upstreams,
 	})
 }
 
--- a/core/gateway/execute_operation.go
+++ b/core/gateway/execute_operation.go
@@ -18,7 +18,7 @@
 		return err
 	}
 	defer func() { admission.Close(g.deps.Now()) }()
-	choice, err := g.place(ctx, fwd)
+	choice, err := g.place(ctx, fwd, triedSet{})
 	if err != nil {
 		return g.refuse(admission, err)
 	}
