Give a node that starts beside a living peer the peer's VM list

Cause: a node restarted while its failure domain was cut from the platform took the lists from a peer and served, yet knew no upstream: only the platform named them. Its callers got unknown_target and region_forbidden although the domain's engines were well.

Change: a message between nodes returns the VM list last read. A node that never read one, because the platform does not answer, asks its peers.

Seen first: TestIsolatedRegionServesItsCallers failed in both rows with a restart ('south-1 does not serve its caller: ... unknown_target'). Ruled out: the plan, which was the same at the living peer, and load reports, which start only once an upstream is known. A node that starts with neither the platform nor a peer still knows nothing; that stays so by design, as nodes keep nothing.

--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/crocusspread/crocusspread/core/membership"
 	"github.com/crocusspread/crocusspread/core/operations"
 	"github.com/crocusspread/crocusspread/core/orders"
+	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/routing"
 	"github.com/crocusspread/crocusspread/core/upstreams"
 )
@@ -68,6 +69,7 @@
 	lastRefusal  atomic.Pointer[string]
 	kvAnswered   atomic.Int64
 	vmsAnswered  atomic.Int64
+	vms          atomic.Pointer[[]ports.VM]
 	work         workCounter
 	catchUp      singleflight.Group
 	background   sync.WaitGroup
--- a/adapters/peer/control.go
+++ b/adapters/peer/control.go
@@ -20,6 +20,8 @@
 	// ListsNewerThan returns the encoded lists in force and their version, or
 	// nothing if they are not newer.
 	ListsNewerThan(v domain.ListsVersion) (domain.ListsVersion, []byte)
+	// VMList returns the VM list that this node holds, encoded, or nothing.
+	VMList() []byte
 	// Inquire tells what became of an attempt that this process executes.
 	Inquire(a operations.Attempt) operations.Outcome
 	// OwnOperationStatus tells where an operation issued here stands.
@@ -41,6 +43,11 @@
 	return &peerpb.FetchListsReply{Version: uint64(version), Document: document}, nil
 }
 
+// FetchVMs implements peerpb.PeerServer.
+func (s *Server) FetchVMs(context.Context, *peerpb.FetchVMsRequest) (*peerpb.FetchVMsReply, error) {
+	return &peerpb.FetchVMsReply{Vms: s.control.VMList()}, nil
+}
+
 // Inquire implements peerpb.PeerServer.
 func (s *Server) Inquire(_ context.Context, m *peerpb.InquireRequest) (*peerpb.InquireReply, error) {
 	return &peerpb.InquireReply{Outcome: string(s.control.Inquire(attemptFromProto(m)))}, nil
--- a/adapters/peer/unary.go
+++ b/adapters/peer/unary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/crocusspread/crocusspread/adapters/peer/peerconv"
 	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
@@ -11,6 +12,7 @@
 	"github.com/crocusspread/crocusspread/core/lists"
 	"github.com/crocusspread/crocusspread/core/membership"
 	"github.com/crocusspread/crocusspread/core/operations"
+	"github.com/crocusspread/crocusspread/core/ports"
 )
 
 // call makes one request with one reply. Without a reply in time the connection
@@ -56,6 +58,21 @@
 	return adoption.Decode(reply.GetDocument())
 }
 
+// FetchVMs returns the VM list that a node holds, or nil if it holds none.
+func (c *Client) FetchVMs(ctx context.Context, node domain.NodeRef) ([]ports.VM, error) {
+	reply, err := call(ctx, c, node.PeerAddress, func(ctx context.Context, pc peerpb.PeerClient) (*peerpb.FetchVMsReply, error) {
+		return pc.FetchVMs(ctx, &peerpb.FetchVMsRequest{})
+	})
+	if err != nil || len(reply.GetVms()) == 0 {
+		return nil, err
+	}
+	var vms []ports.VM
+	if err := json.Unmarshal(reply.GetVms(), &vms); err != nil {
+		return nil, errkind.New(errkind.PeerLost, "decode the VM list of %s: %w", node.ID, err)
+	}
+	return vms, nil
+}
+
 // Inquire implements gateway.Peers.
 func (c *Client) Inquire(ctx context.Context, executor domain.NodeRef, a operations.Attempt) (operations.Outcome, error) {
 	reply, err := call(ctx, c, executor.PeerAddress, func(ctx context.Context, pc peerpb.PeerClient) (*peerpb.InquireReply, error) {
