--- a/cmd/faulttest/fleet_test.go
+++ b/cmd/faulttest/fleet_test.go
@@ -68,7 +68,7 @@
 	id       string
 	site     site
 	caller   string
-	admin    string
+	admin    atomic.Pointer[string] // read by watchers while a node restarts
 	peers    *relay
 	platform *relay
 	entry    settingsOf
@@ -218,7 +218,8 @@
 
 func (d *deployment) tryNode(n *nodeProc) bool {
 	ports := freePorts(d.t, 3)
-	n.caller, n.admin = ports[0], ports[2]
+	n.caller = ports[0]
+	n.admin.Store(&ports[2])
 	n.peers.setTarget(ports[1])
 	place := n.site.place()
 	progress := "1s"
@@ -263,7 +264,7 @@
 
 func (d *deployment) tryStatus(n *nodeProc) (adminapi.Status, error) {
 	var st adminapi.Status
-	return st, getJSON("http://"+n.admin+adminapi.StatusPath, &st)
+	return st, getJSON("http://"+*n.admin.Load()+adminapi.StatusPath, &st)
 }
 
 func getJSON(url string, out any) error {
@@ -451,7 +452,7 @@
 	var all map[string]struct {
 		Count int `json:"count"`
 	}
-	d.get("http://"+n.admin+"/metrics", &all)
+	d.get("http://"+*n.admin.Load()+"/metrics", &all)
 	return all[name].Count
 }
 
