--- a/cmd/faulttest/caller_test.go
+++ b/cmd/faulttest/caller_test.go
@@ -34,7 +34,6 @@
 func (r reply) requestID() string { return r.header.Get(callerapi.HeaderRequestID) }
 func (r reply) ranIn() string     { return r.header.Get(callerapi.HeaderRanIn) }
 func (r reply) kind() string      { return r.header.Get(callerapi.HeaderErrorKind) }
-func (r reply) operation() string { return r.header.Get(callerapi.HeaderOperationID) }
 
 // run is what the caller was told; a broken answer told nothing.
 func (r reply) run() domain.Run {
--- a/cmd/faulttest/fleet_test.go
+++ b/cmd/faulttest/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,12 +18,9 @@
 	"github.com/crocusspread/crocusspread/adapters/adminapi"
 	"github.com/crocusspread/crocusspread/adapters/platform"
 	"github.com/crocusspread/crocusspread/adapters/platform/wire"
-	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
 	"github.com/crocusspread/crocusspread/adapters/standin/faults"
 	"github.com/crocusspread/crocusspread/adapters/standin/platformsim"
-	"github.com/crocusspread/crocusspread/adapters/standin/servicesim"
 	"github.com/crocusspread/crocusspread/core/domain"
-	"github.com/crocusspread/crocusspread/core/lists"
 	"github.com/crocusspread/crocusspread/core/ports"
 )
 
@@ -382,57 +378,6 @@
 	return true
 }
 
-// document is the lists of a deployment: one customer with all regions, and one
-// for each region alone. Keys are "key-all" and "key-REGION".
-func document(sites []site) lists.Document {
-	doc := lists.Document{Services: []lists.Service{{ID: serviceName, Routes: []lists.Route{
-		{Methods: []string{http.MethodPost}, PathPrefix: "/apply"},
-		{Methods: []string{http.MethodPost}, PathPrefix: "/validate", Repeatable: true},
-	}}}}
-	for _, s := range sites {
-		doc.Regions = append(doc.Regions, domain.Region(s.region))
-	}
-	addPlan(&doc, "all", doc.Regions...)
-	for _, s := range sites {
-		addPlan(&doc, s.region, domain.Region(s.region))
-	}
-	return doc
-}
-
-func addPlan(doc *lists.Document, name string, regions ...domain.Region) {
-	doc.Plans = append(doc.Plans, lists.Plan{
-		ID: domain.PlanID(name), Models: []string{model}, Services: []string{serviceName}, Regions: regions,
-	})
-	doc.Customers = append(doc.Customers, lists.Customer{
-		ID: domain.CustomerID(name), Plan: domain.PlanID(name), KeyHashes: []string{lists.HashKey("key-" + name)},
-	})
-}
-
-var changes = make(chan int, 1)
-
-func init() { changes <- 0 }
-
-// nextChange returns a number that no other change of this run has.
-func nextChange() int {
-	n := <-changes + 1
-	changes <- n
-	return n
-}
-
-// apply puts a document in force at the key-value service.
-func (d *deployment) apply(author string, doc lists.Document) (domain.ListsVersion, error) {
-	applier := lists.Applier{KV: d.kv}
-	ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
-	defer cancel()
-	out, err := applier.Apply(ctx, lists.Proposal{
-		ChangeID: fmt.Sprintf("change-%d", nextChange()), Author: author, Reason: "test", Time: time.Now(), Document: doc,
-	})
-	if err != nil {
-		return 0, err
-	}
-	return out.Change.Version, nil
-}
-
 // waitLogged waits until a node has logged an event.
 func (d *deployment) waitLogged(node, event string) {
 	d.t.Helper()
@@ -446,47 +391,3 @@
 	}
 	return st.Lists.Version
 }
-
-func (d *deployment) counter(n *nodeProc, name string) int {
-	d.t.Helper()
-	var all map[string]struct {
-		Count int `json:"count"`
-	}
-	d.get("http://"+*n.admin.Load()+"/metrics", &all)
-	return all[name].Count
-}
-
-// engineRuns returns the executions at the engines of a region.
-func (d *deployment) engineRuns(region string) map[string]enginesim.Execution {
-	d.t.Helper()
-	runs := make(map[string]enginesim.Execution)
-	for _, u := range d.upstreams {
-		if u.role != ports.RoleEngine || u.site.region != region || u.ended() {
-			continue
-		}
-		var list []enginesim.Execution
-		d.get("http://"+u.real+enginesim.PathExecutions, &list)
-		for _, e := range list {
-			runs[string(e.RequestID)] = e
-		}
-	}
-	return runs
-}
-
-// serviceRuns returns how often each id ran at the services of a region, or of
-// all regions if it is empty.
-func (d *deployment) serviceRuns(region string) map[string]int {
-	d.t.Helper()
-	runs := make(map[string]int)
-	for _, u := range d.upstreams {
-		if u.role != ports.RoleService || (region != "" && u.site.region != region) {
-			continue
-		}
-		var list []servicesim.Execution
-		d.get("http://"+u.real+servicesim.PathExecutions, &list)
-		for _, e := range list {
-			runs[e.ID] += e.Count
-		}
-	}
-	return runs
-}
--- a/cmd/faulttest/operation_test.go
+++ b/cmd/faulttest/operation_test.go
@@ -90,7 +90,6 @@
 
 func (n *nodeProc) killNode()     { n.kill() }
 func (n *nodeProc) freezeNode()   { n.freeze() }
-func (n *nodeProc) thawNode()     { n.thaw() }
 func (n *nodeProc) silencePeers() { n.peers.silenceOpen() }
 func (n *nodeProc) closePeers()   { n.peers.closeOpen() }
 func (n *nodeProc) losePeers()    { n.peers.loseAnswers() }
