--- a/adapters/node/members.go
+++ b/adapters/node/members.go
@@ -92,24 +92,6 @@
 	return out
 }
 
-// vmListLoop reads the platform's VM list.
-func (n *Node) vmListLoop(ctx context.Context) {
-	every(ctx, vmListInterval, func(time.Time) {
-		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-		defer cancel()
-		vms, err := n.cfg.Platform.VMList.VMs(ctx, "")
-		n.lost.report(n.log, &n.lost.vms, "VM list", err)
-		if err != nil {
-			return
-		}
-		now := time.Now()
-		n.vmsAnswered.Store(now.UnixNano())
-		n.registry.setVMs(now, vms)
-		n.group.SetVMs(now, vms)
-		n.tracker.ObserveVMs(now, vms)
-	})
-}
-
 // onState takes note of the node's own change of state.
 func (n *Node) onState(s domain.NodeState) {
 	n.group.SetState(time.Now(), s)
