--- /dev/null
+++ b/adapters/node/admission_test.go
@@ -0,0 +1,106 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/node"
+	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
+	"github.com/crocusspread/crocusspread/adapters/standin/fleet"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/lists"
+)
+
+const readyTimeout = 30 * time.Second
+
+// startLimited starts a node before one engine and a plan with limits.
+func startLimited(t *testing.T, slots int, l lists.Limits) *fleet.Fleet {
+	f, err := fleet.Start(fleet.Config{
+		Domains: []fleet.Domain{{
+			Place: domain.Place{Region: "r", FailureDomain: "r-a"}, Nodes: 1, Engines: 1,
+			Engine: enginesim.Config{Models: []string{"m"}, Slots: slots, DecodeTokensPerSecond: 1, TimeScale: 1},
+		}},
+		Document: lists.Document{
+			Regions:   []domain.Region{"r"},
+			Customers: []lists.Customer{{ID: "c", Plan: "p", KeyHashes: []string{lists.HashKey("k")}}},
+			Plans:     []lists.Plan{{ID: "p", Models: []string{"m"}, Regions: []domain.Region{"r"}, Limits: l}},
+		},
+		Adjust: func(c *node.Config) { c.Admission.ShortWait = 100 * time.Millisecond },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func ask(t *testing.T, f *fleet.Fleet, tokens string) *http.Response {
+	t.Helper()
+	body := `{"model":"m","stream":true,"max_tokens":` + tokens + `,"messages":[{"role":"user","content":"q"}]}`
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Nodes[0].Caller+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer k")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+// TestRefusalsOfARunningNode holds requests open and asks once more.
+func TestRefusalsOfARunningNode(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		slots  int
+		limits lists.Limits
+		held   int
+		tokens string
+		status int
+		kind   errkind.Kind
+		advice bool
+	}{
+		{"limit of concurrency", 8, lists.Limits{Concurrency: 2}, 2, "200", http.StatusTooManyRequests, errkind.LimitExceeded, true},
+		{"limit of tokens", 8, lists.Limits{TokensPerSecond: 10}, 1, "200", http.StatusTooManyRequests, errkind.LimitExceeded, true},
+		{"no free slot", 2, lists.Limits{}, 2, "200", http.StatusServiceUnavailable, errkind.Overloaded, true},
+		{"too many tokens", 8, lists.Limits{MaxOutputTokens: 100}, 0, "200", http.StatusBadRequest, errkind.BadRequest, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := startLimited(t, c.slots, c.limits)
+			for range c.held {
+				resp := ask(t, f, c.tokens)
+				defer resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					t.Fatalf("a request within the limits got %s", resp.Status)
+				}
+			}
+			resp := ask(t, f, c.tokens)
+			defer resp.Body.Close()
+			var text []byte
+			if resp.StatusCode != http.StatusOK {
+				text, _ = io.ReadAll(resp.Body)
+			}
+			h := resp.Header
+			if resp.StatusCode != c.status || h.Get("Crocusspread-Error-Kind") != string(c.kind) || h.Get("Crocusspread-Run") != string(domain.RunNo) {
+				t.Errorf("got %s, kind %q, run %q: %s", resp.Status, h.Get("Crocusspread-Error-Kind"), h.Get("Crocusspread-Run"), text)
+			}
+			if (h.Get("Retry-After") != "") != c.advice {
+				t.Errorf("Retry-After is %q", h.Get("Retry-After"))
+			}
+			if n := len(f.Engines[0].Executions()); n != c.held {
+				t.Errorf("the engine ran %d requests, want %d", n, c.held)
+			}
+		})
+	}
+}
