--- a/adapters/node/admission_test.go
+++ b/adapters/node/admission_test.go
@@ -47,7 +47,9 @@
 func ask(t *testing.T, f *fleet.Fleet, tokens string) *http.Response {
 	t.Helper()
 	body := `{"model":"m","stream":true,"max_tokens":` + tokens + `,"messages":[{"role":"user","content":"q"}]}`
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Nodes[0].Caller+"/v1/chat/completions", strings.NewReader(body))
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout/6)
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Nodes[0].Caller+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
