Fit the exchange of demands to the control budget and to large fleets

Cause: with demands refreshed every 10 s and published at each change of a tenth, 20 customers at 9 nodes never had their demands known everywhere (300 s and more), and the time for which a demand settled did not grow with the fleet.

Change: membership keeps a demand for two minutes, so that it is refreshed every 40 s; a change is published from a quarter on and at most every 3 s; half of the places that a small domain leaves free for members carry demands, and with few domains more of them cross at once. Demands settle for 10 s and 125 ms a node; before that, a node may use a sixteenth of a limit that nobody else asks for.

--- a/adapters/peer/peerconv/control_bench_test.go
+++ b/adapters/peer/peerconv/control_bench_test.go
@@ -125,6 +125,11 @@
 			Sequence: uint64(f.now.UnixMilli()), InFlight: uint32(f.rnd.IntN(9)), TokensPerSecond: uint32(f.rnd.IntN(9000)),
 		})
 	}
+	for _, d := range demands {
+		// One node of the domain publishes the domain's demands; here any may.
+		d.Node = membership.DomainParty(f.places[id].FailureDomain)
+		demands = append(demands, d)
+	}
 	g.SetDemands(f.now, demands)
 }
 
--- a/core/admission/divide.go
+++ b/core/admission/divide.go
@@ -79,8 +79,11 @@
 // OvershootBound is the most requests of a customer that may be in flight at once
 // in a fleet of that many nodes, whose demands change as they like: the divided
 // limit, and for each level that divides, failure domain and node, what may be
-// used before a demand has spread. Settled demands keep the limit itself.
-func OvershootBound(limit, nodes int) int { return limit + 2*max(limit, nodes) }
+// used before a demand has spread. Shares of settled demands sum up to at most the
+// limit; one request a node may go on from a former share.
+func OvershootBound(limit, nodes int) int {
+	return limit + 2*max(limit, nodes, nodes*limit/earlyNodes)
+}
 
 // rounding absorbs the error of adding shares up.
 const rounding = 1e-9
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// settleAfter is how long a demand must have been published before it counts
-	// for the node's own share. It covers the spreading of demands.
-	settleAfter = 10 * time.Second
+	// settleAfter and settlePerNode give the time for which a demand must have been
+	// published before it counts for the node's own share. They cover the spreading
+	// of demands, which takes longer in a larger fleet.
+	settleAfter   = 10 * time.Second
+	settlePerNode = 125 * time.Millisecond
+	// earlyNodes is the number of nodes among which a limit that nobody else asks
+	// for is divided before a demand has settled.
+	earlyNodes = 16
 	// turnLength is how long parties keep what could not be divided.
 	turnLength = 4 * time.Second
 	// lostAfter is how long a party that is not heard of goes on to count.
@@ -21,12 +26,14 @@
 	// of a turn; it covers the time between two updates and the skew of clocks.
 	turnGap = 1500 * time.Millisecond
 	// refreshAfter is the age at which an unchanged demand is published again;
-	// membership forgets after 30 s.
-	refreshAfter = 10 * time.Second
+	// membership forgets after two minutes.
+	refreshAfter = 40 * time.Second
 	// peakDecay is what is left of a peak of demand after one update.
 	peakDecay = 0.9
-	// changeShare is the relative change from which a demand is published.
-	changeShare = 0.1
+	// changeShare is the relative change from which a demand is published, and
+	// changeGap the time between two such.
+	changeShare = 0.25
+	changeGap   = 3 * time.Second
 	// maxPublished bounds the demands published at one update.
 	maxPublished = 16
 )
@@ -74,11 +81,12 @@
 // Shares divides customers' limits between nodes, first between failure domains
 // and then between the nodes of the own one. It is safe for concurrent use.
 //
-// A node counts its own demand as the least that it published during
-// settleAfter, and others' demand as last heard. Shares that are computed so sum
-// up to at most the limit while every demand is known everywhere within
-// settleAfter, because a share never grows with another's demand. A demand that
-// is newer than that may use an equal part of the limit per node at once.
+// A node counts its own demand as the least that it published during the time
+// that demands take to settle, and others' demand as last heard. Shares that are
+// computed so sum up to at most the limit while every demand is known everywhere
+// within that time, because a share never grows with another's demand. A demand
+// that is newer may use an equal part of the limit per node at once, or, if known
+// demands leave it, a part for one of earlyNodes.
 //
 // A node that is isolated from its domain keeps its last shares. A failure
 // domain that cannot be reached keeps what it asked for last.
--- a/core/admission/shares_compute.go
+++ b/core/admission/shares_compute.go
@@ -58,16 +58,29 @@
 	if share == 0 && demandOf(nodes[1:]) < float64(ours) {
 		share = 1
 	}
-	return max(share, part)
+	return max(share, part, int(early(float64(limit), domains, nodes)))
+}
+
+// early returns what a demand may use before it has settled, besides the equal
+// part: at most half of what known demands leave.
+func early(limit float64, domains, nodes []claim) float64 {
+	left := limit - demandOf(domains[1:]) - demandOf(nodes[1:])
+	return max(min(limit/earlyNodes, left/2), 0)
+}
+
+// settled returns the time since when a demand must have been published.
+func (s *Shares) settled(now time.Time) time.Time {
+	return now.Add(-settleAfter - time.Duration(s.fleetNodes())*settlePerNode)
 }
 
 // rate returns the tokens a second that this node may use.
 func (s *Shares) rate(now time.Time, limit float64, d *demands) float64 {
 	part := limit / float64(s.fleetNodes())
-	ours := divide(limit, s.fleetNodes(), s.domainClaims(now, d, true))[0]
+	domains, nodes := s.domainClaims(now, d, true), s.nodeClaims(now, d, true)
+	ours := divide(limit, s.fleetNodes(), domains)[0]
 	ours = max(ours, part*float64(s.nodes[s.domain]))
-	share := divide(ours, s.nodes[s.domain], s.nodeClaims(now, d, true))[0]
-	return max(share, part)
+	share := divide(ours, s.nodes[s.domain], nodes)[0]
+	return max(share, part, early(limit, domains, nodes))
 }
 
 func demandOf(claims []claim) float64 {
@@ -80,7 +93,7 @@
 
 // domainClaims returns the failure domains' claims, the own one first.
 func (s *Shares) domainClaims(now time.Time, d *demands, rate bool) []claim {
-	since := now.Add(-settleAfter)
+	since := s.settled(now)
 	own := claim{party: membership.DomainParty(s.domain), nodes: s.nodes[s.domain], demand: d.domain.lowest(since)}
 	if rate {
 		own.demand = d.domainRate.lowest(since)
@@ -100,7 +113,7 @@
 
 // nodeClaims returns the claims of the own domain's nodes, the own one first.
 func (s *Shares) nodeClaims(now time.Time, d *demands, rate bool) []claim {
-	since := now.Add(-settleAfter)
+	since := s.settled(now)
 	own := claim{party: s.self, nodes: 1, demand: d.own.lowest(since)}
 	if rate {
 		own.demand = d.ownRate.lowest(since)
--- a/core/admission/shares_publish.go
+++ b/core/admission/shares_publish.go
@@ -35,15 +35,18 @@
 
 // due tells if next is worth publishing after last.
 func due(now time.Time, last, next membership.LimitDemand, at time.Time) bool {
-	empty := next.InFlight+next.Waiting+next.TokensPerSecond == 0
-	if at.IsZero() {
-		return !empty
+	was, is := last.InFlight+last.Waiting, next.InFlight+next.Waiting
+	empty := is+next.TokensPerSecond == 0
+	wasEmpty := was+last.TokensPerSecond == 0
+	switch {
+	case empty || wasEmpty:
+		return empty != wasEmpty
+	case now.Sub(at) > refreshAfter:
+		return true
+	case now.Sub(at) < changeGap:
+		return false
 	}
-	if now.Sub(at) > refreshAfter {
-		return !empty || last.InFlight+last.Waiting+last.TokensPerSecond > 0
-	}
-	return changed(last.InFlight, next.InFlight) || changed(last.InFlight+last.Waiting, next.InFlight+next.Waiting) ||
-		changed(last.TokensPerSecond, next.TokensPerSecond)
+	return changed(last.InFlight, next.InFlight) || changed(was, is) || changed(last.TokensPerSecond, next.TokensPerSecond)
 }
 
 func changed(last, next uint32) bool {
@@ -79,7 +82,7 @@
 
 // sample notes what was published, for what a share may count on.
 func (s *Shares) sample(now time.Time, d *demands) {
-	since := now.Add(-settleAfter)
+	since := s.settled(now)
 	d.own.add(now, float64(d.published.InFlight+d.published.Waiting), since)
 	d.ownRate.add(now, float64(d.published.TokensPerSecond), since)
 	ours := d.heard[membership.DomainParty(s.domain)]
--- a/core/membership/config.go
+++ b/core/membership/config.go
@@ -26,7 +26,8 @@
 	Burst int
 	// MaxOwnTargets bounds the own domain's readings in a message to another.
 	MaxOwnTargets int
-	// MaxMembers, MaxTargets, MaxUpstreams and MaxDemands bound one message.
+	// MaxMembers, MaxTargets, MaxUpstreams and MaxDemands bound one message. Half the
+	// places for members that a small domain leaves free are used for demands.
 	MaxMembers   int
 	MaxTargets   int
 	MaxUpstreams int
--- a/core/membership/domains.go
+++ b/core/membership/domains.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// size returns the number of other failure domains.
+func (t *domainTable) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.order)
+}
+
 // contact returns the node of the next domain in turn that assigned accepts.
 func (t *domainTable) contact(assigned func(domain.FailureDomain) bool) (domain.NodeRef, bool) {
 	t.mu.Lock()
--- a/core/membership/group.go
+++ b/core/membership/group.go
@@ -32,6 +32,10 @@
 	ownSample = 1
 	// crossEvery is the number of rounds of which one speaks to another domain.
 	crossEvery = 2
+	// fewDomains is the number of other domains up to which demands are sent there
+	// manyDemands times as many at once: little else is to be sent then.
+	fewDomains  = 4
+	manyDemands = 3
 )
 
 // Group is one node's knowledge of the fleet. Its tables have a lock each. All
@@ -217,7 +221,7 @@
 	if to.Place.FailureDomain != g.cfg.Self.Place.FailureDomain {
 		known := DomainLoad{Place: to.Place, Sequence: g.domains.sequenceOf(to.Place.FailureDomain)}
 		h.Domains = []DomainLoad{g.ownReading(now), known}
-		h.Demands = g.load.domainDemands(DomainParty(g.cfg.Self.Place.FailureDomain), g.cfg.MaxDemands)
+		h.Demands = g.load.domainDemands(DomainParty(g.cfg.Self.Place.FailureDomain), g.crossDemands())
 		return h
 	}
 	h.Members = g.members.relay(g.cfg.MaxMembers, to.ID)
@@ -225,11 +229,19 @@
 	h.Domains = g.domains.relay(now, targets)
 	h.Domains = append(h.Domains, DomainLoad{Place: to.Place, Sequence: g.load.highest()})
 	if targets > 0 {
-		h.Demands = g.load.relayDemands(g.cfg.MaxDemands)
+		h.Demands = g.load.relayDemands(g.cfg.MaxDemands + (g.cfg.MaxMembers-len(h.Members))/2)
 	}
 	return h
 }
 
+// crossDemands is the number of demands in a message to another domain.
+func (g *Group) crossDemands() int {
+	if g.domains.size() <= fewDomains {
+		return manyDemands * g.cfg.MaxDemands
+	}
+	return g.cfg.MaxDemands
+}
+
 // ownReading is what other domains are told of this one.
 func (g *Group) ownReading(now time.Time) DomainLoad {
 	v := g.view.Load()
--- a/core/membership/own.go
+++ b/core/membership/own.go
@@ -22,7 +22,7 @@
 	// freeSteps is the number of steps in which free slots are told.
 	freeSteps = 8
 	// demandAge is the age at which another node's demand is dropped.
-	demandAge = 30 * time.Second
+	demandAge = 2 * time.Minute
 	// loadAge is the age at which another node's work at upstreams is dropped.
 	loadAge = 15 * time.Second
 	// maxDemandsKept bounds the demands that a node holds.
