--- a/adapters/benchmarks/streams_test.go
+++ b/adapters/benchmarks/streams_test.go
@@ -81,11 +81,6 @@
 
 func startNodeProcess(b *testing.B) *nodeProcess {
 	b.Helper()
-	dir := b.TempDir()
-	binary := filepath.Join(dir, "crocusspread")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/crocusspread").CombinedOutput(); err != nil {
-		b.Fatalf("%v: %s", err, out)
-	}
 	p := &nodeProcess{}
 	sim := platformsim.New(platformsim.Config{})
 	platformAddress := p.serve(b, sim)
@@ -97,9 +92,25 @@
 	sim.UpdateVM(ports.VM{ID: "e", Role: ports.RoleEngine, Place: place, Address: engine})
 	applyBenchLists(b, platformAddress)
 	p.caller = freeAddress(b)
-	settings := filepath.Join(dir, "node.yaml")
-	text := fmt.Sprintf("node: {id: n, region: r, failure_domain: r-a}\nlisten: {caller: %q, peer: %q, admin: %q}\nplatform: {url: \"http://%s\"}\ntime_limits: {progress: 10m}\n",
-		p.caller, freeAddress(b), freeAddress(b), platformAddress)
+	p.run(b, buildNode(b), fmt.Sprintf("node: {id: n, region: r, failure_domain: r-a}\nlisten: {caller: %q, peer: %q, admin: %q}\nplatform: {url: \"http://%s\"}\ntime_limits: {progress: 10m}\n",
+		p.caller, freeAddress(b), freeAddress(b), platformAddress))
+	return p
+}
+
+// buildNode builds the node's binary and returns its path.
+func buildNode(b *testing.B) string {
+	b.Helper()
+	binary := filepath.Join(b.TempDir(), "crocusspread")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/crocusspread").CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+// run starts the binary with settings and waits until the node serves.
+func (p *nodeProcess) run(b *testing.B, binary, text string) {
+	b.Helper()
+	settings := filepath.Join(b.TempDir(), "node.yaml")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		b.Fatal(err)
 	}
@@ -112,7 +123,6 @@
 		b.Fatal(err)
 	}
 	waitForLine(b, bufio.NewScanner(stderr), "node_serving")
-	return p
 }
 
 // waitForLine reads until a line holds text, and then to the end in the
--- a/adapters/standin/fleet/fleet.go
+++ b/adapters/standin/fleet/fleet.go
@@ -52,6 +52,9 @@
 	// BetweenRegions and BetweenDomains are one-way delays between nodes.
 	BetweenRegions time.Duration
 	BetweenDomains time.Duration
+	// PlatformTransport replaces the nodes' transport to the platform; nil for the
+	// default.
+	PlatformTransport http.RoundTripper
 	// Adjust changes a node's configuration before it is made.
 	Adjust func(*node.Config)
 	Log    func(domain.NodeID) event.Logger
@@ -121,7 +124,7 @@
 		return nil, err
 	}
 	f.PlatformURL = "http://" + address
-	f.client = platform.New(f.PlatformURL, platform.Options{})
+	f.client = platform.New(f.PlatformURL, platform.Options{Transport: cfg.PlatformTransport})
 	if err := f.startUpstreams(cfg); err != nil {
 		f.Close()
 		return nil, err
