--- a/adapters/node/admission_test.go
+++ b/adapters/node/admission_test.go
@@ -44,7 +44,7 @@
 	return f
 }
 
-func ask(t *testing.T, f *fleet.Fleet, tokens string) *http.Response {
+func askTokens(t *testing.T, f *fleet.Fleet, tokens string) *http.Response {
 	t.Helper()
 	body := `{"model":"m","stream":true,"max_tokens":` + tokens + `,"messages":[{"role":"user","content":"q"}]}`
 	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout/6)
@@ -81,13 +81,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := startLimited(t, c.slots, c.limits)
 			for range c.held {
-				resp := ask(t, f, c.tokens)
+				resp := askTokens(t, f, c.tokens)
 				defer resp.Body.Close()
 				if resp.StatusCode != http.StatusOK {
 					t.Fatalf("a request within the limits got %s", resp.Status)
 				}
 			}
-			resp := ask(t, f, c.tokens)
+			resp := askTokens(t, f, c.tokens)
 			defer resp.Body.Close()
 			var text []byte
 			if resp.StatusCode != http.StatusOK {
