Print commands in the demo that work as pasted

Cause: the status command got a URL where it takes host and port, found by pasting the demo's commands in a fresh clone. An explain command is added.

--- a/adapters/demo/demo.go
+++ b/adapters/demo/demo.go
@@ -90,10 +90,10 @@
 // PrintGuide writes what runs where and commands to paste.
 func PrintGuide(w io.Writer, f *fleet.Fleet) {
 	entry := "http://" + f.NodeIn(northDomain).Caller
-	admin := "http://" + f.NodeIn(northDomain).Admin
+	admin := f.NodeIn(northDomain).Admin
 	fmt.Fprintf(w, "platform at %s\n", f.PlatformURL)
 	for _, n := range f.Nodes {
-		fmt.Fprintf(w, "node %s in %s: callers http://%s, admin http://%s\n", n.ID, n.Place.Region, n.Caller, n.Admin)
+		fmt.Fprintf(w, "node %s in %s: callers http://%s, admin %s\n", n.ID, n.Place.Region, n.Caller, n.Admin)
 	}
 	fmt.Fprintf(w, `
 # which entries to use
@@ -109,5 +109,8 @@
 curl -si %[1]s/services/%[6]s/reserve -H 'Authorization: Bearer %[3]s' -H "Crocusspread-Operation-Id: $OP" -d 'vat 7'
 # what a node sees
 go run ./cmd/crocusctl status --admin %[2]s
+# why a request went where it went
+ID=$(curl -si %[1]s/services/%[6]s/slots -H 'Authorization: Bearer %[3]s' | sed -n 's/^X-Request-Id: \([^ \r]*\).*/\1/p' | tr -d '\r')
+go run ./cmd/crocusctl explain --admin %[2]s $ID
 `, entry, admin, LocalKey, SouthKey, Model, ServiceName)
 }
