Tempt two domains without capacity to send requests to each other

With the receiver's guard off, TestRequestsHopAtMostOnce still passed: a node whose engine refuses tries that engine and never looks elsewhere. The new row lets both engines leave right after a heartbeat, so that each domain has no upstream and believes that the other has one.

--- a/cmd/faulttest/hop_test.go
+++ b/cmd/faulttest/hop_test.go
@@ -15,6 +15,9 @@
 	// before strikes before the load; entries get it.
 	before  func(d *deployment)
 	entries []string
+	// blind keeps the domains from telling each other that they lost capacity, so
+	// that each believes that the other has some.
+	blind bool
 }
 
 func hopFaults() []hopFault {
@@ -32,6 +35,10 @@
 		{
 			name: "both without capacity and platform down", entries: both, before: together(bothRefuse, platformDown),
 		},
+		{
+			name: "both engines leave and each domain believes in the other", entries: both, blind: true,
+			before: func(d *deployment) { d.leaveUnheard(both...) },
+		},
 		{
 			name: "both without capacity and links silent", entries: both,
 			before: together(bothRefuse, onNodes((*nodeProc).silencePeers, both...)),
@@ -49,9 +56,14 @@
 	for _, c := range hopFaults() {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			d := deploy(t,
+			entry := settingsOf{heartbeat: "100ms"}
+			if c.blind {
+				entry.heartbeat = "10s"
+			}
+			d := deployWith(t, entry,
 				site{region: "north", nodes: 1, engines: 1, slots: 1, rate: 200},
 				site{region: "south", nodes: 1, engines: 1, slots: 1, rate: 200})
+			d.waitReady()
 			sentBefore, receivedBefore := d.hops()
 			apply(d, c.before)
 			asked := make(map[string]int)
@@ -64,6 +76,9 @@
 			}
 			load.Wait()
 			sent, received := d.hops()
+			if c.blind && received["north-1"]+received["south-1"] == receivedBefore["north-1"]+receivedBefore["south-1"] {
+				t.Error("no request was sent on: the row proves nothing")
+			}
 			for id := range d.nodes {
 				if n := sent[id] - sentBefore[id]; n > asked[id] {
 					t.Errorf("%s sent %d requests on and got %d from callers", id, n, asked[id])
@@ -79,6 +94,22 @@
 	}
 }
 
+// leaveUnheard lets the engines leave right after the nodes' heartbeats, and
+// waits until each node knows it of its own engine.
+func (d *deployment) leaveUnheard(nodes ...string) {
+	d.t.Helper()
+	for _, id := range nodes {
+		before := d.counter(d.nodes[id], "heartbeats.sent")
+		waitFor(d.t, id+" to send a heartbeat", func() bool { return d.counter(d.nodes[id], "heartbeats.sent") > before })
+	}
+	for _, id := range []string{northEngine, southEngine} {
+		d.upstreamFaults(id, faults.Fault{Mode: faults.Leave})
+	}
+	waitFor(d.t, "the nodes to know that their engines leave", func() bool {
+		return d.knowsLeaving(d.nodes["north-1"], northEngine) && d.knowsLeaving(d.nodes["south-1"], southEngine)
+	})
+}
+
 // hops returns what each node sent to others and received from them.
 func (d *deployment) hops() (sent, received map[string]int) {
 	d.t.Helper()
