--- a/core/admission/fleet_test.go
+++ b/core/admission/fleet_test.go
@@ -209,6 +209,50 @@
 	w.run(settled)
 }
 
+func TestDomainThatAsksForMoreWaitsUntilOthersKnow(t *testing.T) {
+	w := newWorld(2, 2, lists.Limits{Concurrency: 90})
+	w.members[0].wants, w.members[2].wants = 50, 100
+	w.run(settled)
+	w.members[1].wants = 200
+	w.watch = func() {
+		shares, _, _ := w.held()
+		// The node that asks anew may use its equal part at once.
+		if early := 90 / len(w.members); shares > 90+early {
+			t.Errorf("at %s, shares sum up to %d of 90", w.now.Sub(epoch), shares)
+		}
+	}
+	w.run(settled)
+}
+
+// TestDomainsNewDemandCountsOnlyOnceItHasSettled hears of the domain's demand before
+// it hears of the node that asks.
+func TestDomainsNewDemandCountsOnlyOnceItHasSettled(t *testing.T) {
+	s := NewShares("n0-1", "d0")
+	limits := lists.Limits{Concurrency: 90}
+	now, sequence := epoch, uint64(0)
+	update := func(seconds int, ownDomain uint32) int {
+		for range seconds {
+			now = now.Add(time.Second)
+			sequence++
+			s.Update(now, Fleet{
+				Own: []domain.NodeID{"n0-0", "n0-1"}, Known: 2, Others: []Domain{{Name: "d1", Nodes: 2, Reachable: true}, {Name: "d2", Nodes: 2, Reachable: true}},
+				Demands: []membership.LimitDemand{
+					{Customer: "c", Node: membership.DomainParty("d0"), Sequence: sequence, Waiting: ownDomain},
+					{Customer: "c", Node: membership.DomainParty("d1"), Sequence: sequence, Waiting: 100},
+				},
+			}, []Usage{{Customer: "c", Limits: limits, Peak: 50}})
+		}
+		return s.Share("c", limits, now).Concurrency
+	}
+	before := update(settled, 50)
+	if after := update(1, 250); after != before {
+		t.Errorf("the share went from %d to %d at once", before, after)
+	}
+	if after := update(settled, 250); after <= before {
+		t.Errorf("the share went from %d to %d in the end", before, after)
+	}
+}
+
 // TestRandomDemandStaysWithinTheStatedBound changes demand at random, also faster
 // than it spreads.
 func TestRandomDemandStaysWithinTheStatedBound(t *testing.T) {
