Explain what a decision weighed

Cause: an explanation named the choice but not what it was chosen over, and the plan was empty. Each decision's best candidates with their scores and the counts of dropped ones by reason now stand in the request's record, for up to 50 decisions a second; a node of the designed fleet makes about six.

--- a/adapters/node/admin.go
+++ b/adapters/node/admin.go
@@ -59,7 +59,7 @@
 	}
 	kind, target, _ := strings.Cut(rec.Target, "/")
 	e := adminapi.Explanation{
-		Request: rec.RequestID, Node: n.self.ID, Customer: rec.Customer, Kind: kind, Target: target, ListsVersion: rec.ListsVersion,
+		Request: rec.RequestID, Node: n.self.ID, Customer: rec.Customer, Plan: rec.Plan, Kind: kind, Target: target, ListsVersion: rec.ListsVersion,
 		StartedAt: rec.Begun, Result: adminapi.Result{Done: true, Run: rec.Run, TotalMS: milliseconds(rec.Total), Place: rec.Place, Upstream: rec.Upstream},
 	}
 	if rec.Outcome != "ok" {
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"github.com/crocusspread/crocusspread/adapters/callerapi"
@@ -53,6 +54,7 @@
 	snapshot  atomic.Pointer[routing.Snapshot]
 	router    *routing.Router
 	pickers   pickers
+	weighings *rate.Limiter
 	admission *admission.Controller
 
 	issuer     *operations.Issuer
@@ -95,6 +97,7 @@
 		registry:    newRegistry(),
 		linkBudgets: make(map[domain.Region]*routing.LinkBudget),
 		killed:      make(chan struct{}),
+		weighings:   newWeighingBudget(),
 	}
 	n.buildLists(now)
 	n.buildMembership(now)
--- a/adapters/node/routing.go
+++ b/adapters/node/routing.go
@@ -91,18 +91,26 @@
 		BodyBytes: req.BodyBytes, Priority: req.Access.Plan.Priority, Deadline: req.Deadline, Home: req.Access.Plan.Home,
 		ExcludedUpstreams: req.TriedUpstreams, ExcludedDomains: req.TriedDomains, Seed: rand.Uint64(),
 	}
-	d := n.router.Decide(s, &r, time.Now())
+	now := time.Now()
+	d := n.router.Decide(s, &r, now)
+	choice, err := n.choose(s, &r, d, now)
+	choice.Reason += n.weighing(s, &r, now)
+	return choice, err
+}
+
+// choose turns a decision into where the attempt goes.
+func (n *Node) choose(s *routing.Snapshot, r *routing.Request, d routing.Decision, now time.Time) (gateway.Choice, error) {
 	switch d.Action {
 	case routing.ActionLocal:
 		ref := s.Upstream(d.Upstream).Ref
 		return gateway.Choice{Upstream: &ref, Reason: "upstream " + string(ref.ID) + ", first token in " + d.FirstToken.String()}, nil
 	case routing.ActionForward:
 		if d.Link != nil {
-			d.Link.Take(time.Now(), routing.LinkBytes(&r))
+			d.Link.Take(now, routing.LinkBytes(r))
 		}
 		return n.forwardTo(s.Domain(d.Domain).Place, d)
 	}
-	return gateway.Choice{}, refusal(d.Err(&r))
+	return gateway.Choice{Reason: "refused"}, refusal(d.Err(r))
 }
 
 // refusal returns a routing refusal for a target that the plan holds. That no
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -22,6 +22,7 @@
 type Record struct {
 	RequestID    domain.RequestID    `json:"request_id"`
 	Customer     domain.CustomerID   `json:"customer"`
+	Plan         domain.PlanID       `json:"plan"`
 	Target       string              `json:"target"`
 	ListsVersion domain.ListsVersion `json:"lists_version"`
 	Steps        []Step              `json:"steps"`
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -31,6 +31,7 @@
 	for c.attempts = 1; c.attempts <= maxAttempts; c.attempts++ {
 		choice, err := c.route()
 		if err != nil {
+			c.note("route", "attempt %d: %s", c.attempts, choice.Reason)
 			return firstError(last, err)
 		}
 		c.grant.Dispatched()
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -73,7 +73,7 @@
 		RequestID: c.req.ID, Target: c.req.Target.Kind.String() + "/" + c.req.Target.Name, Begun: c.begun,
 	}
 	if c.access != nil {
-		c.record.Customer, c.record.ListsVersion = c.access.Customer, c.snapshot.Version
+		c.record.Customer, c.record.Plan, c.record.ListsVersion = c.access.Customer, c.access.Plan.ID, c.snapshot.Version
 	}
 }
 
@@ -122,7 +122,7 @@
 		return err
 	}
 	c.access = access
-	c.record.Customer = access.Customer
+	c.record.Customer, c.record.Plan = access.Customer, access.Plan.ID
 	c.record.ListsVersion = c.snapshot.Version
 	return c.checkTarget()
 }
