--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -36,6 +36,8 @@
 	priority int
 	places   string
 	entries  list.List
+	// cost is the slot time of all entries, in seconds.
+	cost float64
 }
 
 func (l *lane) head() *entry { return l.entries.Front().Value.(*entry) }
@@ -70,6 +72,7 @@
 	}
 	e.host = q.lane(e)
 	e.at = e.host.entries.PushBack(e)
+	e.host.cost += e.cost
 	q.count[e.class]++
 }
 
@@ -94,6 +97,10 @@
 	}
 	e.host.entries.Remove(e.at)
 	e.at = nil
+	e.host.cost -= e.cost
+	if e.host.entries.Len() == 0 {
+		e.host.cost = 0
+	}
 	q.count[e.class]--
 	return true
 }
@@ -143,15 +150,11 @@
 		if l.places != places {
 			continue
 		}
-		cost := 0.0
-		for e := l.entries.Front(); e != nil; e = e.Next() {
-			cost += e.Value.(*entry).cost
-		}
 		switch {
 		case l.class != c:
-			others += cost
+			others += l.cost
 		case l.priority >= priority:
-			own += cost
+			own += l.cost
 		}
 	}
 	// The other class gets its weighted turns meanwhile, at most all it has.
