--- a/adapters/peer/framing_bench_test.go
+++ b/adapters/peer/framing_bench_test.go
@@ -23,6 +23,7 @@
 func (echoControl) ListsNewerThan(domain.ListsVersion) (domain.ListsVersion, []byte) {
 	return 0, nil
 }
+func (echoControl) VMList() []byte                                { return nil }
 func (echoControl) Inquire(operations.Attempt) operations.Outcome { return operations.OutcomeUnknown }
 func (echoControl) OwnOperationStatus(domain.CustomerID, domain.OperationID) (operations.Status, error) {
 	return operations.Status{}, nil
