Deployment benchmark reports refused and failed shares

good-share already divides by all requests, so that refusals lower it; the report now says so and shows refused and failed requests apart. All engines of these fleets cost the same, so cost is not reported.

--- a/adapters/benchmarks/deployment_test.go
+++ b/adapters/benchmarks/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
 	"github.com/crocusspread/crocusspread/adapters/standin/fleet"
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/routing"
 )
 
@@ -126,19 +128,35 @@
 	return reports
 }
 
+// refusals are the kinds by which a node declines a request for want of room.
+var refusals = []errkind.Kind{
+	errkind.Overloaded, errkind.NoCapacity, errkind.DeadlineUnreachable, errkind.LimitExceeded, errkind.Draining,
+}
+
 // report publishes the worst site's latency and the shares over all sites.
+// Latencies are those of whole answers; every request counts in good-share, so
+// that refused and failed ones lower it.
 func (d deployment) report(b *testing.B, reports []*loadgen.Report) {
-	var requests, whole, good, away int
+	var requests, whole, good, away, refused, failed int
 	var p50, p99 float64
 	for i, r := range reports {
 		requests, whole, good = requests+r.Requests, whole+r.Whole, good+r.Good
 		away += r.Whole - r.RanIn[string(d.sites[i].place.FailureDomain)]
+		for kind, n := range r.Errors {
+			if slices.Contains(refusals, kind) {
+				refused += n
+				continue
+			}
+			failed += n
+		}
 		p50, p99 = max(p50, r.FirstToken.P50), max(p99, r.FirstToken.P99)
 	}
 	b.ReportMetric(p50, "ttft-p50-ms")
 	b.ReportMetric(p99, "ttft-p99-ms")
 	b.ReportMetric(float64(away)/float64(max(1, whole)), "away-share")
 	b.ReportMetric(float64(good)/float64(max(1, requests)), "good-share")
+	b.ReportMetric(float64(refused)/float64(max(1, requests)), "refused-share")
+	b.ReportMetric(float64(failed)/float64(max(1, requests)), "failed-share")
 }
 
 // BenchmarkDeployment drives running fleets of the users' sizes, whose engines'
