Keep a peer's counts that its heartbeat leaves out

Cause: a heartbeat names two of its sender's upstreams in turn, but the tracker took upstreams that it does not name for idle, and a fall to zero was not told. In the running node, counts of other nodes' work were therefore mostly zero.

Change: counts hold until the next word on that upstream, at most for PeerTTL; a count of zero is told for PeerTTL after the last change; a message that names few members names up to three more upstreams. PeerLoads takes the time.

Both tests fail without their guard: 0 requests in place of 5, and no count where a zero is wanted.

--- a/adapters/node/members.go
+++ b/adapters/node/members.go
@@ -108,7 +108,7 @@
 
 // publishLoad hands the own load to membership, which spreads it.
 func (n *Node) publishLoad(now time.Time) {
-	own := n.tracker.PeerLoads()
+	own := n.tracker.PeerLoads(now)
 	loads := make([]membership.UpstreamLoad, 0, len(own))
 	for _, u := range own {
 		loads = append(loads, membership.UpstreamLoad{
--- a/adapters/peer/peerconv/control_bench_test.go
+++ b/adapters/peer/peerconv/control_bench_test.go
@@ -163,7 +163,7 @@
 // sent and received, messages, processor time and memory. One operation is one
 // second of the whole fleet.
 func BenchmarkControlPlane(b *testing.B) {
-	sizes := []struct{ domains, nodes int }{{26, 3}, {26, 13}, {26, 50}, {3, 13}, {100, 13}, {3, 130}}
+	sizes := []struct{ domains, nodes int }{{3, 3}, {26, 3}, {26, 13}, {26, 50}, {3, 13}, {100, 13}, {3, 130}}
 	for _, s := range sizes {
 		b.Run(fmt.Sprintf("domains=%d/nodes=%d", s.domains, s.nodes), func(b *testing.B) {
 			benchControlPlane(b, s.domains, s.nodes)
--- a/core/membership/config.go
+++ b/core/membership/config.go
@@ -53,3 +53,13 @@
 		MaxNodes:         4,
 	}
 }
+
+// maxSpareUpstreams bounds the upstreams named in place of members.
+const maxSpareUpstreams = 3
+
+// upstreamsBeside returns the number of upstreams in a message that names a number
+// of members: those of a small domain leave room for more upstreams.
+func (c *Config) upstreamsBeside(members int) int {
+	spare := max(c.MaxMembers-members, 0)
+	return c.MaxUpstreams + min(spare, maxSpareUpstreams)
+}
--- a/core/membership/group.go
+++ b/core/membership/group.go
@@ -221,7 +221,7 @@
 		return h
 	}
 	h.Members = g.members.relay(g.cfg.MaxMembers, to.ID)
-	h.Upstreams = g.load.ownUpstreams(g.cfg.MaxUpstreams)
+	h.Upstreams = g.load.ownUpstreams(g.cfg.upstreamsBeside(len(h.Members)))
 	h.Domains = g.domains.relay(now, targets)
 	h.Domains = append(h.Domains, DomainLoad{Place: to.Place, Sequence: g.load.highest()})
 	if targets > 0 {
--- a/core/routing/model_test.go
+++ b/core/routing/model_test.go
@@ -241,7 +241,7 @@
 	}
 	if m.variant.othersWork {
 		for _, from := range s.nodes {
-			loads := from.tracker.PeerLoads()
+			loads := from.tracker.PeerLoads(m.time())
 			for _, to := range s.nodes {
 				if to != from {
 					to.tracker.ObservePeer(m.time(), from.id, loads)
--- a/core/upstreams/journal.go
+++ b/core/upstreams/journal.go
@@ -59,6 +59,11 @@
 	}
 }
 
+// changedSince tells if own work started or ended after a moment.
+func (j *journal) changedSince(t time.Time) bool {
+	return len(j.changes) > 0 && j.changes[len(j.changes)-1].at.After(t)
+}
+
 // rebase restates own requests as changes after the moment of a load reading. It
 // returns the prompt tokens that were pending at that moment.
 func (j *journal) rebase(reading time.Time) (pendingThen int) {
--- a/core/upstreams/peers.go
+++ b/core/upstreams/peers.go
@@ -23,7 +23,8 @@
 type peerCount struct {
 	inFlight int
 	pending  int
-	at       time.Time
+	// at is when the counts were said, heard when the node last said anything.
+	at, heard time.Time
 }
 
 type sample struct {
@@ -42,13 +43,20 @@
 func newPeers() peers { return peers{byNode: make(map[domain.NodeID]peerCount)} }
 
 func (p *peers) observe(node domain.NodeID, load PeerLoad, now time.Time, ttl time.Duration) {
-	p.byNode[node] = peerCount{inFlight: load.InFlight, pending: load.PendingTokens, at: now}
+	p.byNode[node] = peerCount{inFlight: load.InFlight, pending: load.PendingTokens, at: now, heard: now}
 	if len(p.samples) >= maxSamples {
 		p.samples = append(p.samples[:0], p.samples[1:]...)
 	}
 	p.samples = append(p.samples, sample{at: now, total: p.inFlight(now, ttl)})
 }
 
+// hear notes that a node lives, whose heartbeat left this upstream out.
+func (p *peers) hear(node domain.NodeID, now time.Time) {
+	c := p.byNode[node]
+	c.heard = now
+	p.byNode[node] = c
+}
+
 func (p *peers) forget(node domain.NodeID) { delete(p.byNode, node) }
 
 // backlog returns the others' pending prompt tokens, less what the upstream has
@@ -64,11 +72,13 @@
 func (p *peers) inFlight(now time.Time, ttl time.Duration) int {
 	total := 0
 	for node, c := range p.byNode {
-		if now.Sub(c.at) > ttl {
+		if now.Sub(c.heard) > ttl {
 			delete(p.byNode, node)
 			continue
 		}
-		total += c.inFlight
+		if now.Sub(c.at) <= ttl {
+			total += c.inFlight
+		}
 	}
 	return total
 }
--- a/core/upstreams/tracker.go
+++ b/core/upstreams/tracker.go
@@ -121,16 +121,21 @@
 	u.remember(e.Prefix)
 }
 
-// ObservePeer takes what another node of the domain has in flight. Upstreams that
-// it does not name have none. A peer's suspicion is its own: only its word that an
-// upstream is leaving is taken over.
+// ObservePeer takes what another node of the domain has in flight. A heartbeat
+// names a part of its upstreams: what was heard of the others holds for PeerTTL. A
+// peer's suspicion is its own: only its word that an upstream is leaving is taken
+// over.
 func (t *Tracker) ObservePeer(now time.Time, node domain.NodeID, loads []PeerLoad) {
 	byID := make(map[domain.UpstreamID]PeerLoad, len(loads))
 	for _, l := range loads {
 		byID[l.Upstream] = l
 	}
 	t.each(func(_ *shard, u *upstream) {
-		l := byID[u.ref.ID]
+		l, named := byID[u.ref.ID]
+		if !named {
+			u.others.hear(node, now)
+			return
+		}
 		u.others.observe(node, l, now, t.options.PeerTTL)
 		if l.Leaving {
 			u.leave()
@@ -144,8 +149,8 @@
 }
 
 // PeerLoads returns this node's own work, for its heartbeats, ordered by id.
-// Upstreams without work are left out unless leaving or suspect.
-func (t *Tracker) PeerLoads() []PeerLoad {
+// Upstreams without work for PeerTTL are left out unless leaving or suspect.
+func (t *Tracker) PeerLoads(now time.Time) []PeerLoad {
 	var loads []PeerLoad
 	t.each(func(_ *shard, u *upstream) {
 		l := PeerLoad{
@@ -155,7 +160,7 @@
 			Leaving:       u.state() == domain.UpstreamLeaving,
 			Suspect:       u.state() == domain.UpstreamSuspect,
 		}
-		if l.InFlight > 0 || l.Leaving || l.Suspect {
+		if l.InFlight > 0 || u.work.changedSince(now.Add(-t.options.PeerTTL)) || l.Leaving || l.Suspect {
 			loads = append(loads, l)
 		}
 	})
--- a/core/upstreams/tracker_test.go
+++ b/core/upstreams/tracker_test.go
@@ -133,6 +133,34 @@
 	}
 }
 
+func TestPartialHeartbeatKeepsOtherCounts(t *testing.T) {
+	tr := tracked(t, 2)
+	tr.ObservePeer(at(time.Second), "n2", []PeerLoad{{Upstream: "0", InFlight: 5}})
+	tr.ObservePeer(at(2*time.Second), "n2", []PeerLoad{{Upstream: "1", InFlight: 3}})
+	if got := estimate(tr, 2*time.Second, 0).Requests; got != 5 {
+		t.Errorf("%v requests where the second heartbeat named another upstream, want 5", got)
+	}
+	tr.ObservePeer(at(6*time.Second+defaultPeerTTL), "n2", nil)
+	if got := estimate(tr, 6*time.Second+defaultPeerTTL, 0).Requests; got != 0 {
+		t.Errorf("%v requests by a count older than its TTL, want 0", got)
+	}
+}
+
+func TestEndOfWorkIsTold(t *testing.T) {
+	tr := tracked(t, 1)
+	d, err := tr.Start(at(0), "0", 100, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.End(at(time.Second), OutcomeSucceeded)
+	if got := tr.PeerLoads(at(2 * time.Second)); len(got) != 1 || got[0].InFlight != 0 {
+		t.Errorf("loads %+v after the last request ended, want a count of zero", got)
+	}
+	if got := tr.PeerLoads(at(2*time.Second + defaultPeerTTL)); len(got) != 0 {
+		t.Errorf("loads %+v long after the last request ended, want none", got)
+	}
+}
+
 func TestPeersCountUntilForgotten(t *testing.T) {
 	tr := tracked(t, 1)
 	tr.ObservePeer(at(time.Second), "n2", []PeerLoad{{Upstream: "0", InFlight: 5}})
--- a/core/upstreams/upstream.go
+++ b/core/upstreams/upstream.go
@@ -128,7 +128,7 @@
 	item := routing.HashKey(string(u.ref.ID))
 	own := routing.Rendezvous(item, routing.HashKey(string(o.Node)))
 	for node, c := range u.others.byNode {
-		if now.Sub(c.at) <= o.PeerTTL && routing.Rendezvous(item, routing.HashKey(string(node))) > own {
+		if now.Sub(c.heard) <= o.PeerTTL && routing.Rendezvous(item, routing.HashKey(string(node))) > own {
 			return false
 		}
 	}
