--- a/adapters/benchmarks/doc.go
+++ b/adapters/benchmarks/doc.go
@@ -1,4 +1,5 @@
 // Package benchmarks measures a whole node in one process with stand-ins: the
 // time that an entry adds, the tokens that one process relays, and the memory
-// of open streams. docs/MEASUREMENTS.md holds the figures.
+// of open streams, what nodes as processes spend, and the
+// traffic of idle fleets. docs/MEASUREMENTS.md holds the figures.
 package benchmarks
