--- a/adapters/benchmarks/doc.go
+++ b/adapters/benchmarks/doc.go
@@ -1,5 +1,5 @@
 // Package benchmarks measures a whole node in one process with stand-ins: the
-// time that an entry adds, the tokens that one process relays, and the memory
-// of open streams, what nodes as processes spend, and the
-// traffic of idle fleets. docs/MEASUREMENTS.md holds the figures.
+// time that an entry adds, the tokens that one process relays and the memory
+// of open streams. It also measures what nodes spend as processes of their own and
+// the traffic of idle fleets. docs/MEASUREMENTS.md holds the figures.
 package benchmarks
