--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -14,7 +14,7 @@
 // Kind is a stable error kind; its text is part of the interface for callers.
 type Kind string
 
-// The closed list of kinds. Table has one row for each.
+// The closed list of kinds. Lookup has a row for each.
 const (
 	BadRequest          Kind = "bad_request"
 	BodyTooLarge        Kind = "body_too_large"
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request, resumptions included.
+	// maxAttempts bounds the choices that are tried for one request; resumptions
+	// belong to their attempt.
 	maxAttempts = 6
 	// maxResumes bounds the resumptions in a row without a new event.
 	maxResumes = 3
@@ -58,7 +59,7 @@
 
 // Serve runs a caller's request and writes its answer. A nil error means that
 // the whole answer was written; otherwise *errkind.Error says what the caller
-// must be told, and Started on w says if the head is already out.
+// must be told; the head may be out already.
 func (g *Gateway) Serve(ctx context.Context, req *Request, w answer.Writer) error {
 	begun := g.deps.Now()
 	c := &call{g: g, req: req, begun: begun, w: newTrackedWriter(w, begun, g.deps.Now)}
--- a/core/membership/group.go
+++ b/core/membership/group.go
@@ -210,8 +210,8 @@
 	return time.Duration(max(1, (g.members.size()+named-1)/named))
 }
 
-// message builds the heartbeat for one node,
-// with up to targets readings of other domains' targets. Replies have none of
+// message builds the heartbeat for one node, with up to targets readings of
+// other domains' targets. Replies have none of
 // these and no demands: a request in the other direction brings them.
 func (g *Group) message(now time.Time, to domain.NodeRef, targets int) Heartbeat {
 	h := Heartbeat{ListsVersion: domain.ListsVersion(g.version.Load())}
