Try another node of a failure domain before giving the domain up

Cause: when a forward failed at its node, the whole failure domain was left out, so one dead node made the only domain with capacity unusable for that request; and each such retry took from the retry budget, which was empty after about ten. Failures of a node now exclude that node, the domain only once its known nodes were all tried, and a failure that reached no upstream needs no budget. A receiver that cannot be reached counts as failed at once. Found on the way: forwards in flight by receiver were never counted, so bounded load among receivers had no effect; they are now.

--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -53,7 +53,7 @@
 	domains   *upstreams.Domains
 	snapshot  atomic.Pointer[routing.Snapshot]
 	router    *routing.Router
-	pickers   pickers
+	receivers receivers
 	weighings *rate.Limiter
 	admission *admission.Controller
 
--- a/adapters/node/routing.go
+++ b/adapters/node/routing.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"time"
 
-	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/gateway"
@@ -89,17 +88,17 @@
 		Target: req.Target, Allowed: s.Regions().Set(req.Access.AllowsRegion), LocalOnly: req.LocalOnly,
 		PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens, PrefixHash: req.Prefix, PrefixTokens: req.PromptTokens,
 		BodyBytes: req.BodyBytes, Priority: req.Access.Plan.Priority, Deadline: req.Deadline, Home: req.Access.Plan.Home,
-		ExcludedUpstreams: req.TriedUpstreams, ExcludedDomains: req.TriedDomains, Seed: rand.Uint64(),
+		ExcludedUpstreams: req.Tried.Upstreams, ExcludedDomains: n.excludedDomains(req.Tried), Seed: rand.Uint64(),
 	}
 	now := time.Now()
 	d := n.router.Decide(s, &r, now)
-	choice, err := n.choose(s, &r, d, now)
+	choice, err := n.choose(s, &r, d, req.Tried.Nodes, now)
 	choice.Reason += n.weighing(s, &r, now)
 	return choice, err
 }
 
 // choose turns a decision into where the attempt goes.
-func (n *Node) choose(s *routing.Snapshot, r *routing.Request, d routing.Decision, now time.Time) (gateway.Choice, error) {
+func (n *Node) choose(s *routing.Snapshot, r *routing.Request, d routing.Decision, triedNodes []domain.NodeID, now time.Time) (gateway.Choice, error) {
 	switch d.Action {
 	case routing.ActionLocal:
 		ref := s.Upstream(d.Upstream).Ref
@@ -108,7 +107,7 @@
 		if d.Link != nil {
 			d.Link.Take(now, routing.LinkBytes(r))
 		}
-		return n.forwardTo(s.Domain(d.Domain).Place, d)
+		return n.forwardTo(s.Domain(d.Domain).Place, d, triedNodes)
 	}
 	return gateway.Choice{Reason: "refused"}, refusal(d.Err(r))
 }
@@ -133,35 +132,41 @@
 	return gateway.Choice{}, errkind.New(errkind.NoCapacity, "upstream %q, which holds the generation, is gone", id)
 }
 
-func (n *Node) forwardTo(place domain.Place, d routing.Decision) (gateway.Choice, error) {
-	known, ok := n.group.View().Domain(place.FailureDomain)
-	if !ok || len(known.Nodes) == 0 {
+func (n *Node) forwardTo(place domain.Place, d routing.Decision, tried []domain.NodeID) (gateway.Choice, error) {
+	var nodes []domain.NodeRef
+	if known, ok := n.group.View().Domain(place.FailureDomain); ok {
+		nodes = untried(known.Nodes, tried)
+	}
+	if len(nodes) == 0 {
 		return gateway.Choice{}, errkind.New(errkind.NoCapacity, "no node of failure domain %q is known", place.FailureDomain)
 	}
-	node := n.pickers.pick(known.Nodes)
+	node := n.receivers.pick(nodes)
 	return gateway.Choice{
 		Node: &node, Reason: "failure domain " + string(place.FailureDomain) + " over node " + string(node.ID) + ", first token in " + d.FirstToken.String(),
 	}, nil
 }
 
-// pickers counts this node's forwards in flight by receiver and chooses among
-// receivers by bounded-load rendezvous hashing.
-type pickers struct {
-	mu       sync.Mutex
-	inFlight map[domain.NodeID]int
+// excludedDomains returns the failure domains that a request cannot use any
+// more: those that refused it, and those whose known nodes were all tried.
+func (n *Node) excludedDomains(t gateway.Tried) []domain.FailureDomain {
+	if len(t.Nodes) == 0 {
+		return t.Domains
+	}
+	excluded := slices.Clone(t.Domains)
+	view := n.group.View()
+	for i := range view.Others {
+		if d := &view.Others[i]; len(d.Nodes) > 0 && len(untried(d.Nodes, t.Nodes)) == 0 {
+			excluded = append(excluded, d.Place.FailureDomain)
+		}
+	}
+	return excluded
 }
 
-// nodeLoadBound is the largest load of a receiver relative to the mean.
-const nodeLoadBound = 1.25
-
-func (p *pickers) pick(nodes []domain.NodeRef) domain.NodeRef {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	loads := make([]routing.NodeLoad, len(nodes))
-	for i, node := range nodes {
-		loads[i] = routing.NodeLoad{Key: routing.HashKey(string(node.ID)), InFlight: p.inFlight[node.ID]}
+func untried(nodes []domain.NodeRef, tried []domain.NodeID) []domain.NodeRef {
+	if len(tried) == 0 {
+		return nodes
 	}
-	return nodes[routing.ChooseNode(rand.Uint64(), loads, nodeLoadBound)]
+	return slices.DeleteFunc(slices.Clone(nodes), func(n domain.NodeRef) bool { return slices.Contains(tried, n.ID) })
 }
 
 // Start implements gateway.Tracker.
@@ -173,16 +178,6 @@
 	return progress{d}, nil
 }
 
-// StartForward implements gateway.Tracker.
-func (n *Node) StartForward(to domain.FailureDomain, w gateway.Work) (gateway.Progress, error) {
-	d, err := n.domains.StartForward(time.Now(), to, w.Target, w.PromptTokens)
-	if err != nil {
-		return nil, err
-	}
-	n.metrics.Count(telemetry.ForwardsSent, 1)
-	return progress{d}, nil
-}
-
 // progress reports on one dispatch to the tracker.
 type progress struct {
 	dispatch *upstreams.Dispatch
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -44,7 +44,7 @@
 		if !c.mayRetry(ctx, err) {
 			return err
 		}
-		c.tried.exclude(choice)
+		c.tried.exclude(choice, err)
 		c.note("retry", "attempt %d: %s", c.attempts, err)
 		c.g.deps.Log.Log(event.RequestRetried, event.F("request", c.req.ID), event.F("detail", err))
 	}
@@ -69,7 +69,7 @@
 	return c.g.deps.Router.Route(RouteRequest{
 		Access: c.access, Target: c.req.Target, PromptTokens: c.req.PromptTokens, OutputTokens: c.req.OutputTokens,
 		Prefix: c.req.Prefix, BodyBytes: len(c.req.Payload), Deadline: c.req.Deadline,
-		TriedUpstreams: c.tried.upstreams, TriedDomains: c.tried.domains,
+		Tried: c.tried,
 	})
 }
 
@@ -189,7 +189,18 @@
 	if e.Verdict() != domain.RunNo && (!c.repeatable || c.req.Body != nil) {
 		return false
 	}
-	return c.g.deps.Admission.AllowRetry()
+	return c.g.allowRetry(err)
+}
+
+// allowRetry asks the retry budget, which keeps a fault from multiplying the
+// load on upstreams. A failure that reached none needs no budget: the number of
+// attempts bounds it.
+func (g *Gateway) allowRetry(err error) bool {
+	switch errkind.From(err).Kind {
+	case errkind.PeerUnreachable, errkind.Draining:
+		return true
+	}
+	return g.deps.Admission.AllowRetry()
 }
 
 var retryableKinds = []errkind.Kind{
@@ -200,11 +211,3 @@
 
 // retryable tells if another choice can end better than one that failed with k.
 func retryable(k errkind.Kind) bool { return slices.Contains(retryableKinds, k) }
-
-func (t *triedSet) exclude(choice Choice) {
-	if choice.Upstream != nil {
-		t.upstreams = append(t.upstreams, choice.Upstream.ID)
-		return
-	}
-	t.domains = append(t.domains, choice.Node.Place.FailureDomain)
-}
--- a/core/gateway/deps.go
+++ b/core/gateway/deps.go
@@ -33,9 +33,8 @@
 	Deadline     time.Time
 	// LocalOnly forbids forwarding: the Execute stage.
 	LocalOnly bool
-	// TriedUpstreams and TriedDomains are left out.
-	TriedUpstreams []domain.UpstreamID
-	TriedDomains   []domain.FailureDomain
+	// Tried is left out.
+	Tried Tried
 	// Pinned demands one upstream, to resume what it holds.
 	Pinned domain.UpstreamID
 }
@@ -67,8 +66,8 @@
 	// Start reports a dispatch to an upstream of the own failure domain. It
 	// fails, with verdict "no", if the upstream takes no new work by now.
 	Start(up domain.UpstreamID, w Work) (Progress, error)
-	// StartForward reports a request sent to another failure domain.
-	StartForward(to domain.FailureDomain, w Work) (Progress, error)
+	// StartForward reports a request sent to a node of another failure domain.
+	StartForward(to domain.NodeRef, w Work) (Progress, error)
 }
 
 // Progress reports on one dispatch.
--- a/core/gateway/dispatch.go
+++ b/core/gateway/dispatch.go
@@ -34,7 +34,7 @@
 // forward sends fwd to the node that it names as receiver and copies the
 // answer.
 func (g *Gateway) forward(ctx context.Context, fwd *Forward, w answer.Writer) (err error) {
-	progress, err := g.deps.Tracker.StartForward(fwd.Receiver.Place.FailureDomain, workOf(fwd))
+	progress, err := g.deps.Tracker.StartForward(fwd.Receiver, workOf(fwd))
 	if err != nil {
 		return err
 	}
--- a/core/gateway/execute.go
+++ b/core/gateway/execute.go
@@ -18,17 +18,17 @@
 	if !fwd.Repeatable {
 		return g.executeOperation(ctx, fwd, w)
 	}
-	var tried triedSet
+	var tried Tried
 	for {
 		choice, err := g.place(ctx, fwd, tried)
 		if err != nil {
 			return err
 		}
 		err = g.dispatch(ctx, *choice.Upstream, fwd, w)
-		if !refusedByTracker(err) || fwd.Pinned != "" || len(tried.upstreams) == maxAttempts {
+		if !refusedByTracker(err) || fwd.Pinned != "" || len(tried.Upstreams) == maxAttempts {
 			return err
 		}
-		tried.exclude(choice)
+		tried.exclude(choice, err)
 	}
 }
 
@@ -40,7 +40,7 @@
 }
 
 // place chooses an upstream of the own failure domain by the receiver's lists.
-func (g *Gateway) place(ctx context.Context, fwd *Forward, tried triedSet) (Choice, error) {
+func (g *Gateway) place(ctx context.Context, fwd *Forward, tried Tried) (Choice, error) {
 	if !g.deps.Accepting() {
 		return Choice{}, errkind.New(errkind.Draining, "node %q takes no new requests", g.deps.Self.ID)
 	}
@@ -50,7 +50,7 @@
 	}
 	return g.deps.Router.Route(RouteRequest{
 		Access: access, Target: fwd.Target, PromptTokens: fwd.PromptTokens, Prefix: fwd.Prefix,
-		LocalOnly: true, Pinned: fwd.Pinned, TriedUpstreams: tried.upstreams,
+		LocalOnly: true, Pinned: fwd.Pinned, Tried: tried,
 	})
 }
 
--- a/core/gateway/execute_operation.go
+++ b/core/gateway/execute_operation.go
@@ -18,7 +18,7 @@
 		return err
 	}
 	defer func() { admission.Close(g.deps.Now()) }()
-	choice, err := g.place(ctx, fwd, triedSet{})
+	choice, err := g.place(ctx, fwd, Tried{})
 	if err != nil {
 		return g.refuse(admission, err)
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -43,7 +43,7 @@
 	begun      time.Time
 	attempts   int
 	forwarded  bool
-	tried      triedSet
+	tried      Tried
 	// mayHaveRun is set once an attempt failed that the work may have reached.
 	mayHaveRun bool
 	// named is set if the caller named the operation by its id or a key.
@@ -51,12 +51,6 @@
 	fingerprint uint64
 }
 
-// triedSet holds what earlier attempts of a request found unusable.
-type triedSet struct {
-	upstreams []domain.UpstreamID
-	domains   []domain.FailureDomain
-}
-
 // Serve runs a caller's request and writes its answer. A nil error means that
 // the whole answer was written; otherwise *errkind.Error says what the caller
 // must be told; the head may be out already.
--- a/core/gateway/operation.go
+++ b/core/gateway/operation.go
@@ -200,7 +200,7 @@
 	access *lists.Access
 	fwd    *Forward
 	run    *operations.Run
-	tried  triedSet
+	tried  Tried
 }
 
 // execute tries executors until one may have run the operation or none is left.
@@ -216,7 +216,7 @@
 			break
 		}
 		choice, err := o.g.deps.Router.Route(RouteRequest{
-			Access: o.access, Target: o.fwd.Target, TriedUpstreams: o.tried.upstreams, TriedDomains: o.tried.domains,
+			Access: o.access, Target: o.fwd.Target, Tried: o.tried,
 		})
 		if err != nil {
 			last = firstError(last, err)
@@ -227,10 +227,10 @@
 			return
 		}
 		last = err
-		if !o.g.deps.Admission.AllowRetry() {
+		if !o.g.allowRetry(err) {
 			break
 		}
-		o.tried.exclude(choice)
+		o.tried.exclude(choice, err)
 	}
 	o.giveUp(last)
 }
--- a/core/gateway/operation_lists_test.go
+++ b/core/gateway/operation_lists_test.go
@@ -42,7 +42,7 @@
 	return nil, errkind.New(errkind.NoCapacity, "leaving")
 }
 
-func (n *narrowingNode) StartForward(domain.FailureDomain, Work) (Progress, error) {
+func (n *narrowingNode) StartForward(domain.NodeRef, Work) (Progress, error) {
 	panic("not forwarded")
 }
 
