Resume a forwarded stream over another node when its node dies

Cause: all resumptions of a forwarded generation went to the node that had carried it; when that node died, the stream ended although the engine was well. A resumption now takes another node of the failure domain after a failure of the node.

--- a/adapters/node/forward_test.go
+++ b/adapters/node/forward_test.go
@@ -8,22 +8,29 @@
 	"strings"
 	"testing"
 
+	"github.com/crocusspread/crocusspread/adapters/callerapi"
 	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
 	"github.com/crocusspread/crocusspread/adapters/standin/fleet"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/lists"
 )
 
-const forwardedQuestion = `{"model":"m","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
+const (
+	forwardedQuestion     = `{"model":"m","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
+	longForwardedQuestion = `{"model":"m","stream":true,"max_tokens":60,"messages":[{"role":"user","content":"hello"}]}`
+)
 
-// TestDeadNodeDoesNotRuleOutItsFailureDomain kills one of two nodes of the only
-// failure domain with engines, and asks through another domain at once.
-func TestDeadNodeDoesNotRuleOutItsFailureDomain(t *testing.T) {
-	far := domain.Place{Region: "south", FailureDomain: "south-a"}
+var far = domain.Place{Region: "south", FailureDomain: "south-a"}
+
+// startFar starts a node without upstreams, and two nodes before one engine in
+// another region.
+func startFar(t *testing.T, engine enginesim.Config) (*fleet.Fleet, context.Context) {
+	t.Helper()
+	engine.Models = []string{"m"}
 	f, err := fleet.Start(fleet.Config{
 		Domains: []fleet.Domain{
 			{Place: domain.Place{Region: "north", FailureDomain: "north-a"}, Nodes: 1},
-			{Place: far, Nodes: 2, Engines: 1, Engine: enginesim.Config{Models: []string{"m"}}},
+			{Place: far, Nodes: 2, Engines: 1, Engine: engine},
 		},
 		Document: lists.Document{
 			Regions:   []domain.Region{"north", "south"},
@@ -36,10 +43,17 @@
 	}
 	t.Cleanup(f.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), keysTimeout)
-	defer cancel()
+	t.Cleanup(cancel)
 	if err := f.WaitReady(ctx); err != nil {
 		t.Fatal(err)
 	}
+	return f, ctx
+}
+
+// TestDeadNodeDoesNotRuleOutItsFailureDomain kills one of two nodes of the only
+// failure domain with engines, and asks through another domain at once.
+func TestDeadNodeDoesNotRuleOutItsFailureDomain(t *testing.T) {
+	f, ctx := startFar(t, enginesim.Config{})
 	victim := f.NodeIn(far.FailureDomain)
 	victim.Process.Kill()
 	_ = victim.Wait()
@@ -51,16 +65,61 @@
 	}
 }
 
-func forwardedAnswer(ctx context.Context, address string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(forwardedQuestion))
+// TestStreamGoesOnOverAnotherNodeWhenItsNodeDies kills, in mid-stream, the node
+// that a generation is forwarded over. The engine that runs it is well.
+func TestStreamGoesOnOverAnotherNodeWhenItsNodeDies(t *testing.T) {
+	f, ctx := startFar(t, enginesim.Config{TimeScale: 1, DecodeTokensPerSecond: 20})
+	resp, err := askForwarded(ctx, f.Nodes[0].Caller, longForwardedQuestion)
 	if err != nil {
-		return nil, err
+		t.Fatal(err)
 	}
-	req.Header.Set("Authorization", "Bearer k")
-	resp, err := http.DefaultClient.Do(req)
+	defer resp.Body.Close()
+	start := make([]byte, 400)
+	if _, err := io.ReadFull(resp.Body, start); err != nil {
+		t.Fatal(err)
+	}
+	killCarrier(t, f)
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := domain.RequestID(resp.Header.Get(callerapi.HeaderRequestID))
+	want, err := f.Engines[0].Transcript(id, []byte(longForwardedQuestion))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := append(start, rest...); !bytes.Equal(got, want) {
+		t.Errorf("got %d bytes, want %d:\n%s", len(got), len(want), got[max(0, len(got)-300):])
+	}
+}
+
+// killCarrier kills the node of the far domain that carries the one stream.
+func killCarrier(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for _, n := range f.Nodes {
+		if n.Place == far && n.Process.InFlight() > 0 {
+			n.Process.Kill()
+			_ = n.Wait()
+			return
+		}
+	}
+	t.Fatal("no node of the far domain carries the stream")
+}
+
+func forwardedAnswer(ctx context.Context, address string) ([]byte, error) {
+	resp, err := askForwarded(ctx, address, forwardedQuestion)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
 	return io.ReadAll(resp.Body)
 }
+
+func askForwarded(ctx context.Context, address, question string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(question))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer k")
+	return http.DefaultClient.Do(req)
+}
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -244,6 +244,9 @@
 // Kill makes Run end at once, as if its process had died: nothing is drained.
 func (n *Node) Kill() { n.kill.Do(func() { close(n.killed) }) }
 
+// InFlight returns the number of requests that the node is serving.
+func (n *Node) InFlight() int { return int(n.work.requests.Load()) }
+
 // SeesFleet tells if the node serves, knows that many nodes, itself included,
 // and has load from that many failure domains.
 func (n *Node) SeesFleet(nodes, failureDomains int) bool {
--- a/adapters/node/routing.go
+++ b/adapters/node/routing.go
@@ -133,19 +133,28 @@
 }
 
 func (n *Node) forwardTo(place domain.Place, d routing.Decision, tried []domain.NodeID) (gateway.Choice, error) {
-	var nodes []domain.NodeRef
-	if known, ok := n.group.View().Domain(place.FailureDomain); ok {
-		nodes = untried(known.Nodes, tried)
-	}
-	if len(nodes) == 0 {
+	node, ok := n.OtherNode(place.FailureDomain, tried)
+	if !ok {
 		return gateway.Choice{}, errkind.New(errkind.NoCapacity, "no node of failure domain %q is known", place.FailureDomain)
 	}
-	node := n.receivers.pick(nodes)
 	return gateway.Choice{
 		Node: &node, Reason: "failure domain " + string(place.FailureDomain) + " over node " + string(node.ID) + ", first token in " + d.FirstToken.String(),
 	}, nil
 }
 
+// OtherNode implements gateway.Router.
+func (n *Node) OtherNode(fd domain.FailureDomain, tried []domain.NodeID) (domain.NodeRef, bool) {
+	known, ok := n.group.View().Domain(fd)
+	if !ok {
+		return domain.NodeRef{}, false
+	}
+	nodes := untried(known.Nodes, tried)
+	if len(nodes) == 0 {
+		return domain.NodeRef{}, false
+	}
+	return n.receivers.pick(nodes), true
+}
+
 // excludedDomains returns the failure domains that a request cannot use any
 // more: those that refused it, and those whose known nodes were all tried.
 func (n *Node) excludedDomains(t gateway.Tried) []domain.FailureDomain {
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -101,6 +101,7 @@
 			err = forbidden
 			break
 		}
+		choice = c.otherReceiver(choice, err)
 		before := c.w.events
 		c.note("resume", "after %d events: %s", before, err)
 		c.g.deps.Log.Log(event.AnswerResumed, event.F("request", c.req.ID), event.F("events", before), event.F("detail", err))
@@ -115,6 +116,19 @@
 	return err
 }
 
+// otherReceiver returns choice, over another node of the same failure domain if
+// its node failed: the engine that holds the generation may be well.
+func (c *call) otherReceiver(choice Choice, err error) Choice {
+	if choice.Node == nil || !failedAtNode(err) {
+		return choice
+	}
+	c.tried.Nodes = append(c.tried.Nodes, choice.Node.ID)
+	if other, ok := c.g.deps.Router.OtherNode(choice.Node.Place.FailureDomain, c.tried.Nodes); ok {
+		choice.Node = &other
+	}
+	return choice
+}
+
 // cancelTimeout bounds the message that frees an engine.
 const cancelTimeout = 5 * time.Second
 
--- a/core/gateway/deps.go
+++ b/core/gateway/deps.go
@@ -52,6 +52,8 @@
 // no_capacity, all of which prove that nothing ran.
 type Router interface {
 	Route(req RouteRequest) (Choice, error)
+	// OtherNode returns a node of a failure domain that was not tried yet.
+	OtherNode(fd domain.FailureDomain, tried []domain.NodeID) (domain.NodeRef, bool)
 }
 
 // Work describes one dispatch for accounting.
--- a/core/gateway/operation_lists_test.go
+++ b/core/gateway/operation_lists_test.go
@@ -37,6 +37,10 @@
 	return Choice{Upstream: &domain.UpstreamRef{ID: "a", Place: domain.Place{Region: "north"}}}, nil
 }
 
+func (n *narrowingNode) OtherNode(domain.FailureDomain, []domain.NodeID) (domain.NodeRef, bool) {
+	return domain.NodeRef{}, false
+}
+
 func (n *narrowingNode) Start(domain.UpstreamID, Work) (Progress, error) {
 	n.lists = n.lists[1:]
 	return nil, errkind.New(errkind.NoCapacity, "leaving")
--- a/core/gateway/tried.go
+++ b/core/gateway/tried.go
@@ -24,12 +24,14 @@
 	errkind.ListsOutdated, errkind.ListsUnavailable,
 }
 
+func failedAtNode(err error) bool { return slices.Contains(nodeKinds, errkind.From(err).Kind) }
+
 // exclude notes that an attempt at choice failed with err.
 func (t *Tried) exclude(choice Choice, err error) {
 	switch {
 	case choice.Upstream != nil:
 		t.Upstreams = append(t.Upstreams, choice.Upstream.ID)
-	case slices.Contains(nodeKinds, errkind.From(err).Kind):
+	case failedAtNode(err):
 		t.Nodes = append(t.Nodes, choice.Node.ID)
 	default:
 		t.Domains = append(t.Domains, choice.Node.Place.FailureDomain)
