Give every attempt of a request its whole streamed body

Cause: the sender of a forwarded request reads the caller's body while it waits for the answer. A receiver that refused (draining, no capacity) left the body without its start, and the next attempt sent the rest as if it were whole; a chunked body has no length that would tell. The first attempt could also go on reading beside the second.

Ruled out: no retry at all once a byte was read; small bodies would then fail on every planned stop of another domain's node. Holding whole bodies as for calls that may not be repeated; streams have no bound.

Test: with the caller's body handed to each attempt as before, the rows 'start read', 'all read', 'still reading' and 'more read than is kept' fail.

--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -142,6 +142,11 @@
 	fwd := c.forward()
 	fwd.Pinned = pinned
 	fwd.ResumeAfter = c.w.events
+	if c.body != nil {
+		body := c.body.attempt()
+		defer body.end()
+		fwd.Body = body
+	}
 	if choice.Upstream != nil {
 		return c.g.dispatch(ctx, *choice.Upstream, fwd, c.w)
 	}
@@ -155,7 +160,7 @@
 		Path: c.req.Path, Query: c.req.Query, Header: c.req.Header, ListsVersion: c.snapshot.Version,
 		Sender: c.g.deps.Self, Traceparent: c.req.Traceparent, Stream: c.req.Stream, Repeatable: c.repeatable,
 		Priority: c.access.Plan.Priority, PromptTokens: c.req.PromptTokens, Prefix: c.req.Prefix,
-		Payload: c.req.Payload, Body: c.req.Body, OperationID: c.req.OperationID, Fingerprint: c.fingerprint,
+		Payload: c.req.Payload, OperationID: c.req.OperationID, Fingerprint: c.fingerprint,
 	}
 	if !c.req.Deadline.IsZero() {
 		fwd.Timeout = max(time.Millisecond, c.req.Deadline.Sub(c.g.deps.Now()))
@@ -176,7 +181,8 @@
 }
 
 // mayRetry tells if another choice may be tried after err: nothing of the
-// answer is out, and the work either did not run or may run again.
+// answer is out, the work either did not run or may run again, and the body can
+// be sent again.
 func (c *call) mayRetry(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || c.w.started {
 		return false
@@ -185,7 +191,10 @@
 	if !retryable(e.Kind) {
 		return false
 	}
-	if e.Verdict() != domain.RunNo && (!c.repeatable || c.req.Body != nil) {
+	if e.Verdict() != domain.RunNo && !c.repeatable {
+		return false
+	}
+	if c.body != nil && !c.body.replayable() {
 		return false
 	}
 	return c.g.deps.Admission.AllowRetry()
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -36,13 +36,15 @@
 	access     *lists.Access
 	snapshot   *lists.Snapshot
 	repeatable bool
-	w          *trackedWriter
-	record     *explain.Record
-	grant      Grant
-	begun      time.Time
-	attempts   int
-	forwarded  bool
-	tried      triedSet
+	// body is nil unless the request's body is streamed.
+	body      *streamedBody
+	w         *trackedWriter
+	record    *explain.Record
+	grant     Grant
+	begun     time.Time
+	attempts  int
+	forwarded bool
+	tried     triedSet
 	// mayHaveRun is set once an attempt failed that the work may have reached.
 	mayHaveRun bool
 	// named is set if the caller named the operation by its id or a key.
@@ -62,6 +64,9 @@
 func (g *Gateway) Serve(ctx context.Context, req *Request, w answer.Writer) error {
 	begun := g.deps.Now()
 	c := &call{g: g, req: req, begun: begun, w: newTrackedWriter(w, begun, g.deps.Now)}
+	if req.Body != nil {
+		c.body = &streamedBody{src: req.Body}
+	}
 	c.startRecord()
 	err := c.serve(ctx)
 	c.finish(err)
