Refuse a forwarded body above the bound instead of cutting it

Cause: a receiver read a held body through a plain limit of 64 MiB, while sizes.max_body may be set up to 1 GiB. What lay behind the limit was dropped and the call ran with the rest: a call that may not be repeated ran wrong, and its caller was told of success.

Change: a longer body is refused as body_too_large, which is never tried elsewhere; nothing has run.

Ruled out: raising the bound to that of the setting; a receiver would hold the bodies of many senders at that size. Operators who set more than 64 MiB get the refusal for forwarded calls only.

--- a/adapters/peer/server.go
+++ b/adapters/peer/server.go
@@ -97,10 +97,13 @@
 		fwd.Body = body
 		return run(ctx, fwd, w)
 	}
-	payload, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
+	payload, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
 	if err != nil {
 		return errkind.New(errkind.BadRequest, "the body broke off: %w", err)
 	}
+	if len(payload) > maxBufferedBody {
+		return errkind.New(errkind.BodyTooLarge, "the body exceeds the %d bytes that one node sends another", maxBufferedBody)
+	}
 	fwd.Payload = payload
 	return run(ctx, fwd, w)
 }
--- /dev/null
+++ b/adapters/peer/setup_test.go
@@ -0,0 +1,136 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/crocusspread/crocusspread/adapters/peer"
+	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
+	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/gateway"
+)
+
+// hangBound ends a test that hangs; no verdict depends on it.
+const hangBound = 30 * time.Second
+
+// handler runs what arrives by a function.
+type handler func(ctx context.Context, fwd *gateway.Forward, w answer.Writer) error
+
+func (h handler) Execute(ctx context.Context, fwd *gateway.Forward, w answer.Writer) error {
+	return h(ctx, fwd, w)
+}
+
+func (h handler) Join(ctx context.Context, fwd *gateway.Forward, w answer.Writer) error {
+	return h(ctx, fwd, w)
+}
+
+// listen serves s on loopback until the test ends.
+func listen(t testing.TB, s *grpc.Server) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.Serve(l)
+	}()
+	t.Cleanup(func() {
+		s.Stop()
+		<-served
+	})
+	return l.Addr().String()
+}
+
+func startNode(t testing.TB, h handler) (address string) {
+	return listen(t, peer.NewServer(h, nil, insecure.NewCredentials()))
+}
+
+// rawPeer answers with frames that a sound node would not send.
+type rawPeer struct {
+	peerpb.UnimplementedPeerServer
+	execute func(s grpc.BidiStreamingServer[peerpb.ExecuteRequest, peerpb.AnswerFrame]) error
+}
+
+func (r *rawPeer) Execute(s grpc.BidiStreamingServer[peerpb.ExecuteRequest, peerpb.AnswerFrame]) error {
+	return r.execute(s)
+}
+
+func newClient(t testing.TB, silence time.Duration) *peer.Client {
+	return newClientWith(t, insecure.NewCredentials(), silence, nil)
+}
+
+func newClientWith(t testing.TB, creds credentials.TransportCredentials, silence time.Duration, dial peer.DialFunc) *peer.Client {
+	t.Helper()
+	c := peer.NewClient(peer.ClientConfig{Credentials: creds, Silence: silence, Dial: dial})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(address string) *gateway.Forward {
+	return &gateway.Forward{
+		RequestID: "r1", Customer: "mill", Target: domain.Target{Kind: domain.TargetService, Name: "ledger"},
+		Method: "POST", Path: "/vats", Receiver: domain.NodeRef{ID: "far", PeerAddress: address}, Repeatable: true,
+	}
+}
+
+func bounded(t testing.TB) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), hangBound)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// execute returns the whole answer or the error that ended it.
+func execute(ctx context.Context, c *peer.Client, fwd *gateway.Forward) (head answer.Head, body []byte, err error) {
+	s, err := c.Execute(ctx, fwd)
+	if err != nil {
+		return head, nil, err
+	}
+	defer s.Close()
+	for {
+		p, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return s.Head(), body, nil
+		}
+		if err != nil {
+			return s.Head(), body, err
+		}
+		body = append(body, p...)
+	}
+}
+
+// echo answers with the request's body.
+func echo(_ context.Context, fwd *gateway.Forward, w answer.Writer) error {
+	if err := w.WriteHead(answer.Head{Status: 200, Header: fwd.Header}); err != nil {
+		return err
+	}
+	if fwd.Body == nil {
+		return w.WriteChunk(fwd.Payload)
+	}
+	buf := make([]byte, 4096)
+	for {
+		n, err := fwd.Body.Read(buf)
+		if n > 0 {
+			if err := w.WriteChunk(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
