Report the end of a forwarded request's time as a timeout

Cause: when the caller's time ran out while another node worked, the sender's stream ended by its deadline and was reported as peer_lost. The caller got 502 in place of 504, and the peer was blamed.

Change: a deadline, seen here or by the receiver first, is kind timeout. The verdict stays unknown and nothing is tried again, as before.

Test: without the change it gets 'peer_lost: the answer broke off at frame 0'.

--- a/adapters/peer/client.go
+++ b/adapters/peer/client.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
 
 	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
 	"github.com/crocusspread/crocusspread/core/answer"
@@ -218,6 +220,9 @@
 	if s.ctx.Err() != nil && context.Cause(s.ctx) == context.Canceled {
 		return errkind.New(errkind.Canceled, "the caller left: %w", err)
 	}
+	if context.Cause(s.ctx) == context.DeadlineExceeded || status.Code(err) == codes.DeadlineExceeded {
+		return errkind.New(errkind.Timeout, "the request's time ran out at frame %d of the answer: %w", s.sequence, err)
+	}
 	if cause := context.Cause(s.ctx); cause != nil {
 		err = cause
 	}
--- a/adapters/peer/request_test.go
+++ b/adapters/peer/request_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/crocusspread/crocusspread/core/answer"
 	"github.com/crocusspread/crocusspread/core/errkind"
@@ -26,3 +27,17 @@
 		t.Errorf("ran with %d of %d bytes, error %v", got, len(fwd.Payload), err)
 	}
 }
+
+// TestDeadlineOfAForwardedRequestIsATimeout lets the sender's time run out.
+func TestDeadlineOfAForwardedRequestIsATimeout(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	address := startNode(t, func(ctx context.Context, _ *gateway.Forward, _ answer.Writer) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	_, _, err := execute(ctx, newClient(t, hangBound), request(address))
+	if !errors.Is(err, errkind.Of(errkind.Timeout)) {
+		t.Errorf("got %v, want kind timeout", err)
+	}
+}
