Carry the octets of paths, queries and header values between nodes

Cause: HTTP allows octets above 0x7f in targets and header values; protobuf strings must be UTF-8. A forwarded request with such a header failed to marshal, was reported as peer_lost with run unknown and tried at every failure domain in turn. The answer of a service with such a header was lost after the service had run. An error message with such octets turned a refusal, 'not run', into peer_lost, unknown.

Change: path, query, traceparent and header values are bytes. The wire format of valid values is the same. Messages for people are made valid UTF-8.

Ruled out: refusing such requests at the entry; the same call works at a service of the entry's own failure domain.

--- a/adapters/peer/convert.go
+++ b/adapters/peer/convert.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
@@ -13,7 +14,11 @@
 func headerToProto(h map[string][]string) []*peerpb.HeaderField {
 	fields := make([]*peerpb.HeaderField, 0, len(h))
 	for name, values := range h {
-		fields = append(fields, &peerpb.HeaderField{Name: name, Values: values})
+		f := &peerpb.HeaderField{Name: name, Values: make([][]byte, len(values))}
+		for i, v := range values {
+			f.Values[i] = []byte(v)
+		}
+		fields = append(fields, f)
 	}
 	return fields
 }
@@ -21,7 +26,11 @@
 func headerFromProto(fields []*peerpb.HeaderField) map[string][]string {
 	h := make(map[string][]string, len(fields))
 	for _, f := range fields {
-		h[f.GetName()] = f.GetValues()
+		values := make([]string, len(f.GetValues()))
+		for i, v := range f.GetValues() {
+			values[i] = string(v)
+		}
+		h[f.GetName()] = values
 	}
 	return h
 }
@@ -30,12 +39,12 @@
 	return &peerpb.RequestHead{
 		RequestId: string(fwd.RequestID), Customer: string(fwd.Customer),
 		TargetKind: uint32(fwd.Target.Kind), Target: fwd.Target.Name,
-		Method: fwd.Method, Path: fwd.Path, Query: fwd.Query, Header: headerToProto(fwd.Header),
+		Method: fwd.Method, Path: []byte(fwd.Path), Query: []byte(fwd.Query), Header: headerToProto(fwd.Header),
 		ListsVersion: uint64(fwd.ListsVersion),
 		Receiver:     string(fwd.Receiver.ID), ReceiverIncarnation: uint64(fwd.Receiver.Incarnation),
 		Sender: string(fwd.Sender.ID), SenderIncarnation: uint64(fwd.Sender.Incarnation), SenderAddress: fwd.Sender.PeerAddress,
 		OperationId: string(fwd.OperationID), Fingerprint: fwd.Fingerprint, Attempt: uint32(fwd.Attempt),
-		DeadlineMs: fwd.Timeout.Milliseconds(), Traceparent: fwd.Traceparent, Stream: fwd.Stream,
+		DeadlineMs: fwd.Timeout.Milliseconds(), Traceparent: []byte(fwd.Traceparent), Stream: fwd.Stream,
 		ResumeAfter: fwd.ResumeAfter, PinnedUpstream: string(fwd.Pinned), Repeatable: fwd.Repeatable,
 		Priority: int32(fwd.Priority), PromptTokens: uint64(fwd.PromptTokens), Prefix: fwd.Prefix,
 	}
@@ -45,14 +54,14 @@
 	return &gateway.Forward{
 		RequestID: domain.RequestID(h.GetRequestId()), Customer: domain.CustomerID(h.GetCustomer()),
 		Target: domain.Target{Kind: domain.TargetKind(h.GetTargetKind()), Name: h.GetTarget()},
-		Method: h.GetMethod(), Path: h.GetPath(), Query: h.GetQuery(), Header: headerFromProto(h.GetHeader()),
+		Method: h.GetMethod(), Path: string(h.GetPath()), Query: string(h.GetQuery()), Header: headerFromProto(h.GetHeader()),
 		ListsVersion: domain.ListsVersion(h.GetListsVersion()),
 		Receiver:     domain.NodeRef{ID: domain.NodeID(h.GetReceiver()), Incarnation: domain.Incarnation(h.GetReceiverIncarnation())},
 		Sender: domain.NodeRef{
 			ID: domain.NodeID(h.GetSender()), Incarnation: domain.Incarnation(h.GetSenderIncarnation()), PeerAddress: h.GetSenderAddress(),
 		},
 		OperationID: domain.OperationID(h.GetOperationId()), Fingerprint: h.GetFingerprint(), Attempt: int(h.GetAttempt()),
-		Timeout: time.Duration(h.GetDeadlineMs()) * time.Millisecond, Traceparent: h.GetTraceparent(), Stream: h.GetStream(),
+		Timeout: time.Duration(h.GetDeadlineMs()) * time.Millisecond, Traceparent: string(h.GetTraceparent()), Stream: h.GetStream(),
 		ResumeAfter: h.GetResumeAfter(), Pinned: domain.UpstreamID(h.GetPinnedUpstream()), Repeatable: h.GetRepeatable(),
 		Priority: int(h.GetPriority()), PromptTokens: int(h.GetPromptTokens()), Prefix: h.GetPrefix(),
 	}
@@ -81,7 +90,7 @@
 	}
 	e := errkind.From(err)
 	return &peerpb.AnswerEnd{
-		ErrorKind: string(e.Kind), Message: e.Message, Run: string(e.Verdict()),
+		ErrorKind: string(e.Kind), Message: strings.ToValidUTF8(e.Message, "?"), Run: string(e.Verdict()),
 		RetryAfterMs: e.Advice().Milliseconds(), Chunks: chunks,
 	}
 }
