Let an answer pause longer than its write bound over HTTP/2

Cause: the write deadline of a chunk was left standing after the chunk. In HTTP/1.1 only a write can miss it, but net/http resets an HTTP/2 stream when the deadline passes, even with nothing to write: an answer with a pause of 30 s between two chunks was cut off by INTERNAL_ERROR.

Change: over HTTP/2 the deadline is cleared after each chunk. HTTP/1.1 keeps the cheaper way that moves it now and then.

Ruled out: a longer deadline; a caller that does not read would hold its upstream for as long.

--- a/adapters/callerapi/answer.go
+++ b/adapters/callerapi/answer.go
@@ -88,10 +88,13 @@
 	started bool
 	// deadlineSet is when the write deadline was last moved.
 	deadlineSet time.Time
+	// deadlineEnds is set where a deadline that passes between two chunks ends
+	// the answer: HTTP/2. In HTTP/1 only a write can miss it.
+	deadlineEnds bool
 }
 
-func newHTTPWriter(w http.ResponseWriter, req *gateway.Request) *httpWriter {
-	return &httpWriter{w: w, control: http.NewResponseController(w), req: req}
+func newHTTPWriter(w http.ResponseWriter, r *http.Request, req *gateway.Request) *httpWriter {
+	return &httpWriter{w: w, control: http.NewResponseController(w), req: req, deadlineEnds: r.ProtoMajor > 1}
 }
 
 // WriteHead implements answer.Writer.
@@ -117,10 +120,13 @@
 // WriteChunk implements answer.Writer. A caller that reads nothing for
 // writeTimeout ends the answer.
 func (a *httpWriter) WriteChunk(p []byte) error {
-	if now := time.Now(); now.Sub(a.deadlineSet) > writeTimeout/4 {
+	if now := time.Now(); a.deadlineEnds || now.Sub(a.deadlineSet) > writeTimeout/4 {
 		a.deadlineSet = now
 		_ = a.control.SetWriteDeadline(now.Add(writeTimeout))
 	}
+	if a.deadlineEnds {
+		defer func() { _ = a.control.SetWriteDeadline(time.Time{}) }()
+	}
 	if _, err := a.w.Write(p); err != nil {
 		return err
 	}
--- a/adapters/callerapi/handlers.go
+++ b/adapters/callerapi/handlers.go
@@ -60,8 +60,8 @@
 	return min(d, s.cfg.RequestTimeout), nil
 }
 
-func (s *Server) serve(ctx context.Context, w http.ResponseWriter, req *gateway.Request) {
-	aw := newHTTPWriter(w, req)
+func (s *Server) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, req *gateway.Request) {
+	aw := newHTTPWriter(w, r, req)
 	err := s.deps.Gateway.Serve(ctx, req, aw)
 	if err == nil {
 		return
@@ -96,7 +96,7 @@
 		writeError(w, req.ID, err)
 		return
 	}
-	s.serve(ctx, w, req)
+	s.serve(ctx, w, r, req)
 }
 
 // readBody holds a whole body in memory, up to the configured bound.
@@ -128,7 +128,7 @@
 		writeError(w, req.ID, err)
 		return
 	}
-	s.serve(ctx, w, req)
+	s.serve(ctx, w, r, req)
 }
 
 // servicePath returns the escaped path below the service, with its slash.
