Test the protocol between nodes and refuse answers with unsound frames

Contract tests over loopback: whole answers, every kind with every verdict, crossed, missing, doubled and unfinished frames, nothing listening, silence in the middle of an answer and a fresh dial after it, slow executors, slow readers, broken request bodies, a sender that leaves; goleak clean.

Faults they found: - A second head, or a frame of no known kind, counted as an empty chunk of a whole answer. Such a frame is peer_lost now. - A stream that ended without its end frame gave peer_lost wrapping io.EOF, so that errors.Is took it for the end of a whole answer. Callers today compare with ==, and none was misled; it wraps io.ErrUnexpectedEOF now.

Tests: the rows 'head twice', 'frame without a kind', 'head alone' and 'no end' failed before. The slow executor and slow reader tests wait for real time longer than the silence bound; their verdicts are on the answer, not on the time.

--- a/adapters/peer/client.go
+++ b/adapters/peer/client.go
@@ -226,6 +226,9 @@
 	if cause := context.Cause(s.ctx); cause != nil {
 		err = cause
 	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF // io.EOF, wrapped too, stands for a whole answer
+	}
 	return errkind.New(errkind.PeerLost, "the answer broke off at frame %d: %w", s.sequence, err)
 }
 
@@ -263,6 +266,9 @@
 		}
 		return nil, io.EOF
 	}
+	if _, ok := f.GetFrame().(*peerpb.AnswerFrame_Chunk); !ok {
+		return nil, errkind.New(errkind.PeerLost, "frame %d is neither a chunk nor the end", f.GetSequence())
+	}
 	return f.GetChunk(), nil
 }
 
--- a/adapters/peer/setup_test.go
+++ b/adapters/peer/setup_test.go
@@ -53,7 +53,7 @@
 }
 
 func startNode(t testing.TB, h handler) (address string) {
-	return listen(t, peer.NewServer(h, nil, insecure.NewCredentials()))
+	return listen(t, peer.NewServer(h, nil, insecureCredentials()))
 }
 
 // rawPeer answers with frames that a sound node would not send.
@@ -67,7 +67,7 @@
 }
 
 func newClient(t testing.TB, silence time.Duration) *peer.Client {
-	return newClientWith(t, insecure.NewCredentials(), silence, nil)
+	return newClientWith(t, insecureCredentials(), silence, nil)
 }
 
 func newClientWith(t testing.TB, creds credentials.TransportCredentials, silence time.Duration, dial peer.DialFunc) *peer.Client {
@@ -77,6 +77,9 @@
 	return c
 }
 
+// insecureCredentials are for nodes without TLS.
+func insecureCredentials() credentials.TransportCredentials { return insecure.NewCredentials() }
+
 func request(address string) *gateway.Forward {
 	return &gateway.Forward{
 		RequestID: "r1", Customer: "mill", Target: domain.Target{Kind: domain.TargetService, Name: "ledger"},
