--- a/adapters/peer/client.go
+++ b/adapters/peer/client.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
 
 	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
 	"github.com/crocusspread/crocusspread/core/answer"
@@ -218,9 +220,15 @@
 	if s.ctx.Err() != nil && context.Cause(s.ctx) == context.Canceled {
 		return errkind.New(errkind.Canceled, "the caller left: %w", err)
 	}
+	if context.Cause(s.ctx) == context.DeadlineExceeded || status.Code(err) == codes.DeadlineExceeded {
+		return errkind.New(errkind.Timeout, "the request's time ran out at frame %d of the answer: %w", s.sequence, err)
+	}
 	if cause := context.Cause(s.ctx); cause != nil {
 		err = cause
 	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF // io.EOF, wrapped too, stands for a whole answer
+	}
 	return errkind.New(errkind.PeerLost, "the answer broke off at frame %d: %w", s.sequence, err)
 }
 
@@ -258,6 +266,9 @@
 		}
 		return nil, io.EOF
 	}
+	if _, ok := f.GetFrame().(*peerpb.AnswerFrame_Chunk); !ok {
+		return nil, errkind.New(errkind.PeerLost, "frame %d is neither a chunk nor the end", f.GetSequence())
+	}
 	return f.GetChunk(), nil
 }
 
