Keep slots free at each place (profile latency)

Cause: counts of other nodes' requests are up to a second old, so that several nodes fill a place's last slots at once; requests then queue behind long ones.

Change: CrowdingScorer counts the slots that a request takes beyond three that are kept free (half of those beyond the first at small places), each for at least one second. Profile cost leaves it off.

TestNearlyFullPlaceIsLeft fails without the scorer, and without the rule for places of one slot.

--- a/core/routing/policies_test.go
+++ b/core/routing/policies_test.go
@@ -35,6 +35,7 @@
 		{"without_others_work", true, false, tuned(keep)},
 		{"without_gate", true, true, tuned(func(t *routing.Tuning) { t.GateThreshold = 0 })},
 		{"without_near_equals", true, true, tuned(func(t *routing.Tuning) { t.NearWithin = -time.Second })},
+		{"without_crowding", true, true, tuned(func(t *routing.Tuning) { t.FreeSlots = 0 })},
 		{"without_preferred", true, true, tuned(func(t *routing.Tuning) { t.PreferredSeconds = 0 })},
 	}
 	for i, b := range routing.Baselines() {
--- a/core/routing/policy_test.go
+++ b/core/routing/policy_test.go
@@ -72,6 +72,31 @@
 	}
 }
 
+func TestNearlyFullPlaceIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		profile        Profile
+		slots, running int
+		want           string
+	}{
+		{"half full", ProfileLatency, 6, 2, "a"},
+		{"nearly full", ProfileLatency, 6, 5, "frankfurt-b"},
+		{"nearly full, by cost", ProfileCost, 6, 5, "a"},
+		{"idle place of one slot", ProfileLatency, 1, 0, "a"},
+	} {
+		up := testUpstream("a", func(u *Upstream) { u.Slots, u.Running, u.Preferred = c.slots, c.running, true })
+		s := build(t, []Upstream{up}, testDomain(nil))
+		req := request(s, "sofia", "frankfurt")
+		tuning, err := c.profile.Tuning()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := chosen(t, s, New(tuning.Policy()).Decide(s, &req, testTime)); got != c.want {
+			t.Errorf("%s: chose %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
 func TestNearEqualsAreSpread(t *testing.T) {
 	s := build(t, []Upstream{testUpstream("a", nil), testUpstream("b", nil), testUpstream("c", func(u *Upstream) { u.Running = 9 })})
 	req := request(s, "sofia")
--- a/core/routing/profile.go
+++ b/core/routing/profile.go
@@ -22,6 +22,8 @@
 	CostSecondsPerUnit float64
 	NearWithin         time.Duration
 	HomeSeconds        float64
+	FreeSlots          float64
+	MinServiceSeconds  float64
 	PreferredSeconds   float64
 	GateThreshold      time.Duration
 }
@@ -36,6 +38,8 @@
 	case ProfileLatency:
 		t.CostSecondsPerUnit = 1
 		t.HomeSeconds = 0.25
+		t.FreeSlots = 3
+		t.MinServiceSeconds = 1
 		t.GateThreshold = 100 * time.Millisecond
 	case ProfileCost:
 		t.CostSecondsPerUnit = 20
@@ -69,6 +73,7 @@
 			PreferredScorer{Seconds: t.PreferredSeconds},
 			CostScorer{SecondsPerUnit: t.CostSecondsPerUnit},
 			HomeScorer{Seconds: t.HomeSeconds},
+			CrowdingScorer{FreeSlots: t.FreeSlots, MinServiceSeconds: t.MinServiceSeconds},
 		},
 		Picker: NearPicker{Within: t.NearWithin},
 		Gate:   &Gate{Threshold: t.GateThreshold},
