--- a/adapters/benchmarks/deployment_test.go
+++ b/adapters/benchmarks/deployment_test.go
@@ -168,6 +168,8 @@
 	}{
 		{"grachtwerk/steady", grachtwerk([3]float64{40, 8, 4})},
 		{"grachtwerk/hot", grachtwerk([3]float64{10, 4, 30})},
+		// Three times what the slots hold.
+		{"grachtwerk/overload", grachtwerk([3]float64{333, 67, 33})},
 		{"rodopa/steady", rodopa([3]float64{26, 5, 3})},
 		{"rodopa/hot", rodopa([3]float64{8, 3, 20})},
 	}
