--- a/core/membership/config.go
+++ b/core/membership/config.go
@@ -56,7 +56,7 @@
 }
 
 // maxSpareUpstreams bounds the upstreams named in place of members.
-const maxSpareUpstreams = 3
+const maxSpareUpstreams = 1
 
 // upstreamsBeside returns the number of upstreams in a message that names a number
 // of members: those of a small domain leave room for more upstreams.
