Let the settings alone say how long an entry list holds

Cause: membership had a constant for it, which the node subtracted again to use its own setting; and the field that holds the health of the platform's sources was called lost. DrainWait takes the time to live, and the list of entries is a plain slice.

--- a/adapters/node/lists.go
+++ b/adapters/node/lists.go
@@ -54,7 +54,7 @@
 		n.kvAnswered.Store(time.Now().UnixNano())
 		err = nil
 	}
-	n.lost.report(n.log, &n.lost.kv, "key-value service", err)
+	n.sources.report(n.log, &n.sources.kv, "key-value service", err)
 }
 
 // onAdopted takes note of lists that came into force.
--- a/adapters/node/members.go
+++ b/adapters/node/members.go
@@ -105,9 +105,8 @@
 
 // Entries implements callerapi.Entries.
 func (n *Node) Entries() callerapi.EntryList {
-	list := membership.Entries(n.group.View(), time.Now())
 	out := callerapi.EntryList{TTLSeconds: int(n.cfg.EntryTTL.Seconds()), Entries: []callerapi.Entry{}}
-	for _, e := range list.Entries {
+	for _, e := range membership.Entries(n.group.View()) {
 		out.Entries = append(out.Entries, callerapi.Entry{
 			Node: e.Node, Address: e.Address, Region: e.Place.Region, FailureDomain: e.Place.FailureDomain,
 		})
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -75,7 +75,7 @@
 	work         workCounter
 	catchUp      singleflight.Group
 	background   sync.WaitGroup
-	lost         sourceHealth
+	sources      sourceHealth
 	notes        upstreamNotes
 	linkBudgets  map[domain.Region]*routing.LinkBudget
 	linkMu       sync.Mutex
@@ -128,7 +128,7 @@
 	cfg := membership.DefaultConfig(n.self)
 	cfg.Round = n.cfg.HeartbeatInterval
 	n.group = membership.New(cfg, now)
-	n.lifecycle = membership.NewLifecycle(n.cfg.EntryTTL+membership.DrainWait-membership.EntryTTL, n.onState)
+	n.lifecycle = membership.NewLifecycle(membership.DrainWait(n.cfg.EntryTTL), n.onState)
 }
 
 func (n *Node) buildRouting() error {
--- a/adapters/node/upkeep.go
+++ b/adapters/node/upkeep.go
@@ -73,7 +73,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
 		err := n.cfg.Platform.Directory.Announce(callCtx, record, directoryTTL)
-		n.lost.report(n.log, &n.lost.directory, "directory", err)
+		n.sources.report(n.log, &n.sources.directory, "directory", err)
 		if err == nil {
 			announced = now
 		}
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	err := n.cfg.Platform.Directory.Withdraw(ctx, n.self.ID)
-	n.lost.report(n.log, &n.lost.directory, "directory", err)
+	n.sources.report(n.log, &n.sources.directory, "directory", err)
 }
 
 // sourceHealth remembers which sources of the platform fail, so that a failure
--- a/adapters/node/vmlist.go
+++ b/adapters/node/vmlist.go
@@ -47,7 +47,7 @@
 		wanted = ""
 	}
 	vms, err := n.cfg.Platform.VMList.VMs(callCtx, wanted)
-	n.lost.report(n.log, &n.lost.vms, "VM list", err)
+	n.sources.report(n.log, &n.sources.vms, "VM list", err)
 	if err != nil {
 		n.takePeerVMs(ctx)
 		return false
--- a/core/membership/lifecycle.go
+++ b/core/membership/lifecycle.go
@@ -16,9 +16,12 @@
 	eventStop  = "stop"
 )
 
-// DrainWait is how long a draining node still takes requests: callers may hold
-// an entry list for EntryTTL, and peers may hand one out until they know.
-const DrainWait = EntryTTL + 3*time.Second
+// drainSpread is the time within which every node knows of a draining node.
+const drainSpread = 3 * time.Second
+
+// DrainWait returns how long a draining node still takes requests: callers may
+// hold an entry list for entryTTL, and peers may hand one out until they know.
+func DrainWait(entryTTL time.Duration) time.Duration { return entryTTL + drainSpread }
 
 // DrainStep is a step of a planned stop.
 type DrainStep int
@@ -59,7 +62,7 @@
 }
 
 // NewLifecycle returns the life cycle of a starting node. wait is how long
-// a draining node still takes requests, usually DrainWait; announce, which may
+// a draining node still takes requests, usually by DrainWait; announce, which may
 // be nil, is called on each change of state, without a lock held.
 func NewLifecycle(wait time.Duration, announce func(domain.NodeState)) *Lifecycle {
 	l := &Lifecycle{wait: wait, announce: announce}
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -8,6 +8,9 @@
 	"github.com/crocusspread/crocusspread/core/domain"
 )
 
+// drainWait is that of a list that callers may use for ten seconds.
+var drainWait = DrainWait(10 * time.Second)
+
 func TestFrozenNodeDropsOutAndReturns(t *testing.T) {
 	for _, nodes := range []int{3, 13, 50} {
 		f := newTestFleet(t, 1, nodes)
@@ -107,7 +110,7 @@
 	f.beat(leaving)
 	f.rounds(3)
 	for id, g := range f.groups {
-		for _, e := range Entries(g.View(), f.now).Entries {
+		for _, e := range Entries(g.View()) {
 			if e.Node == leaving {
 				t.Errorf("%s still lists the draining node", id)
 			}
@@ -253,14 +256,14 @@
 		accepts bool
 	}{
 		{0, Work{Requests: 0}, StepLeaveEntries, true},
-		{DrainWait - 1, Work{Requests: 2, KeptAnswers: 1}, StepLeaveEntries, true},
-		{DrainWait, Work{Requests: 2, KeptAnswers: 1}, StepRefuse, false},
-		{DrainWait + time.Minute, Work{Requests: 1, KeptAnswers: 1}, StepRefuse, false},
-		{DrainWait + time.Minute, Work{KeptAnswers: 1}, StepAnswers, false},
-		{DrainWait + time.Hour, Work{}, StepStopped, false},
+		{drainWait - 1, Work{Requests: 2, KeptAnswers: 1}, StepLeaveEntries, true},
+		{drainWait, Work{Requests: 2, KeptAnswers: 1}, StepRefuse, false},
+		{drainWait + time.Minute, Work{Requests: 1, KeptAnswers: 1}, StepRefuse, false},
+		{drainWait + time.Minute, Work{KeptAnswers: 1}, StepAnswers, false},
+		{drainWait + time.Hour, Work{}, StepStopped, false},
 	}
 	var announced []domain.NodeState
-	l := NewLifecycle(DrainWait, func(s domain.NodeState) { announced = append(announced, s) })
+	l := NewLifecycle(drainWait, func(s domain.NodeState) { announced = append(announced, s) })
 	l.Serve()
 	l.Drain(start)
 	for _, s := range steps {
@@ -277,7 +280,7 @@
 }
 
 func TestStopBeforeServingSkipsTheWaitForCallers(t *testing.T) {
-	l := NewLifecycle(DrainWait, nil)
+	l := NewLifecycle(drainWait, nil)
 	l.Drain(start)
 	if l.Accepts() || l.Advance(start, Work{}) != StepStopped {
 		t.Fatal("a node that never served waits for callers")
@@ -301,7 +304,7 @@
 		},
 	}
 	var got []domain.NodeID
-	for _, e := range Entries(v, start).Entries {
+	for _, e := range Entries(v) {
 		got = append(got, e.Node)
 	}
 	want := []domain.NodeID{"fd0-n01", "fd0-n00", "fd2-n00", "fd1-n00", "fd3-n00"}
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -88,45 +88,36 @@
 	Address string        `json:"address"` // caller address, host:port
 }
 
-// EntryList is the ordered list of entries that a caller should use.
-type EntryList struct {
-	Entries []Entry       `json:"entries"`
-	TTL     time.Duration `json:"ttl_ns"`
-}
-
 const (
-	// EntryTTL is how long callers may use an entry list.
-	EntryTTL = 10 * time.Second
 	// maxEntries bounds an entry list.
 	maxEntries = 16
 	// maxEntriesPerDomain bounds the entries of another domain.
 	maxEntriesPerDomain = 2
 )
 
-// Entries lists entries for callers: the own failure domain first, then the
-// reachable others by round trip time. Only serving nodes are listed. Callers
-// of different nodes begin at different entries of the own domain.
-func Entries(v *View, now time.Time) EntryList {
-	list := EntryList{TTL: EntryTTL}
-	own := servingFrom(v.Own, v.Self.ID)
-	list.add(own, maxEntries)
+// Entries lists entries for callers, best first: the own failure domain, then
+// the reachable others by round trip time. Only serving nodes are listed.
+// Callers of different nodes begin at different entries of the own domain.
+func Entries(v *View) []Entry {
+	list := appendEntries(nil, servingFrom(v.Own, v.Self.ID), maxEntries)
 	others := slices.Clone(v.Others)
 	slices.SortStableFunc(others, func(a, b Domain) int { return compareDistance(v.Self.Place, a, b) })
 	for _, d := range others {
 		if d.Reachable {
-			list.add(servingFrom(d.Nodes, ""), maxEntriesPerDomain)
+			list = appendEntries(list, servingFrom(d.Nodes, ""), maxEntriesPerDomain)
 		}
 	}
 	return list
 }
 
-func (l *EntryList) add(nodes []domain.NodeRef, limit int) {
+func appendEntries(list []Entry, nodes []domain.NodeRef, limit int) []Entry {
 	for _, n := range nodes[:min(limit, len(nodes))] {
-		if len(l.Entries) == maxEntries {
-			return
+		if len(list) == maxEntries {
+			break
 		}
-		l.Entries = append(l.Entries, Entry{Node: n.ID, Place: n.Place, Address: n.CallerAddress})
+		list = append(list, Entry{Node: n.ID, Place: n.Place, Address: n.CallerAddress})
 	}
+	return list
 }
 
 // servingFrom returns the serving nodes, beginning at first if it is there.
