--- /dev/null
+++ b/adapters/benchmarks/forward_test.go
@@ -0,0 +1,152 @@
+package benchmarks
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/crocusspread/crocusspread/adapters/node"
+	"github.com/crocusspread/crocusspread/adapters/standin/enginesim"
+	"github.com/crocusspread/crocusspread/adapters/standin/fleet"
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// startForwarding starts an entry without upstreams and, in another region, a
+// node with engines: every request is forwarded.
+func startForwarding(b *testing.B, oneWay time.Duration, engines int, engine enginesim.Config) (entry, engineAddress string) {
+	b.Helper()
+	engine.Models = []string{model}
+	document := benchLists()
+	document.Regions = []domain.Region{"r", "s"}
+	document.Plans[0].Regions = document.Regions
+	f, err := fleet.Start(fleet.Config{
+		Domains: []fleet.Domain{
+			{Place: domain.Place{Region: "s", FailureDomain: "s-a"}, Nodes: 1},
+			{Place: domain.Place{Region: "r", FailureDomain: "r-a"}, Nodes: 1, Engines: engines, Engine: engine},
+		},
+		BetweenRegions: oneWay,
+		Document:       document,
+		Adjust:         func(c *node.Config) { c.RequestTimeout = time.Hour },
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	entry = f.NodeIn("s-a").Caller
+	waitForwarded(b, entry)
+	return entry, f.Engines[0].Address
+}
+
+// waitForwarded asks until an answer comes.
+func waitForwarded(b *testing.B, entry string) {
+	b.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	client := newClient(1)
+	for ctx.Err() == nil {
+		if resp, err := post(client, entry, chatBody(false, 1), ""); err == nil {
+			resp.Body.Close()
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	b.Fatal("nothing was forwarded")
+}
+
+// BenchmarkForward asks a short question directly at an engine and through two
+// nodes, in turn, and compares the times to the whole answer.
+func BenchmarkForward(b *testing.B) {
+	entry, engine := startForwarding(b, 0, 1, enginesim.Config{Slots: 64})
+	client := newClient(64)
+	body := chatBody(false, 16)
+	direct := hdrhistogram.New(1, maxLatency, precision)
+	through := hdrhistogram.New(1, maxLatency, precision)
+	ask := func(address, id string, h *hdrhistogram.Histogram) {
+		begun := time.Now()
+		resp, err := post(client, address, body, id)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		_ = h.RecordValue(time.Since(begun).Microseconds())
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		ask(engine, "direct-"+strconv.Itoa(i), direct)
+		ask(entry, "", through)
+	}
+	b.ReportMetric(float64(through.ValueAtQuantile(50)-direct.ValueAtQuantile(50)), "added-p50-us")
+	b.ReportMetric(float64(through.ValueAtQuantile(99)-direct.ValueAtQuantile(99)), "added-p99-us")
+}
+
+// BenchmarkForwardTokens relays streams through two nodes; each operation is one
+// token.
+func BenchmarkForwardTokens(b *testing.B) {
+	const (
+		streams         = 256
+		tokensPerStream = 4096
+	)
+	entry, _ := startForwarding(b, 0, 4, enginesim.Config{Slots: streams, EventsPerFlush: 1, KeepExecutions: 16})
+	client := newClient(streams)
+	var left, relayed atomic.Int64
+	left.Store(int64(b.N))
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			for {
+				n := min(tokensPerStream, left.Add(-tokensPerStream)+tokensPerStream)
+				if n <= 0 {
+					return
+				}
+				relayed.Add(int64(relayOne(b, client, entry, int(n))))
+			}
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64(relayed.Load())/b.Elapsed().Seconds(), "tokens/s")
+}
+
+// BenchmarkForwardPrompt sends prompts of 1 MiB to a region 55 ms away, eight at
+// once over the one connection between two nodes.
+func BenchmarkForwardPrompt(b *testing.B) {
+	const (
+		atOnce      = 8
+		promptBytes = 1 << 20
+	)
+	entry, _ := startForwarding(b, 55*time.Millisecond, 1, enginesim.Config{Slots: atOnce})
+	client := newClient(atOnce)
+	body := chatBody(false, 1)
+	body = bytes.Replace(body, []byte("a short question"), bytes.Repeat([]byte("q"), promptBytes), 1)
+	b.SetBytes(promptBytes)
+	b.ResetTimer()
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range atOnce {
+		wg.Go(func() {
+			for next.Add(1) <= int64(b.N) {
+				forwardOne(b, client, entry, body)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func forwardOne(b *testing.B, client *http.Client, entry string, body []byte) {
+	resp, err := post(client, entry, body, "")
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+}
