Let the largest event of an engine travel between nodes

Cause: an engine's event may have 4 MiB and travels as one frame, but gRPC takes messages of 4 MiB with their framing. Such an answer was whole at its own failure domain's entries and peer_lost at all others.

Change: messages up to 8 MiB in both directions.

Test: failed with 'received message larger than max' before.

--- a/adapters/peer/contract_test.go
+++ b/adapters/peer/contract_test.go
@@ -272,3 +272,17 @@
 		t.Fatal("the receiver works on")
 	}
 }
+
+// TestLargestEventArrives sends one event of the size that engines may send.
+func TestLargestEventArrives(t *testing.T) {
+	const size = 4 << 20
+	address := startNode(t, func(_ context.Context, _ *gateway.Forward, w answer.Writer) error {
+		if err := w.WriteHead(answer.Head{Status: 200}); err != nil {
+			return err
+		}
+		return w.WriteChunk(make([]byte, size))
+	})
+	if _, body, err := execute(bounded(t), newClient(t, hangBound), request(address)); len(body) != size || err != nil {
+		t.Errorf("%d of %d bytes, %v", len(body), size, err)
+	}
+}
--- a/adapters/peer/pool.go
+++ b/adapters/peer/pool.go
@@ -25,6 +25,9 @@
 	// Mbit/s over a round trip of 110 ms.
 	streamWindow     = 1 << 20 // bytes
 	connectionWindow = 8 << 20 // bytes
+	// maxMessage is above the largest event of an engine, 4 MiB, which travels as
+	// one frame.
+	maxMessage = 8 << 20 // bytes
 )
 
 // pool holds one connection per peer address. A retired connection takes no new
@@ -94,6 +97,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithInitialWindowSize(streamWindow),
 		grpc.WithInitialConnWindowSize(connectionWindow),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepalivePing, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
 	}
 	if p.dialer != nil {
--- a/adapters/peer/server.go
+++ b/adapters/peer/server.go
@@ -52,6 +52,7 @@
 		grpc.Creds(creds),
 		grpc.InitialWindowSize(streamWindow),
 		grpc.InitialConnWindowSize(connectionWindow),
+		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: serverMinPing, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepaliveTimeout}),
