Announce the connection's end when a streamed body is refused unread

Cause: streamed bodies use full duplex, where net/http does not take the rest of the body before the answer. It does so after the handler, starts to watch the connection at the body's end, and panics when it looks for the next request ('invalid concurrent Body.Read call'): the connection of a refused call closed unannounced, and a caller that had sent its next call on it lost that one.

Change: an error answer to a streamed body over HTTP/1 says Connection: close.

Ruled out: reading the rest first; a caller that waits for the answer would never get it. A read deadline; the rest of the body could be taken for the next request.

Not mended: a service that answers well without reading a short body leaves the same panic after a whole answer.

--- a/adapters/callerapi/answer.go
+++ b/adapters/callerapi/answer.go
@@ -138,6 +138,11 @@
 // part of an answer never looks whole.
 func (a *httpWriter) fail(err error) {
 	if !a.started {
+		if a.req.Body != nil && !a.deadlineEnds {
+			// With full duplex, net/http reads the rest of an unread body while it
+			// waits for the next request, and gives the connection up.
+			a.w.Header().Set("Connection", "close")
+		}
 		writeError(a.w, a.req.ID, err)
 		return
 	}
