Refuse a forward of lists version zero at a node without lists

Cause: a node without lists holds version zero, so a forward that names version zero passed the check and the missing lists were read. A panic in a gRPC handler ends the process. A sound sender never names version zero; a faulty one could end starting nodes by Join.

Test: panicked before.

--- a/core/gateway/execute.go
+++ b/core/gateway/execute.go
@@ -73,6 +73,9 @@
 		}
 		snapshot = g.deps.Lists.Current()
 	}
+	if snapshot == nil {
+		return nil, errkind.New(errkind.ListsUnavailable, "node %q holds no lists yet", g.deps.Self.ID)
+	}
 	access, ok := snapshot.Customer(fwd.Customer)
 	if !ok {
 		return nil, errkind.New(errkind.NotInPlan, "customer %q is not in lists version %d", fwd.Customer, snapshot.Version)
