--- a/adapters/node/upstreams.go
+++ b/adapters/node/upstreams.go
@@ -110,6 +110,12 @@
 	})
 }
 
+// ownLoadSettled tells if nothing is left to wait for: every upstream of the own
+// failure domain has said what it serves, or the VM list names none.
+func (n *Node) ownLoadSettled() bool {
+	return n.knowsOwnLoad() || n.vms.Load() != nil && len(n.tracker.Refs()) == 0
+}
+
 // knowsOwnLoad tells if every upstream of the own failure domain has said what
 // it serves, and there is one.
 func (n *Node) knowsOwnLoad() bool {
