--- a/adapters/loadgen/plan.go
+++ b/adapters/loadgen/plan.go
@@ -27,7 +27,8 @@
 	LongFactor int     `json:"long_factor"`
 	// Prefixes is the number of prompt beginnings that requests share.
 	Prefixes int `json:"prefixes"`
-	// FirstToken is the time within which the first token is due.
+	// FirstToken is the time within which the first token is due; callers state it,
+	// unless it is zero.
 	FirstToken time.Duration `json:"first_token_ns"`
 	// Timeout bounds each request.
 	Timeout time.Duration `json:"timeout_ns"`
--- a/adapters/loadgen/run.go
+++ b/adapters/loadgen/run.go
@@ -89,6 +89,9 @@
 		return outcome{kind: errkind.BadRequest}
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Key)
+	if c.FirstToken > 0 {
+		req.Header.Set(callerapi.HeaderFirstTokenTimeout, c.FirstToken.String())
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return outcome{kind: callerKind(ctx)}
--- a/adapters/node/forward_test.go
+++ b/adapters/node/forward_test.go
@@ -75,13 +75,13 @@
 	}
 	defer resp.Body.Close()
 	start := make([]byte, 400)
-	if _, err := io.ReadFull(resp.Body, start); err != nil {
-		t.Fatal(err)
+	if n, err := io.ReadFull(resp.Body, start); err != nil {
+		t.Fatalf("status %d, %v after %s", resp.StatusCode, err, start[:n])
 	}
 	killCarrier(t, f)
 	rest, err := io.ReadAll(resp.Body)
 	if err != nil {
-		t.Fatal(err)
+		t.Fatalf("%v after %s", err, rest[max(0, len(rest)-400):])
 	}
 	id := domain.RequestID(resp.Header.Get(callerapi.HeaderRequestID))
 	want, err := f.Engines[0].Transcript(id, []byte(longForwardedQuestion))
--- a/adapters/node/lists.go
+++ b/adapters/node/lists.go
@@ -24,7 +24,7 @@
 		for _, a := range n.follower.Next(now, view) {
 			n.background.Go(func() { n.carryOut(ctx, a) })
 		}
-		if n.follower.Ready(now, view) && (n.ownLoadSettled() || now.Sub(n.started) > loadStartWait) {
+		if n.follower.Ready(now, view) && (n.loadSettled() || now.Sub(n.started) > loadStartWait) {
 			n.lifecycle.Serve()
 		}
 	})
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -254,12 +254,9 @@
 		return false
 	}
 	view := n.group.View()
-	known, loaded := len(view.Own), 0
+	known, loaded := len(view.Own), n.loadedDomains()
 	for i := range view.Others {
 		known += len(view.Others[i].Nodes)
-		if len(view.Others[i].Targets) > 0 && view.Others[i].Reachable {
-			loaded++
-		}
 	}
 	if n.knowsOwnLoad() {
 		loaded++
--- a/adapters/node/upstreams.go
+++ b/adapters/node/upstreams.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/membership"
 )
 
 // maxFirstPolls bounds the upstreams that are asked for the first time at once.
@@ -110,10 +112,26 @@
 	})
 }
 
-// ownLoadSettled tells if nothing is left to wait for: every upstream of the own
-// failure domain has said what it serves, or the VM list names none.
-func (n *Node) ownLoadSettled() bool {
-	return n.knowsOwnLoad() || n.vms.Load() != nil && len(n.tracker.Refs()) == 0
+// loadSettled tells if the node knows where requests can run: every upstream of
+// the own failure domain has said what it serves, or the VM list names none
+// there and another domain's load is known.
+func (n *Node) loadSettled() bool {
+	if n.knowsOwnLoad() {
+		return true
+	}
+	return n.vms.Load() != nil && len(n.tracker.Refs()) == 0 && n.loadedDomains() > 0
+}
+
+// loadedDomains counts the other failure domains whose load decisions know.
+func (n *Node) loadedDomains() int {
+	s, loaded := n.snapshot.Load(), 0
+	for _, d := range n.group.View().Others {
+		knows := func(t membership.TargetLoad) bool { return s.Knows(t.Target) }
+		if d.Reachable && slices.ContainsFunc(d.Targets, knows) {
+			loaded++
+		}
+	}
+	return loaded
 }
 
 // knowsOwnLoad tells if every upstream of the own failure domain has said what
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -63,8 +63,10 @@
 		c.body = &streamedBody{src: req.Body}
 	}
 	c.startRecord()
-	err := c.serve(ctx)
-	c.finish(err)
+	// A panic of the writer must not keep the grant.
+	err := error(errkind.New(errkind.Internal, "the request ended by a panic"))
+	defer func() { c.finish(err) }()
+	err = c.serve(ctx)
 	return err
 }
 
