Break a request body off only once its receiver has the start

The test waited for the receiver to see the broken body; a stream canceled before its head was read starts no handler, and the test waited for ever. One race run of the package hung for 100 s; its output did not name the test, and this wait is the only one without a bound that was found.

--- a/adapters/peer/contract_test.go
+++ b/adapters/peer/contract_test.go
@@ -223,25 +223,37 @@
 	}
 }
 
-// brokenBody gives some bytes and then fails.
-type brokenBody struct{ once sync.Once }
+// brokenBody gives some bytes and fails once the receiver has them.
+type brokenBody struct {
+	once    sync.Once
+	arrived chan struct{}
+}
 
 func (b *brokenBody) Read(p []byte) (n int, err error) {
-	err = errors.New("the caller is gone")
-	b.once.Do(func() { n, err = copy(p, "start"), nil })
-	return n, err
+	first := false
+	b.once.Do(func() { first = true })
+	if first {
+		return copy(p, "start"), nil
+	}
+	<-b.arrived
+	return 0, errors.New("the caller is gone")
 }
 
 // TestBrokenBodyIsNeverWholeAtTheReceiver breaks a streamed body off.
 func TestBrokenBodyIsNeverWholeAtTheReceiver(t *testing.T) {
 	seen := make(chan error, 1)
+	body := &brokenBody{arrived: make(chan struct{})}
 	address := startNode(t, func(_ context.Context, fwd *gateway.Forward, _ answer.Writer) error {
-		_, err := io.ReadAll(fwd.Body)
+		_, err := io.ReadFull(fwd.Body, make([]byte, len("start")))
+		close(body.arrived)
+		if err == nil {
+			_, err = io.ReadAll(fwd.Body)
+		}
 		seen <- err
 		return err
 	})
 	fwd := request(address)
-	fwd.Body = new(brokenBody)
+	fwd.Body = body
 	if _, _, err := execute(bounded(t), newClient(t, hangBound), fwd); errkind.From(err).Verdict() != domain.RunUnknown {
 		t.Errorf("got %v", err)
 	}
