--- a/adapters/node/routing.go
+++ b/adapters/node/routing.go
@@ -90,14 +90,11 @@
 		BodyBytes: req.BodyBytes, Priority: req.Access.Plan.Priority, Deadline: req.Deadline, Home: req.Access.Plan.Home,
 		ExcludedUpstreams: req.Tried.Upstreams, ExcludedDomains: n.excludedDomains(req.Tried), Seed: rand.Uint64(),
 	}
-	if err := n.checkOvercommit(s, req.Target); err != nil {
-		if req.LocalOnly {
-			return gateway.Choice{Reason: "refused"}, err
-		}
-		r.ExcludedUpstreams = ownUpstreams(s)
-	}
 	now := time.Now()
-	d := n.router.Decide(s, &r, now)
+	d, err := n.decide(s, &r, now)
+	if err != nil {
+		return gateway.Choice{Reason: "refused" + n.weighing(s, &r, now)}, err
+	}
 	choice, err := n.choose(s, &r, d, req.Tried.Nodes, now)
 	choice.Reason += n.weighing(s, &r, now)
 	return choice, err
