--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -32,7 +32,7 @@
 	StoreUnavailable    Kind = "store_unavailable"
 	KeyConflict         Kind = "key_conflict"
 	OperationExpired    Kind = "operation_expired"
-	OperationBurned     Kind = "operation_not_run"
+	OperationNotRun     Kind = "operation_not_run"
 	OperationLost       Kind = "operation_lost"
 	AnswerNotKept       Kind = "answer_not_kept"
 	UpstreamFailed      Kind = "upstream_failed"
@@ -82,7 +82,7 @@
 	StoreUnavailable:    {503, domain.RunNo, longWait, 23},
 	KeyConflict:         {422, domain.RunNo, 0, 24},
 	OperationExpired:    {410, domain.RunUnknown, 0, 25},
-	OperationBurned:     {409, domain.RunNo, 0, 26},
+	OperationNotRun:     {409, domain.RunNo, 0, 26},
 	OperationLost:       {502, domain.RunUnknown, 0, 27},
 	AnswerNotKept:       {410, domain.RunYes, 0, 28},
 	UpstreamFailed:      {502, domain.RunUnknown, 0, 29},
--- a/core/operations/claims_test.go
+++ b/core/operations/claims_test.go
@@ -139,7 +139,7 @@
 		t.Fatalf("Claim = %+v, %v", late, err)
 	}
 	_, err = a.issuer.Begin(late.Operation, customer, 1, origin)
-	wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+	wantKind(t, err, errkind.OperationNotRun, domain.RunNo)
 	next, err := b.TakeOver(t.Context(), customer, "k", late)
 	if err != nil || next.Node != "b" {
 		t.Fatalf("TakeOver = %+v, %v", next, err)
--- a/core/operations/executor_test.go
+++ b/core/operations/executor_test.go
@@ -72,15 +72,15 @@
 		{"higher number after one was forgotten", func(t *testing.T, e *Executor) { admit(t, e, attemptOf("i", 5, 1), origin).Ran(origin) },
 			attemptOf("i", 6, 1), time.Minute, "", "", OutcomeRunning},
 		{"copy after a refusal", func(t *testing.T, e *Executor) { refuse(t, admit(t, e, attemptOf("i", 5, 1), origin)) },
-			attemptOf("i", 5, 1), 0, errkind.OperationBurned, domain.RunNo, OutcomeNotRun},
+			attemptOf("i", 5, 1), 0, errkind.OperationNotRun, domain.RunNo, OutcomeNotRun},
 		{"later attempt after a refusal", func(t *testing.T, e *Executor) { refuse(t, admit(t, e, attemptOf("i", 5, 1), origin)) },
 			attemptOf("i", 5, 2), 0, "", "", OutcomeRunning},
 		{"late copy after not run", func(t *testing.T, e *Executor) { wantOutcome(t, e, attemptOf("i", 5, 1), origin, OutcomeNotRun) },
-			attemptOf("i", 5, 1), 0, errkind.OperationBurned, domain.RunNo, OutcomeNotRun},
+			attemptOf("i", 5, 1), 0, errkind.OperationNotRun, domain.RunNo, OutcomeNotRun},
 		{"late copy of an attempt asked for later", func(t *testing.T, e *Executor) {
 			refuse(t, admit(t, e, attemptOf("i", 5, 1), origin))
 			wantOutcome(t, e, attemptOf("i", 5, 2), origin, OutcomeNotRun)
-		}, attemptOf("i", 5, 2), 0, errkind.OperationBurned, domain.RunNo, OutcomeNotRun},
+		}, attemptOf("i", 5, 2), 0, errkind.OperationNotRun, domain.RunNo, OutcomeNotRun},
 		{"late copy after a forgotten tombstone", func(t *testing.T, e *Executor) { wantOutcome(t, e, attemptOf("i", 5, 1), origin, OutcomeNotRun) },
 			attemptOf("i", 5, 1), time.Minute, errkind.OperationLost, domain.RunUnknown, OutcomeUnknown},
 		{"same number of another issuer", func(t *testing.T, e *Executor) { admit(t, e, attemptOf("i", 5, 1), origin) },
@@ -186,7 +186,7 @@
 	wantOutcome(t, e, attemptOf("i", 30, 1), origin, OutcomeNotRun)
 	for _, n := range []uint64{20, 30} {
 		_, err = e.Admit(attemptOf("i", n, 1), at(time.Minute)) // room again
-		wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+		wantKind(t, err, errkind.OperationNotRun, domain.RunNo)
 	}
 	admit(t, e, attemptOf("i", 31, 1), at(time.Minute))
 	admit(t, e, attemptOf("j", 1, 1), at(time.Minute))
--- a/core/operations/issuer_shard.go
+++ b/core/operations/issuer_shard.go
@@ -72,7 +72,7 @@
 }
 
 func burnedError() *errkind.Error {
-	return errkind.New(errkind.OperationBurned, "the operation was not run and never will be")
+	return errkind.New(errkind.OperationNotRun, "the operation was not run and never will be")
 }
 
 func (s *issuerShard) inquire(sequence uint64, issued, now time.Duration) State {
--- a/core/operations/issuer_test.go
+++ b/core/operations/issuer_test.go
@@ -102,8 +102,8 @@
 		run  domain.Run
 	}{
 		{"in its first-use window", time.Minute, "", ""},
-		{"after its first-use window", time.Minute + 1, errkind.OperationBurned, domain.RunNo},
-		{"before any record can be forgotten", 10*time.Minute - 1, errkind.OperationBurned, domain.RunNo},
+		{"after its first-use window", time.Minute + 1, errkind.OperationNotRun, domain.RunNo},
+		{"before any record can be forgotten", 10*time.Minute - 1, errkind.OperationNotRun, domain.RunNo},
 		{"after its record may be forgotten", 10 * time.Minute, errkind.OperationExpired, domain.RunUnknown},
 	}
 	for _, c := range cases {
@@ -136,7 +136,7 @@
 			t.Fatalf("Status = %+v, %v", s, err)
 		}
 		_, err := i.Begin(id, customer, 1, origin)
-		wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+		wantKind(t, err, errkind.OperationNotRun, domain.RunNo)
 	}
 }
 
@@ -160,7 +160,7 @@
 	i.shards[0].config.Retention = smallSizes.Retention
 	for _, id := range []domain.OperationID{refused, late} {
 		_, err = i.Begin(id, customer, 1, at(time.Minute/2))
-		wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+		wantKind(t, err, errkind.OperationNotRun, domain.RunNo)
 	}
 }
 
@@ -171,7 +171,7 @@
 		t.Fatalf("Status = %+v", s)
 	}
 	_, err := i.Begin(id, customer, 1, at(time.Second))
-	wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+	wantKind(t, err, errkind.OperationNotRun, domain.RunNo)
 }
 
 func TestLateDispatchOfFrozenIssuer(t *testing.T) {
@@ -179,7 +179,7 @@
 	id := i.Issue(customer, origin)
 	r := mustRun(t, i, id, origin)
 	_, err := r.Dispatch(executorA, at(time.Minute+1))
-	wantKind(t, err, errkind.OperationBurned, domain.RunNo)
+	wantKind(t, err, errkind.OperationNotRun, domain.RunNo)
 	if s, _ := i.Status(id, customer, at(time.Minute+1)); s.Run != domain.RunNo {
 		t.Fatalf("Status = %+v", s)
 	}
@@ -201,7 +201,7 @@
 		run  domain.Run
 	}{
 		{"burned", func(r *Run) error { return r.NotRun(errkind.New(errkind.NoCapacity, "none"), origin) }, errkind.NoCapacity, domain.RunNo},
-		{"given up before dispatch", func(r *Run) error { r.Close(origin); return nil }, errkind.OperationBurned, domain.RunNo},
+		{"given up before dispatch", func(r *Run) error { r.Close(origin); return nil }, errkind.OperationNotRun, domain.RunNo},
 		{"given up after dispatch", func(r *Run) error { _, err := r.Dispatch(executorA, origin); r.Close(origin); return err }, errkind.OperationLost, domain.RunUnknown},
 		{"executor lost", func(r *Run) error {
 			_, err := r.Dispatch(executorA, origin)
