--- a/adapters/callerapi/server.go
+++ b/adapters/callerapi/server.go
@@ -40,8 +40,8 @@
 // OperationStatus is the body of GET /v1/operations/{id}.
 type OperationStatus struct {
 	OperationID domain.OperationID `json:"operation_id"`
-	// State is "started", "dispatched", "done", "not_run" or "unknown"; the question
-	// burns an operation that was never started, which is "not_run" then.
+	// State is "running", "done", "not_run" or "unknown". The question burns an
+	// operation that was never started, which is "not_run" then.
 	State string     `json:"state"`
 	Run   domain.Run `json:"run"`
 }
--- a/adapters/node/operations.go
+++ b/adapters/node/operations.go
@@ -20,7 +20,16 @@
 	if err != nil {
 		return callerapi.OperationStatus{}, err
 	}
-	return callerapi.OperationStatus{OperationID: id, State: st.State.String(), Run: st.Run}, nil
+	return callerapi.OperationStatus{OperationID: id, State: callerState(st.State), Run: st.Run}, nil
+}
+
+// callerState names a state for callers, to whom an operation that is not at its
+// end is running.
+func callerState(s operations.State) string {
+	if s.Final() {
+		return s.String()
+	}
+	return "running"
 }
 
 // Inquire implements peer.Control.
