--- a/adapters/callerapi/badinput_test.go
+++ b/adapters/callerapi/badinput_test.go
@@ -32,7 +32,9 @@
 // startNode starts one node with one engine of one slot and a service.
 func startNode(t *testing.T) (*fleet.Fleet, string) {
 	t.Helper()
-	f, err := fleet.Start(fleet.Config{
+	ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
+	defer cancel()
+	f, err := fleet.StartReady(ctx, fleet.Config{
 		Domains: []fleet.Domain{{
 			Place: domain.Place{Region: "north", FailureDomain: "north-a"}, Nodes: 1, Engines: 1, Services: 1, Service: "ledger",
 			Engine: enginesim.Config{Models: []string{model}, Slots: 1, DecodeTokensPerSecond: 20, TimeScale: 1},
@@ -51,11 +53,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), hangTimeout)
-	defer cancel()
-	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
 	return f, f.Nodes[0].Caller
 }
 
--- a/adapters/demo/demo.go
+++ b/adapters/demo/demo.go
@@ -74,17 +74,9 @@
 
 // Start starts the demo and waits until it serves.
 func Start(ctx context.Context, firstPort int) (*fleet.Fleet, error) {
-	f, err := fleet.Start(Config(firstPort))
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := f.WaitReady(ctx); err != nil {
-		f.Close()
-		return nil, err
-	}
-	return f, nil
+	return fleet.StartReady(ctx, Config(firstPort))
 }
 
 // PrintGuide writes what runs where and commands to paste.
--- a/adapters/node/admission_test.go
+++ b/adapters/node/admission_test.go
@@ -20,7 +20,9 @@
 
 // startLimited starts a node before one engine and a plan with limits.
 func startLimited(t *testing.T, slots int, l lists.Limits) *fleet.Fleet {
-	f, err := fleet.Start(fleet.Config{
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	f, err := fleet.StartReady(ctx, fleet.Config{
 		Domains: []fleet.Domain{{
 			Place: domain.Place{Region: "r", FailureDomain: "r-a"}, Nodes: 1, Engines: 1,
 			Engine: enginesim.Config{Models: []string{"m"}, Slots: slots, DecodeTokensPerSecond: 1, TimeScale: 1},
@@ -36,11 +38,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
-	defer cancel()
-	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
 	return f
 }
 
--- a/adapters/node/forward_test.go
+++ b/adapters/node/forward_test.go
@@ -27,7 +27,9 @@
 func startFar(t *testing.T, engine enginesim.Config) (*fleet.Fleet, context.Context) {
 	t.Helper()
 	engine.Models = []string{"m"}
-	f, err := fleet.Start(fleet.Config{
+	ctx, cancel := context.WithTimeout(context.Background(), keysTimeout)
+	t.Cleanup(cancel)
+	f, err := fleet.StartReady(ctx, fleet.Config{
 		Domains: []fleet.Domain{
 			{Place: domain.Place{Region: "north", FailureDomain: "north-a"}, Nodes: 1},
 			{Place: far, Nodes: 2, Engines: 1, Engine: engine},
@@ -42,11 +44,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), keysTimeout)
-	t.Cleanup(cancel)
-	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
 	return f, ctx
 }
 
--- a/adapters/node/keys_test.go
+++ b/adapters/node/keys_test.go
@@ -28,7 +28,9 @@
 // startBooking starts two nodes of one failure domain with a plain service.
 func startBooking(t *testing.T) *fleet.Fleet {
 	t.Helper()
-	f, err := fleet.Start(fleet.Config{
+	ctx, cancel := context.WithTimeout(context.Background(), keysTimeout)
+	defer cancel()
+	f, err := fleet.StartReady(ctx, fleet.Config{
 		Domains: []fleet.Domain{booking},
 		Document: lists.Document{
 			Regions:   []domain.Region{"north"},
@@ -43,11 +45,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	ctx, cancel := context.WithTimeout(context.Background(), keysTimeout)
-	defer cancel()
-	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
 	return f
 }
 
--- a/adapters/node/orders_test.go
+++ b/adapters/node/orders_test.go
@@ -36,7 +36,9 @@
 		o.MaxModelsPerEngine = 2
 		c.Orders = &o
 	}
-	f, err := fleet.Start(fleet.Config{
+	ctx, cancel := context.WithTimeout(t.Context(), orderBound)
+	t.Cleanup(cancel)
+	f, err := fleet.StartReady(ctx, fleet.Config{
 		Domains: []fleet.Domain{{Place: place, Nodes: 2, Engines: 2, Engine: enginesim.Config{Models: []string{"a"}, ChecksFencing: true}}},
 		Document: lists.Document{
 			Customers: []lists.Customer{{ID: "c", Plan: "p", KeyHashes: []string{lists.HashKey(orderKey)}}},
@@ -49,11 +51,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	ctx, cancel := context.WithTimeout(t.Context(), orderBound)
-	t.Cleanup(cancel)
-	if err := f.WaitReady(ctx); err != nil {
-		t.Fatal(err)
-	}
 	return f, ctx
 }
 
--- a/adapters/standin/fleet/fleet.go
+++ b/adapters/standin/fleet/fleet.go
@@ -141,6 +141,20 @@
 	return f, nil
 }
 
+// StartReady starts a deployment and waits until it is ready, or closes it and
+// fails when ctx ends first.
+func StartReady(ctx context.Context, cfg Config) (*Fleet, error) {
+	f, err := Start(cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
 // Apply puts a document in force at the key-value service.
 func (f *Fleet) Apply(ctx context.Context, d lists.Document, author, reason string) error {
 	applier := lists.Applier{KV: f.Platform.KV()}
