--- a/core/operations/interleaving_test.go
+++ b/core/operations/interleaving_test.go
@@ -55,7 +55,8 @@
 	admissions  []admitted
 }
 
-// pick chooses one of the latest things.
+// pick chooses one of the latest things. Without any the action does not apply:
+// rapid then draws another one, and no test is skipped.
 func pick[T any](t *rapid.T, from []T, label string) T {
 	if len(from) == 0 {
 		t.Skip("nothing to pick")
@@ -121,7 +122,7 @@
 func (w *interleaving) dispatch(t *rapid.T) {
 	op := pick(t, w.operations, "operation")
 	if op.run == nil {
-		t.Skip("not started")
+		t.Skip("not started") // the action does not apply; rapid draws another
 	}
 	to := pick(t, w.executors[:], "executor")
 	number, err := op.run.Dispatch(to.self, w.now)
@@ -146,7 +147,7 @@
 func (w *interleaving) living(t *rapid.T) admitted {
 	a := pick(t, w.admissions, "admission")
 	if a.by != w.executors[0] && a.by != w.executors[1] {
-		t.Skip("the executor is gone")
+		t.Skip("the executor is gone") // as above
 	}
 	return a
 }
