--- /dev/null
+++ b/adapters/edge/control.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+)
+
+// ReadyHandler answers checks of the node's readiness.
+func ReadyHandler(d Dialect, ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+d.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Directory answers callers that look for entries.
+type Directory struct {
+	Dialect Dialect
+	// Entries returns the addresses for callers of a region.
+	Entries func(host string, region domain.Region) []string
+	// TTL is how long callers keep an answer.
+	TTL time.Duration
+	Log event.Logger
+}
+
+// Handler returns the HTTP handler.
+func (d *Directory) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+d.Dialect.DirectoryPath(), d.serve)
+	return mux
+}
+
+func (d *Directory) serve(w http.ResponseWriter, r *http.Request) {
+	place := d.Dialect.Place(r)
+	addresses := d.Entries(place.Host, place.Region)
+	if len(addresses) == 0 {
+		d.Log.Log(event.DirectoryEmpty, event.F("host", place.Host), event.F("region", place.Region))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, contentType, err := d.Dialect.Entries(addresses, d.TTL)
+	if err != nil {
+		d.Log.Log(event.DirectoryEmpty, event.F("host", place.Host), event.F("error", err))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", contentType)
+	_, _ = w.Write(body) // a caller that left asks again
+}
--- /dev/null
+++ b/adapters/edgenode/bootstrap.go
@@ -0,0 +1,123 @@
+package edgenode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/mesh"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const (
+	// bootstrapDelay gives the store the first word.
+	bootstrapDelay = 700 * time.Millisecond
+	bootstrapPace  = time.Second
+)
+
+// bootstrap asks other nodes for what the store does not tell, until the node
+// knows enough to serve.
+func (n *Node) bootstrap(ctx context.Context) {
+	sleep(ctx, bootstrapDelay)
+	for ctx.Err() == nil && !(n.state.complete() && n.members.Count() > 1) {
+		for _, address := range n.helpers() {
+			go n.greet(ctx, address)
+			if !n.state.complete() {
+				n.fetchFrom(address, true)
+			}
+		}
+		sleep(ctx, bootstrapPace)
+	}
+}
+
+// helpers are the addresses of nodes that may know more.
+func (n *Node) helpers() []string {
+	list := slices.Clone(*n.seeds.Load())
+	for _, m := range n.members.Known() {
+		if !slices.Contains(list, m.PeerAddress) {
+			list = append(list, m.PeerAddress)
+		}
+	}
+	return slices.DeleteFunc(list, func(a string) bool { return a == n.settings.PeerAddress })
+}
+
+// greet exchanges words with a node whose identity is not known yet.
+func (n *Node) greet(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	word, roundTrip, err := n.mesh.Exchange(ctx, address, n.word(""))
+	if err != nil {
+		n.metrics.Count("mesh.exchange_failed", 1)
+		return
+	}
+	n.hear(word, roundTrip)
+}
+
+// fetchFrom takes documents over from another node.
+func (n *Node) fetchFrom(address string, withInstances bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	d, err := n.mesh.Fetch(ctx, address, n.state.version(), withInstances)
+	if err != nil {
+		n.metrics.Count("mesh.fetch_failed", 1)
+		return
+	}
+	now := time.Now()
+	if len(d.Table) > 0 {
+		n.state.adopt(d.Table, address)
+	}
+	if withInstances && d.Complete && !n.state.complete() {
+		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(d.Instances)))
+		n.state.takeOver(now, d)
+	}
+}
+
+// Fetch implements mesh.Handler.
+func (n *Node) Fetch(tableNewerThan uint64, withInstances bool) mesh.Documents {
+	return n.state.documentsNewer(tableNewerThan, withInstances)
+}
+
+func (s *state) documentsNewer(than uint64, withInstances bool) mesh.Documents {
+	version := s.version()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var d mesh.Documents
+	if version > than {
+		d.Table = s.tableText
+	}
+	if !withInstances || !s.knowsEntries || !s.knowsEvacuated {
+		return d
+	}
+	d.Complete = true
+	d.Instances = make(map[string][]byte, len(s.entries))
+	for key, value := range s.entries {
+		d.Instances[key] = value
+	}
+	for fd := range s.evacuated {
+		d.Evacuated = append(d.Evacuated, fd)
+	}
+	return d
+}
+
+// takeOver adopts another node's documents where the store told nothing yet.
+func (s *state) takeOver(now time.Time, d mesh.Documents) {
+	s.mu.Lock()
+	needEntries, needEvacuated := !s.knowsEntries, !s.knowsEvacuated
+	s.mu.Unlock()
+	if needEvacuated {
+		after := make(map[domain.FailureDomain]bool)
+		for _, fd := range d.Evacuated {
+			after[fd] = true
+		}
+		s.setEvacuated(now, after, "peer")
+	}
+	if needEntries {
+		items := make([]ports.Item, 0, len(d.Instances))
+		for key, value := range d.Instances {
+			items = append(items, ports.Item{Key: key, Value: value})
+		}
+		s.replaceEntries(now, items)
+	}
+}
--- /dev/null
+++ b/adapters/edgenode/exchange.go
@@ -0,0 +1,136 @@
+package edgenode
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/mesh"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/relay"
+)
+
+const (
+	// nearPace is the time between exchanges inside the region, farPace that
+	// between exchanges with each other region.
+	nearPace = 300 * time.Millisecond
+	farPace  = 400 * time.Millisecond
+	// exchangeTimeout bounds one exchange: several round trips between regions.
+	exchangeTimeout = 900 * time.Millisecond
+	// sampleSize bounds the members told to another region.
+	sampleSize = 8
+)
+
+// word is what the node tells another one; members of the own region are told
+// in full to nodes of the region.
+func (n *Node) word(to domain.Region) mesh.Word {
+	now := time.Now()
+	w := mesh.Word{Sender: n.members.Self(), TableVersion: n.state.version()}
+	for _, m := range n.members.Alive(now) {
+		if m.Place.Region == n.settings.Place.Region {
+			w.Members = append(w.Members, m)
+		}
+	}
+	if to != n.settings.Place.Region {
+		w.Loads = n.loads(now)
+		if len(w.Members) > sampleSize {
+			rand.Shuffle(len(w.Members), func(i, j int) { w.Members[i], w.Members[j] = w.Members[j], w.Members[i] })
+			w.Members = w.Members[:sampleSize]
+		}
+	}
+	return w
+}
+
+func (n *Node) loads(now time.Time) []instances.Load {
+	var loads []instances.Load
+	n.catalog.Each(func(p *instances.Pool) {
+		if l := p.Load(now); l.Usable > 0 {
+			loads = append(loads, l)
+		}
+	})
+	return loads
+}
+
+// Exchange implements mesh.Handler.
+func (n *Node) Exchange(w mesh.Word) mesh.Word {
+	n.hear(w, 0)
+	return n.word(w.Sender.Place.Region)
+}
+
+// hear takes in another node's word.
+func (n *Node) hear(w mesh.Word, roundTrip time.Duration) {
+	now := time.Now()
+	n.members.Heard(now, &w.Sender, w.Members)
+	if w.Sender.Place.Region != n.settings.Place.Region {
+		n.regions.Told(now, w.Sender.Place.Region, w.Loads, roundTrip)
+	}
+	if w.TableVersion > n.state.version() {
+		go n.fetchFrom(w.Sender.PeerAddress, false)
+	}
+}
+
+// exchangeNear spreads membership inside the region.
+func (n *Node) exchangeNear(ctx context.Context) {
+	for ctx.Err() == nil {
+		var near []peers.Member
+		for _, m := range n.members.Known() {
+			if m.Place.Region == n.settings.Place.Region && m.State != domain.NodeStopped {
+				near = append(near, m)
+			}
+		}
+		if len(near) > 0 {
+			n.exchange(ctx, near[rand.IntN(len(near))])
+		}
+		n.mesh.Forget(n.members.Known())
+		n.catalog.Sweep(time.Now())
+		n.noteReady()
+		sleep(ctx, jitter(nearPace))
+	}
+}
+
+// exchangeFar asks one node of each other region for the region's load.
+func (n *Node) exchangeFar(ctx context.Context) {
+	for ctx.Err() == nil {
+		byRegion := make(map[domain.Region][]peers.Member)
+		for _, m := range n.members.Known() {
+			if m.Place.Region != n.settings.Place.Region && m.State != domain.NodeStopped {
+				byRegion[m.Place.Region] = append(byRegion[m.Place.Region], m)
+			}
+		}
+		for _, candidates := range byRegion {
+			go n.exchange(ctx, candidates[rand.IntN(len(candidates))])
+		}
+		sleep(ctx, jitter(farPace))
+	}
+}
+
+func (n *Node) exchange(ctx context.Context, with peers.Member) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	word, roundTrip, err := n.mesh.Exchange(ctx, with.PeerAddress, n.word(with.Place.Region))
+	if err != nil {
+		n.members.Unreachable(with.ID)
+		n.metrics.Count("mesh.exchange_failed", 1)
+		return
+	}
+	n.hear(word, roundTrip)
+}
+
+func jitter(d time.Duration) time.Duration {
+	return time.Duration((0.85 + 0.3*rand.Float64()) * float64(d))
+}
+
+// Relay implements mesh.Handler. The receiver's own table decides if
+// the request may run here; one whose table is older than the sender's refuses.
+func (n *Node) Relay(ctx context.Context, in *mesh.Incoming, sink relay.Sink) (*relay.Failure, int) {
+	if f := n.admitRelayed(in); f != nil {
+		n.log.Log(event.RequestRefused, event.F("request", in.ID), event.F("kind", f.Kind), event.F("from", in.From), event.F("detail", f.Message))
+		return f, 0
+	}
+	before := in.Sent
+	f := n.engine.Serve(ctx, &in.Request, sink)
+	return f, in.Sent - before
+}
--- /dev/null
+++ b/adapters/edgenode/registration.go
@@ -0,0 +1,119 @@
+package edgenode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/ports"
+)
+
+const (
+	// nodeLease is how long a node's entry outlives its process; nodes learn of
+	// a death sooner, by exchanges.
+	nodeLease = 9 * time.Second
+	// renewEvery leaves two more renewals before the lease ends.
+	renewEvery = 3 * time.Second
+	// callTimeout bounds the short calls to the store.
+	callTimeout = 2 * time.Second
+)
+
+// nodeEntry is a node's entry in the store.
+type nodeEntry struct {
+	ID            domain.NodeID        `json:"id"`
+	Region        domain.Region        `json:"region"`
+	FailureDomain domain.FailureDomain `json:"failure_domain"`
+	EntryAddress  string               `json:"entry_address"`
+	PeerAddress   string               `json:"peer_address"`
+	Incarnation   domain.Incarnation   `json:"incarnation"`
+	CapacityMilli int                  `json:"capacity_milli"`
+}
+
+func (n *Node) nodeKey() string { return n.outside.Documents.NodePrefix() + string(n.settings.Node) }
+
+// register keeps the node's entry in the store under a lease.
+func (n *Node) register(ctx context.Context) {
+	var lease ports.LeaseID
+	for ctx.Err() == nil {
+		if n.closing.Load() {
+			return
+		}
+		if lease == 0 {
+			lease = n.newEntry(ctx)
+		} else if err := n.renew(ctx, lease); errors.Is(err, errkind.Of(errkind.NotFound)) {
+			n.log.Log(event.RegistrationLost, event.F("node", n.settings.Node), event.F("lease", uint64(lease)))
+			lease = 0
+			continue
+		}
+		if lease == 0 {
+			sleep(ctx, retryPause)
+		} else {
+			sleep(ctx, jitter(renewEvery))
+		}
+	}
+}
+
+// newEntry writes the node's entry; it returns zero if that failed.
+func (n *Node) newEntry(ctx context.Context) ports.LeaseID {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := n.outside.Store.GrantLease(ctx, max(nodeLease, n.settings.MinLease))
+	n.link.settle(ctx, "grant lease", err)
+	if err != nil {
+		return 0
+	}
+	self := n.members.Self()
+	text, err := json.Marshal(nodeEntry{
+		ID: self.ID, Region: self.Place.Region, FailureDomain: self.Place.FailureDomain, EntryAddress: self.EntryAddress,
+		PeerAddress: self.PeerAddress, Incarnation: self.Incarnation, CapacityMilli: int(self.Capacity * 1000),
+	})
+	if err == nil {
+		err = n.outside.Store.Put(ctx, n.nodeKey(), text, lease.ID)
+	}
+	n.link.settle(ctx, "register", err)
+	if err != nil {
+		return 0
+	}
+	n.log.Log(event.Registered, event.F("node", n.settings.Node), event.F("lease", uint64(lease.ID)))
+	return lease.ID
+}
+
+func (n *Node) renew(ctx context.Context, lease ports.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := n.outside.Store.KeepAlive(ctx, lease)
+	if errors.Is(err, errkind.Of(errkind.NotFound)) {
+		return err
+	}
+	n.link.settle(ctx, "renew lease", err)
+	return err
+}
+
+func (n *Node) nodesReplaced(now time.Time, items []ports.Item) { n.nodesChanged(now, items) }
+
+// nodesChanged adopts entries of nodes. A removed entry says nothing that the
+// exchanges do not say sooner.
+func (n *Node) nodesChanged(now time.Time, items []ports.Item) {
+	var list []peers.Member
+	for _, i := range items {
+		if i.Removed {
+			continue
+		}
+		var e nodeEntry
+		if err := json.Unmarshal(i.Value, &e); err != nil || e.ID == "" {
+			n.log.Log(event.InstanceRefused, event.F("key", i.Key), event.F("error", err))
+			continue
+		}
+		list = append(list, peers.Member{
+			ID: e.ID, Place: domain.Place{Region: e.Region, FailureDomain: e.FailureDomain},
+			EntryAddress: e.EntryAddress, PeerAddress: e.PeerAddress, Incarnation: e.Incarnation,
+			State: domain.NodeStarting, Capacity: float64(e.CapacityMilli) / 1000,
+		})
+	}
+	n.members.Registered(now, list)
+}
--- /dev/null
+++ b/adapters/edgenode/state.go
@@ -0,0 +1,185 @@
+package edgenode
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/ports"
+	"github.com/crocusspread/crocusspread/core/routes"
+)
+
+// state is what the node believes of the documents in the store.
+type state struct {
+	documents Documents
+	catalog   *instances.Catalog
+	log       event.Logger
+
+	table atomic.Pointer[routes.Table]
+
+	mu        sync.Mutex
+	tableText []byte
+	evacuated map[domain.FailureDomain]bool
+	// entries are the upstreams' entries as the store held them, for nodes
+	// that cannot read it.
+	entries map[string][]byte
+	// knowsEntries and knowsEvacuated are set once the store or a node told.
+	knowsEntries, knowsEvacuated bool
+}
+
+func newState(d Documents, c *instances.Catalog, log event.Logger) *state {
+	return &state{documents: d, catalog: c, log: log, evacuated: make(map[domain.FailureDomain]bool), entries: make(map[string][]byte)}
+}
+
+// version returns that of the routing table, zero without one.
+func (s *state) version() uint64 {
+	if t := s.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// adopt takes a routing table into force if it is sound and newer.
+func (s *state) adopt(value []byte, from string) {
+	t, err := s.documents.Table(value)
+	if err != nil {
+		s.log.Log(event.ListsRefused, event.F("from", from), event.F("error", err), event.F("in_force", s.version()))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.version()
+	if t.Version <= before {
+		return
+	}
+	s.catalog.Configure(t)
+	s.table.Store(t)
+	s.tableText = value
+	s.log.Log(event.ListsAdopted, event.F("version", t.Version), event.F("before", before), event.F("from", from),
+		event.F("routes", len(t.Routes)), event.F("services", len(t.Services)))
+}
+
+// replaceOperator adopts all of the operator's documents.
+func (s *state) replaceOperator(now time.Time, items []ports.Item) {
+	after := make(map[domain.FailureDomain]bool)
+	for _, i := range items {
+		if s.documents.IsTable(i.Key) {
+			s.adopt(i.Value, "store")
+		}
+		if fd, ok := s.documents.Evacuation(i.Key); ok {
+			after[fd] = true
+		}
+	}
+	s.setEvacuated(now, after, "store")
+}
+
+func (s *state) changeOperator(now time.Time, items []ports.Item) {
+	s.mu.Lock()
+	after := maps.Clone(s.evacuated)
+	s.mu.Unlock()
+	for _, i := range items {
+		if s.documents.IsTable(i.Key) && !i.Removed {
+			s.adopt(i.Value, "store")
+		}
+		if fd, ok := s.documents.Evacuation(i.Key); ok {
+			if i.Removed {
+				delete(after, fd)
+			} else {
+				after[fd] = true
+			}
+		}
+	}
+	s.setEvacuated(now, after, "store")
+}
+
+func (s *state) setEvacuated(now time.Time, after map[domain.FailureDomain]bool, from string) {
+	s.mu.Lock()
+	before := s.evacuated
+	s.evacuated, s.knowsEvacuated = after, true
+	s.mu.Unlock()
+	if maps.Equal(before, after) {
+		return
+	}
+	s.catalog.SetEvacuated(now, after)
+	for fd := range after {
+		if !before[fd] {
+			s.log.Log(event.EvacuationChanged, event.F("failure_domain", fd), event.F("evacuated", true), event.F("from", from))
+		}
+	}
+	for fd := range before {
+		if !after[fd] {
+			s.log.Log(event.EvacuationChanged, event.F("failure_domain", fd), event.F("evacuated", false), event.F("from", from))
+		}
+	}
+}
+
+// replaceEntries adopts all entries of upstreams.
+func (s *state) replaceEntries(now time.Time, items []ports.Item) {
+	entries := make(map[string][]byte, len(items))
+	var list []instances.Instance
+	for _, i := range items {
+		in, err := s.documents.Instance(i.Key, i.Value)
+		if err != nil {
+			s.log.Log(event.InstanceRefused, event.F("key", i.Key), event.F("error", err))
+			continue
+		}
+		entries[i.Key] = i.Value
+		list = append(list, in)
+	}
+	s.catalog.Replace(now, list)
+	s.mu.Lock()
+	s.entries, s.knowsEntries = entries, true
+	s.mu.Unlock()
+}
+
+// changeEntries adopts changed entries of upstreams; of several changes to one
+// entry the last counts.
+func (s *state) changeEntries(now time.Time, items []ports.Item) {
+	last := make(map[string]int, len(items))
+	for n, i := range items {
+		last[i.Key] = n
+	}
+	for n, i := range items {
+		if last[i.Key] == n {
+			s.changeEntry(now, i)
+		}
+	}
+	s.catalog.Sweep(now)
+}
+
+func (s *state) changeEntry(now time.Time, i ports.Item) {
+	id := domain.UpstreamID(i.Key[len(s.documents.InstancePrefix()):])
+	if i.Removed {
+		s.forget(i.Key)
+		s.catalog.Remove(now, id)
+		return
+	}
+	in, err := s.documents.Instance(i.Key, i.Value)
+	if err != nil {
+		s.log.Log(event.InstanceRefused, event.F("key", i.Key), event.F("error", err))
+		s.forget(i.Key)
+		s.catalog.Remove(now, id)
+		return
+	}
+	s.mu.Lock()
+	s.entries[i.Key] = i.Value
+	s.mu.Unlock()
+	s.catalog.Put(now, in)
+}
+
+func (s *state) forget(key string) {
+	s.mu.Lock()
+	delete(s.entries, key)
+	s.mu.Unlock()
+}
+
+// complete tells if the node knows enough to serve.
+func (s *state) complete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Load() != nil && s.knowsEntries && s.knowsEvacuated
+}
--- /dev/null
+++ b/adapters/edgenode/storelink.go
@@ -0,0 +1,52 @@
+package edgenode
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/instances"
+)
+
+// storeLink keeps whether the store answers this node.
+type storeLink struct {
+	log     event.Logger
+	catalog *instances.Catalog
+	drop    func()
+
+	mu     sync.Mutex
+	lost   bool
+	lostAt time.Time
+}
+
+// settle notes the outcome of a call to the store.
+func (l *storeLink) settle(ctx context.Context, what string, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // the node stops
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err != nil && !l.lost:
+		l.lost, l.lostAt = true, now
+		l.catalog.StoreLost()
+		l.log.Log(event.PlatformFailed, event.F("call", what), event.F("error", err))
+	case err == nil && l.lost:
+		l.lost = false
+		l.catalog.StoreBack(now)
+		l.log.Log(event.PlatformRestored, event.F("call", what), event.F("after_ms", now.Sub(l.lostAt).Milliseconds()))
+	}
+	if err != nil && ctx.Err() != nil {
+		l.drop() // a call without any answer: its connection may be silent
+	}
+}
+
+// away tells if the store does not answer.
+func (l *storeLink) away() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
--- /dev/null
+++ b/adapters/mesh/meshpb/doc.go
@@ -0,0 +1,5 @@
+// Package meshpb holds the generated code of the protocol between nodes that
+// route by routing table.
+package meshpb
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative mesh.proto
--- /dev/null
+++ b/adapters/mesh/server.go
@@ -0,0 +1,80 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/crocusspread/crocusspread/adapters/mesh/meshpb"
+	"github.com/crocusspread/crocusspread/core/relay"
+)
+
+// reconnect keeps trying an unreachable node about once a second.
+var reconnect = backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, Jitter: 0.3, MaxDelay: time.Second}
+
+// Handler answers other nodes.
+type Handler interface {
+	// Relay runs a request here; it returns nil once the sink has the whole
+	// answer. Sent is the number of upstreams the request was handed to.
+	Relay(ctx context.Context, in *Incoming, sink relay.Sink) (f *relay.Failure, sent int)
+	// Exchange takes in another node's word and returns the own one.
+	Exchange(w Word) Word
+	// Fetch returns the documents that this node holds.
+	Fetch(tableNewerThan uint64, withInstances bool) Documents
+}
+
+// NewServer returns a gRPC server for a handler.
+func NewServer(creds credentials.TransportCredentials, h Handler, now func() time.Time) *grpc.Server {
+	s := grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(connectionWindow))
+	meshpb.RegisterMeshServer(s, &server{handler: h, now: now})
+	return s
+}
+
+type server struct {
+	meshpb.UnimplementedMeshServer
+	handler Handler
+	now     func() time.Time
+}
+
+func (s *server) Exchange(_ context.Context, m *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
+	return wordToWire(s.handler.Exchange(wordFromWire(m))), nil
+}
+
+func (s *server) Fetch(_ context.Context, m *meshpb.FetchRequest) (*meshpb.FetchReply, error) {
+	d := s.handler.Fetch(m.GetTableNewerThan(), m.GetInstances())
+	reply := &meshpb.FetchReply{Table: d.Table, HasEvacuated: d.Complete}
+	for key, value := range d.Instances {
+		reply.Instances = append(reply.Instances, &meshpb.Document{Key: key, Value: value})
+	}
+	for _, fd := range d.Evacuated {
+		reply.Evacuated = append(reply.Evacuated, string(fd))
+	}
+	return reply, nil
+}
+
+func (s *server) Relay(m *meshpb.RelayRequest, stream grpc.ServerStreamingServer[meshpb.RelayFrame]) error {
+	f, sent := s.handler.Relay(stream.Context(), callFromWire(m, s.now()), &frameSink{stream})
+	if f != nil && f.CallerLeft {
+		return stream.Context().Err()
+	}
+	return stream.Send(endToWire(f, sent))
+}
+
+// frameSink sends an answer to the node that relayed the request.
+type frameSink struct {
+	stream grpc.ServerStreamingServer[meshpb.RelayFrame]
+}
+
+func (f *frameSink) Begin(h relay.Head) error {
+	return f.stream.Send(&meshpb.RelayFrame{Frame: &meshpb.RelayFrame_Head{Head: &meshpb.RelayHead{
+		Status: int32(h.Status), Header: headerToWire(h.Header), ContentLength: h.ContentLength, RanAt: string(h.RanAt),
+	}}})
+}
+
+func (f *frameSink) Write(b []byte) error {
+	return f.stream.Send(&meshpb.RelayFrame{Frame: &meshpb.RelayFrame_Chunk{Chunk: b}})
+}
--- a/adapters/upstream/options.go
+++ b/adapters/upstream/options.go
@@ -110,3 +110,9 @@
 		DisableCompression: true,
 	}
 }
+
+// Dialer returns a dial function with the package's keep-alive probes.
+func Dialer(timeout, userTimeout time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+	d := Options{DialTimeout: timeout, UserTimeout: userTimeout}.withDefaults().dialer()
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+}
--- /dev/null
+++ b/adapters/upstream/routed.go
@@ -0,0 +1,158 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/relay"
+	"github.com/crocusspread/crocusspread/core/routes"
+)
+
+// Dialect spells what the gateway tells upstreams and reads what they tell it.
+type Dialect interface {
+	// Outgoing adds the gateway's own headers to a request.
+	Outgoing(h http.Header, to *instances.Instance, c *relay.Call)
+	// Incoming reads the head of an answer; Header and ContentLength are left
+	// to the caller.
+	Incoming(status int, h http.Header) (relay.Head, instances.Reading)
+}
+
+// Routed sends requests to instances. It implements relay.Upstreams. net/http
+// never sends a request again by itself here: its body cannot be read twice, and
+// requests without one carry a reader too.
+type Routed struct {
+	dialect Dialect
+	pooled  *http.Transport
+	once    *http.Transport
+}
+
+// NewRouted returns a client of instances.
+func NewRouted(o Options, d Dialect) *Routed {
+	o = o.withDefaults()
+	return &Routed{dialect: d, pooled: o.pooled(), once: o.once()}
+}
+
+// Close closes idle connections.
+func (r *Routed) Close() { r.pooled.CloseIdleConnections() }
+
+// Send implements relay.Upstreams. At-most-once requests get a connection of
+// their own: on a reused one that the upstream closes at that moment, it would
+// stay unknown whether they ran.
+func (r *Routed) Send(ctx context.Context, to *instances.Instance, c *relay.Call) (relay.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req := r.request(httptrace.WithClientTrace(ctx, trace), to, c)
+	transport := r.pooled
+	if c.Route.Kind == routes.AtMostOnce {
+		transport = r.once
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		cancel()
+		if !connected.Load() && ctxAlive(ctx, err) {
+			return nil, errkind.New(errkind.PeerUnreachable, "connect to %s: %w", to.Address, err)
+		}
+		return nil, errkind.New(errkind.UpstreamFailed, "send to %s: %w", to.Address, err)
+	}
+	head, reading := r.dialect.Incoming(resp.StatusCode, resp.Header)
+	head.Status = resp.StatusCode
+	head.Header = EndToEnd(resp.Header)
+	head.ContentLength = resp.ContentLength
+	return &routedAnswer{resp: resp, cancel: cancel, head: head, reading: reading, buffer: buffers.Get().(*[]byte)}, nil
+}
+
+// ctxAlive tells if a request failed for want of a connection, not because its
+// caller gave up while one was being set up.
+func ctxAlive(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && !errors.Is(err, context.Canceled)
+}
+
+func (r *Routed) request(ctx context.Context, to *instances.Instance, c *relay.Call) *http.Request {
+	h := http.Header(c.Header).Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	hideReplayNames(h)
+	r.dialect.Outgoing(h, to, c)
+	req := &http.Request{
+		Method: c.Method, URL: targetURL(to.Address, c.Target), Host: c.Host, Header: h,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: io.NopCloser(bytes.NewReader(c.Body)), ContentLength: int64(len(c.Body)),
+	}
+	return req.WithContext(ctx)
+}
+
+// targetURL keeps the target byte for byte.
+func targetURL(address, target string) *url.URL {
+	u := &url.URL{Scheme: "http", Host: address}
+	if !strings.HasPrefix(target, "//") {
+		u.Opaque = target
+		return u
+	}
+	// net/url writes an opaque part that begins with two slashes in absolute form.
+	path, query, found := strings.Cut(target, "?")
+	u.RawPath, u.RawQuery, u.ForceQuery = path, query, found && query == ""
+	if decoded, err := url.PathUnescape(path); err == nil {
+		u.Path = decoded
+	} else {
+		u.Path = path // not an escaped path; it is sent as it stands
+	}
+	return u
+}
+
+// bufferBytes is the size of one read: several events of a stream.
+const bufferBytes = 4 << 10
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, bufferBytes); return &b }}
+
+type routedAnswer struct {
+	resp    *http.Response
+	cancel  context.CancelFunc
+	head    relay.Head
+	reading instances.Reading
+	buffer  *[]byte
+	ended   bool
+}
+
+func (a *routedAnswer) Head() relay.Head { return a.head }
+
+func (a *routedAnswer) Reading() instances.Reading { return a.reading }
+
+// Next implements relay.Answer. net/http reports an answer that is shorter than
+// its framing says as an unexpected end, and a reset as an error.
+func (a *routedAnswer) Next() ([]byte, error) {
+	n, err := a.resp.Body.Read(*a.buffer)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+	}
+	return (*a.buffer)[:n], err
+}
+
+// Close releases the connection. Unless the answer was read to its end, the
+// connection is closed, so that what is left of the answer cannot be taken for
+// another one.
+func (a *routedAnswer) Close() {
+	if !a.ended {
+		a.cancel()
+	}
+	_ = a.resp.Body.Close() // nothing left to learn from it
+	a.cancel()
+	if a.buffer != nil {
+		buffers.Put(a.buffer)
+		a.buffer = nil
+	}
+}
--- a/cmd/crocusspread/main.go
+++ b/cmd/crocusspread/main.go
@@ -24,6 +24,9 @@
 	Settings      string `short:"s" long:"settings" value-name:"FILE" description:"Settings file of the node (YAML)"`
 	CheckSettings bool   `long:"check-settings" description:"Check the settings file and exit"`
 	PrintDefaults bool   `long:"print-defaults" description:"Print every setting with its default and exit"`
+	Platform      bool   `long:"platform" description:"Run on the users' platform: routes, upstreams and nodes come from its store, settings from --settings or $CROCUSSPREAD_CONFIG"`
+	MetricsPort   int    `long:"metrics-port" value-name:"PORT" description:"With --platform: port that serves metrics on the entry's IP address; 0 serves none"`
+	LogLines      int    `long:"log-lines" default:"600" value-name:"N" description:"With --platform: most log lines a second; more are dropped and counted"`
 	Verbosity     int    `short:"v" long:"verbosity" default:"0" description:"Verbosity of the log"`
 }
 
@@ -37,7 +40,7 @@
 		fmt.Println(flagError.Message)
 		return 0
 	}
-	if err == nil && opts.Settings == "" && !opts.PrintDefaults {
+	if err == nil && opts.Settings == "" && !opts.PrintDefaults && !opts.Platform {
 		err = errors.New("--settings is missing")
 	}
 	if err != nil {
@@ -55,6 +58,9 @@
 	if opts.PrintDefaults {
 		return settings.PrintDefaults(os.Stdout)
 	}
+	if opts.Platform {
+		return serveRouted(opts)
+	}
 	s, err := settings.Load(opts.Settings)
 	if err != nil {
 		return err
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -45,6 +45,7 @@
 	Canceled            Kind = "canceled"
 	Conflict            Kind = "conflict"
 	NotFound            Kind = "not_found"
+	HistoryLost         Kind = "history_lost"
 	Internal            Kind = "internal"
 )
 
@@ -96,6 +97,7 @@
 	Conflict:            {409, domain.RunNo, 0, 37},
 	NotFound:            {404, domain.RunNo, 0, 38},
 	Internal:            {500, domain.RunUnknown, 0, 39},
+	HistoryLost:         {503, domain.RunNo, shortWait, 40},
 }
 
 // Lookup returns the answer for k; an unlisted kind gets the row of Internal.
--- /dev/null
+++ b/core/instances/place.go
@@ -0,0 +1,311 @@
+package instances
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/placement"
+)
+
+// Query is a request that looks for a place.
+type Query struct {
+	placement.Request
+	// Model that the engine must have loaded; empty for plain services.
+	Model string
+	// LocalAllowed is false if the request must not run in the own region.
+	LocalAllowed bool
+	// Others are the other regions that the request may run in.
+	Others []placement.RegionLoad
+}
+
+// Ticket is a place taken at an upstream. Its holder calls FirstByte at the
+// first byte of the answer, Progress at later ones, and Done once.
+type Ticket struct {
+	Instance
+	// Expected is the delay that was expected to the first byte.
+	Expected time.Duration
+	// Cold is set if the upstream was cold.
+	Cold bool
+
+	pool   *Pool
+	up     *upstream
+	sentAt time.Time
+	tokens int
+	prompt uint64
+	shared bool
+	begun  bool
+}
+
+// Place decides where a request goes and takes the place if it is local.
+func (p *Pool) Place(now time.Time, policy placement.Policy, q *Query) (placement.Decision, *Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key, sharedTokens, shared := q.SharedPrompt()
+	var candidates []placement.Candidate
+	if q.LocalAllowed {
+		candidates = p.copyCandidates(now, q, key, sharedTokens, shared)
+	}
+	d := policy.Choose(&q.Request, p.speeds(), candidates, q.Others)
+	if d.Choice != placement.Local {
+		return d, nil
+	}
+	u := p.upstreams[d.Index]
+	t := &Ticket{Instance: u.Instance, Expected: d.Delay, Cold: u.cold(now), pool: p, up: u,
+		sentAt: now, tokens: d.Tokens, prompt: key, shared: shared}
+	p.take(now, t)
+	return d, t
+}
+
+func (p *Pool) take(now time.Time, t *Ticket) {
+	u := t.up
+	if t.Cold && p.config.ColdRate > 0 {
+		u.pace.Spend(now, p.options.ColdShare(u.ID, p.config.ColdRate))
+	}
+	if u.inFlight == 0 {
+		u.heardAt = now
+	}
+	u.inFlight++
+	u.unread++
+	u.unreadTokens += t.tokens
+	p.tokensEach += learnGain * (float64(t.tokens) - p.tokensEach)
+	if t.shared {
+		p.prompts.read(now, t.prompt, u.ID)
+	}
+}
+
+// copyCandidates returns a candidate for each upstream, at the same index.
+// Suspect upstreams are usable only if fewer than half of the others are.
+func (p *Pool) copyCandidates(now time.Time, q *Query, key uint64, sharedTokens int, shared bool) []placement.Candidate {
+	p.candidates = p.candidates[:0]
+	sound, usable := 0, 0
+	for _, u := range p.upstreams {
+		c := p.candidate(now, u, q.Model)
+		if c.Usable {
+			usable++
+			if !p.suspected(now, u) {
+				sound++
+			}
+		}
+		p.candidates = append(p.candidates, c)
+	}
+	if 2*sound >= usable {
+		for i, u := range p.upstreams {
+			p.candidates[i].Usable = p.candidates[i].Usable && !p.suspected(now, u)
+		}
+	}
+	if shared {
+		p.markCached(now, key, sharedTokens)
+	}
+	return p.candidates
+}
+
+func (p *Pool) candidate(now time.Time, u *upstream, model string) placement.Candidate {
+	return placement.Candidate{
+		ID: u.ID, Place: u.Place, Slots: u.Slots, InFlight: u.inFlight,
+		Others:        u.decayed(now, u.others, othersHalfLife),
+		PendingTokens: u.unreadTokens,
+		OthersPending: u.decayed(now, u.othersPending, pendingHalfLife),
+		Slowness:      p.relativeSlowness(u),
+		Usable:        p.usable(now, u, model),
+	}
+}
+
+func (p *Pool) usable(now time.Time, u *upstream, model string) bool {
+	if u.Leaving || u.evacuated || u.Place.Region != p.options.Self.Region {
+		return false
+	}
+	if model != "" && len(u.Models) > 0 && !slices.Contains(u.Models, model) {
+		return false
+	}
+	if u.cold(now) && p.config.ColdRate > 0 {
+		return u.pace.Ready(now, p.options.ColdShare(u.ID, p.config.ColdRate))
+	}
+	return true
+}
+
+func (p *Pool) suspected(now time.Time, u *upstream) bool {
+	return now.Before(u.suspectUntil) || p.config.Engine != nil && u.silent(now)
+}
+
+// markCached sets the cached tokens of upstreams that are expected to hold a
+// shared prompt: those that this node sent it to, and the one that all nodes
+// prefer for it.
+func (p *Pool) markCached(now time.Time, key uint64, sharedTokens int) {
+	preferred, best := -1, uint64(0)
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if p.prompts.holds(now, key, c.ID) {
+			c.CachedTokens = sharedTokens
+		}
+		if s := placement.Score(key, c.ID); c.Usable && s >= best {
+			preferred, best = i, s
+		}
+	}
+	if preferred >= 0 {
+		p.candidates[preferred].CachedTokens = sharedTokens
+	}
+}
+
+// slownessBand is the ratio up to which upstreams count as equally fast.
+const (
+	slownessBand = 1.5
+	maxSlowness  = 8
+)
+
+func (p *Pool) relativeSlowness(u *upstream) float64 {
+	ratio := u.slowness / p.slowness
+	if ratio < slownessBand {
+		return 1
+	}
+	return min(maxSlowness, ratio)
+}
+
+// FirstByte notes the head of an answer and what the upstream says of its load;
+// worked is false for refusals, whose speed says nothing.
+func (t *Ticket) FirstByte(now time.Time, r Reading, worked bool) {
+	p := t.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.begin(now)
+	if r.Slots > 0 {
+		t.up.reading(now, r, p.tokensEach)
+	}
+	if worked {
+		p.learnSpeed(t, now.Sub(t.sentAt))
+	}
+}
+
+func (t *Ticket) begin(now time.Time) {
+	t.up.heardAt = now
+	if t.begun {
+		return
+	}
+	t.begun = true
+	t.up.unread--
+	t.up.unreadTokens -= t.tokens
+}
+
+// minExpected keeps the ratio of actual to expected delay meaningful.
+const minExpected = 20 * time.Millisecond
+
+func (p *Pool) learnSpeed(t *Ticket, took time.Duration) {
+	expected := max(minExpected, time.Duration(float64(t.Expected)/p.relativeSlowness(t.up)))
+	ratio := min(10, max(0.1, float64(took)/float64(expected)))
+	t.up.slowness += speedGain * (ratio - t.up.slowness)
+	p.slowness += learnGain * (ratio - p.slowness)
+}
+
+// Progress notes later bytes of the answer.
+func (t *Ticket) Progress(now time.Time) {
+	t.pool.mu.Lock()
+	t.up.heardAt = now
+	t.pool.mu.Unlock()
+}
+
+// HeardWithin tells if the upstream sent anything to this node lately, on any
+// connection.
+func (t *Ticket) HeardWithin(now time.Time, d time.Duration) bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return now.Sub(t.up.heardAt) <= d
+}
+
+// Done gives the place back.
+func (t *Ticket) Done(now time.Time, o Outcome) {
+	p, u := t.pool, t.up
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !t.begun {
+		heard := u.heardAt
+		t.begin(now)
+		u.heardAt = heard
+	}
+	u.inFlight--
+	if o == Answered {
+		p.hold += time.Duration(learnGain * float64(now.Sub(t.sentAt)-p.hold))
+	}
+	p.judge(now, u, o)
+}
+
+// judge updates the failure rates and decides if the upstream becomes suspect.
+func (p *Pool) judge(now time.Time, u *upstream, o Outcome) {
+	bad := 0.0
+	switch o {
+	case Abandoned, Misdirected:
+		return
+	case Shed:
+		u.othersPending, u.readAt = u.decayed(now, u.othersPending, pendingHalfLife)+p.tokensEach, now
+		u.others = max(u.others, float64(u.Slots-u.inFlight))
+		return
+	case ServerError, Broken, Unreachable:
+		bad = 1
+	}
+	u.failures += failureGain * (bad - u.failures)
+	p.failures += learnGain * (bad - p.failures)
+	switch {
+	case bad == 0 && u.failures < failureExcess:
+		u.suspicion = 0
+	case o == Unreachable, bad > 0 && u.failures > p.failures+failureExcess:
+		before := u.suspectUntil
+		u.suspect(now)
+		if u.suspectUntil != before {
+			p.options.Log.Log(event.InstanceSuspect, event.F("instance", u.ID), event.F("service", p.service),
+				event.F("outcome", o.String()), event.F("failure_rate", u.failures), event.F("pool_failure_rate", p.failures),
+				event.F("for_ms", u.suspicion.Milliseconds()))
+		}
+	}
+}
+
+// Load is a pool's word to other regions.
+type Load struct {
+	Service string
+	// Usable is the number of instances that take requests.
+	Usable int
+	// Free is the number of requests that fit before any has to wait.
+	Free float64
+	// Delay is the expected time to the first byte at the best instance.
+	Delay time.Duration
+}
+
+// Load returns what other regions need to know of the pool.
+func (p *Pool) Load(now time.Time) Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := Load{Service: p.service}
+	speeds := p.speeds()
+	for _, u := range p.upstreams {
+		if !p.usable(now, u, "") || p.suspected(now, u) || u.cold(now) {
+			continue
+		}
+		c := p.candidate(now, u, "")
+		room, delay := c.Room(speeds)
+		if l.Usable == 0 || delay < l.Delay {
+			l.Delay = delay
+		}
+		l.Usable++
+		l.Free += room
+	}
+	return l
+}
+
+// Members returns the identities of the instances in the own region.
+func (p *Pool) Members() []domain.UpstreamID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []domain.UpstreamID
+	for _, u := range p.upstreams {
+		if u.Place.Region == p.options.Self.Region {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
+// Begun tells if the answer's first byte arrived.
+func (t *Ticket) Begun() bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return t.begun
+}
--- /dev/null
+++ b/core/peers/regions.go
@@ -0,0 +1,112 @@
+package peers
+
+import (
+	"sync"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/placement"
+)
+
+const (
+	// loadAge is how old another region's load may be to be used.
+	loadAge = 2500 * time.Millisecond
+	// roundTripGain is the weight of one measured round trip.
+	roundTripGain = 0.2
+	// defaultRoundTrip is assumed until one was measured.
+	defaultRoundTrip = 110 * time.Millisecond
+)
+
+type regionView struct {
+	loads     map[string]instances.Load
+	sent      map[string]float64
+	at        time.Time
+	roundTrip time.Duration
+}
+
+// Regions holds the last load that each other region told.
+type Regions struct {
+	log event.Logger
+
+	mu  sync.Mutex
+	all map[domain.Region]*regionView
+}
+
+// NewRegions returns an empty view.
+func NewRegions(log event.Logger) *Regions {
+	return &Regions{log: log, all: make(map[domain.Region]*regionView)}
+}
+
+// Told adopts a region's loads; roundTrip is zero if it was not measured.
+func (r *Regions) Told(now time.Time, region domain.Region, loads []instances.Load, roundTrip time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.all[region]
+	if v == nil {
+		v = &regionView{roundTrip: defaultRoundTrip}
+		r.all[region] = v
+	}
+	if now.Sub(v.at) > loadAge {
+		r.log.Log(event.DomainChanged, event.F("region", region), event.F("reachable", true), event.F("age_ms", now.Sub(v.at).Milliseconds()))
+	}
+	v.loads = make(map[string]instances.Load, len(loads))
+	for _, l := range loads {
+		v.loads[l.Service] = l
+	}
+	v.sent = make(map[string]float64)
+	v.at = now
+	if roundTrip > 0 {
+		v.roundTrip += time.Duration(roundTripGain * float64(roundTrip-v.roundTrip))
+	}
+}
+
+// Full notes that a region refused a request of the service: it gets no more
+// until its next word.
+func (r *Regions) Full(region domain.Region, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.all[region]; v != nil {
+		v.sent[service] = v.loads[service].Free
+	}
+}
+
+// Sent notes a request that this node sends to a region.
+func (r *Regions) Sent(region domain.Region, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.all[region]; v != nil {
+		v.sent[service]++
+	}
+}
+
+// Loads returns the regions that the request may run in, with the room that this
+// node may use of them: what is free is shared with the senders nodes that read
+// the same word.
+func (r *Regions) Loads(now time.Time, service string, senders int, allows func(domain.Region) bool) []placement.RegionLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []placement.RegionLoad
+	for region, v := range r.all {
+		l, known := v.loads[service]
+		if !known || l.Usable == 0 || !allows(region) || now.Sub(v.at) > loadAge {
+			continue
+		}
+		list = append(list, placement.RegionLoad{
+			Region: region, Delay: l.Delay, RoundTrip: v.roundTrip,
+			Free: l.Free/float64(max(1, senders)) - v.sent[service],
+		})
+	}
+	return list
+}
+
+// Age returns how old the last word of a region is.
+func (r *Regions) Age(now time.Time, region domain.Region) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.all[region]; v != nil {
+		return now.Sub(v.at)
+	}
+	return -1
+}
--- /dev/null
+++ b/core/placement/policy.go
@@ -0,0 +1,155 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// Policy holds the weights of a decision.
+type Policy struct {
+	// RefuseAt is the multiple of the objective from which an expected delay
+	// makes a refusal better than an answer that comes too late.
+	RefuseAt float64
+	// UrgentRefuseAt is the same for the most urgent routes of a service.
+	UrgentRefuseAt float64
+	// CrossingCost is added to the delay of another region, for the bytes that
+	// cross.
+	CrossingCost time.Duration
+	// CrossingRefuseAt is the multiple of the objective from which another
+	// region's expected delay is no use.
+	CrossingRefuseAt float64
+	// ReadAgainWeight multiplies the time an upstream needs for prompt tokens
+	// that another one has cached: that time is lost to all requests there.
+	ReadAgainWeight float64
+	// CrowdingCost is added per request that an upstream holds, as each one
+	// slows the others' tokens down.
+	CrowdingCost time.Duration
+}
+
+// DefaultPolicy suits objectives of half a second to a second; see
+// docs/design/0016-placing-by-route.md for the runs.
+func DefaultPolicy() Policy {
+	return Policy{
+		RefuseAt:         1.3,
+		UrgentRefuseAt:   1.6,
+		CrossingCost:     60 * time.Millisecond,
+		CrossingRefuseAt: 1,
+		ReadAgainWeight:  1.5,
+		CrowdingCost:     2 * time.Millisecond,
+	}
+}
+
+// RegionLoad is the last that is known of a service in another region.
+type RegionLoad struct {
+	Region domain.Region
+	// Delay is the expected time to the first byte there, prompt not counted.
+	Delay time.Duration
+	// RoundTrip is the network's share.
+	RoundTrip time.Duration
+	// Free is the number of requests that fit before they have to wait, this
+	// node's own ones since the reading taken off.
+	Free float64
+}
+
+// Choice says what to do with a request.
+type Choice uint8
+
+const (
+	// Refuse means that no place would serve the request in time.
+	Refuse Choice = iota
+	// Local means an upstream of the own region.
+	Local
+	// Remote means another region.
+	Remote
+)
+
+// Decision is the outcome of Choose.
+type Decision struct {
+	Choice Choice
+	// Index is the candidate of a Local decision.
+	Index int
+	// Region is that of a Remote decision.
+	Region domain.Region
+	// Delay is the expected time to the first byte at the place chosen; for a
+	// refusal, at the best place.
+	Delay time.Duration
+	// Tokens is the number of prompt tokens to read at the candidate.
+	Tokens int
+	// Usable is the number of candidates that could have been chosen.
+	Usable int
+}
+
+// Choose picks the place with the least cost. The candidates are those of the
+// request's service in the own region, without any if the request may not run
+// here; others are the regions that it may run in beside.
+func (p Policy) Choose(r *Request, s Speeds, candidates []Candidate, others []RegionLoad) Decision {
+	local := p.bestLocal(r, s, candidates)
+	remote, found := p.bestRemote(r, s, others)
+	limit := p.limit(r)
+	localOK := local.Choice == Local && r.Elapsed+local.Delay <= limit
+	remoteOK := found && r.Elapsed+remote.Delay <= min(limit, time.Duration(p.CrossingRefuseAt*float64(r.Objective)))
+	switch {
+	case localOK && (!remoteOK || local.Delay <= remote.Delay+p.CrossingCost):
+		return local
+	case remoteOK:
+		remote.Usable = local.Usable
+		return remote
+	}
+	best := local.Delay
+	if found && (local.Choice == Refuse || remote.Delay < best) {
+		best = remote.Delay
+	}
+	return Decision{Choice: Refuse, Delay: best, Usable: local.Usable}
+}
+
+// limit is the latest time after the request's arrival at which an answer
+// should begin.
+func (p Policy) limit(r *Request) time.Duration {
+	factor := p.RefuseAt
+	if r.Urgent {
+		factor = p.UrgentRefuseAt
+	}
+	return min(time.Duration(factor*float64(r.Objective)), r.Elapsed+r.Left)
+}
+
+func (p Policy) bestLocal(r *Request, s Speeds, candidates []Candidate) Decision {
+	best := Decision{Choice: Refuse}
+	var bestCost time.Duration
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Usable || slices.Contains(r.Exclude, c.ID) {
+			continue
+		}
+		best.Usable++
+		tokens := max(0, r.PromptTokens-c.CachedTokens)
+		delay := c.delay(s, tokens)
+		cost := delay + time.Duration(c.load()*float64(p.CrowdingCost))
+		if s.PrefillRate > 0 {
+			cost += time.Duration(p.ReadAgainWeight * float64(tokens) / s.PrefillRate * float64(time.Millisecond))
+		}
+		if best.Choice == Refuse || cost < bestCost {
+			best.Choice, best.Index, best.Delay, best.Tokens, bestCost = Local, i, delay, tokens, cost
+		}
+	}
+	return best
+}
+
+func (p Policy) bestRemote(r *Request, s Speeds, others []RegionLoad) (Decision, bool) {
+	var best Decision
+	found := false
+	for _, o := range others {
+		if o.Free < 1 {
+			continue
+		}
+		delay := o.Delay + o.RoundTrip
+		if s.PrefillRate > 0 {
+			delay += time.Duration(float64(r.PromptTokens) / s.PrefillRate * float64(time.Millisecond))
+		}
+		if !found || delay < best.Delay {
+			best, found = Decision{Choice: Remote, Region: o.Region, Delay: delay}, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/core/relay/log.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/placement"
+)
+
+func (c result) outcome() string {
+	if c.delivered {
+		return "delivered"
+	}
+	return string(c.err.Kind)
+}
+
+// logAttempt writes a line for an attempt that did not deliver.
+func (a *attempts) logAttempt(to string, sentAt time.Time, expected time.Duration, res result) {
+	if res.delivered {
+		return
+	}
+	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("to", to),
+		event.F("outcome", res.outcome()), event.F("run", res.ran), event.F("judged", res.judged.String()),
+		event.F("took_ms", a.Now().Sub(sentAt).Milliseconds()), event.F("expected_ms", expected.Milliseconds()),
+		event.F("detail", res.err.Message))
+}
+
+// finish writes the line of the request and counts it.
+func (a *attempts) finish(f *Failure) {
+	now := a.Now()
+	took := now.Sub(a.r.Arrived)
+	fields := []event.Field{
+		event.F("request", a.r.ID), event.F("route", a.r.Route.Name), event.F("service", a.r.Service),
+		event.F("table", a.r.TableVersion), event.F("choice", choiceName(a.decision.Choice)),
+		event.F("expected_ms", a.decision.Delay.Milliseconds()), event.F("usable", a.decision.Usable),
+		event.F("sent", a.r.Sent), event.F("took_ms", took.Milliseconds()),
+	}
+	if a.r.Relayed {
+		fields = append(fields, event.F("from", a.r.From))
+	}
+	switch a.decision.Choice {
+	case placement.Local:
+		if n := len(a.tried); n > 0 {
+			fields = append(fields, event.F("instance", a.tried[n-1]))
+		}
+	case placement.Remote:
+		fields = append(fields, event.F("region", a.decision.Region), event.F("view_age_ms", a.Regions.Age(now, a.decision.Region).Milliseconds()))
+	}
+	a.Metrics.Count("relay.requests", 1)
+	a.Metrics.Observe("relay.total_us", took)
+	if f == nil {
+		first := a.firstAt.Sub(a.r.Arrived)
+		if a.firstAt.IsZero() {
+			first = took
+		}
+		a.Metrics.Observe("relay.first_us", first)
+		a.Log.Log(event.RequestServed, append(fields, event.F("status", a.last.status), event.F("first_ms", first.Milliseconds()))...)
+		return
+	}
+	a.Metrics.Count("relay.failed."+string(f.Kind), 1)
+	a.Log.Log(event.RequestFailed, append(fields, event.F("kind", f.Kind), event.F("run", f.Verdict()),
+		event.F("broken", f.Broken), event.F("retry_after_ms", f.RetryAfter.Milliseconds()), event.F("detail", f.Message))...)
+}
+
+func choiceName(c placement.Choice) string {
+	return [...]string{"refuse", "local", "remote"}[c]
+}
--- /dev/null
+++ b/core/relay/remote.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/routes"
+)
+
+// remote sends the request to a node of another region, which runs or refuses
+// it.
+func (a *attempts) remote(ctx context.Context, region domain.Region) result {
+	targets := a.Members.Targets(a.Now(), region)
+	if len(targets) == 0 {
+		return failed(errkind.PeerUnreachable, domain.RunNo, instances.Unreachable, "no node of region %s is reachable", region)
+	}
+	to := targets[rand.IntN(len(targets))]
+	a.Regions.Sent(region, a.r.Service)
+	a.Metrics.Count("relay.sent_to_region", 1)
+	sentAt := a.Now()
+	answer, err := a.Nodes.Relay(ctx, &to, a.call())
+	var res result
+	if err != nil {
+		res = a.relayFailed(ctx, region, err)
+	} else {
+		res = a.receiveRemote(ctx, answer)
+		answer.Close()
+	}
+	if res.reached {
+		a.r.Sent++
+	}
+	a.logAttempt(string(to.ID), sentAt, a.decision.Delay, res)
+	return res
+}
+
+// relayFailed takes over the verdict of the other node.
+func (a *attempts) relayFailed(ctx context.Context, region domain.Region, err error) result {
+	e := errkind.From(err)
+	if e.Verdict() == domain.RunNo {
+		a.Regions.Full(region, a.r.Service)
+		return result{err: e, ran: domain.RunNo, judged: instances.Unreachable, reached: sentElsewhere(err) > 0}
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		res := failed(errkind.Canceled, domain.RunUnknown, instances.Abandoned, "the caller left")
+		res.callerLeft = true
+		return res
+	}
+	return result{err: e, ran: e.Verdict(), judged: instances.Broken, reached: true}
+}
+
+// RemoteError is the failure of a request at another node.
+type RemoteError struct {
+	Failure *errkind.Error
+	// Sent is the number of upstreams that the other node handed it to.
+	Sent int
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return e.Failure.Error() }
+
+// Unwrap returns the failure.
+func (e *RemoteError) Unwrap() error { return e.Failure }
+
+func sentElsewhere(err error) int {
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		return remote.Sent
+	}
+	return 0
+}
+
+func (a *attempts) receiveRemote(ctx context.Context, answer Answer) result {
+	h := answer.Head()
+	if a.r.Route.Kind == routes.Streaming && h.Status < 300 {
+		return a.stream(ctx, answer, h, func(time.Time) {})
+	}
+	return a.whole(ctx, answer, h)
+}
--- /dev/null
+++ b/core/routes/match.go
@@ -0,0 +1,94 @@
+package routes
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// index prepares Match: the routes of each host, longest prefix first.
+func (t *Table) index() {
+	t.byHost = make(map[string][]*Route)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+}
+
+// Match returns the route of the host with the longest prefix of path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// ByName returns the route of that name, or nil.
+func (t *Table) ByName(name string) *Route {
+	for i := range t.Routes {
+		if t.Routes[i].Name == name {
+			return &t.Routes[i]
+		}
+	}
+	return nil
+}
+
+// HostRegions returns the regions in which every route of a host may run; nil
+// if there is no such restriction.
+func (t *Table) HostRegions(host string) []domain.Region {
+	var common []domain.Region
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if len(r.Regions) == 0 {
+			continue
+		}
+		if common == nil {
+			common = slices.Clone(r.Regions)
+			continue
+		}
+		common = slices.DeleteFunc(common, func(region domain.Region) bool { return !r.Allows(region) })
+	}
+	return common
+}
+
+// ServiceFor picks the service of a request by the route's weights. The same
+// request id always gets the same service of one table.
+func (r *Route) ServiceFor(id domain.RequestID) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := uint64(0)
+	for _, s := range r.Shares {
+		total += uint64(s.Weight)
+	}
+	if total == 0 {
+		return ""
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // a hash never fails to write
+	point := mix(h.Sum64()) % total
+	for _, s := range r.Shares {
+		if point < uint64(s.Weight) {
+			return s.Service
+		}
+		point -= uint64(s.Weight)
+	}
+	return ""
+}
+
+// mix spreads the entropy of h over all its bits (the finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- /dev/null
+++ b/core/routes/match_test.go
@@ -0,0 +1,92 @@
+package routes_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/routes"
+)
+
+func route(name, host, prefix string, shares ...routes.Share) routes.Route {
+	if len(shares) == 0 {
+		shares = []routes.Share{{Service: "app", Weight: 1}}
+	}
+	return routes.Route{Name: name, Host: host, PathPrefix: prefix, Kind: routes.Idempotent,
+		Timeout: time.Second, MaxAttempts: 1, Shares: shares}
+}
+
+func table(t *testing.T, list ...routes.Route) *routes.Table {
+	t.Helper()
+	made, err := routes.New(1, list, []routes.Service{{Name: "app"}, {Name: "app2"}}, routes.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	tab := table(t, route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/y/z/"))
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"A.Example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y/z/1", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/X/1", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if r := tab.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("Match(%q, %q) = %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	tab := table(t, route("r", "a", "/", routes.Share{Service: "app", Weight: 90}, routes.Share{Service: "app2", Weight: 10}))
+	r := tab.Match("a", "/")
+	counts := map[string]int{}
+	const draws = 10000
+	for i := range draws {
+		counts[r.ServiceFor(domain.RequestID(fmt.Sprint("id-", i)))]++
+	}
+	if got := float64(counts["app2"]) / draws; got < 0.08 || got > 0.12 {
+		t.Errorf("share of app2 = %v, want 0.1", got)
+	}
+}
+
+func TestHostRegionsAreThoseOfEveryRoute(t *testing.T) {
+	free, west, both := route("free", "h", "/f/"), route("west", "h", "/w/"), route("both", "h", "/b/")
+	west.Regions = []domain.Region{"west"}
+	both.Regions = []domain.Region{"west", "east"}
+	got := table(t, free, west, both).HostRegions("h")
+	if len(got) != 1 || got[0] != "west" {
+		t.Errorf("HostRegions = %v, want [west]", got)
+	}
+	if got := table(t, free).HostRegions("h"); got != nil {
+		t.Errorf("HostRegions without restriction = %v", got)
+	}
+}
+
+func TestUnsoundTablesAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*routes.Route){
+		"no host":         func(r *routes.Route) { r.Host = "" },
+		"prefix":          func(r *routes.Route) { r.PathPrefix = "/x" },
+		"kind":            func(r *routes.Route) { r.Kind = "odd" },
+		"timeout":         func(r *routes.Route) { r.Timeout = 0 },
+		"attempts":        func(r *routes.Route) { r.MaxAttempts = 0 },
+		"unknown service": func(r *routes.Route) { r.Shares = []routes.Share{{Service: "none", Weight: 1}} },
+		"no weight":       func(r *routes.Route) { r.Shares[0].Weight = 0 },
+	} {
+		r := route("r", "h", "/")
+		change(&r)
+		if _, err := routes.New(1, []routes.Route{r}, []routes.Service{{Name: "app"}}, routes.Limits{}); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- /dev/null
+++ b/core/sharedbounds/bounds_test.go
@@ -0,0 +1,115 @@
+package sharedbounds_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/sharedbounds"
+)
+
+// TestRetriesOfAllNodesStayWithinTheBound plays a fleet where every request
+// wants to be sent again, and counts over each window.
+func TestRetriesOfAllNodesStayWithinTheBound(t *testing.T) {
+	const (
+		nodes  = 9
+		ratio  = 0.2
+		slack  = 58.0
+		window = 10 * time.Second
+	)
+	draw := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	budgets := make([]*sharedbounds.RetryBudget, nodes)
+	for i := range budgets {
+		budgets[i] = sharedbounds.NewRetryBudget(ratio, slack, window)
+	}
+	type event struct {
+		at    time.Duration
+		again bool
+	}
+	var events []event
+	for at := time.Duration(0); at < 40*time.Second; at += 5 * time.Millisecond {
+		if at > 15*time.Second && at < 25*time.Second && draw.IntN(10) > 0 {
+			continue // a lull, after which old first sends must not count
+		}
+		node := draw.IntN(nodes)
+		now := start.Add(at)
+		budgets[node].First(now, "s")
+		events = append(events, event{at, false})
+		if budgets[node].Take(now, "s", nodes) {
+			events = append(events, event{at, true})
+		}
+	}
+	granted := 0
+	for i := range events {
+		firsts, again := 0, 0
+		for _, e := range events[i:] {
+			if e.at-events[i].at >= window {
+				break
+			}
+			if e.again {
+				again++
+			} else {
+				firsts++
+			}
+		}
+		granted = max(granted, again)
+		if float64(again) > ratio*float64(firsts)+slack {
+			t.Fatalf("from %v: %d sent again for %d first sends", events[i].at, again, firsts)
+		}
+	}
+	if granted < 100 {
+		t.Errorf("at most %d sent again in a window: the budget is hardly used", granted)
+	}
+}
+
+func TestServicesHaveSeparateBudgets(t *testing.T) {
+	b := sharedbounds.NewRetryBudget(0, 10, time.Second)
+	now := time.Unix(1, 0)
+	for b.Take(now, "a", 1) {
+	}
+	if !b.Take(now, "b", 1) {
+		t.Error("one service used up another's budget")
+	}
+}
+
+// TestColdUpstreamGetsAtMostItsRate lets every node of a region send as much as
+// its share allows.
+func TestColdUpstreamGetsAtMostItsRate(t *testing.T) {
+	const rate, over, slackRequests = 6.5, 1.5, 3
+	for _, nodes := range []int{1, 2, 4, 28} {
+		var members []domain.NodeID
+		for i := range nodes {
+			members = append(members, domain.NodeID(fmt.Sprint("node-", i)))
+		}
+		paces := make([]sharedbounds.Pace, nodes)
+		var sent []time.Time
+		start := time.Unix(1000, 0)
+		for at := time.Duration(0); at < 5*time.Second; at += time.Millisecond {
+			now := start.Add(at)
+			for i, m := range members {
+				share := sharedbounds.ColdRate(m, members, "u", rate)
+				if paces[i].Ready(now, share) {
+					paces[i].Spend(now, share)
+					sent = append(sent, now)
+				}
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, s := range sent[i:] {
+				if s.Sub(sent[i]) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > rate*over+slackRequests {
+				t.Fatalf("%d nodes: %d requests in a second", nodes, n)
+			}
+		}
+		if len(sent) < 15 {
+			t.Errorf("%d nodes: only %d requests in five seconds", nodes, len(sent))
+		}
+	}
+}
