Know evacuations through other nodes, and count sends over the hop

Ruled out: a lost event, as the later list brought it. Exchanges now carry the store's revision and a digest of the operator's documents, and a watch is held for 4 s at most.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,6 +69,7 @@
 	if len(d.Table) > 0 {
 		n.state.adopt(d.Table, address)
 	}
+	n.state.operatorFromPeer(now, d)
 	if withInstances && d.Complete && !n.state.complete() {
 		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(d.Instances)))
 		n.state.takeOver(now, d)
@@ -87,6 +89,10 @@
 	if version > than {
 		d.Table = s.tableText
 	}
+	if s.knowsEvacuated {
+		d.OperatorRevision = s.operatorRevision
+		d.Evacuated = slices.Collect(maps.Keys(s.evacuated))
+	}
 	if !withInstances || !s.knowsEntries || !s.knowsEvacuated {
 		return d
 	}
@@ -95,23 +101,37 @@
 	for key, value := range s.entries {
 		d.Instances[key] = value
 	}
-	for fd := range s.evacuated {
-		d.Evacuated = append(d.Evacuated, fd)
-	}
 	return d
 }
 
+// operatorFromPeer adopts evacuations that another node knows as of a later
+// revision of the store.
+func (s *state) operatorFromPeer(now time.Time, d mesh.Documents) {
+	s.mu.Lock()
+	later := d.OperatorRevision > s.operatorRevision
+	s.mu.Unlock()
+	if !later {
+		return
+	}
+	s.setEvacuated(now, domainSet(d.Evacuated), "peer")
+	s.operatorReached(d.OperatorRevision)
+}
+
+func domainSet(list []domain.FailureDomain) map[domain.FailureDomain]bool {
+	set := make(map[domain.FailureDomain]bool, len(list))
+	for _, fd := range list {
+		set[fd] = true
+	}
+	return set
+}
+
 // takeOver adopts another node's documents where the store told nothing yet.
 func (s *state) takeOver(now time.Time, d mesh.Documents) {
 	s.mu.Lock()
 	needEntries, needEvacuated := !s.knowsEntries, !s.knowsEvacuated
 	s.mu.Unlock()
 	if needEvacuated {
-		after := make(map[domain.FailureDomain]bool)
-		for _, fd := range d.Evacuated {
-			after[fd] = true
-		}
-		s.setEvacuated(now, after, "peer")
+		s.setEvacuated(now, domainSet(d.Evacuated), "peer")
 	}
 	if needEntries {
 		items := make([]ports.Item, 0, len(d.Instances))
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -29,6 +29,7 @@
 func (n *Node) word(to domain.Region) mesh.Word {
 	now := time.Now()
 	w := mesh.Word{Sender: n.members.Self(), TableVersion: n.state.version()}
+	w.OperatorRevision, w.OperatorDigest = n.state.operator()
 	for _, m := range n.members.Alive(now) {
 		if m.Place.Region == n.settings.Place.Region {
 			w.Members = append(w.Members, m)
@@ -67,7 +68,8 @@
 	if w.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.Told(now, w.Sender.Place.Region, w.Loads, roundTrip)
 	}
-	if w.TableVersion > n.state.version() {
+	revision, digest := n.state.operator()
+	if w.TableVersion > n.state.version() || w.OperatorRevision > revision && w.OperatorDigest != digest {
 		go n.fetchFrom(w.Sender.PeerAddress, false)
 	}
 }
--- a/adapters/edgenode/feed.go
+++ b/adapters/edgenode/feed.go
@@ -20,6 +20,8 @@
 	// replace adopts all items, change some.
 	replace func(now time.Time, items []ports.Item)
 	change  func(now time.Time, items []ports.Item)
+	// reached notes the revision as of which everything is adopted; may be nil.
+	reached func(revision uint64)
 	link    *storeLink
 }
 
@@ -28,7 +30,7 @@
 	// milliseconds and is slow by a factor of a hundred at worst.
 	listTimeout = 3 * time.Second
 	// watchSlack is added to the time that the store may hold a watch.
-	watchSlack = 2 * time.Second
+	watchSlack = time.Second
 	// retryPause is the pause after a call that failed.
 	retryPause = 400 * time.Millisecond
 )
@@ -54,6 +56,7 @@
 		return 0, err
 	}
 	f.replace(time.Now(), items)
+	f.note(revision)
 	return revision, nil
 }
 
@@ -73,10 +76,17 @@
 		if len(changes) > 0 {
 			f.change(time.Now(), changes)
 		}
+		f.note(revision)
 		sleep(ctx, f.pace)
 	}
 }
 
+func (f *feed) note(revision uint64) {
+	if f.reached != nil {
+		f.reached(revision)
+	}
+}
+
 func (f *feed) next(ctx context.Context, revision uint64) ([]ports.Item, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
 	defer cancel()
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -153,7 +153,7 @@
 		group.Go(func() error { f(ctx); return nil })
 	}
 	operator := &feed{store: n.outside.Store, prefix: n.outside.Documents.OperatorPrefix(), wait: operatorWait, pace: operatorPace,
-		replace: n.state.replaceOperator, change: n.state.changeOperator, link: n.link}
+		replace: n.state.replaceOperator, change: n.state.changeOperator, reached: n.state.operatorReached, link: n.link}
 	entries := &feed{store: n.outside.Store, prefix: n.outside.Documents.InstancePrefix(), wait: entriesWait, pace: entriesPace,
 		replace: n.state.replaceEntries, change: n.state.changeEntries, link: n.link}
 	nodes := &feed{store: n.outside.Store, prefix: n.outside.Documents.NodePrefix(), wait: nodesWait, pace: nodesPace,
@@ -168,14 +168,15 @@
 }
 
 const (
-	// operatorWait is short enough to notice a silent connection; operatorPace
-	// bounds the calls while changes come in quick succession.
-	operatorWait = 10 * time.Second
+	// operatorWait bounds how long a watch that lost its changes goes unnoticed:
+	// an evacuation must be in force within five seconds. operatorPace bounds the
+	// calls while changes come in quick succession.
+	operatorWait = 4 * time.Second
 	operatorPace = 150 * time.Millisecond
 	// entriesPace is the time between two reads of the upstreams' entries,
 	// which change about once a second each; a leaving upstream must be known
 	// within three seconds.
-	entriesWait = 5 * time.Second
+	entriesWait = 1500 * time.Millisecond
 	entriesPace = time.Second
 	nodesWait   = 15 * time.Second
 	nodesPace   = 500 * time.Millisecond
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -9,6 +9,7 @@
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/placement"
 	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/routes"
 )
@@ -29,6 +30,9 @@
 	entries map[string][]byte
 	// knowsEntries and knowsEvacuated are set once the store or a node told.
 	knowsEntries, knowsEvacuated bool
+	// operatorRevision is the store's revision as of which the operator's
+	// documents are known.
+	operatorRevision uint64
 }
 
 func newState(d Documents, c *instances.Catalog, log event.Logger) *state {
@@ -96,6 +100,25 @@
 	s.setEvacuated(now, after, "store")
 }
 
+// operatorReached notes that the operator's documents are known as of a revision.
+func (s *state) operatorReached(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.operatorRevision = max(s.operatorRevision, revision)
+}
+
+// operator returns the revision as of which the operator's documents are known,
+// and a digest of them.
+func (s *state) operator() (revision, digest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	digest = s.version()
+	for fd := range s.evacuated {
+		digest += placement.Score(1, domain.UpstreamID(fd)) // a sum does not depend on the order
+	}
+	return s.operatorRevision, digest
+}
+
 func (s *state) setEvacuated(now time.Time, after map[domain.FailureDomain]bool, from string) {
 	s.mu.Lock()
 	before := s.evacuated
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -142,6 +142,9 @@
 	Table     []byte
 	Instances map[string][]byte
 	Evacuated []domain.FailureDomain
+	// OperatorRevision is the store's revision as of which Table and Evacuated
+	// hold; zero if the other does not know them all.
+	OperatorRevision uint64
 	// Complete is set if Instances and Evacuated were known to the other.
 	Complete bool
 }
@@ -156,7 +159,7 @@
 	if err != nil {
 		return Documents{}, errkind.New(errkind.PeerUnreachable, "fetch from %s: %w", address, err)
 	}
-	d := Documents{Table: reply.GetTable(), Complete: reply.GetHasEvacuated(), Instances: make(map[string][]byte)}
+	d := Documents{Table: reply.GetTable(), Complete: reply.GetHasEvacuated(), OperatorRevision: reply.GetOperatorRevision(), Instances: make(map[string][]byte)}
 	for _, doc := range reply.GetInstances() {
 		d.Instances[doc.GetKey()] = doc.GetValue()
 	}
@@ -196,7 +199,7 @@
 		}
 		return nil, errkind.New(errkind.PeerLost, "node %s sent no head", to.ID)
 	}
-	return &remoteAnswer{stream: stream, cancel: cancel, to: to, head: relay.Head{
+	return &remoteAnswer{stream: stream, cancel: cancel, to: to, sent: int(head.GetSent()), head: relay.Head{
 		Status: int(head.GetStatus()), Header: headerFromWire(head.GetHeader()), ContentLength: head.GetContentLength(),
 		RequestID: call.ID, Sealed: true, RanAt: domain.UpstreamID(head.GetRanAt()),
 	}}, nil
@@ -216,8 +219,11 @@
 	cancel context.CancelFunc
 	to     *peers.Member
 	head   relay.Head
+	sent   int
 }
 
+func (r *remoteAnswer) Sent() int { return max(1, r.sent) }
+
 func (r *remoteAnswer) Head() relay.Head { return r.head }
 
 func (r *remoteAnswer) Reading() instances.Reading { return instances.Reading{} }
@@ -231,6 +237,7 @@
 		return nil, lost(r.to, err)
 	}
 	if end := frame.GetEnd(); end != nil {
+		r.sent = int(end.GetSent())
 		if end.GetErrorKind() == "" {
 			return nil, io.EOF
 		}
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -66,10 +66,14 @@
 	Members      []peers.Member
 	Loads        []instances.Load
 	TableVersion uint64
+	// OperatorRevision is the store's revision as of which the sender knows the
+	// operator's documents, OperatorDigest stands for their content.
+	OperatorRevision uint64
+	OperatorDigest   uint64
 }
 
 func wordToWire(w Word) *meshpb.ExchangeMessage {
-	m := &meshpb.ExchangeMessage{Sender: memberToWire(w.Sender), TableVersion: w.TableVersion}
+	m := &meshpb.ExchangeMessage{Sender: memberToWire(w.Sender), TableVersion: w.TableVersion, OperatorRevision: w.OperatorRevision, OperatorDigest: w.OperatorDigest}
 	for _, other := range w.Members {
 		m.Members = append(m.Members, memberToWire(other))
 	}
@@ -82,7 +86,7 @@
 }
 
 func wordFromWire(m *meshpb.ExchangeMessage) Word {
-	w := Word{Sender: memberFromWire(m.GetSender()), TableVersion: m.GetTableVersion()}
+	w := Word{Sender: memberFromWire(m.GetSender()), TableVersion: m.GetTableVersion(), OperatorRevision: m.GetOperatorRevision(), OperatorDigest: m.GetOperatorDigest()}
 	for _, other := range m.GetMembers() {
 		w.Members = append(w.Members, memberFromWire(other))
 	}
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -46,7 +46,7 @@
 
 func (s *server) Fetch(_ context.Context, m *meshpb.FetchRequest) (*meshpb.FetchReply, error) {
 	d := s.handler.Fetch(m.GetTableNewerThan(), m.GetInstances())
-	reply := &meshpb.FetchReply{Table: d.Table, HasEvacuated: d.Complete}
+	reply := &meshpb.FetchReply{Table: d.Table, HasEvacuated: d.Complete, OperatorRevision: d.OperatorRevision}
 	for key, value := range d.Instances {
 		reply.Instances = append(reply.Instances, &meshpb.Document{Key: key, Value: value})
 	}
@@ -57,7 +57,8 @@
 }
 
 func (s *server) Relay(m *meshpb.RelayRequest, stream grpc.ServerStreamingServer[meshpb.RelayFrame]) error {
-	f, sent := s.handler.Relay(stream.Context(), callFromWire(m, s.now()), &frameSink{stream})
+	in := callFromWire(m, s.now())
+	f, sent := s.handler.Relay(stream.Context(), in, &frameSink{stream: stream, request: &in.Request, before: in.Sent})
 	if f != nil && f.CallerLeft {
 		return stream.Context().Err()
 	}
@@ -66,12 +67,15 @@
 
 // frameSink sends an answer to the node that relayed the request.
 type frameSink struct {
-	stream grpc.ServerStreamingServer[meshpb.RelayFrame]
+	stream  grpc.ServerStreamingServer[meshpb.RelayFrame]
+	request *relay.Request
+	before  int // upstreams that the request was sent to elsewhere
 }
 
 func (f *frameSink) Begin(h relay.Head) error {
 	return f.stream.Send(&meshpb.RelayFrame{Frame: &meshpb.RelayFrame_Head{Head: &meshpb.RelayHead{
 		Status: int32(h.Status), Header: headerToWire(h.Header), ContentLength: h.ContentLength, RanAt: string(h.RanAt),
+		Sent: uint32(f.request.Sent - f.before + 1),
 	}}})
 }
 
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -132,6 +132,8 @@
 
 func (a *routedAnswer) Reading() instances.Reading { return a.reading }
 
+func (a *routedAnswer) Sent() int { return 1 }
+
 // Next implements relay.Answer. net/http reports an answer that is shorter than
 // its framing says as an unexpected end, and a reset as an error.
 func (a *routedAnswer) Next() ([]byte, error) {
--- a/core/relay/ports.go
+++ b/core/relay/ports.go
@@ -15,6 +15,9 @@
 	// Next returns the next bytes, valid until the next call; io.EOF after the
 	// last ones of a whole answer, any other error if it was cut off.
 	Next() ([]byte, error)
+	// Sent is the number of upstreams that were handed the request, as far as is
+	// known by now.
+	Sent() int
 	// Close frees the connection; before the end it cancels the request.
 	Close()
 }
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -25,15 +25,19 @@
 	sentAt := a.Now()
 	answer, err := a.Nodes.Relay(ctx, &to, a.call())
 	var res result
+	var sent int
 	if err != nil {
 		res = a.relayFailed(ctx, region, err)
+		sent = sentElsewhere(err)
+		if res.reached {
+			sent = max(1, sent)
+		}
 	} else {
 		res = a.receiveRemote(ctx, answer)
+		sent = answer.Sent()
 		answer.Close()
 	}
-	if res.reached {
-		a.r.Sent++
-	}
+	a.r.Sent += sent
 	a.logAttempt(string(to.ID), sentAt, a.decision.Delay, res)
 	return res
 }
--- /dev/null
+++ b/core/relay/setup_test.go
@@ -0,0 +1,152 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/relay"
+	"github.com/crocusspread/crocusspread/core/routes"
+	"github.com/crocusspread/crocusspread/core/sharedbounds"
+)
+
+var here = domain.Place{Region: "west", FailureDomain: "west-a"}
+
+// reply is what a fake upstream or node does with one attempt.
+type reply struct {
+	head   relay.Head
+	chunks []string
+	// end is what follows the chunks; nil is a whole answer.
+	end error
+	// err replaces the answer.
+	err error
+	// hang waits until the attempt is cancelled.
+	hang bool
+	sent int
+}
+
+type fakeAnswer struct {
+	ctx context.Context
+	r   reply
+}
+
+func (a *fakeAnswer) Head() relay.Head           { return a.r.head }
+func (a *fakeAnswer) Reading() instances.Reading { return instances.Reading{} }
+func (a *fakeAnswer) Sent() int                  { return max(1, a.r.sent) }
+func (a *fakeAnswer) Close()                     {}
+
+func (a *fakeAnswer) Next() ([]byte, error) {
+	if len(a.r.chunks) > 0 {
+		b := []byte(a.r.chunks[0])
+		a.r.chunks = a.r.chunks[1:]
+		return b, nil
+	}
+	if a.r.hang {
+		<-a.ctx.Done()
+		return nil, a.ctx.Err()
+	}
+	if a.r.end != nil {
+		return nil, a.r.end
+	}
+	return nil, io.EOF
+}
+
+// script answers attempts in turn and records them.
+type script struct {
+	mu      sync.Mutex
+	replies []reply
+	calls   []relay.Call
+	to      []string
+}
+
+func (s *script) next(ctx context.Context, to string, c *relay.Call) (relay.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, *c)
+	s.to = append(s.to, to)
+	if len(s.replies) == 0 {
+		return nil, errors.New("no attempt was expected")
+	}
+	r := s.replies[0]
+	s.replies = s.replies[1:]
+	if r.err != nil {
+		return nil, r.err
+	}
+	if r.head.Status == 0 {
+		r.head.Status, r.head.Sealed = 200, true
+	}
+	r.head.ContentLength = -1
+	return &fakeAnswer{ctx, r}, nil
+}
+
+func (s *script) Send(ctx context.Context, to *instances.Instance, c *relay.Call) (relay.Answer, error) {
+	return s.next(ctx, string(to.ID), c)
+}
+
+func (s *script) Relay(ctx context.Context, to *peers.Member, c *relay.Call) (relay.Answer, error) {
+	return s.next(ctx, string(to.ID), c)
+}
+
+// caller records what the caller gets.
+type caller struct {
+	head relay.Head
+	body string
+	err  error // returned by writes
+}
+
+func (c *caller) Begin(h relay.Head) error { c.head = h; return c.err }
+func (c *caller) Write(b []byte) error     { c.body += string(b); return c.err }
+
+type discardMetrics struct{}
+
+func (discardMetrics) Count(string, int64)           {}
+func (discardMetrics) Observe(string, time.Duration) {}
+
+// rig is an engine with two upstreams here and one node in another region.
+type rig struct {
+	*relay.Engine
+	upstreams, nodes *script
+}
+
+func newRig(t *testing.T, local int) *rig {
+	t.Helper()
+	now := time.Now()
+	r := &rig{upstreams: &script{}, nodes: &script{}}
+	catalog := instances.NewCatalog(instances.Options{Self: here})
+	for _, id := range []domain.UpstreamID{"u1", "u2", "u3"}[:local] {
+		catalog.Put(now, instances.Instance{ID: id, Service: "app", Address: "x:1", Place: here, Slots: 4})
+	}
+	members := peers.NewMembers(peers.Member{ID: "n1", Place: here}, 0, nil)
+	regions := peers.NewRegions(event.Discard{})
+	r.Engine = &relay.Engine{
+		Self: here, Catalog: catalog, Members: members, Regions: regions, Upstreams: r.upstreams, Nodes: r.nodes,
+		Budget: sharedbounds.NewRetryBudget(1, 100, 10*time.Second), Policy: placement.DefaultPolicy(),
+		Log: event.Discard{}, Metrics: discardMetrics{}, Now: time.Now,
+	}
+	return r
+}
+
+// withEast adds a live node of another region that has room.
+func (r *rig) withEast() {
+	now := time.Now()
+	r.Members.Heard(now, &peers.Member{ID: "e1", Place: domain.Place{Region: "east"}, State: domain.NodeServing, Beat: 1}, nil)
+	r.Regions.Told(now, "east", []instances.Load{{Service: "app", Usable: 1, Free: 50, Delay: 10 * time.Millisecond}}, 0)
+}
+
+func request(kind routes.Kind, attempts int) *relay.Request {
+	now := time.Now()
+	return &relay.Request{
+		Message: relay.Message{ID: "r1", Method: "POST", Target: "/x/"},
+		Route: &routes.Route{Name: "route", Kind: kind, MaxAttempts: attempts, Timeout: 5 * time.Second, Objective: 500 * time.Millisecond,
+			Shares: []routes.Share{{Service: "app", Weight: 1}}},
+		Service: "app", Arrived: now, Deadline: now.Add(5 * time.Second),
+	}
+}
--- /dev/null
+++ b/core/relay/stream_test.go
@@ -0,0 +1,85 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/relay"
+	"github.com/crocusspread/crocusspread/core/routes"
+)
+
+func streaming(attempts int, resumable bool) *relay.Request {
+	r := request(routes.Streaming, attempts)
+	r.Route.Resumable = resumable
+	return r
+}
+
+func TestResumableStreamGoesOnBehindTheLastWholeEvent(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first []string
+		after string
+		want  string
+	}{
+		{"between events", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, "2", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+		{"within an event", []string{"id: 1\ndata: a\n\nid: 2\nda", "ta: b"}, "1", "id: 1\ndata: a\n\nid: 3\ndata: c\n\n"},
+		{"before the first event", nil, "", "id: 3\ndata: c\n\n"},
+		{"with carriage returns", []string{"id: 1\r\ndata: a\r\n\r\nid: 2\r\n"}, "1", "id: 1\r\ndata: a\r\n\r\nid: 3\ndata: c\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 3)
+			r.upstreams.replies = []reply{{chunks: c.first, end: errors.New("reset")}, {chunks: []string{"id: 3\ndata: c\n\n"}}}
+			var got caller
+			if f := r.Serve(context.Background(), streaming(2, true), &got); f != nil {
+				t.Fatal(f.Error)
+			}
+			if got.body != c.want {
+				t.Errorf("the caller got %q", got.body)
+			}
+			if after := r.upstreams.calls[1].ResumeAfter; after != c.after {
+				t.Errorf("resumed after %q, want %q", after, c.after)
+			}
+		})
+	}
+}
+
+func TestStreamThatMayNotBeResumedIsBrokenOff(t *testing.T) {
+	r := newRig(t, 3)
+	r.upstreams.replies = []reply{{chunks: []string{"id: 1\ndata: a\n\n"}, end: errors.New("reset")}}
+	var got caller
+	f := r.Serve(context.Background(), streaming(2, false), &got)
+	if f == nil || !f.Broken || f.Verdict() != domain.RunUnknown {
+		t.Errorf("got %+v, want a broken answer", f)
+	}
+}
+
+// TestStreamEndingWithinAnEventIsNotWhole: an upstream may close cleanly in the
+// middle of an event.
+func TestStreamEndingWithinAnEventIsNotWhole(t *testing.T) {
+	r := newRig(t, 3)
+	r.upstreams.replies = []reply{{chunks: []string{"id: 1\ndata: a\n\nid: 2\nda"}}}
+	var got caller
+	f := r.Serve(context.Background(), streaming(1, true), &got)
+	if f == nil || !f.Broken {
+		t.Errorf("got %+v, want a broken answer", f)
+	}
+	if got.body != "id: 1\ndata: a\n\n" {
+		t.Errorf("the caller got %q", got.body)
+	}
+}
+
+func TestResumedStreamOfACallerKeepsItsPosition(t *testing.T) {
+	r := newRig(t, 1)
+	r.upstreams.replies = []reply{good}
+	req := streaming(2, true)
+	req.ResumeAfter = "7"
+	r.upstreams.replies[0].chunks = []string{"id: 8\ndata: x\n\n"}
+	if f := r.Serve(context.Background(), req, &caller{}); f != nil {
+		t.Fatal(f.Error)
+	}
+	if got := r.upstreams.calls[0].ResumeAfter; got != "7" {
+		t.Errorf("sent to resume after %q", got)
+	}
+}
