Prefer one upstream for each shared prompt in the whole fleet

All nodes now rank all upstreams for a prompt; the way to another region takes about as long as reading the prompt and costs an eighth of it. Also: backlogs of unread prompts are bounded so that running streams do not pause, upstreams whose address another instance has are left out, a request counts once in the retry budget's base, and a failed dial is told from a lost request.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -43,6 +43,7 @@
 	mesh      *mesh.Client
 	upstreams *upstream.Routed
 
+	notices  chan instances.Notice
 	closing  atomic.Bool // answers close their connections
 	refusing atomic.Bool // new requests are refused
 	ready    atomic.Bool
@@ -72,14 +73,14 @@
 
 // New returns a node that is not running yet.
 func New(s *Settings, o Outside, log event.Logger, m *telemetry.Metrics) *Node {
-	n := &Node{settings: s, outside: o, log: log, metrics: m}
+	n := &Node{settings: s, outside: o, log: log, metrics: m, notices: make(chan instances.Notice, queuedNotices)}
 	n.seeds.Store(&s.Seeds)
 	n.members = peers.NewMembers(peers.Member{
 		ID: s.Node, Place: s.Place, EntryAddress: s.EntryAddress, PeerAddress: s.PeerAddress,
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.ProcessorShare,
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
-	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare})
+	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, Announce: n.announce})
 	n.state = newState(o.Documents, n.catalog, log)
 	n.link = &storeLink{log: log, catalog: n.catalog, drop: o.DropStoreConnections}
 	n.upstreams = upstream.NewRouted(upstream.Options{
@@ -165,6 +166,7 @@
 	loop(n.exchangeNear)
 	loop(n.exchangeFar)
 	loop(n.bootstrap)
+	loop(n.tellNotices)
 }
 
 const (
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -136,6 +136,18 @@
 	return wordFromWire(reply), c.now().Sub(start), nil
 }
 
+// Tell notes at another node of the region what this one sent to upstreams.
+func (c *Client) Tell(ctx context.Context, address string, notices []instances.Notice) error {
+	cn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	if _, err := meshpb.NewMeshClient(cn).Tell(ctx, &meshpb.TellRequest{Prompts: noticesToWire(notices)}); err != nil {
+		return errkind.New(errkind.PeerUnreachable, "tell %s: %w", address, err)
+	}
+	return nil
+}
+
 // Documents are what a node without the store can take from another.
 type Documents struct {
 	// Table is empty if the other holds nothing newer.
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -154,3 +154,21 @@
 	e.RetryAfter = time.Duration(end.GetRetryAfterMs()) * time.Millisecond
 	return &relay.RemoteError{Failure: e, Sent: int(end.GetSent())}
 }
+
+func noticesToWire(notices []instances.Notice) []*meshpb.PromptNotice {
+	wire := make([]*meshpb.PromptNotice, 0, len(notices))
+	for _, n := range notices {
+		wire = append(wire, &meshpb.PromptNotice{Service: n.Service, Instance: string(n.Instance), Tokens: uint32(n.Tokens), Shared: n.Shared})
+	}
+	return wire
+}
+
+func noticesFromWire(wire []*meshpb.PromptNotice) []instances.Notice {
+	notices := make([]instances.Notice, 0, len(wire))
+	for _, n := range wire {
+		notices = append(notices, instances.Notice{
+			Service: n.GetService(), Instance: domain.UpstreamID(n.GetInstance()), Tokens: int(n.GetTokens()), Shared: n.GetShared(),
+		})
+	}
+	return notices
+}
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh/meshpb"
+	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/relay"
 )
 
@@ -22,6 +23,8 @@
 	Relay(ctx context.Context, in *Incoming, sink relay.Sink) (f *relay.Failure, sent int)
 	// Exchange takes in another node's word and returns the own one.
 	Exchange(w Word) Word
+	// Tell takes in what another node of the region sent to upstreams.
+	Tell(notices []instances.Notice)
 	// Fetch returns the documents that this node holds.
 	Fetch(tableNewerThan uint64, withInstances bool) Documents
 }
@@ -44,6 +47,11 @@
 	return wordToWire(s.handler.Exchange(wordFromWire(m))), nil
 }
 
+func (s *server) Tell(_ context.Context, m *meshpb.TellRequest) (*meshpb.TellReply, error) {
+	s.handler.Tell(noticesFromWire(m.GetPrompts()))
+	return &meshpb.TellReply{}, nil
+}
+
 func (s *server) Fetch(_ context.Context, m *meshpb.FetchRequest) (*meshpb.FetchReply, error) {
 	d := s.handler.Fetch(m.GetTableNewerThan(), m.GetInstances())
 	reply := &meshpb.FetchReply{Table: d.Table, HasEvacuated: d.Complete, OperatorRevision: d.OperatorRevision}
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -59,8 +59,9 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		unreachable := !connected.Load() && ctx.Err() == nil
 		cancel()
-		if !connected.Load() && ctxAlive(ctx, err) {
+		if unreachable {
 			return nil, errkind.New(errkind.PeerUnreachable, "connect to %s: %w", to.Address, err)
 		}
 		return nil, errkind.New(errkind.UpstreamFailed, "send to %s: %w", to.Address, err)
@@ -72,12 +73,6 @@
 	return &routedAnswer{resp: resp, cancel: cancel, head: head, reading: reading, buffer: buffers.Get().(*[]byte)}, nil
 }
 
-// ctxAlive tells if a request failed for want of a connection, not because its
-// caller gave up while one was being set up.
-func ctxAlive(ctx context.Context, err error) bool {
-	return ctx.Err() == nil && !errors.Is(err, context.Canceled)
-}
-
 func (r *Routed) request(ctx context.Context, to *instances.Instance, c *relay.Call) *http.Request {
 	h := http.Header(c.Header).Clone()
 	if h == nil {
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -24,6 +24,8 @@
 	doubtful  map[domain.UpstreamID]time.Time
 	evacuated map[domain.FailureDomain]bool
 	services  map[string]routes.Service
+	// gaps is the shortest of the longest pauses that a service's routes allow.
+	gaps      map[string]time.Duration
 	storeAway bool
 	backAt    time.Time
 }
@@ -57,7 +59,7 @@
 	p := c.pools[service]
 	if p == nil {
 		p = newPool(service, &c.options)
-		p.configure(c.services[service])
+		p.configure(c.services[service], c.gaps[service])
 		c.pools[service] = p
 	}
 	return p
@@ -68,8 +70,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.services = t.Services
+	c.gaps = t.ShortestGaps()
 	for name, p := range c.pools {
-		p.configure(c.services[name])
+		p.configure(c.services[name], c.gaps[name])
 	}
 }
 
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -17,6 +17,9 @@
 	Doubt time.Duration
 	// ColdShare returns this node's share of a cold instance's rate.
 	ColdShare func(id domain.UpstreamID, rate float64) float64
+	// Announce passes a notice on to the other nodes of the region; it must not
+	// block. Nil announces nothing.
+	Announce func(Notice)
 	// PrefillRate is the assumed speed of engines in prompt tokens per
 	// millisecond.
 	PrefillRate float64
@@ -26,9 +29,9 @@
 	// defaultDoubt follows the platform's word that entries are back within
 	// about two seconds; drained upstreams serve for longer than that.
 	defaultDoubt = 2500 * time.Millisecond
-	// defaultPrefillRate is a little less than the speed that the deployments'
-	// sheets state for their engines, 112 tokens per millisecond.
-	defaultPrefillRate = 100
+	// defaultPrefillRate is what engines reach that also generate: a piece of
+	// pieceTokens in each readingStep.
+	defaultPrefillRate = 75
 )
 
 func (o Options) withDefaults() Options {
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -36,6 +36,7 @@
 	prompt uint64
 	shared bool
 	begun  bool
+	mark   float64
 }
 
 // Place decides where a request goes and takes the place if it is local.
@@ -45,7 +46,10 @@
 	key, sharedTokens, shared := q.SharedPrompt()
 	var candidates []placement.Candidate
 	if q.LocalAllowed {
-		candidates = p.copyCandidates(now, q, key, sharedTokens, shared)
+		candidates = p.copyCandidates(now, q)
+	}
+	if shared {
+		p.markCached(now, q, candidates, key, sharedTokens)
 	}
 	d := policy.Choose(&q.Request, p.speeds(), candidates, q.Others)
 	if d.Choice != placement.Local {
@@ -67,17 +71,16 @@
 		u.heardAt = now
 	}
 	u.inFlight++
-	u.unread++
-	u.unreadTokens += t.tokens
-	p.tokensEach += learnGain * (float64(t.tokens) - p.tokensEach)
+	t.mark = u.backlog.add(now, p.options.PrefillRate, t.tokens)
 	if t.shared {
 		p.prompts.read(now, t.prompt, u.ID)
 	}
+	p.announce(t)
 }
 
 // copyCandidates returns a candidate for each upstream, at the same index.
 // Suspect upstreams are usable only if fewer than half of the others are.
-func (p *Pool) copyCandidates(now time.Time, q *Query, key uint64, sharedTokens int, shared bool) []placement.Candidate {
+func (p *Pool) copyCandidates(now time.Time, q *Query) []placement.Candidate {
 	p.candidates = p.candidates[:0]
 	sound, usable := 0, 0
 	for _, u := range p.upstreams {
@@ -95,25 +98,21 @@
 			p.candidates[i].Usable = p.candidates[i].Usable && !p.suspected(now, u)
 		}
 	}
-	if shared {
-		p.markCached(now, key, sharedTokens)
-	}
 	return p.candidates
 }
 
 func (p *Pool) candidate(now time.Time, u *upstream, model string) placement.Candidate {
 	return placement.Candidate{
 		ID: u.ID, Place: u.Place, Slots: u.Slots, InFlight: u.inFlight,
-		Others:        u.decayed(now, u.others, othersHalfLife),
-		PendingTokens: u.unreadTokens,
-		OthersPending: u.decayed(now, u.othersPending, pendingHalfLife),
+		Others:        u.othersNow(now),
+		PendingTokens: u.backlog.now(now, p.options.PrefillRate),
 		Slowness:      p.relativeSlowness(u),
 		Usable:        p.usable(now, u, model),
 	}
 }
 
 func (p *Pool) usable(now time.Time, u *upstream, model string) bool {
-	if u.Leaving || u.evacuated || u.Place.Region != p.options.Self.Region {
+	if u.Leaving || u.evacuated || now.Before(u.movedUntil) || u.Place.Region != p.options.Self.Region {
 		return false
 	}
 	if model != "" && len(u.Models) > 0 && !slices.Contains(u.Models, model) {
@@ -129,23 +128,44 @@
 	return now.Before(u.suspectUntil) || p.config.Engine != nil && u.silent(now)
 }
 
-// markCached sets the cached tokens of upstreams that are expected to hold a
-// shared prompt: those that this node sent it to, and the one that all nodes
-// prefer for it.
-func (p *Pool) markCached(now time.Time, key uint64, sharedTokens int) {
+// markCached sets the cached tokens of the places that are expected to hold a
+// shared prompt: upstreams that nodes of the region sent it to, and the one that
+// all nodes prefer for it, wherever it stands. One upstream for the whole fleet
+// spares the others the reading, which takes longer than the way there.
+func (p *Pool) markCached(now time.Time, q *Query, candidates []placement.Candidate, key uint64, sharedTokens int) {
 	preferred, best := -1, uint64(0)
-	for i := range p.candidates {
-		c := &p.candidates[i]
-		if p.prompts.holds(now, key, c.ID) {
-			c.CachedTokens = sharedTokens
-		}
-		if s := placement.Score(key, c.ID); c.Usable && s >= best {
+	for i, u := range p.upstreams {
+		if s := placement.Score(key, u.ID); s >= best && p.mayHold(u, q, candidates, i) {
 			preferred, best = i, s
 		}
+		if candidates != nil && p.prompts.holds(now, key, u.ID) {
+			candidates[i].CachedTokens = sharedTokens
+		}
+	}
+	if preferred < 0 {
+		return
 	}
-	if preferred >= 0 {
-		p.candidates[preferred].CachedTokens = sharedTokens
+	region := p.upstreams[preferred].Place.Region
+	if region == p.options.Self.Region {
+		candidates[preferred].CachedTokens = sharedTokens
+		return
 	}
+	for i := range q.Others {
+		if q.Others[i].Region == region {
+			q.Others[i].CachedTokens = sharedTokens
+		}
+	}
+}
+
+// mayHold tells if the request could go to an upstream for its cached prompt.
+func (p *Pool) mayHold(u *upstream, q *Query, candidates []placement.Candidate, i int) bool {
+	if u.Place.Region == p.options.Self.Region {
+		return candidates != nil && candidates[i].Usable
+	}
+	if u.Leaving || u.evacuated {
+		return false
+	}
+	return slices.ContainsFunc(q.Others, func(o placement.RegionLoad) bool { return o.Region == u.Place.Region })
 }
 
 // slownessBand is the ratio up to which upstreams count as equally fast.
@@ -170,7 +190,7 @@
 	defer p.mu.Unlock()
 	t.begin(now)
 	if r.Slots > 0 {
-		t.up.reading(now, r, p.tokensEach)
+		t.up.reading(now, r)
 	}
 	if worked {
 		p.learnSpeed(t, now.Sub(t.sentAt))
@@ -183,8 +203,7 @@
 		return
 	}
 	t.begun = true
-	t.up.unread--
-	t.up.unreadTokens -= t.tokens
+	t.up.backlog.read(now, t.pool.options.PrefillRate, t.mark)
 }
 
 // minExpected keeps the ratio of actual to expected delay meaningful.
@@ -233,11 +252,15 @@
 func (p *Pool) judge(now time.Time, u *upstream, o Outcome) {
 	bad := 0.0
 	switch o {
-	case Abandoned, Misdirected:
+	case Abandoned:
+		return
+	case Misdirected:
+		u.movedUntil = now.Add(movedFor)
+		p.options.Log.Log(event.InstanceSuspect, event.F("instance", u.ID), event.F("service", p.service),
+			event.F("outcome", o.String()), event.F("for_ms", movedFor.Milliseconds()))
 		return
 	case Shed:
-		u.othersPending, u.readAt = u.decayed(now, u.othersPending, pendingHalfLife)+p.tokensEach, now
-		u.others = max(u.others, float64(u.Slots-u.inFlight))
+		u.others, u.readAt = max(u.othersNow(now), float64(u.Slots-u.inFlight)), now
 		return
 	case ServerError, Broken, Unreachable:
 		bad = 1
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -29,10 +29,9 @@
 	upstreams []*upstream
 	prompts   prompts
 	hold      time.Duration
-	// tokensEach is the average number of prompt tokens that a request has to
-	// have read.
-	tokensEach float64
-	slowness   float64
+	slowness  float64
+	// maxPending bounds the backlog of an engine; see placement.Speeds.
+	maxPending float64
 	failures   float64
 	candidates []placement.Candidate
 }
@@ -44,10 +43,36 @@
 // Service returns the service's name.
 func (p *Pool) Service() string { return p.service }
 
-func (p *Pool) configure(s routes.Service) {
+func (p *Pool) configure(s routes.Service, maxEventGap time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.config = s
+	p.maxPending = maxPendingTokens(s.Engine, maxEventGap)
+}
+
+const (
+	// plainStep and readingStep are how long an engine takes for one token of
+	// each stream, without and with a piece of a prompt read in between, and
+	// pieceTokens is the size of such a piece. Measured on the users' engines.
+	plainStep   = 6 * time.Millisecond
+	readingStep = 55 * time.Millisecond
+	pieceTokens = 4096
+	// gapShare is the part of the longest pause that backlogs may take up.
+	gapShare = 0.9
+)
+
+// maxPendingTokens returns the backlog from which streams pause for longer than
+// maxGap between events; zero if they never do.
+func maxPendingTokens(e *routes.Engine, maxGap time.Duration) float64 {
+	if e == nil || maxGap <= 0 || e.EventTokens <= 0 {
+		return 0
+	}
+	steps := time.Duration(e.EventTokens)
+	pieces := float64(time.Duration(gapShare*float64(maxGap))-steps*plainStep) / float64(readingStep-plainStep)
+	if pieces >= float64(e.EventTokens) {
+		return 0
+	}
+	return max(1, pieces) * pieceTokens
 }
 
 func (p *Pool) find(id domain.UpstreamID) *upstream {
@@ -143,6 +168,7 @@
 	s := placement.Speeds{Hold: p.hold, First: defaultFirst}
 	if p.config.Engine != nil {
 		s.PrefillRate = p.options.PrefillRate
+		s.MaxPendingTokens = p.maxPending
 	}
 	return s
 }
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -11,9 +11,6 @@
 	// othersHalfLife is how fast a reading of other nodes' requests loses its
 	// weight; a generation takes about half a second.
 	othersHalfLife = 1500 * time.Millisecond
-	// pendingHalfLife is the same for their unread prompts, which engines read
-	// within a tenth of a second each.
-	pendingHalfLife = 300 * time.Millisecond
 	// speedGain is the weight of one answer in an upstream's slowness.
 	speedGain = 0.1
 	// failureGain is the weight of one outcome in an upstream's failure rate:
@@ -26,6 +23,9 @@
 	// failureExcess is how far an upstream's failure rate may lie above its
 	// pool's before it becomes suspect.
 	failureExcess = 0.3
+	// movedFor is how long an upstream is left out whose address another instance
+	// has: its entry goes or changes within a heartbeat or two.
+	movedFor = 3 * time.Second
 	// engineSilence is the time without any byte from an engine that holds
 	// requests after which it is taken as dark. Its events come every few tens
 	// of milliseconds.
@@ -42,13 +42,10 @@
 	pace      sharedbounds.Pace
 
 	inFlight int
-	// unread counts requests before their first byte, and their prompt tokens.
-	unread       int
-	unreadTokens int
-
-	others        float64
-	othersPending float64
-	readAt        time.Time
+	backlog  backlog
+	// others estimates the requests of other nodes, as of readAt.
+	others float64
+	readAt time.Time
 
 	slowness float64
 	failures float64
@@ -56,20 +53,23 @@
 	// flight was sent.
 	heardAt      time.Time
 	suspectUntil time.Time
-	suspicion    time.Duration
+	// movedUntil is set while another instance answers at the address.
+	movedUntil time.Time
+	suspicion  time.Duration
 }
 
-func (u *upstream) decayed(now time.Time, value float64, halfLife time.Duration) float64 {
+// othersNow returns the estimate of other nodes' requests, which loses its
+// weight with its age.
+func (u *upstream) othersNow(now time.Time) float64 {
 	age := now.Sub(u.readAt)
-	if age <= 0 || value == 0 {
-		return value
+	if age <= 0 || u.others == 0 {
+		return u.others
 	}
-	return value * math.Exp2(-float64(age)/float64(halfLife))
+	return u.others * math.Exp2(-float64(age)/float64(othersHalfLife))
 }
 
-func (u *upstream) reading(now time.Time, r Reading, tokensEach float64) {
+func (u *upstream) reading(now time.Time, r Reading) {
 	u.others = max(0, float64(r.Running+r.Waiting-u.inFlight))
-	u.othersPending = max(0, float64(r.Waiting-u.unread)) * tokensEach
 	u.readAt = now
 }
 
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -15,11 +15,9 @@
 	InFlight int
 	// Others estimates the requests of other nodes there.
 	Others float64
-	// PendingTokens are prompt tokens that this node sent and that the upstream
-	// has not read yet, as far as is known.
-	PendingTokens int
-	// OthersPending estimates the same of other nodes.
-	OthersPending float64
+	// PendingTokens estimates the prompt tokens that the upstream has been sent
+	// and has not read yet.
+	PendingTokens float64
 	// CachedTokens are those of the request's prompt that need no reading.
 	CachedTokens int
 	// Slowness is the upstream's response time relative to its peers; 1 is
@@ -36,6 +34,9 @@
 	PrefillRate float64
 	// Hold is how long a request occupies a slot on average.
 	Hold time.Duration
+	// MaxPendingTokens is the backlog of unread prompts from which the streams
+	// that the engine serves meanwhile pause for too long; zero means no bound.
+	MaxPendingTokens float64
 	// First is the time to the first byte at an idle upstream, without reading
 	// the prompt.
 	First time.Duration
@@ -49,8 +50,7 @@
 func (c *Candidate) delay(s Speeds, tokens int) time.Duration {
 	d := s.First
 	if s.PrefillRate > 0 {
-		ahead := float64(c.PendingTokens) + c.OthersPending
-		d += time.Duration((ahead + float64(tokens)) / s.PrefillRate * float64(time.Millisecond))
+		d += time.Duration((c.PendingTokens + float64(tokens)) / s.PrefillRate * float64(time.Millisecond))
 	}
 	slots := max(1, c.Slots)
 	if over := c.load() + 1 - float64(slots); over > 0 {
@@ -59,6 +59,24 @@
 	return time.Duration(float64(d) * max(1, c.Slowness))
 }
 
+// minReadToWait is the prompt from which a request may have to wait: shorter
+// ones hardly lengthen a backlog.
+const minReadToWait = 2000 // tokens
+
+// waitFor returns how long a request with that many tokens to read should wait
+// so that the backlog stays within its bound. A prompt that exceeds the bound by
+// itself waits until nothing is before it.
+func (c *Candidate) waitFor(s Speeds, tokens int) time.Duration {
+	if s.MaxPendingTokens <= 0 || tokens < minReadToWait {
+		return 0
+	}
+	over := c.PendingTokens + min(float64(tokens), s.MaxPendingTokens) - s.MaxPendingTokens
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / s.PrefillRate * float64(time.Millisecond))
+}
+
 // maxPendingForRoom is the unread prompt, in milliseconds of reading, from which
 // an engine has no room for another region's requests.
 const maxPendingForRoom = 200.0
@@ -68,7 +86,7 @@
 func (c *Candidate) Room(s Speeds) (float64, time.Duration) {
 	room := max(0, float64(c.Slots)-c.load())
 	if s.PrefillRate > 0 {
-		pending := (float64(c.PendingTokens) + c.OthersPending) / s.PrefillRate
+		pending := c.PendingTokens / s.PrefillRate
 		room *= max(0, 1-pending/maxPendingForRoom)
 	}
 	return room / max(1, c.Slowness), c.delay(s, 0)
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -23,6 +23,9 @@
 	// ReadAgainWeight multiplies the time an upstream needs for prompt tokens
 	// that another one has cached: that time is lost to all requests there.
 	ReadAgainWeight float64
+	// MaxWait is the share of the objective that a request may be held until an
+	// engine has read what it was sent before.
+	MaxWait float64
 	// CrowdingCost is added per request that an upstream holds, as each one
 	// slows the others' tokens down.
 	CrowdingCost time.Duration
@@ -37,6 +40,7 @@
 		CrossingCost:     60 * time.Millisecond,
 		CrossingRefuseAt: 1,
 		ReadAgainWeight:  1.5,
+		MaxWait:          0.4,
 		CrowdingCost:     2 * time.Millisecond,
 	}
 }
@@ -48,6 +52,9 @@
 	Delay time.Duration
 	// RoundTrip is the network's share.
 	RoundTrip time.Duration
+	// CachedTokens are those of the request's prompt that an engine there is
+	// expected to hold.
+	CachedTokens int
 	// Free is the number of requests that fit before they have to wait, this
 	// node's own ones since the reading taken off.
 	Free float64
@@ -59,6 +66,8 @@
 const (
 	// Refuse means that no place would serve the request in time.
 	Refuse Choice = iota
+	// Wait means that a place will be free soon.
+	Wait
 	// Local means an upstream of the own region.
 	Local
 	// Remote means another region.
@@ -75,6 +84,11 @@
 	// Delay is the expected time to the first byte at the place chosen; for a
 	// refusal, at the best place.
 	Delay time.Duration
+	// Cost is what the place was chosen by: the delay and what the request
+	// costs others there.
+	Cost time.Duration
+	// For is how long to wait before the next look.
+	For time.Duration
 	// Tokens is the number of prompt tokens to read at the candidate.
 	Tokens int
 	// Usable is the number of candidates that could have been chosen.
@@ -90,8 +104,15 @@
 	limit := p.limit(r)
 	localOK := local.Choice == Local && r.Elapsed+local.Delay <= limit
 	remoteOK := found && r.Elapsed+remote.Delay <= min(limit, time.Duration(p.CrossingRefuseAt*float64(r.Objective)))
+	nearer := !remoteOK || local.Cost <= remote.Cost
+	if localOK && local.For > 0 && nearer {
+		if r.Elapsed+local.For <= time.Duration(p.MaxWait*float64(r.Objective)) {
+			return Decision{Choice: Wait, For: local.For, Delay: local.Delay, Usable: local.Usable}
+		}
+		nearer = !remoteOK
+	}
 	switch {
-	case localOK && (!remoteOK || local.Delay <= remote.Delay+p.CrossingCost):
+	case localOK && nearer:
 		return local
 	case remoteOK:
 		remote.Usable = local.Usable
@@ -116,7 +137,6 @@
 
 func (p Policy) bestLocal(r *Request, s Speeds, candidates []Candidate) Decision {
 	best := Decision{Choice: Refuse}
-	var bestCost time.Duration
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.Usable || slices.Contains(r.Exclude, c.ID) {
@@ -129,8 +149,10 @@
 		if s.PrefillRate > 0 {
 			cost += time.Duration(p.ReadAgainWeight * float64(tokens) / s.PrefillRate * float64(time.Millisecond))
 		}
-		if best.Choice == Refuse || cost < bestCost {
-			best.Choice, best.Index, best.Delay, best.Tokens, bestCost = Local, i, delay, tokens, cost
+		wait := c.waitFor(s, tokens)
+		cost += wait
+		if best.Choice == Refuse || cost < best.Cost {
+			best.Choice, best.Index, best.Delay, best.Tokens, best.For, best.Cost = Local, i, delay, tokens, wait, cost
 		}
 	}
 	return best
@@ -144,11 +166,15 @@
 			continue
 		}
 		delay := o.Delay + o.RoundTrip
+		tokens := max(0, r.PromptTokens-o.CachedTokens)
+		cost := delay + p.CrossingCost
 		if s.PrefillRate > 0 {
-			delay += time.Duration(float64(r.PromptTokens) / s.PrefillRate * float64(time.Millisecond))
+			reading := time.Duration(float64(tokens) / s.PrefillRate * float64(time.Millisecond))
+			delay += reading
+			cost += reading + time.Duration(p.ReadAgainWeight*float64(reading))
 		}
-		if !found || delay < best.Delay {
-			best, found = Decision{Choice: Remote, Region: o.Region, Delay: delay}, true
+		if !found || cost < best.Cost {
+			best, found = Decision{Choice: Remote, Region: o.Region, Delay: delay, Cost: cost, Tokens: tokens}, true
 		}
 	}
 	return best, found
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -40,6 +40,10 @@
 // misdirected upstreams included.
 const maxPlacings = 5
 
+// minBudgetNodes is the least number of nodes among which the budget's slack is
+// divided: a node that has just started does not know the others yet.
+const minBudgetNodes = 8
+
 // Serve carries a request until its answer is delivered. An error before the
 // head was sent is for the caller; one with Broken true means that the answer
 // must be cut off.
@@ -72,10 +76,25 @@
 	tried    []domain.UpstreamID
 	last     result
 	placings int
+	// counted is set once the request is in the retry budget's base.
+	counted bool
 	// maybeRan is set once an attempt left open whether it ran.
 	maybeRan bool
 	decision placement.Decision
-	firstAt  time.Time
+	// headAt, firstAt and lastAt are when the answer's head, its first and its
+	// last bytes so far arrived; maxGap is the longest pause between bytes.
+	headAt, firstAt, lastAt time.Time
+	maxGap                  time.Duration
+}
+
+// arrived notes bytes of the answer.
+func (a *attempts) arrived(now time.Time) {
+	if a.firstAt.IsZero() {
+		a.firstAt = now
+	} else {
+		a.maxGap = max(a.maxGap, now.Sub(a.lastAt))
+	}
+	a.lastAt = now
 }
 
 func (a *attempts) run(ctx context.Context) *Failure {
@@ -87,6 +106,13 @@
 		switch decision.Choice {
 		case placement.Refuse:
 			return a.noPlace(ctx)
+		case placement.Wait:
+			a.placings--
+			if !a.wait(ctx, decision.For) {
+				a.last = result{err: errkind.New(errkind.DeadlineUnreachable, "held for a place"), ran: domain.RunNo}
+				return a.giveUp(ctx)
+			}
+			continue
 		case placement.Local:
 			a.tried = append(a.tried, ticket.ID)
 			res = a.local(ctx, ticket)
@@ -107,6 +133,22 @@
 	}
 }
 
+// minWait bounds how often a held request looks for a place.
+const minWait = 5 * time.Millisecond
+
+// wait holds the request; it returns false if nobody waits for it any more.
+func (a *attempts) wait(ctx context.Context, d time.Duration) bool {
+	a.Metrics.Count("relay.held", 1)
+	timer := time.NewTimer(max(minWait, d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // mayRepeat decides if another attempt follows, and takes it from the budget.
 func (a *attempts) mayRepeat(res result) bool {
 	if a.placings >= maxPlacings {
@@ -125,7 +167,7 @@
 	if a.delivery.begun && a.delivery.events == nil {
 		return false
 	}
-	granted := a.Budget.Take(a.Now(), a.r.Service, a.Members.Count())
+	granted := a.Budget.Take(a.Now(), a.r.Service, max(minBudgetNodes, a.Members.Count()))
 	if !granted {
 		a.Metrics.Count("relay.budget_exhausted", 1)
 	}
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -30,7 +30,8 @@
 func (a *attempts) local(ctx context.Context, t *instances.Ticket) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if a.r.Sent == 0 {
+	if a.r.Sent == 0 && !a.counted {
+		a.counted = true
 		a.Budget.First(a.Now(), a.r.Service)
 	}
 	call := a.call()
@@ -42,6 +43,7 @@
 		res = a.sendFailed(ctx, err)
 	} else {
 		now := a.Now()
+		a.headAt = now
 		h := answer.Head()
 		t.FirstByte(now, answer.Reading(), !h.NotRun && !h.Misdirected)
 		a.Metrics.Observe("relay.first_byte_us", now.Sub(sentAt))
@@ -157,7 +159,7 @@
 }
 
 func (a *attempts) deliver(h Head, body []byte) error {
-	a.firstAt = a.Now()
+	a.arrived(a.Now())
 	if err := a.delivery.begin(h); err != nil {
 		return err
 	}
@@ -183,9 +185,7 @@
 		if len(b) > 0 {
 			now := a.Now()
 			progress(now)
-			if a.firstAt.IsZero() {
-				a.firstAt = now
-			}
+			a.arrived(now)
 			if e := a.delivery.begin(h); e != nil {
 				return a.cutOff(ctx, e)
 			}
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -54,7 +54,8 @@
 			first = took
 		}
 		a.Metrics.Observe("relay.first_us", first)
-		a.Log.Log(event.RequestServed, append(fields, event.F("status", a.last.status), event.F("first_ms", first.Milliseconds()))...)
+		a.Log.Log(event.RequestServed, append(fields, event.F("status", a.last.status), event.F("first_ms", first.Milliseconds()),
+			event.F("head_ms", a.headAt.Sub(a.r.Arrived).Milliseconds()), event.F("max_gap_ms", a.maxGap.Milliseconds()), event.F("tokens", a.decision.Tokens))...)
 		return
 	}
 	a.Metrics.Count("relay.failed."+string(f.Kind), 1)
@@ -63,5 +64,5 @@
 }
 
 func choiceName(c placement.Choice) string {
-	return [...]string{"refuse", "local", "remote"}[c]
+	return [...]string{"refuse", "wait", "local", "remote"}[c]
 }
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -33,6 +33,7 @@
 			sent = max(1, sent)
 		}
 	} else {
+		a.headAt = a.Now()
 		res = a.receiveRemote(ctx, answer)
 		sent = answer.Sent()
 		answer.Close()
--- a/core/routes/match.go
+++ b/core/routes/match.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
 )
@@ -59,6 +60,24 @@
 	return common
 }
 
+// ShortestGaps returns, for each service with streams, the shortest of the
+// longest pauses that its routes allow.
+func (t *Table) ShortestGaps() map[string]time.Duration {
+	gaps := make(map[string]time.Duration)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.MaxEventGap <= 0 {
+			continue
+		}
+		for _, s := range r.Shares {
+			if known, ok := gaps[s.Service]; !ok || r.MaxEventGap < known {
+				gaps[s.Service] = r.MaxEventGap
+			}
+		}
+	}
+	return gaps
+}
+
 // ServiceFor picks the service of a request by the route's weights. The same
 // request id always gets the same service of one table.
 func (r *Route) ServiceFor(id domain.RequestID) string {
