--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -132,6 +132,8 @@
 		n.log.Log(event.RequestRefused, event.F("request", in.ID), event.F("kind", f.Kind), event.F("from", in.From), event.F("detail", f.Message))
 		return f, 0
 	}
+	n.relayed.Add(1)
+	defer n.relayed.Add(-1)
 	before := in.Sent
 	f := n.engine.Serve(ctx, &in.Request, sink)
 	return f, in.Sent - before
--- a/adapters/edgenode/feed.go
+++ b/adapters/edgenode/feed.go
@@ -60,7 +60,8 @@
 	return revision, nil
 }
 
-// watch follows from a revision until the changes after it are no longer known.
+// watch follows from a revision until the changes after it are no longer known,
+// or a watch has failed.
 func (f *feed) watch(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		changes, next, err := f.next(ctx, revision)
@@ -70,7 +71,7 @@
 			return
 		case err != nil:
 			sleep(ctx, retryPause)
-			continue
+			return // what a watch without an answer missed, only a list tells
 		}
 		revision = next
 		if len(changes) > 0 {
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -43,7 +43,9 @@
 	mesh      *mesh.Client
 	upstreams *upstream.Routed
 
-	notices  chan instances.Notice
+	notices chan instances.Notice
+	// relayed counts the requests being carried for other nodes.
+	relayed  atomic.Int64
 	closing  atomic.Bool // answers close their connections
 	refusing atomic.Bool // new requests are refused
 	ready    atomic.Bool
@@ -113,6 +115,9 @@
 	return sharedbounds.ColdRate(n.settings.Node, n.members.InRegion(time.Now()), id, rate)
 }
 
+// inFlight returns the requests being carried, for callers and other nodes.
+func (n *Node) inFlight() int64 { return n.handler.InFlight() + n.relayed.Load() }
+
 func (n *Node) accepting() *errkind.Error {
 	if n.refusing.Load() {
 		return errkind.New(errkind.Draining, "node %s stops", n.settings.Node)
@@ -144,7 +149,7 @@
 	n.mesh.Close()
 	n.upstreams.Close()
 	err = group.Wait()
-	n.log.Log(event.NodeStopped, event.F("node", n.settings.Node), event.F("requests_cut", n.handler.InFlight()))
+	n.log.Log(event.NodeStopped, event.F("node", n.settings.Node), event.F("requests_cut", n.inFlight()))
 	return err
 }
 
@@ -173,7 +178,7 @@
 	// operatorWait bounds how long a watch that lost its changes goes unnoticed:
 	// an evacuation must be in force within five seconds. operatorPace bounds the
 	// calls while changes come in quick succession.
-	operatorWait = 4 * time.Second
+	operatorWait = 3 * time.Second
 	operatorPace = 150 * time.Millisecond
 	// entriesPace is the time between two reads of the upstreams' entries,
 	// which change about once a second each; a leaving upstream must be known
--- a/adapters/edgenode/stop.go
+++ b/adapters/edgenode/stop.go
@@ -37,12 +37,12 @@
 	n.ready.Store(false)
 	n.closing.Store(true)
 	n.members.SetState(domain.NodeDraining)
-	n.log.Log(event.NodeDraining, event.F("node", n.settings.Node), event.F("in_flight", n.handler.InFlight()), event.F("grace_ms", n.settings.Grace.Milliseconds()))
+	n.log.Log(event.NodeDraining, event.F("node", n.settings.Node), event.F("in_flight", n.inFlight()), event.F("grace_ms", n.settings.Grace.Milliseconds()))
 	n.tellAll(ctx)
 	go n.unregister()
 	sleep(ctx, min(acceptWhileStopping, time.Until(deadline)))
 	n.refusing.Store(true)
-	for n.handler.InFlight() > 0 && time.Now().Before(deadline) {
+	for n.inFlight() > 0 && time.Now().Before(deadline) {
 		sleep(ctx, idleCheck)
 	}
 	n.members.SetState(domain.NodeStopped)
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -137,7 +137,8 @@
 
 func (p Policy) bestLocal(r *Request, s Speeds, candidates []Candidate) Decision {
 	best := Decision{Choice: Refuse}
-	for i := range candidates {
+	for n := range candidates {
+		i := (n + int(r.Spread%uint32(len(candidates)))) % len(candidates)
 		c := &candidates[i]
 		if !c.Usable || slices.Contains(r.Exclude, c.ID) {
 			continue
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -28,6 +28,9 @@
 	Left time.Duration
 	// Urgent requests are refused later than others; see Policy.
 	Urgent bool
+	// Spread is uniform; it decides between places that are equally good, so
+	// that nodes do not all send to the same one.
+	Spread uint32
 	// Exclude lists upstreams that were tried already.
 	Exclude []domain.UpstreamID
 }
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -182,7 +182,7 @@
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.Input, OutputTokens: r.Prompt.Output,
 			Objective: r.Route.Objective, Elapsed: now.Sub(r.Arrived), Left: r.Deadline.Sub(now),
-			Urgent: r.Route.Priority == 0, Exclude: a.tried,
+			Urgent: r.Route.Priority == 0, Exclude: a.tried, Spread: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
 		LocalAllowed: r.Route.Allows(a.Self.Region),
