--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -30,7 +30,7 @@
 	// Table returns the routing table in force, nil if none is known.
 	Table func() *routes.Table
 	// Accepting returns nil while the node takes requests.
-	Accepting func() *errkind.Error
+	Accepting func(ctx context.Context) *errkind.Error
 	// Closing tells if connections are to be closed after their answer.
 	Closing func() bool
 	Log     event.Logger
@@ -91,13 +91,13 @@
 
 // read takes in the message and finds its route.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, arrived time.Time, arrival Arrival, unsound error) (*relay.Request, int64, *errkind.Error) {
+	if err := h.Accepting(r.Context()); err != nil {
+		return nil, 0, err
+	}
 	table := h.Table()
 	if table == nil {
 		return nil, 0, errkind.New(errkind.ListsUnavailable, "no routing table is known yet")
 	}
-	if err := h.Accepting(); err != nil {
-		return nil, 0, err
-	}
 	route := table.Match(hostOf(r), rawPath(r))
 	if route == nil {
 		return nil, 0, errkind.New(errkind.UnknownTarget, "no route for %s%s in table %d", r.Host, r.URL.Path, table.Version)
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -88,7 +88,6 @@
 		}
 		n.mesh.Forget(n.members.Known())
 		n.catalog.Sweep(time.Now())
-		n.noteReady()
 		sleep(ctx, jitter(nearPace))
 	}
 }
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -118,7 +118,21 @@
 // inFlight returns the requests being carried, for callers and other nodes.
 func (n *Node) inFlight() int64 { return n.handler.InFlight() + n.relayed.Load() }
 
-func (n *Node) accepting() *errkind.Error {
+// startHold is how long a request that arrives while the node starts is held for
+// what the node has to know; the store answers within milliseconds.
+const startHold = 400 * time.Millisecond
+
+// accepting returns nil while the node takes requests.
+func (n *Node) accepting(ctx context.Context) *errkind.Error {
+	if !n.state.complete() {
+		ctx, cancel := context.WithTimeout(ctx, startHold)
+		defer cancel()
+		select {
+		case <-n.state.completed:
+		case <-ctx.Done():
+			return errkind.New(errkind.ListsUnavailable, "the node starts and does not know enough yet")
+		}
+	}
 	if n.refusing.Load() {
 		return errkind.New(errkind.Draining, "node %s stops", n.settings.Node)
 	}
@@ -171,6 +185,7 @@
 	loop(n.exchangeNear)
 	loop(n.exchangeFar)
 	loop(n.bootstrap)
+	loop(n.awaitReady)
 	loop(n.tellNotices)
 }
 
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -33,10 +33,14 @@
 	// operatorRevision is the store's revision as of which the operator's
 	// documents are known.
 	operatorRevision uint64
+	// completed is closed once the node knows enough to serve.
+	completed chan struct{}
+	announced bool
 }
 
 func newState(d Documents, c *instances.Catalog, log event.Logger) *state {
-	return &state{documents: d, catalog: c, log: log, evacuated: make(map[domain.FailureDomain]bool), entries: make(map[string][]byte)}
+	return &state{documents: d, catalog: c, log: log, evacuated: make(map[domain.FailureDomain]bool),
+		entries: make(map[string][]byte), completed: make(chan struct{})}
 }
 
 // version returns that of the routing table, zero without one.
@@ -49,6 +53,7 @@
 
 // adopt takes a routing table into force if it is sound and newer.
 func (s *state) adopt(value []byte, from string) {
+	defer s.noteComplete()
 	t, err := s.documents.Table(value)
 	if err != nil {
 		s.log.Log(event.ListsRefused, event.F("from", from), event.F("error", err), event.F("in_force", s.version()))
@@ -124,6 +129,7 @@
 	before := s.evacuated
 	s.evacuated, s.knowsEvacuated = after, true
 	s.mu.Unlock()
+	defer s.noteComplete()
 	if maps.Equal(before, after) {
 		return
 	}
@@ -157,6 +163,7 @@
 	s.mu.Lock()
 	s.entries, s.knowsEntries = entries, true
 	s.mu.Unlock()
+	s.noteComplete()
 }
 
 // changeEntries adopts changed entries of upstreams; of several changes to one
@@ -202,7 +209,20 @@
 
 // complete tells if the node knows enough to serve.
 func (s *state) complete() bool {
+	select {
+	case <-s.completed:
+		return true
+	default:
+		return false
+	}
+}
+
+// noteComplete closes completed once everything is known.
+func (s *state) noteComplete() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Load() != nil && s.knowsEntries && s.knowsEvacuated
+	if !s.announced && s.table.Load() != nil && s.knowsEntries && s.knowsEvacuated {
+		s.announced = true
+		close(s.completed)
+	}
 }
--- a/adapters/edgenode/stop.go
+++ b/adapters/edgenode/stop.go
@@ -19,10 +19,15 @@
 	idleCheck = 50 * time.Millisecond
 )
 
-// noteReady moves the node from starting to serving once it knows enough.
-func (n *Node) noteReady() {
-	if n.members.State() != domain.NodeStarting || !n.state.complete() {
+// awaitReady moves the node from starting to serving once it knows enough.
+func (n *Node) awaitReady(ctx context.Context) {
+	select {
+	case <-ctx.Done():
 		return
+	case <-n.state.completed:
+	}
+	if n.members.State() != domain.NodeStarting {
+		return // it stops already
 	}
 	n.members.SetState(domain.NodeServing)
 	n.ready.Store(true)
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 
 	http  *httptest.Server
 	store *storesim.Store
+	// via is the registered address if it is not the server's own.
+	via string
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -54,8 +57,15 @@
 
 // Start runs a server and registers it.
 func Start(store *storesim.Store, service, zone, id string) *Server {
+	return StartVia(store, service, zone, id, func(address string) string { return address })
+}
+
+// StartVia runs a server that registers the address that via returns for its own,
+// for instance that of a relay before it.
+func StartVia(store *storesim.Store, service, zone, id string, via func(address string) string) *Server {
 	s := &Server{ID: id, Service: service, Zone: zone, Slots: 8, store: store, runs: make(map[string]int)}
 	s.http = httptest.NewServer(s)
+	s.via = via(s.Address())
 	s.Register("ready")
 	return s
 }
@@ -70,7 +80,7 @@
 	seq := s.seq
 	s.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
-		"service": s.Service, "address": s.Address(), "zone": s.Zone, "version": "v1", "slots": s.Slots,
+		"service": s.Service, "address": s.via, "zone": s.Zone, "version": "v1", "slots": s.Slots,
 		"state": state, "cold_remaining_ms": 0, "seq": seq, "born": 1,
 	})
 	if err != nil {
@@ -154,7 +164,7 @@
 	h.Set("X-Request-Id", id)
 	h.Set("X-Response-Seal", "seal-"+id)
 	h.Set("X-Server-Load", "1,0,"+strconv.Itoa(s.Slots))
-	if b.Events > 0 {
+	if b.Events > 0 && !plainPath(r.URL.Path) {
 		s.stream(w, r, b)
 		return
 	}
@@ -162,6 +172,17 @@
 	_, _ = fmt.Fprintf(w, "%s %s %d", s.ID, r.RequestURI, len(body)) // the caller may have left
 }
 
+// plainPath tells if a path asks for a body although the server streams: those
+// of calls.
+func plainPath(path string) bool {
+	for _, prefix := range []string{"/safe/", "/call/", "/home/"} {
+		if strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // pause waits; it returns false if the caller left.
 func (s *Server) pause(r *http.Request, d time.Duration) bool {
 	select {
@@ -195,3 +216,10 @@
 		}
 	}
 }
+
+// With returns the behaviour with that many events for requests of streams; see
+// Server.ServeHTTP.
+func (b Behaviour) With(events int) Behaviour {
+	b.Events = events
+	return b
+}
