Let two nodes a region read the store for all; give silent streams longer

Two readers a region now read; the others learn revision and digest in exchanges and fetch what differs. Ruled out: stale reads, whose age is not bounded. A stream that has begun now gets 1.7 s, and nothing is given up unless another attempt may follow.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -70,9 +70,8 @@
 		n.state.adopt(d.Table, address)
 	}
 	n.state.operatorFromPeer(now, d)
-	if withInstances && d.Complete && !n.state.complete() {
-		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(d.Instances)))
-		n.state.takeOver(now, d)
+	if withInstances && d.Complete && n.state.entriesFromPeer(now, d) {
+		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(d.Instances)), event.F("revision", d.EntriesRevision))
 	}
 }
 
@@ -90,13 +89,14 @@
 		d.Table = s.tableText
 	}
 	if s.knowsEvacuated {
-		d.OperatorRevision = s.operatorRevision
+		d.OperatorRevision = s.operatorKnown.revision
 		d.Evacuated = slices.Collect(maps.Keys(s.evacuated))
 	}
 	if !withInstances || !s.knowsEntries || !s.knowsEvacuated {
 		return d
 	}
 	d.Complete = true
+	d.EntriesRevision = s.entriesKnown.revision
 	d.Instances = make(map[string][]byte, len(s.entries))
 	for key, value := range s.entries {
 		d.Instances[key] = value
@@ -108,7 +108,7 @@
 // revision of the store.
 func (s *state) operatorFromPeer(now time.Time, d mesh.Documents) {
 	s.mu.Lock()
-	later := d.OperatorRevision > s.operatorRevision
+	later := d.OperatorRevision > s.operatorKnown.revision || !s.knowsEvacuated && d.Complete
 	s.mu.Unlock()
 	if !later {
 		return
@@ -125,19 +125,20 @@
 	return set
 }
 
-// takeOver adopts another node's documents where the store told nothing yet.
-func (s *state) takeOver(now time.Time, d mesh.Documents) {
+// entriesFromPeer adopts upstreams' entries that another node knows as of a later
+// revision of the store, or any if this node knows none.
+func (s *state) entriesFromPeer(now time.Time, d mesh.Documents) bool {
 	s.mu.Lock()
-	needEntries, needEvacuated := !s.knowsEntries, !s.knowsEvacuated
+	adopt := d.EntriesRevision > s.entriesKnown.revision || !s.knowsEntries
 	s.mu.Unlock()
-	if needEvacuated {
-		s.setEvacuated(now, domainSet(d.Evacuated), "peer")
+	if !adopt {
+		return false
 	}
-	if needEntries {
-		items := make([]ports.Item, 0, len(d.Instances))
-		for key, value := range d.Instances {
-			items = append(items, ports.Item{Key: key, Value: value})
-		}
-		s.replaceEntries(now, items)
+	items := make([]ports.Item, 0, len(d.Instances))
+	for key, value := range d.Instances {
+		items = append(items, ports.Item{Key: key, Value: value})
 	}
+	s.replaceEntries(now, items)
+	s.entriesReached(d.EntriesRevision)
+	return true
 }
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -29,7 +29,9 @@
 func (n *Node) word(to domain.Region) mesh.Word {
 	now := time.Now()
 	w := mesh.Word{Sender: n.members.Self(), TableVersion: n.state.version()}
-	w.OperatorRevision, w.OperatorDigest = n.state.operator()
+	operator, entries := n.state.positions()
+	w.OperatorRevision, w.OperatorDigest = operator.revision, operator.digest
+	w.EntriesRevision, w.EntriesDigest = entries.revision, entries.digest
 	for _, m := range n.members.Alive(now) {
 		if m.Place.Region == n.settings.Place.Region {
 			w.Members = append(w.Members, m)
@@ -68,9 +70,26 @@
 	if w.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.Told(now, w.Sender.Place.Region, w.Loads, roundTrip)
 	}
-	revision, digest := n.state.operator()
-	if w.TableVersion > n.state.version() || w.OperatorRevision > revision && w.OperatorDigest != digest {
-		go n.fetchFrom(w.Sender.PeerAddress, false)
+	n.compare(w)
+}
+
+// compare fetches what the other node knows of a later revision of the store, and
+// notes that what is equal is known as of that revision.
+func (n *Node) compare(w mesh.Word) {
+	operator, entries := n.state.positions()
+	needOperator := w.TableVersion > n.state.version() || operator.behind(w.OperatorRevision, w.OperatorDigest)
+	needEntries := entries.behind(w.EntriesRevision, w.EntriesDigest)
+	if !needOperator && operator.digest == w.OperatorDigest {
+		n.state.operatorReached(w.OperatorRevision)
+	}
+	if !needEntries && entries.digest == w.EntriesDigest {
+		n.state.entriesReached(w.EntriesRevision)
+	}
+	if (needOperator || needEntries) && n.fetching.CompareAndSwap(false, true) {
+		go func() {
+			defer n.fetching.Store(false)
+			n.fetchFrom(w.Sender.PeerAddress, needEntries)
+		}()
 	}
 }
 
@@ -92,6 +111,25 @@
 	}
 }
 
+// spreadChanges tells the nodes of the region of a change of the operator's
+// documents, if this node reads the store for them.
+func (n *Node) spreadChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.state.changed:
+		}
+		if !n.reader() {
+			continue
+		}
+		for _, m := range n.members.Targets(time.Now(), n.settings.Place.Region) {
+			go n.exchange(ctx, m)
+		}
+		sleep(ctx, operatorPace)
+	}
+}
+
 // exchangeFar asks one node of each other region for the region's load.
 func (n *Node) exchangeFar(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/adapters/edgenode/feed.go
+++ b/adapters/edgenode/feed.go
@@ -23,8 +23,15 @@
 	// reached notes the revision as of which everything is adopted; may be nil.
 	reached func(revision uint64)
 	link    *storeLink
+	// due tells if this node is to read; nil always reads.
+	due func() bool
 }
 
+// idlePause is how often a node that does not read looks if it should.
+const idlePause = 200 * time.Millisecond
+
+func (f *feed) isDue() bool { return f.due == nil || f.due() }
+
 const (
 	// listTimeout bounds a range of one page or more; the store answers within
 	// milliseconds and is slow by a factor of a hundred at worst.
@@ -38,6 +45,10 @@
 // run follows until ctx ends.
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.isDue() {
+			sleep(ctx, idlePause)
+			continue
+		}
 		revision, err := f.list(ctx)
 		if err != nil {
 			sleep(ctx, retryPause)
@@ -63,7 +74,7 @@
 // watch follows from a revision until the changes after it are no longer known,
 // or a watch has failed.
 func (f *feed) watch(ctx context.Context, revision uint64) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && f.isDue() {
 		changes, next, err := f.next(ctx, revision)
 		switch {
 		case errors.Is(err, errkind.Of(errkind.HistoryLost)):
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -46,6 +46,7 @@
 	notices chan instances.Notice
 	// relayed counts the requests being carried for other nodes.
 	relayed  atomic.Int64
+	fetching atomic.Bool // one fetch from another node at a time
 	closing  atomic.Bool // answers close their connections
 	refusing atomic.Bool // new requests are refused
 	ready    atomic.Bool
@@ -173,11 +174,11 @@
 		group.Go(func() error { f(ctx); return nil })
 	}
 	operator := &feed{store: n.outside.Store, prefix: n.outside.Documents.OperatorPrefix(), wait: operatorWait, pace: operatorPace,
-		replace: n.state.replaceOperator, change: n.state.changeOperator, reached: n.state.operatorReached, link: n.link}
+		replace: n.state.replaceOperator, change: n.state.changeOperator, reached: n.state.operatorReached, link: n.link, due: n.operatorDue}
 	entries := &feed{store: n.outside.Store, prefix: n.outside.Documents.InstancePrefix(), wait: entriesWait, pace: entriesPace,
-		replace: n.state.replaceEntries, change: n.state.changeEntries, link: n.link}
+		replace: n.state.replaceEntries, change: n.state.changeEntries, reached: n.state.entriesReached, link: n.link, due: n.entriesDue}
 	nodes := &feed{store: n.outside.Store, prefix: n.outside.Documents.NodePrefix(), wait: nodesWait, pace: nodesPace,
-		replace: n.nodesReplaced, change: n.nodesChanged, link: n.link}
+		replace: n.nodesReplaced, change: n.nodesChanged, link: n.link, due: n.nodesDue}
 	loop(operator.run)
 	loop(entries.run)
 	loop(nodes.run)
@@ -186,6 +187,7 @@
 	loop(n.exchangeFar)
 	loop(n.bootstrap)
 	loop(n.awaitReady)
+	loop(n.spreadChanges)
 	loop(n.tellNotices)
 }
 
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -30,17 +30,20 @@
 	entries map[string][]byte
 	// knowsEntries and knowsEvacuated are set once the store or a node told.
 	knowsEntries, knowsEvacuated bool
-	// operatorRevision is the store's revision as of which the operator's
-	// documents are known.
-	operatorRevision uint64
+	// hashes are those of entries, by key; their sum is the digest.
+	hashes map[string]uint64
+	// operatorKnown and entriesKnown tell how far the store is followed.
+	operatorKnown, entriesKnown known
 	// completed is closed once the node knows enough to serve.
 	completed chan struct{}
+	// changed gets a token when the operator's documents changed.
+	changed   chan struct{}
 	announced bool
 }
 
 func newState(d Documents, c *instances.Catalog, log event.Logger) *state {
 	return &state{documents: d, catalog: c, log: log, evacuated: make(map[domain.FailureDomain]bool),
-		entries: make(map[string][]byte), completed: make(chan struct{})}
+		entries: make(map[string][]byte), completed: make(chan struct{}), hashes: make(map[string]uint64), changed: make(chan struct{}, 1)}
 }
 
 // version returns that of the routing table, zero without one.
@@ -68,6 +71,7 @@
 	s.catalog.Configure(t)
 	s.table.Store(t)
 	s.tableText = value
+	s.noteChanged()
 	s.log.Log(event.ListsAdopted, event.F("version", t.Version), event.F("before", before), event.F("from", from),
 		event.F("routes", len(t.Routes)), event.F("services", len(t.Services)))
 }
@@ -109,19 +113,38 @@
 func (s *state) operatorReached(revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.operatorRevision = max(s.operatorRevision, revision)
+	s.operatorKnown.reach(time.Now(), revision)
 }
 
-// operator returns the revision as of which the operator's documents are known,
-// and a digest of them.
-func (s *state) operator() (revision, digest uint64) {
+// entriesReached does the same for the entries of upstreams.
+func (s *state) entriesReached(revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	digest = s.version()
+	s.entriesKnown.reach(time.Now(), revision)
+}
+
+func (s *state) operatorAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.operatorKnown.at)
+}
+
+func (s *state) entriesAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.entriesKnown.at)
+}
+
+// positions returns how far the operator's documents and the entries are known.
+func (s *state) positions() (operator, entries known) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	operator, entries = s.operatorKnown, s.entriesKnown
+	operator.digest = s.version()
 	for fd := range s.evacuated {
-		digest += placement.Score(1, domain.UpstreamID(fd)) // a sum does not depend on the order
+		operator.digest += placement.Score(1, domain.UpstreamID(fd)) // a sum does not depend on the order
 	}
-	return s.operatorRevision, digest
+	return operator, entries
 }
 
 func (s *state) setEvacuated(now time.Time, after map[domain.FailureDomain]bool, from string) {
@@ -134,6 +157,7 @@
 		return
 	}
 	s.catalog.SetEvacuated(now, after)
+	s.noteChanged()
 	for fd := range after {
 		if !before[fd] {
 			s.log.Log(event.EvacuationChanged, event.F("failure_domain", fd), event.F("evacuated", true), event.F("from", from))
@@ -149,6 +173,8 @@
 // replaceEntries adopts all entries of upstreams.
 func (s *state) replaceEntries(now time.Time, items []ports.Item) {
 	entries := make(map[string][]byte, len(items))
+	hashes := make(map[string]uint64, len(items))
+	digest := uint64(0)
 	var list []instances.Instance
 	for _, i := range items {
 		in, err := s.documents.Instance(i.Key, i.Value)
@@ -157,11 +183,14 @@
 			continue
 		}
 		entries[i.Key] = i.Value
+		hashes[i.Key] = entryHash(in)
+		digest += hashes[i.Key]
 		list = append(list, in)
 	}
 	s.catalog.Replace(now, list)
 	s.mu.Lock()
-	s.entries, s.knowsEntries = entries, true
+	s.entries, s.hashes, s.knowsEntries = entries, hashes, true
+	s.entriesKnown.digest = digest
 	s.mu.Unlock()
 	s.noteComplete()
 }
@@ -197,6 +226,7 @@
 	}
 	s.mu.Lock()
 	s.entries[i.Key] = i.Value
+	s.setHash(i.Key, entryHash(in))
 	s.mu.Unlock()
 	s.catalog.Put(now, in)
 }
@@ -204,9 +234,20 @@
 func (s *state) forget(key string) {
 	s.mu.Lock()
 	delete(s.entries, key)
+	s.setHash(key, 0)
 	s.mu.Unlock()
 }
 
+// setHash replaces an entry's share of the digest; zero removes it.
+func (s *state) setHash(key string, hash uint64) {
+	s.entriesKnown.digest += hash - s.hashes[key]
+	if hash == 0 {
+		delete(s.hashes, key)
+		return
+	}
+	s.hashes[key] = hash
+}
+
 // complete tells if the node knows enough to serve.
 func (s *state) complete() bool {
 	select {
@@ -217,6 +258,14 @@
 	}
 }
 
+// noteChanged asks for the change to be told to other nodes at once.
+func (s *state) noteChanged() {
+	select {
+	case s.changed <- struct{}{}:
+	default: // asked for already
+	}
+}
+
 // noteComplete closes completed once everything is known.
 func (s *state) noteComplete() {
 	s.mu.Lock()
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -157,6 +157,8 @@
 	// OperatorRevision is the store's revision as of which Table and Evacuated
 	// hold; zero if the other does not know them all.
 	OperatorRevision uint64
+	// EntriesRevision is the same for Instances.
+	EntriesRevision uint64
 	// Complete is set if Instances and Evacuated were known to the other.
 	Complete bool
 }
@@ -171,7 +173,7 @@
 	if err != nil {
 		return Documents{}, errkind.New(errkind.PeerUnreachable, "fetch from %s: %w", address, err)
 	}
-	d := Documents{Table: reply.GetTable(), Complete: reply.GetHasEvacuated(), OperatorRevision: reply.GetOperatorRevision(), Instances: make(map[string][]byte)}
+	d := Documents{Table: reply.GetTable(), Complete: reply.GetHasEvacuated(), OperatorRevision: reply.GetOperatorRevision(), EntriesRevision: reply.GetEntriesRevision(), Instances: make(map[string][]byte)}
 	for _, doc := range reply.GetInstances() {
 		d.Instances[doc.GetKey()] = doc.GetValue()
 	}
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -70,10 +70,14 @@
 	// operator's documents, OperatorDigest stands for their content.
 	OperatorRevision uint64
 	OperatorDigest   uint64
+	// EntriesRevision and EntriesDigest are the same for upstreams' entries.
+	EntriesRevision uint64
+	EntriesDigest   uint64
 }
 
 func wordToWire(w Word) *meshpb.ExchangeMessage {
-	m := &meshpb.ExchangeMessage{Sender: memberToWire(w.Sender), TableVersion: w.TableVersion, OperatorRevision: w.OperatorRevision, OperatorDigest: w.OperatorDigest}
+	m := &meshpb.ExchangeMessage{Sender: memberToWire(w.Sender), TableVersion: w.TableVersion, OperatorRevision: w.OperatorRevision, OperatorDigest: w.OperatorDigest,
+		EntriesRevision: w.EntriesRevision, EntriesDigest: w.EntriesDigest}
 	for _, other := range w.Members {
 		m.Members = append(m.Members, memberToWire(other))
 	}
@@ -86,7 +90,8 @@
 }
 
 func wordFromWire(m *meshpb.ExchangeMessage) Word {
-	w := Word{Sender: memberFromWire(m.GetSender()), TableVersion: m.GetTableVersion(), OperatorRevision: m.GetOperatorRevision(), OperatorDigest: m.GetOperatorDigest()}
+	w := Word{Sender: memberFromWire(m.GetSender()), TableVersion: m.GetTableVersion(), OperatorRevision: m.GetOperatorRevision(), OperatorDigest: m.GetOperatorDigest(),
+		EntriesRevision: m.GetEntriesRevision(), EntriesDigest: m.GetEntriesDigest()}
 	for _, other := range m.GetMembers() {
 		w.Members = append(w.Members, memberFromWire(other))
 	}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -167,13 +167,16 @@
 	if a.delivery.begun && a.delivery.events == nil {
 		return false
 	}
-	granted := a.Budget.Take(a.Now(), a.r.Service, max(minBudgetNodes, a.Members.Count()))
+	granted := a.Budget.Take(a.Now(), a.r.Service, a.budgetNodes())
 	if !granted {
 		a.Metrics.Count("relay.budget_exhausted", 1)
 	}
 	return granted
 }
 
+// budgetNodes is the number of nodes that share the budget's slack.
+func (a *attempts) budgetNodes() int { return max(minBudgetNodes, a.Members.Count()) }
+
 // place looks for a place; see package placement.
 func (a *attempts) place() (placement.Decision, *instances.Ticket) {
 	now := a.Now()
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -20,6 +20,10 @@
 	// silencePeriod is how long an upstream may send nothing to this node, on
 	// any connection, before a repeatable request goes elsewhere.
 	silencePeriod = 700 * time.Millisecond
+	// streamSilence is the same for an answer that has begun: engines pause a
+	// stream for over a second when they run out of memory, and callers leave
+	// after two seconds at the earliest.
+	streamSilence = 1700 * time.Millisecond
 	// patienceFactor and minPatience bound the wait for the first byte of a
 	// repeatable request with attempts left, as a multiple of what was expected.
 	patienceFactor = 6
@@ -79,8 +83,12 @@
 	timer = time.AfterFunc(silencePeriod, func() {
 		now := a.Now()
 		waited := now.Sub(began)
-		dark := !t.HeardWithin(now, silencePeriod)
-		if dark || !t.Begun() && waited > patience {
+		limit := silencePeriod
+		if t.Begun() {
+			limit = streamSilence
+		}
+		dark := !t.HeardWithin(now, limit)
+		if (dark || !t.Begun() && waited > patience) && a.Budget.Available(now, a.r.Service, a.budgetNodes()) {
 			cancel(errSilent)
 			return
 		}
--- a/core/sharedbounds/retry.go
+++ b/core/sharedbounds/retry.go
@@ -38,17 +38,27 @@
 func (b *RetryBudget) Take(now time.Time, service string, nodes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.of(service)
-	firsts := float64(w.firsts.sum(now, b.window))
-	again := float64(w.again.sum(now, b.window))
-	allowed := (1 - reserve) * (b.ratio*firsts + b.slack/float64(max(1, nodes)))
-	if again+1 > allowed {
+	if !b.available(now, service, nodes) {
 		return false
 	}
-	w.again.add(now, b.window)
+	b.of(service).again.add(now, b.window)
 	return true
 }
 
+// Available tells if Take would grant.
+func (b *RetryBudget) Available(now time.Time, service string, nodes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.available(now, service, nodes)
+}
+
+func (b *RetryBudget) available(now time.Time, service string, nodes int) bool {
+	w := b.of(service)
+	firsts := float64(w.firsts.sum(now, b.window))
+	again := float64(w.again.sum(now, b.window))
+	return again+1 <= (1-reserve)*(b.ratio*firsts+b.slack/float64(max(1, nodes)))
+}
+
 func (b *RetryBudget) of(service string) *retryWindow {
 	w := b.services[service]
 	if w == nil {
