Spread beats in short, read the store by failure domain, avoid flapping members

A member now lives for 5 s after its last beat and is left out of the directory as soon as a call to it fails.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -20,12 +20,17 @@
 	farPace  = 400 * time.Millisecond
 	// exchangeTimeout bounds one exchange: several round trips between regions.
 	exchangeTimeout = 900 * time.Millisecond
-	// sampleSize bounds the members told to another region.
-	sampleSize = 8
+	// farSample bounds the members told to another region, nearSample the full
+	// records told inside the region beside the beats of all.
+	farSample  = 8
+	nearSample = 2
+	// ownDomainShare is the part of the exchanges that stays in the failure
+	// domain, as bytes between failure domains are paid for.
+	ownDomainShare = 0.85
 )
 
-// word is what the node tells another one; members of the own region are told
-// in full to nodes of the region.
+// word is what the node tells another one; nodes of the region get the beats
+// of all its members.
 func (n *Node) word(to domain.Region) mesh.Word {
 	now := time.Now()
 	w := mesh.Word{Sender: n.members.Self(), TableVersion: n.state.version()}
@@ -37,12 +42,16 @@
 			w.Members = append(w.Members, m)
 		}
 	}
-	if to != n.settings.Place.Region {
+	sample := nearSample
+	if to == n.settings.Place.Region {
+		w.Beats = n.members.Beats(now)
+	} else {
 		w.Loads = n.loads(now)
-		if len(w.Members) > sampleSize {
-			rand.Shuffle(len(w.Members), func(i, j int) { w.Members[i], w.Members[j] = w.Members[j], w.Members[i] })
-			w.Members = w.Members[:sampleSize]
-		}
+		sample = farSample
+	}
+	if len(w.Members) > sample {
+		rand.Shuffle(len(w.Members), func(i, j int) { w.Members[i], w.Members[j] = w.Members[j], w.Members[i] })
+		w.Members = w.Members[:sample]
 	}
 	return w
 }
@@ -67,6 +76,7 @@
 func (n *Node) hear(w mesh.Word, roundTrip time.Duration) {
 	now := time.Now()
 	n.members.Heard(now, &w.Sender, w.Members)
+	n.members.HeardBeats(now, w.Beats)
 	if w.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.Told(now, w.Sender.Place.Region, w.Loads, roundTrip)
 	}
@@ -96,14 +106,8 @@
 // exchangeNear spreads membership inside the region.
 func (n *Node) exchangeNear(ctx context.Context) {
 	for ctx.Err() == nil {
-		var near []peers.Member
-		for _, m := range n.members.Known() {
-			if m.Place.Region == n.settings.Place.Region && m.State != domain.NodeStopped {
-				near = append(near, m)
-			}
-		}
-		if len(near) > 0 {
-			n.exchange(ctx, near[rand.IntN(len(near))])
+		if with, found := n.nearPartner(); found {
+			n.exchange(ctx, with)
 		}
 		n.mesh.Forget(n.members.Known())
 		n.catalog.Sweep(time.Now())
@@ -111,6 +115,32 @@
 	}
 }
 
+// nearPartner draws a node of the region, mostly of the own failure domain and
+// often one that reads the store.
+func (n *Node) nearPartner() (peers.Member, bool) {
+	if reading := n.otherReaders(); len(reading) > 0 && rand.Float64() < readerShare {
+		return reading[rand.IntN(len(reading))], true
+	}
+	var own, other []peers.Member
+	for _, m := range n.members.Known() {
+		switch {
+		case m.Place.Region != n.settings.Place.Region || m.State == domain.NodeStopped:
+		case m.Place == n.settings.Place:
+			own = append(own, m)
+		default:
+			other = append(other, m)
+		}
+	}
+	from := own
+	if len(own) == 0 || len(other) > 0 && rand.Float64() > ownDomainShare {
+		from = other
+	}
+	if len(from) == 0 {
+		return peers.Member{}, false
+	}
+	return from[rand.IntN(len(from))], true
+}
+
 // spreadChanges tells the nodes of the region of a change of the operator's
 // documents, if this node reads the store for them.
 func (n *Node) spreadChanges(ctx context.Context) {
--- a/adapters/edgenode/readers.go
+++ b/adapters/edgenode/readers.go
@@ -1,35 +1,64 @@
 package edgenode
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/placement"
 )
 
 const (
-	// readersEach is the number of nodes of a region that read the store for all;
-	// the others follow them through exchanges. Two, so that one may fail.
+	// readersEach is the number of nodes of a failure domain that read the store
+	// for all; the others follow them through exchanges. Two, so that one may
+	// fail.
 	readersEach = 2
-	// readerKey ranks the nodes of a region as readers.
+	// readerShare is the part of the exchanges that goes to a reader, so that its
+	// news is known within a second.
+	readerShare = 0.4
+	// readerKey ranks the nodes of a failure domain as readers.
 	readerKey = 0x7265616465727321
 	// operatorStale and entriesStale are the times without news of a later
 	// revision after which a node reads the store itself: a reader's pace, and
-	// the exchanges that carry it through a region of thirty nodes.
-	operatorStale = operatorWait + 2*time.Second
-	entriesStale  = entriesPace + 2*time.Second
+	// some rounds of exchanges.
+	operatorStale = operatorWait + 3*time.Second
+	entriesStale  = entriesPace + 3*time.Second
 )
 
-// reader tells if this node reads the store for its region.
-func (n *Node) reader() bool {
-	above := 0
-	own := placement.Score(readerKey, domain.UpstreamID(n.settings.Node))
-	for _, id := range n.members.InRegion(time.Now()) {
-		if placement.Score(readerKey, domain.UpstreamID(id)) > own {
-			above++
+// readers returns the nodes that read the store for a failure domain.
+func readers(nodes []domain.NodeID) []domain.NodeID {
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(a, b domain.NodeID) int {
+		return cmp.Compare(placement.Score(readerKey, domain.UpstreamID(b)), placement.Score(readerKey, domain.UpstreamID(a)))
+	})
+	return ranked[:min(readersEach, len(ranked))]
+}
+
+// ownDomain returns the live nodes of the own failure domain, this one included.
+func (n *Node) ownDomain() (ids []domain.NodeID, others []peers.Member) {
+	ids = []domain.NodeID{n.settings.Node}
+	for _, m := range n.members.Alive(time.Now()) {
+		if m.Place == n.settings.Place {
+			ids = append(ids, m.ID)
+			others = append(others, m)
 		}
 	}
-	return above < readersEach
+	return ids, others
+}
+
+// reader tells if this node reads the store for its failure domain.
+func (n *Node) reader() bool {
+	ids, _ := n.ownDomain()
+	return slices.Contains(readers(ids), n.settings.Node)
+}
+
+// otherReaders returns the readers of the failure domain beside this node.
+func (n *Node) otherReaders() []peers.Member {
+	ids, others := n.ownDomain()
+	chosen := readers(ids)
+	return slices.DeleteFunc(others, func(m peers.Member) bool { return !slices.Contains(chosen, m.ID) })
 }
 
 func (n *Node) operatorDue() bool {
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -60,10 +60,26 @@
 	}
 }
 
+// stateToWire leaves out the usual state.
+func stateToWire(s domain.NodeState) string {
+	if s == domain.NodeServing {
+		return ""
+	}
+	return string(s)
+}
+
+func stateFromWire(s string) domain.NodeState {
+	if s == "" {
+		return domain.NodeServing
+	}
+	return domain.NodeState(s)
+}
+
 // Word is what two nodes tell each other in an exchange.
 type Word struct {
 	Sender       peers.Member
 	Members      []peers.Member
+	Beats        []peers.Beat
 	Loads        []instances.Load
 	TableVersion uint64
 	// OperatorRevision is the store's revision as of which the sender knows the
@@ -81,6 +97,9 @@
 	for _, other := range w.Members {
 		m.Members = append(m.Members, memberToWire(other))
 	}
+	for _, b := range w.Beats {
+		m.Beats = append(m.Beats, &meshpb.MemberBeat{Handle: b.Handle, Beat: b.Beat, State: stateToWire(b.State)})
+	}
 	for _, l := range w.Loads {
 		m.Loads = append(m.Loads, &meshpb.ServiceLoad{
 			Service: l.Service, Usable: uint32(l.Usable), FreeTenths: uint32(l.Free * tenths), DelayMs: uint32(l.Delay.Milliseconds()),
@@ -95,6 +114,9 @@
 	for _, other := range m.GetMembers() {
 		w.Members = append(w.Members, memberFromWire(other))
 	}
+	for _, b := range m.GetBeats() {
+		w.Beats = append(w.Beats, peers.Beat{Handle: b.GetHandle(), Beat: b.GetBeat(), State: stateFromWire(b.GetState())})
+	}
 	for _, l := range m.GetLoads() {
 		w.Loads = append(w.Loads, instances.Load{
 			Service: l.GetService(), Usable: int(l.GetUsable()), Free: float64(l.GetFreeTenths()) / tenths,
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -107,6 +107,7 @@
 		Others:        u.othersNow(now),
 		PendingTokens: u.backlog.now(now, p.options.PrefillRate),
 		Slowness:      p.relativeSlowness(u),
+		SameDomain:    u.Place == p.options.Self,
 		Usable:        p.usable(now, u, model),
 	}
 }
--- a/core/peers/directory.go
+++ b/core/peers/directory.go
@@ -35,7 +35,9 @@
 
 // serving returns the live nodes that take callers, the own one included.
 func (m *Members) serving(now time.Time) []Member {
-	list := slices.DeleteFunc(m.Alive(now), func(c Member) bool { return c.State != domain.NodeServing })
+	list := m.filter(func(r *record) bool {
+		return r.State == domain.NodeServing && !r.unreachable && now.Sub(r.heardAt) < m.aliveFor
+	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.self.State == domain.NodeServing {
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -41,6 +41,7 @@
 	// unreachable is set while the node's own calls to it fail.
 	unreachable bool
 	alive       bool
+	handle      uint32
 }
 
 // Members is the table of nodes, the own one included.
@@ -55,8 +56,10 @@
 }
 
 const (
-	// DefaultAliveFor is six rounds of exchanges at their default pace.
-	DefaultAliveFor = 3 * time.Second
+	// DefaultAliveFor is several times what a beat takes through a region of
+	// thirty nodes. A node that does not answer is left out sooner; see
+	// Unreachable.
+	DefaultAliveFor = 5 * time.Second
 	// forgetAfter is when a silent node's record is dropped.
 	forgetAfter = time.Minute
 )
@@ -139,6 +142,7 @@
 	}
 	changed := r.State != in.State || r.Incarnation != in.Incarnation
 	r.Member = *in
+	r.handle = handleOf(in)
 	r.heardAt = now
 	if changed {
 		m.note(r, "heard")
--- /dev/null
+++ b/core/peers/members_test.go
@@ -0,0 +1,125 @@
+package peers_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func member(id domain.NodeID, region domain.Region, beat uint64) peers.Member {
+	return peers.Member{ID: id, Place: domain.Place{Region: region, FailureDomain: domain.FailureDomain(region + "-a")},
+		EntryAddress: string(id), State: domain.NodeServing, Incarnation: 10, Beat: beat}
+}
+
+func table() *peers.Members { return peers.NewMembers(member("self", "west", 0), 3*time.Second, nil) }
+
+func TestEntriesAreThoseOfTheCallersRegion(t *testing.T) {
+	m := table()
+	m.Heard(start, nil, []peers.Member{member("w1", "west", 1), member("e1", "east", 1), member("s1", "south", 1)})
+	for _, c := range []struct {
+		region    domain.Region
+		preferred []domain.Region
+		want      []string
+	}{
+		{"west", nil, []string{"self", "w1"}},
+		{"east", nil, []string{"e1"}},
+		{"north", []domain.Region{"south"}, []string{"s1"}},
+		{"north", nil, []string{"e1", "s1", "self", "w1"}},
+	} {
+		got := m.Entries(start, c.region, c.preferred)
+		slices.Sort(got)
+		if !slices.Equal(got, c.want) {
+			t.Errorf("region %s, preferred %v: %v, want %v", c.region, c.preferred, got, c.want)
+		}
+	}
+}
+
+func TestDeadStoppingAndUnreachableNodesAreNotNamed(t *testing.T) {
+	for name, change := range map[string]func(m *peers.Members){
+		"stopping": func(m *peers.Members) {
+			leaving := member("w1", "west", 2)
+			leaving.State = domain.NodeDraining
+			m.Heard(start, &leaving, nil)
+		},
+		"stopping, told by another": func(m *peers.Members) {
+			other := table()
+			known := member("w1", "west", 2)
+			known.State = domain.NodeDraining
+			other.Heard(start, &known, nil)
+			m.HeardBeats(start, other.Beats(start))
+		},
+		"unreachable": func(m *peers.Members) { m.Unreachable("w1") },
+	} {
+		m := table()
+		m.Heard(start, nil, []peers.Member{member("w1", "west", 1)})
+		change(m)
+		if got := m.Entries(start, "west", nil); slices.Contains(got, "w1") {
+			t.Errorf("%s: named in %v", name, got)
+		}
+	}
+	m := table()
+	m.Heard(start, nil, []peers.Member{member("w1", "west", 1)})
+	later := start.Add(4 * time.Second)
+	m.Heard(later, nil, []peers.Member{member("w1", "west", 1)}) // an old beat, told again
+	if got := m.Entries(later, "west", nil); slices.Contains(got, "w1") {
+		t.Errorf("a node without a new beat is named in %v", got)
+	}
+}
+
+func TestRestartedNodeSupersedesItsRecord(t *testing.T) {
+	m := table()
+	old := member("w1", "west", 900)
+	old.State = domain.NodeDraining
+	m.Heard(start, &old, nil)
+	fresh := member("w1", "west", 1)
+	fresh.Incarnation = 11
+	m.Heard(start, nil, []peers.Member{fresh})
+	if got := m.Entries(start, "west", nil); !slices.Contains(got, "w1") {
+		t.Errorf("the new process is not named in %v", got)
+	}
+}
+
+// TestNodeWithAClockSetBackIsBelieved: its own word counts though its start time
+// looks older.
+func TestNodeWithAClockSetBackIsBelieved(t *testing.T) {
+	m := table()
+	old := member("w1", "west", 900)
+	old.State = domain.NodeStopped
+	m.Heard(start, &old, nil)
+	fresh := member("w1", "west", 1)
+	fresh.Incarnation = 3
+	m.Heard(start, &fresh, nil)
+	if got := m.Entries(start, "west", nil); !slices.Contains(got, "w1") {
+		t.Errorf("the new process is not named in %v", got)
+	}
+}
+
+func TestRegionsLoadIsUsedWhileItIsFreshAndShared(t *testing.T) {
+	r := peers.NewRegions(event.Discard{})
+	r.Told(start, "east", []instances.Load{{Service: "app", Usable: 2, Free: 12, Delay: time.Millisecond}}, 0)
+	all := func(domain.Region) bool { return true }
+	if got := r.Loads(start, "app", 3, all); len(got) != 1 || got[0].Free != 4 {
+		t.Errorf("got %+v, want a third of 12", got)
+	}
+	r.Sent("east", "app")
+	if got := r.Loads(start, "app", 3, all); got[0].Free != 3 {
+		t.Errorf("a request that was sent is not taken off: %+v", got)
+	}
+	r.Full("east", "app")
+	if got := r.Loads(start, "app", 1, all); got[0].Free > 0 {
+		t.Errorf("a region that refused still has room: %+v", got)
+	}
+	if got := r.Loads(start.Add(time.Minute), "app", 1, all); len(got) > 0 {
+		t.Errorf("an old word is used: %+v", got)
+	}
+	if got := r.Loads(start, "app", 1, func(domain.Region) bool { return false }); len(got) > 0 {
+		t.Errorf("a forbidden region is offered: %+v", got)
+	}
+}
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -23,6 +23,8 @@
 	// Slowness is the upstream's response time relative to its peers; 1 is
 	// normal.
 	Slowness float64
+	// SameDomain is set if the upstream stands in the node's failure domain.
+	SameDomain bool
 	// Usable is false for upstreams that are leaving, suspect, evacuated or
 	// cold without a permit.
 	Usable bool
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -14,6 +14,9 @@
 	RefuseAt float64
 	// UrgentRefuseAt is the same for the most urgent routes of a service.
 	UrgentRefuseAt float64
+	// DomainCost is added to the delay of an upstream in another failure domain
+	// of the region, for the way and the bytes.
+	DomainCost time.Duration
 	// CrossingCost is added to the delay of another region, for the bytes that
 	// cross.
 	CrossingCost time.Duration
@@ -37,6 +40,7 @@
 	return Policy{
 		RefuseAt:         1.3,
 		UrgentRefuseAt:   1.6,
+		DomainCost:       40 * time.Millisecond,
 		CrossingCost:     60 * time.Millisecond,
 		CrossingRefuseAt: 1,
 		ReadAgainWeight:  1.5,
@@ -150,6 +154,9 @@
 		if s.PrefillRate > 0 {
 			cost += time.Duration(p.ReadAgainWeight * float64(tokens) / s.PrefillRate * float64(time.Millisecond))
 		}
+		if !c.SameDomain {
+			cost += p.DomainCost
+		}
 		wait := c.waitFor(s, tokens)
 		cost += wait
 		if best.Choice == Refuse || cost < best.Cost {
