--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -111,6 +111,7 @@
 		}
 		n.mesh.Forget(n.members.Known())
 		n.catalog.Sweep(time.Now())
+		n.regions.Sweep(time.Now())
 		sleep(ctx, jitter(nearPace))
 	}
 }
--- a/adapters/edgenode/storelink.go
+++ b/adapters/edgenode/storelink.go
@@ -43,10 +43,3 @@
 		l.drop() // a call without any answer: its connection may be silent
 	}
 }
-
-// away tells if the store does not answer.
-func (l *storeLink) away() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lost
-}
--- a/core/peers/regions.go
+++ b/core/peers/regions.go
@@ -24,6 +24,15 @@
 	sent      map[string]float64
 	at        time.Time
 	roundTrip time.Duration
+	reachable bool
+}
+
+// age is how old the last word is, -1 if there was none.
+func (v *regionView) age(now time.Time) time.Duration {
+	if v.at.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(v.at)
 }
 
 // Regions holds the last load that each other region told.
@@ -48,8 +57,9 @@
 		v = &regionView{roundTrip: defaultRoundTrip}
 		r.all[region] = v
 	}
-	if now.Sub(v.at) > loadAge {
-		r.log.Log(event.DomainChanged, event.F("region", region), event.F("reachable", true), event.F("age_ms", now.Sub(v.at).Milliseconds()))
+	if !v.reachable {
+		v.reachable = true
+		r.log.Log(event.DomainChanged, event.F("region", region), event.F("reachable", true), event.F("view_age_ms", v.age(now).Milliseconds()))
 	}
 	v.loads = make(map[string]instances.Load, len(loads))
 	for _, l := range loads {
@@ -62,6 +72,18 @@
 	}
 }
 
+// Sweep notes regions whose last word is too old to be used.
+func (r *Regions) Sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for region, v := range r.all {
+		if v.reachable && v.age(now) > loadAge {
+			v.reachable = false
+			r.log.Log(event.DomainChanged, event.F("region", region), event.F("reachable", false), event.F("view_age_ms", v.age(now).Milliseconds()))
+		}
+	}
+}
+
 // Full notes that a region refused a request of the service: it gets no more
 // until its next word.
 func (r *Regions) Full(region domain.Region, service string) {
--- a/core/relay/delivery.go
+++ b/core/relay/delivery.go
@@ -12,10 +12,9 @@
 	sink   Sink
 	events *eventCutter // nil unless the stream may be resumed
 	begun  bool
-	bytes  int
 }
 
-// errCaller marks failures of the caller's connection.
+// callerError marks failures of the caller's connection.
 type callerError struct{ err error }
 
 func (e callerError) Error() string { return "caller's connection: " + e.err.Error() }
@@ -36,10 +35,12 @@
 	if d.events != nil {
 		b = d.events.whole(b)
 	}
+	if d.events != nil && len(d.events.partial) > maxPartialEvent {
+		return errEventTooLarge
+	}
 	if len(b) == 0 {
 		return nil
 	}
-	d.bytes += len(b)
 	if err := d.sink.Write(b); err != nil {
 		return callerError{err}
 	}
--- a/core/relay/setup_test.go
+++ b/core/relay/setup_test.go
@@ -30,7 +30,10 @@
 	err error
 	// hang waits until the attempt is cancelled.
 	hang bool
-	sent int
+	// pause comes before each chunk but the first.
+	pause time.Duration
+	begun bool
+	sent  int
 }
 
 type fakeAnswer struct {
@@ -45,6 +48,14 @@
 
 func (a *fakeAnswer) Next() ([]byte, error) {
 	if len(a.r.chunks) > 0 {
+		if a.r.begun {
+			select {
+			case <-time.After(a.r.pause):
+			case <-a.ctx.Done():
+				return nil, a.ctx.Err()
+			}
+		}
+		a.r.begun = true
 		b := []byte(a.r.chunks[0])
 		a.r.chunks = a.r.chunks[1:]
 		return b, nil
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/relay"
@@ -83,3 +84,32 @@
 		t.Errorf("sent to resume after %q", got)
 	}
 }
+
+// TestEndlessEventIsBrokenOff: an event that never ends must not fill the memory.
+func TestEndlessEventIsBrokenOff(t *testing.T) {
+	r := newRig(t, 1)
+	chunk := string(make([]byte, 64<<10))
+	endless := reply{}
+	for range 64 {
+		endless.chunks = append(endless.chunks, chunk)
+	}
+	r.upstreams.replies = []reply{endless}
+	f := r.Serve(context.Background(), streaming(1, true), &caller{})
+	if f == nil {
+		t.Error("an event of 4 MiB was held back and then passed on")
+	}
+}
+
+// TestPausingStreamIsNotGivenUp: engines that run out of memory pause a stream
+// for over a second and go on.
+func TestPausingStreamIsNotGivenUp(t *testing.T) {
+	r := newRig(t, 2)
+	r.upstreams.replies = []reply{{chunks: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, pause: 1200 * time.Millisecond}}
+	var got caller
+	if f := r.Serve(context.Background(), streaming(2, true), &got); f != nil {
+		t.Fatalf("the stream was given up: %v", f.Error)
+	}
+	if len(r.upstreams.calls) != 1 {
+		t.Errorf("%d attempts for a stream that paused", len(r.upstreams.calls))
+	}
+}
