--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -23,7 +23,7 @@
 	// farSample bounds the members told to another region, nearSample the full
 	// records told inside the region beside the beats of all.
 	farSample  = 8
-	nearSample = 2
+	nearSample = 1
 	// ownDomainShare is the part of the exchanges that stays in the failure
 	// domain, as bytes between failure domains are paid for.
 	ownDomainShare = 0.85
