--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -188,17 +188,6 @@
 	c.evacuated = maps.Clone(domains)
 }
 
-// Instances returns all instances as they registered, doubtful ones included.
-func (c *Catalog) Instances(now time.Time) []Instance {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	var all []Instance
-	for _, p := range c.pools {
-		all = append(all, p.instances(now)...)
-	}
-	return all
-}
-
 // Each calls f with each pool.
 func (c *Catalog) Each(f func(*Pool)) {
 	c.mu.RLock()
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/crocusspread/crocusspread/core/domain"
-	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/placement"
 )
 
@@ -169,20 +167,6 @@
 	return slices.ContainsFunc(q.Others, func(o placement.RegionLoad) bool { return o.Region == u.Place.Region })
 }
 
-// slownessBand is the ratio up to which upstreams count as equally fast.
-const (
-	slownessBand = 1.5
-	maxSlowness  = 8
-)
-
-func (p *Pool) relativeSlowness(u *upstream) float64 {
-	ratio := u.slowness / p.slowness
-	if ratio < slownessBand {
-		return 1
-	}
-	return min(maxSlowness, ratio)
-}
-
 // FirstByte notes the head of an answer and what the upstream says of its load;
 // worked is false for refusals, whose speed says nothing.
 func (t *Ticket) FirstByte(now time.Time, r Reading, worked bool) {
@@ -207,16 +191,6 @@
 	t.up.backlog.read(now, t.pool.options.PrefillRate, t.mark)
 }
 
-// minExpected keeps the ratio of actual to expected delay meaningful.
-const minExpected = 20 * time.Millisecond
-
-func (p *Pool) learnSpeed(t *Ticket, took time.Duration) {
-	expected := max(minExpected, time.Duration(float64(t.Expected)/p.relativeSlowness(t.up)))
-	ratio := min(10, max(0.1, float64(took)/float64(expected)))
-	t.up.slowness += speedGain * (ratio - t.up.slowness)
-	p.slowness += learnGain * (ratio - p.slowness)
-}
-
 // Progress notes later bytes of the answer.
 func (t *Ticket) Progress(now time.Time) {
 	t.pool.mu.Lock()
@@ -249,84 +223,6 @@
 	p.judge(now, u, o)
 }
 
-// judge updates the failure rates and decides if the upstream becomes suspect.
-func (p *Pool) judge(now time.Time, u *upstream, o Outcome) {
-	bad := 0.0
-	switch o {
-	case Abandoned:
-		return
-	case Misdirected:
-		u.movedUntil = now.Add(movedFor)
-		p.options.Log.Log(event.InstanceSuspect, event.F("instance", u.ID), event.F("service", p.service),
-			event.F("outcome", o.String()), event.F("for_ms", movedFor.Milliseconds()))
-		return
-	case Shed:
-		u.others, u.readAt = max(u.othersNow(now), float64(u.Slots-u.inFlight)), now
-		return
-	case ServerError, Broken, Unreachable:
-		bad = 1
-	}
-	u.failures += failureGain * (bad - u.failures)
-	p.failures += learnGain * (bad - p.failures)
-	switch {
-	case bad == 0 && u.failures < failureExcess:
-		u.suspicion = 0
-	case o == Unreachable, bad > 0 && u.failures > p.failures+failureExcess:
-		before := u.suspectUntil
-		u.suspect(now)
-		if u.suspectUntil != before {
-			p.options.Log.Log(event.InstanceSuspect, event.F("instance", u.ID), event.F("service", p.service),
-				event.F("outcome", o.String()), event.F("failure_rate", u.failures), event.F("pool_failure_rate", p.failures),
-				event.F("for_ms", u.suspicion.Milliseconds()))
-		}
-	}
-}
-
-// Load is a pool's word to other regions.
-type Load struct {
-	Service string
-	// Usable is the number of instances that take requests.
-	Usable int
-	// Free is the number of requests that fit before any has to wait.
-	Free float64
-	// Delay is the expected time to the first byte at the best instance.
-	Delay time.Duration
-}
-
-// Load returns what other regions need to know of the pool.
-func (p *Pool) Load(now time.Time) Load {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := Load{Service: p.service}
-	speeds := p.speeds()
-	for _, u := range p.upstreams {
-		if !p.usable(now, u, "") || p.suspected(now, u) || u.cold(now) {
-			continue
-		}
-		c := p.candidate(now, u, "")
-		room, delay := c.Room(speeds)
-		if l.Usable == 0 || delay < l.Delay {
-			l.Delay = delay
-		}
-		l.Usable++
-		l.Free += room
-	}
-	return l
-}
-
-// Members returns the identities of the instances in the own region.
-func (p *Pool) Members() []domain.UpstreamID {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var ids []domain.UpstreamID
-	for _, u := range p.upstreams {
-		if u.Place.Region == p.options.Self.Region {
-			ids = append(ids, u.ID)
-		}
-	}
-	return ids
-}
-
 // Begun tells if the answer's first byte arrived.
 func (t *Ticket) Begun() bool {
 	t.pool.mu.Lock()
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -40,9 +40,6 @@
 	return &Pool{service: service, options: o, prompts: make(prompts), hold: defaultHold, slowness: 1}
 }
 
-// Service returns the service's name.
-func (p *Pool) Service() string { return p.service }
-
 func (p *Pool) configure(s routes.Service, maxEventGap time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,27 +140,6 @@
 	}
 }
 
-func (p *Pool) instances(now time.Time) []Instance {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := make([]Instance, 0, len(p.upstreams))
-	for _, u := range p.upstreams {
-		in := u.Instance
-		in.ColdFor = max(0, u.coldUntil.Sub(now))
-		list = append(list, in)
-	}
-	return list
-}
-
-// Known tells if any instance of the service is registered in the own region.
-func (p *Pool) Known() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.upstreams, func(u *upstream) bool {
-		return u.Place.Region == p.options.Self.Region
-	})
-}
-
 func (p *Pool) speeds() placement.Speeds {
 	s := placement.Speeds{Hold: p.hold, First: defaultFirst}
 	if p.config.Engine != nil {
