--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -86,3 +86,25 @@
 		t.Errorf("%v allocations a decision", n)
 	}
 }
+
+// TestLongPromptWaitsForABacklog: sent at once, it would make the streams that the
+// engine serves pause for longer than their route allows.
+func TestLongPromptWaitsForABacklog(t *testing.T) {
+	s := engineSpeeds()
+	s.MaxPendingTokens = 24000
+	busy := engine("a", func(c *placement.Candidate) { c.PendingTokens = 20000 })
+	p := placement.DefaultPolicy()
+	r := draft()
+	got := p.Choose(&r, s, []placement.Candidate{busy}, nil)
+	if want := 127 * ms; got.Choice != placement.Wait || got.For != want {
+		t.Errorf("got %+v, want a wait of %v until 7,300 of 20,000 tokens are left", got, want)
+	}
+	r.Elapsed = 300 * ms // held for long enough
+	if got := p.Choose(&r, s, []placement.Candidate{busy}, nil); got.Choice != placement.Local {
+		t.Errorf("got %+v, want the request sent", got)
+	}
+	question := placement.Request{PromptTokens: 400, Objective: 600 * ms, Left: 4 * time.Second}
+	if got := p.Choose(&question, s, []placement.Candidate{busy}, nil); got.Choice != placement.Local {
+		t.Errorf("got %+v, want a short prompt sent at once", got)
+	}
+}
