--- a/cmd/faulttest/fleet_test.go
+++ b/cmd/faulttest/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -245,10 +246,15 @@
 func freePorts(t testing.TB, n int) []string {
 	t.Helper()
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < n; tries++ {
+		if tries > 1000 {
+			t.Fatal("no ports are free")
+		}
+		// Below the ports that the system gives to outgoing connections, so that
+		// none of these takes one before its process listens.
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(10000)))
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
 		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
