Let many nodes share the few free places of a small service

Cause: a node offered another region only if its own share of the free places was one or more. Ruled out: expected delays (refused at 650 to 850 ms, served within 230: the queue was as long as it should be at capacity) and suspicion of upstreams (122 events in 20 s, none in nl-west).

A share below one is now the chance that a request goes, and a place is free again once its request has ended.

--- a/core/peers/members_test.go
+++ b/core/peers/members_test.go
@@ -108,10 +108,14 @@
 	if got := r.Loads(start, "app", 3, all); len(got) != 1 || got[0].Free != 4 {
 		t.Errorf("got %+v, want a third of 12", got)
 	}
-	r.Sent("east", "app")
+	done := r.Sent("east", "app")
 	if got := r.Loads(start, "app", 3, all); got[0].Free != 3 {
 		t.Errorf("a request that was sent is not taken off: %+v", got)
 	}
+	done()
+	if got := r.Loads(start, "app", 3, all); got[0].Free != 4 {
+		t.Errorf("the place of a request that ended is not free again: %+v", got)
+	}
 	r.Full("east", "app")
 	if got := r.Loads(start, "app", 1, all); got[0].Free > 0 {
 		t.Errorf("a region that refused still has room: %+v", got)
--- a/core/peers/regions.go
+++ b/core/peers/regions.go
@@ -21,6 +21,8 @@
 
 type regionView struct {
 	loads     map[string]instances.Load
+	// sent counts the requests on the way there that the loads do not contain
+	// yet, by service.
 	sent      map[string]float64
 	at        time.Time
 	roundTrip time.Duration
@@ -90,16 +92,29 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if v := r.all[region]; v != nil {
-		v.sent[service] = v.loads[service].Free
+		l := v.loads[service]
+		l.Free = 0
+		v.loads[service] = l
 	}
 }
 
-// Sent notes a request that this node sends to a region.
-func (r *Regions) Sent(region domain.Region, service string) {
+// Sent notes a request that this node sends to a region; done must be called
+// when it has ended, as its place is free again then.
+func (r *Regions) Sent(region domain.Region, service string) (done func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if v := r.all[region]; v != nil {
-		v.sent[service]++
+	v := r.all[region]
+	if v == nil {
+		return func() {}
+	}
+	v.sent[service]++
+	told := v.at
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if v.at.Equal(told) { // a later word contained the request
+			v.sent[service]--
+		}
 	}
 }
 
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -59,8 +59,9 @@
 	// CachedTokens are those of the request's prompt that an engine there is
 	// expected to hold.
 	CachedTokens int
-	// Free is the number of requests that fit before they have to wait, this
-	// node's own ones since the reading taken off.
+	// Free is this node's share of the requests that fit before they have to
+	// wait, those that it has on the way there taken off. Less than one is the
+	// chance that one fits.
 	Free float64
 }
 
@@ -170,7 +171,7 @@
 	var best Decision
 	found := false
 	for _, o := range others {
-		if o.Free < 1 {
+		if o.Free < 1 && r.chance() >= o.Free {
 			continue
 		}
 		delay := o.Delay + o.RoundTrip
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -35,6 +35,9 @@
 	Exclude []domain.UpstreamID
 }
 
+// chance returns Spread as a number in [0, 1).
+func (r *Request) chance() float64 { return float64(r.Spread) / (1 << 32) }
+
 // minAffinityTokens is the size of a shared prompt from which it pays to send
 // equal prompts to the same upstream: below it, reading the prompt again takes
 // less than ten milliseconds at defaultPrefillRate.
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -20,7 +20,7 @@
 		return failed(errkind.PeerUnreachable, domain.RunNo, instances.Unreachable, "no node of region %s is reachable", region)
 	}
 	to := targets[rand.IntN(len(targets))]
-	a.Regions.Sent(region, a.r.Service)
+	defer a.Regions.Sent(region, a.r.Service)()
 	a.Metrics.Count("relay.sent_to_region", 1)
 	sentAt := a.Now()
 	answer, err := a.Nodes.Relay(ctx, &to, a.call())
