Let nodes know by time, not by revision, if they still hear of the store

Cause: a node that leaves reading to others judged by the revision whether their word was recent. Ruled out: membership that flaps (no member changes in those seconds).

Words now carry the age of the store's last confirmation. TestFewNodesReadTheStore, now also with nothing written: 34 watches and 8 lists in 9 s before (at most 26 and 4 wanted), within its bounds after.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -71,7 +71,7 @@
 	}
 	n.state.operatorFromPeer(now, d)
 	if withInstances && d.Complete && n.state.entriesFromPeer(now, d) {
-		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(d.Instances)), event.F("revision", d.EntriesRevision))
+		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(d.Instances)), event.F("revision", d.Entries.Revision), event.F("age_ms", d.Entries.Age.Milliseconds()))
 	}
 }
 
@@ -89,14 +89,14 @@
 		d.Table = s.tableText
 	}
 	if s.knowsEvacuated {
-		d.OperatorRevision = s.operatorKnown.revision
+		d.Operator = s.operatorKnown.position(time.Now())
 		d.Evacuated = slices.Collect(maps.Keys(s.evacuated))
 	}
 	if !withInstances || !s.knowsEntries || !s.knowsEvacuated {
 		return d
 	}
 	d.Complete = true
-	d.EntriesRevision = s.entriesKnown.revision
+	d.Entries = s.entriesKnown.position(time.Now())
 	d.Instances = make(map[string][]byte, len(s.entries))
 	for key, value := range s.entries {
 		d.Instances[key] = value
@@ -108,13 +108,13 @@
 // revision of the store.
 func (s *state) operatorFromPeer(now time.Time, d mesh.Documents) {
 	s.mu.Lock()
-	later := d.OperatorRevision > s.operatorKnown.revision || !s.knowsEvacuated && d.Complete
+	later := d.Operator.Revision > s.operatorKnown.revision || !s.knowsEvacuated && d.Complete
 	s.mu.Unlock()
 	if !later {
 		return
 	}
 	s.setEvacuated(now, domainSet(d.Evacuated), "peer")
-	s.operatorReached(d.OperatorRevision)
+	s.operatorReached(d.Operator.Revision, now.Add(-d.Operator.Age))
 }
 
 func domainSet(list []domain.FailureDomain) map[domain.FailureDomain]bool {
@@ -129,7 +129,7 @@
 // revision of the store, or any if this node knows none.
 func (s *state) entriesFromPeer(now time.Time, d mesh.Documents) bool {
 	s.mu.Lock()
-	adopt := d.EntriesRevision > s.entriesKnown.revision || !s.knowsEntries
+	adopt := d.Entries.Revision > s.entriesKnown.revision || !s.knowsEntries
 	s.mu.Unlock()
 	if !adopt {
 		return false
@@ -139,6 +139,6 @@
 		items = append(items, ports.Item{Key: key, Value: value})
 	}
 	s.replaceEntries(now, items)
-	s.entriesReached(d.EntriesRevision)
+	s.entriesReached(d.Entries.Revision, now.Add(-d.Entries.Age))
 	return true
 }
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -35,8 +35,7 @@
 	now := time.Now()
 	w := mesh.Word{Sender: n.members.Self(), TableVersion: n.state.version()}
 	operator, entries := n.state.positions()
-	w.OperatorRevision, w.OperatorDigest = operator.revision, operator.digest
-	w.EntriesRevision, w.EntriesDigest = entries.revision, entries.digest
+	w.Operator, w.Entries = operator.position(now), entries.position(now)
 	for _, m := range n.members.Alive(now) {
 		if m.Place.Region == n.settings.Place.Region {
 			w.Members = append(w.Members, m)
@@ -80,20 +79,20 @@
 	if w.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.Told(now, w.Sender.Place.Region, w.Loads, roundTrip)
 	}
-	n.compare(w)
+	n.compare(now, w)
 }
 
 // compare fetches what the other node knows of a later revision of the store, and
 // notes that what is equal is known as of that revision.
-func (n *Node) compare(w mesh.Word) {
+func (n *Node) compare(now time.Time, w mesh.Word) {
 	operator, entries := n.state.positions()
-	needOperator := w.TableVersion > n.state.version() || operator.behind(w.OperatorRevision, w.OperatorDigest)
-	needEntries := entries.behind(w.EntriesRevision, w.EntriesDigest)
-	if !needOperator && operator.digest == w.OperatorDigest {
-		n.state.operatorReached(w.OperatorRevision)
+	needOperator := w.TableVersion > n.state.version() || operator.behind(w.Operator)
+	needEntries := entries.behind(w.Entries)
+	if !needOperator && operator.digest == w.Operator.Digest {
+		n.state.operatorReached(w.Operator.Revision, now.Add(-w.Operator.Age))
 	}
-	if !needEntries && entries.digest == w.EntriesDigest {
-		n.state.entriesReached(w.EntriesRevision)
+	if !needEntries && entries.digest == w.Entries.Digest {
+		n.state.entriesReached(w.Entries.Revision, now.Add(-w.Entries.Age))
 	}
 	if (needOperator || needEntries) && n.fetching.CompareAndSwap(false, true) {
 		go func() {
--- a/adapters/edgenode/feed.go
+++ b/adapters/edgenode/feed.go
@@ -20,8 +20,9 @@
 	// replace adopts all items, change some.
 	replace func(now time.Time, items []ports.Item)
 	change  func(now time.Time, items []ports.Item)
-	// reached notes the revision as of which everything is adopted; may be nil.
-	reached func(revision uint64)
+	// reached notes the revision as of which everything is adopted, and when the
+	// store said so; may be nil.
+	reached func(revision uint64, confirmed time.Time)
 	link    *storeLink
 	// due tells if this node is to read; nil always reads.
 	due func() bool
@@ -95,7 +96,7 @@
 
 func (f *feed) note(revision uint64) {
 	if f.reached != nil {
-		f.reached(revision)
+		f.reached(revision, time.Now())
 	}
 }
 
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -109,30 +109,31 @@
 	s.setEvacuated(now, after, "store")
 }
 
-// operatorReached notes that the operator's documents are known as of a revision.
-func (s *state) operatorReached(revision uint64) {
+// operatorReached notes that the operator's documents are known as of a revision
+// that the store confirmed at a time.
+func (s *state) operatorReached(revision uint64, confirmed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.operatorKnown.reach(time.Now(), revision)
+	s.operatorKnown.reach(revision, confirmed)
 }
 
 // entriesReached does the same for the entries of upstreams.
-func (s *state) entriesReached(revision uint64) {
+func (s *state) entriesReached(revision uint64, confirmed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entriesKnown.reach(time.Now(), revision)
+	s.entriesKnown.reach(revision, confirmed)
 }
 
 func (s *state) operatorAge() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.operatorKnown.at)
+	return time.Since(s.operatorKnown.confirmed)
 }
 
 func (s *state) entriesAge() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.entriesKnown.at)
+	return time.Since(s.entriesKnown.confirmed)
 }
 
 // positions returns how far the operator's documents and the entries are known.
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -154,11 +154,10 @@
 	Table     []byte
 	Instances map[string][]byte
 	Evacuated []domain.FailureDomain
-	// OperatorRevision is the store's revision as of which Table and Evacuated
-	// hold; zero if the other does not know them all.
-	OperatorRevision uint64
-	// EntriesRevision is the same for Instances.
-	EntriesRevision uint64
+	// Operator is how far the other knows Table and Evacuated, Entries how far it
+	// knows Instances.
+	Operator Position
+	Entries  Position
 	// Complete is set if Instances and Evacuated were known to the other.
 	Complete bool
 }
@@ -173,7 +172,7 @@
 	if err != nil {
 		return Documents{}, errkind.New(errkind.PeerUnreachable, "fetch from %s: %w", address, err)
 	}
-	d := Documents{Table: reply.GetTable(), Complete: reply.GetHasEvacuated(), OperatorRevision: reply.GetOperatorRevision(), EntriesRevision: reply.GetEntriesRevision(), Instances: make(map[string][]byte)}
+	d := Documents{Table: reply.GetTable(), Complete: reply.GetHasEvacuated(), Operator: positionFromWire(reply.GetOperator()), Entries: positionFromWire(reply.GetEntries()), Instances: make(map[string][]byte)}
 	for _, doc := range reply.GetInstances() {
 		d.Instances[doc.GetKey()] = doc.GetValue()
 	}
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -82,18 +82,36 @@
 	Beats        []peers.Beat
 	Loads        []instances.Load
 	TableVersion uint64
-	// OperatorRevision is the store's revision as of which the sender knows the
-	// operator's documents, OperatorDigest stands for their content.
-	OperatorRevision uint64
-	OperatorDigest   uint64
-	// EntriesRevision and EntriesDigest are the same for upstreams' entries.
-	EntriesRevision uint64
-	EntriesDigest   uint64
+	// Operator is how far the sender knows the operator's documents, Entries how
+	// far it knows the entries of upstreams.
+	Operator Position
+	Entries  Position
+}
+
+// Position is how far a node knows a part of the store.
+type Position struct {
+	// Revision of the store as of which the part is known; zero if it is not.
+	Revision uint64
+	// Digest stands for the content.
+	Digest uint64
+	// Age is the time since the store confirmed the revision, to any node.
+	Age time.Duration
+}
+
+func positionToWire(p Position) *meshpb.Position {
+	if p.Revision == 0 {
+		return nil
+	}
+	return &meshpb.Position{Revision: p.Revision, Digest: p.Digest, AgeMs: uint32(p.Age.Milliseconds())}
+}
+
+func positionFromWire(m *meshpb.Position) Position {
+	return Position{Revision: m.GetRevision(), Digest: m.GetDigest(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
 }
 
 func wordToWire(w Word) *meshpb.ExchangeMessage {
-	m := &meshpb.ExchangeMessage{Sender: memberToWire(w.Sender), TableVersion: w.TableVersion, OperatorRevision: w.OperatorRevision, OperatorDigest: w.OperatorDigest,
-		EntriesRevision: w.EntriesRevision, EntriesDigest: w.EntriesDigest}
+	m := &meshpb.ExchangeMessage{Sender: memberToWire(w.Sender), TableVersion: w.TableVersion,
+		Operator: positionToWire(w.Operator), Entries: positionToWire(w.Entries)}
 	for _, other := range w.Members {
 		m.Members = append(m.Members, memberToWire(other))
 	}
@@ -109,8 +127,8 @@
 }
 
 func wordFromWire(m *meshpb.ExchangeMessage) Word {
-	w := Word{Sender: memberFromWire(m.GetSender()), TableVersion: m.GetTableVersion(), OperatorRevision: m.GetOperatorRevision(), OperatorDigest: m.GetOperatorDigest(),
-		EntriesRevision: m.GetEntriesRevision(), EntriesDigest: m.GetEntriesDigest()}
+	w := Word{Sender: memberFromWire(m.GetSender()), TableVersion: m.GetTableVersion(),
+		Operator: positionFromWire(m.GetOperator()), Entries: positionFromWire(m.GetEntries())}
 	for _, other := range m.GetMembers() {
 		w.Members = append(w.Members, memberFromWire(other))
 	}
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -54,7 +54,7 @@
 
 func (s *server) Fetch(_ context.Context, m *meshpb.FetchRequest) (*meshpb.FetchReply, error) {
 	d := s.handler.Fetch(m.GetTableNewerThan(), m.GetInstances())
-	reply := &meshpb.FetchReply{Table: d.Table, HasEvacuated: d.Complete, OperatorRevision: d.OperatorRevision, EntriesRevision: d.EntriesRevision}
+	reply := &meshpb.FetchReply{Table: d.Table, HasEvacuated: d.Complete, Operator: positionToWire(d.Operator), Entries: positionToWire(d.Entries)}
 	for key, value := range d.Instances {
 		reply.Instances = append(reply.Instances, &meshpb.Document{Key: key, Value: value})
 	}
--- a/adapters/mesh/size_test.go
+++ b/adapters/mesh/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,7 +14,8 @@
 
 // wordOf returns what a node of a region of that many nodes tells a neighbour.
 func wordOf(nodes int) Word {
-	w := Word{TableVersion: 1 << 20, OperatorRevision: 1 << 40, OperatorDigest: 1 << 60, EntriesRevision: 1 << 40, EntriesDigest: 1 << 60}
+	w := Word{TableVersion: 1 << 20, 
+		Operator: Position{Revision: 1 << 40, Digest: 1 << 60, Age: time.Second}, Entries: Position{Revision: 1 << 40, Digest: 1 << 60, Age: time.Second}}
 	for i := range nodes {
 		w.Beats = append(w.Beats, peers.Beat{Handle: uint32(i) << 24, Beat: 1 << 20, State: domain.NodeServing})
 	}
