Ask other regions through a few nodes, and keep two connections to each region

Every node asked each other region 2.5 times a second: 380 exchanges a second at 76 nodes, 25 KB/s a node at the design size. Requests go to two nodes of a region, drawn by capacity, over connections that are kept open. A node that starts reads the store once and does not become a reader before it knows the others (1.5 s).

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh"
@@ -14,16 +15,21 @@
 )
 
 const (
-	// nearPace is the time between exchanges inside the region, farPace that
-	// between exchanges with each other region.
+	// nearPace is the time between exchanges inside the region.
 	nearPace = 300 * time.Millisecond
-	farPace  = 400 * time.Millisecond
 	// exchangeTimeout bounds one exchange: several round trips between regions.
 	exchangeTimeout = 900 * time.Millisecond
 	// farSample bounds the members told to another region, nearSample the full
-	// records told inside the region beside the beats of all.
+	// records told inside the region beside the beats: one of its own and one of
+	// another region.
 	farSample  = 8
 	nearSample = 1
+	// nearViews bounds the loads of other regions in one word.
+	nearViews = 1
+	// youngFor is how long a node tells and is told more records: those of a
+	// region of thirty nodes are known after about two seconds.
+	youngFor    = 8 * time.Second
+	youngSample = 6
 	// ownDomainShare is the part of the exchanges that stays in the failure
 	// domain, as bytes between failure domains are paid for.
 	ownDomainShare = 0.85
@@ -36,25 +42,36 @@
 	w := mesh.Word{Sender: n.members.Self(), TableVersion: n.state.version()}
 	operator, entries := n.state.positions()
 	w.Operator, w.Entries = operator.position(now), entries.position(now)
-	for _, m := range n.members.Alive(now) {
-		if m.Place.Region == n.settings.Place.Region {
-			w.Members = append(w.Members, m)
-		}
-	}
-	sample := nearSample
-	if to == n.settings.Place.Region {
-		w.Beats = n.members.Beats(now)
-	} else {
+	if to != n.settings.Place.Region {
 		w.Loads = n.loads(now)
-		sample = farSample
+		w.Members = n.sample(now, n.settings.Place.Region, farSample)
+		return w
 	}
-	if len(w.Members) > sample {
-		rand.Shuffle(len(w.Members), func(i, j int) { w.Members[i], w.Members[j] = w.Members[j], w.Members[i] })
-		w.Members = w.Members[:sample]
+	w.Beats = n.members.Beats(now)
+	w.Views = n.regions.Views(now, nearViews)
+	near := nearSample
+	if now.Sub(n.startedAt) < youngFor {
+		near = youngSample
 	}
+	w.Members = append(n.sample(now, to, near), n.sampleFar(now)...)
 	return w
 }
 
+// sample draws members of a region.
+func (n *Node) sample(now time.Time, of domain.Region, most int) []peers.Member {
+	return draw(slices.DeleteFunc(n.members.Alive(now), func(m peers.Member) bool { return m.Place.Region != of }), most)
+}
+
+// sampleFar draws a member of another region.
+func (n *Node) sampleFar(now time.Time) []peers.Member {
+	return draw(slices.DeleteFunc(n.members.Alive(now), func(m peers.Member) bool { return m.Place.Region == n.settings.Place.Region }), nearSample)
+}
+
+func draw(list []peers.Member, most int) []peers.Member {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(most, len(list))]
+}
+
 func (n *Node) loads(now time.Time) []instances.Load {
 	var loads []instances.Load
 	n.catalog.Each(func(p *instances.Pool) {
@@ -78,6 +95,8 @@
 	n.members.HeardBeats(now, w.Beats)
 	if w.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.Told(now, w.Sender.Place.Region, w.Loads, roundTrip)
+	} else {
+		n.regions.Heard(now, w.Views)
 	}
 	n.compare(now, w)
 }
@@ -160,22 +179,6 @@
 	}
 }
 
-// exchangeFar asks one node of each other region for the region's load.
-func (n *Node) exchangeFar(ctx context.Context) {
-	for ctx.Err() == nil {
-		byRegion := make(map[domain.Region][]peers.Member)
-		for _, m := range n.members.Known() {
-			if m.Place.Region != n.settings.Place.Region && m.State != domain.NodeStopped {
-				byRegion[m.Place.Region] = append(byRegion[m.Place.Region], m)
-			}
-		}
-		for _, candidates := range byRegion {
-			go n.exchange(ctx, candidates[rand.IntN(len(candidates))])
-		}
-		sleep(ctx, jitter(farPace))
-	}
-}
-
 func (n *Node) exchange(ctx context.Context, with peers.Member) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/adapters/edgenode/feed.go
+++ b/adapters/edgenode/feed.go
@@ -24,15 +24,13 @@
 	// store said so; may be nil.
 	reached func(revision uint64, confirmed time.Time)
 	link    *storeLink
-	// due tells if this node is to read; nil always reads.
+	// due tells if this node is to read after its first list.
 	due func() bool
 }
 
 // idlePause is how often a node that does not read looks if it should.
 const idlePause = 200 * time.Millisecond
 
-func (f *feed) isDue() bool { return f.due == nil || f.due() }
-
 const (
 	// listTimeout bounds a range of one page or more; the store answers within
 	// milliseconds and is slow by a factor of a hundred at worst.
@@ -45,8 +43,8 @@
 
 // run follows until ctx ends.
 func (f *feed) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !f.isDue() {
+	for begun := false; ctx.Err() == nil; begun = true {
+		if begun && !f.due() {
 			sleep(ctx, idlePause)
 			continue
 		}
@@ -75,7 +73,7 @@
 // watch follows from a revision until the changes after it are no longer known,
 // or a watch has failed.
 func (f *feed) watch(ctx context.Context, revision uint64) {
-	for ctx.Err() == nil && f.isDue() {
+	for ctx.Err() == nil && f.due() {
 		changes, next, err := f.next(ctx, revision)
 		switch {
 		case errors.Is(err, errkind.Of(errkind.HistoryLost)):
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -43,7 +43,8 @@
 	mesh      *mesh.Client
 	upstreams *upstream.Routed
 
-	notices chan instances.Notice
+	startedAt time.Time
+	notices   chan instances.Notice
 	// relayed counts the requests being carried for other nodes.
 	relayed  atomic.Int64
 	fetching atomic.Bool // one fetch from another node at a time
@@ -76,7 +77,7 @@
 
 // New returns a node that is not running yet.
 func New(s *Settings, o Outside, log event.Logger, m *telemetry.Metrics) *Node {
-	n := &Node{settings: s, outside: o, log: log, metrics: m, notices: make(chan instances.Notice, queuedNotices)}
+	n := &Node{settings: s, outside: o, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, queuedNotices)}
 	n.seeds.Store(&s.Seeds)
 	n.members = peers.NewMembers(peers.Member{
 		ID: s.Node, Place: s.Place, EntryAddress: s.EntryAddress, PeerAddress: s.PeerAddress,
@@ -178,7 +179,7 @@
 	entries := &feed{store: n.outside.Store, prefix: n.outside.Documents.InstancePrefix(), wait: entriesWait, pace: entriesPace,
 		replace: n.state.replaceEntries, change: n.state.changeEntries, reached: n.state.entriesReached, link: n.link, due: n.entriesDue}
 	nodes := &feed{store: n.outside.Store, prefix: n.outside.Documents.NodePrefix(), wait: nodesWait, pace: nodesPace,
-		replace: n.nodesReplaced, change: n.nodesChanged, link: n.link, due: n.nodesDue}
+		replace: n.nodesReplaced, change: n.nodesChanged, link: n.link, due: n.reader}
 	loop(operator.run)
 	loop(entries.run)
 	loop(nodes.run)
--- a/adapters/edgenode/readers.go
+++ b/adapters/edgenode/readers.go
@@ -48,8 +48,15 @@
 	return ids, others
 }
 
+// readerDelay keeps nodes that start together from all becoming readers before
+// they know each other.
+const readerDelay = 1500 * time.Millisecond
+
 // reader tells if this node reads the store for its failure domain.
 func (n *Node) reader() bool {
+	if time.Since(n.startedAt) < readerDelay {
+		return false
+	}
 	ids, _ := n.ownDomain()
 	return slices.Contains(readers(ids), n.settings.Node)
 }
@@ -68,8 +75,3 @@
 func (n *Node) entriesDue() bool {
 	return n.reader() || n.state.entriesAge() > entriesStale
 }
-
-// nodesDue lets nodes that do not read look for others until they know some.
-func (n *Node) nodesDue() bool {
-	return n.reader() || n.members.Count() <= readersEach
-}
--- a/adapters/edgenode/settings.go
+++ b/adapters/edgenode/settings.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -43,6 +45,12 @@
 	MinLease time.Duration
 }
 
+// regions returns the regions of the fleet, sorted.
+func (s *Settings) regions() []domain.Region {
+	list := slices.Sorted(maps.Values(s.Domains))
+	return slices.Compact(list)
+}
+
 // Validate checks the settings.
 func (s *Settings) Validate() error {
 	var errs []error
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -182,6 +182,14 @@
 	return d, nil
 }
 
+// Connected implements relay.Nodes.
+func (c *Client) Connected(to *peers.Member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cn := c.conns[to.PeerAddress]
+	return cn != nil && cn.GetState() == connectivity.Ready
+}
+
 // Relay implements relay.Nodes. A request leaves only over a connection that is
 // up, so that an unreachable node is known not to have run it.
 func (c *Client) Relay(ctx context.Context, to *peers.Member, call *relay.Call) (relay.Answer, error) {
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -77,10 +77,12 @@
 
 // Word is what two nodes tell each other in an exchange.
 type Word struct {
-	Sender       peers.Member
-	Members      []peers.Member
-	Beats        []peers.Beat
-	Loads        []instances.Load
+	Sender  peers.Member
+	Members []peers.Member
+	Beats   []peers.Beat
+	Loads   []instances.Load
+	// Views are what the sender knows of other regions.
+	Views        []peers.View
 	TableVersion uint64
 	// Operator is how far the sender knows the operator's documents, Entries how
 	// far it knows the entries of upstreams.
@@ -118,12 +120,32 @@
 	for _, b := range w.Beats {
 		m.Beats = append(m.Beats, &meshpb.MemberBeat{Handle: b.Handle, Beat: b.Beat, State: stateToWire(b.State)})
 	}
-	for _, l := range w.Loads {
-		m.Loads = append(m.Loads, &meshpb.ServiceLoad{
+	m.Loads = loadsToWire(w.Loads)
+	for _, v := range w.Views {
+		m.Views = append(m.Views, &meshpb.RegionView{Region: string(v.Region), AgeMs: uint32(v.Age.Milliseconds()), Loads: loadsToWire(v.Loads)})
+	}
+	return m
+}
+
+func loadsToWire(loads []instances.Load) []*meshpb.ServiceLoad {
+	var list []*meshpb.ServiceLoad
+	for _, l := range loads {
+		list = append(list, &meshpb.ServiceLoad{
 			Service: l.Service, Usable: uint32(l.Usable), FreeTenths: uint32(l.Free * tenths), DelayMs: uint32(l.Delay.Milliseconds()),
 		})
 	}
-	return m
+	return list
+}
+
+func loadsFromWire(list []*meshpb.ServiceLoad) []instances.Load {
+	var loads []instances.Load
+	for _, l := range list {
+		loads = append(loads, instances.Load{
+			Service: l.GetService(), Usable: int(l.GetUsable()), Free: float64(l.GetFreeTenths()) / tenths,
+			Delay: time.Duration(l.GetDelayMs()) * time.Millisecond,
+		})
+	}
+	return loads
 }
 
 func wordFromWire(m *meshpb.ExchangeMessage) Word {
@@ -135,11 +157,9 @@
 	for _, b := range m.GetBeats() {
 		w.Beats = append(w.Beats, peers.Beat{Handle: b.GetHandle(), Beat: b.GetBeat(), State: stateFromWire(b.GetState())})
 	}
-	for _, l := range m.GetLoads() {
-		w.Loads = append(w.Loads, instances.Load{
-			Service: l.GetService(), Usable: int(l.GetUsable()), Free: float64(l.GetFreeTenths()) / tenths,
-			Delay: time.Duration(l.GetDelayMs()) * time.Millisecond,
-		})
+	w.Loads = loadsFromWire(m.GetLoads())
+	for _, v := range m.GetViews() {
+		w.Views = append(w.Views, peers.View{Region: domain.Region(v.GetRegion()), Age: time.Duration(v.GetAgeMs()) * time.Millisecond, Loads: loadsFromWire(v.GetLoads())})
 	}
 	return w
 }
--- a/core/peers/beat.go
+++ b/core/peers/beat.go
@@ -22,12 +22,19 @@
 	return h.Sum32()
 }
 
-// Beats returns those of the live nodes of the own region.
+// maxBeats bounds the beats in one message, so that it stays small in large
+// regions; the members that are left out differ from message to message.
+const maxBeats = 20
+
+// Beats returns those of the live nodes of the own region, or of some of them.
 func (m *Members) Beats(now time.Time) []Beat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Beat
-	for _, r := range m.all {
+	for _, r := range m.all { // in an order that differs from call to call
+		if len(list) == maxBeats {
+			break
+		}
 		if r.Place.Region == m.self.Place.Region && now.Sub(r.heardAt) < m.aliveFor {
 			list = append(list, Beat{Handle: r.handle, Beat: r.Beat, State: r.State})
 		}
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -60,6 +60,9 @@
 	// thirty nodes. A node that does not answer is left out sooner; see
 	// Unreachable.
 	DefaultAliveFor = 5 * time.Second
+	// farAliveFor is the same for nodes of other regions, of which a node hears
+	// a few times less often.
+	farAliveFor = 3 * DefaultAliveFor
 	// forgetAfter is when a silent node's record is dropped.
 	forgetAfter = time.Minute
 )
@@ -141,6 +144,9 @@
 		return r
 	}
 	changed := r.State != in.State || r.Incarnation != in.Incarnation
+	if r.Incarnation != in.Incarnation {
+		r.unreachable = false
+	}
 	r.Member = *in
 	r.handle = handleOf(in)
 	r.heardAt = now
@@ -190,8 +196,12 @@
 
 // Targets returns the nodes of a region that may be sent requests.
 func (m *Members) Targets(now time.Time, region domain.Region) []Member {
+	aliveFor := m.aliveFor
+	if region != m.self.Place.Region {
+		aliveFor = farAliveFor
+	}
 	return m.filter(func(r *record) bool {
-		return r.Place.Region == region && r.State == domain.NodeServing && !r.unreachable && now.Sub(r.heardAt) < m.aliveFor
+		return r.Place.Region == region && r.State == domain.NodeServing && !r.unreachable && now.Sub(r.heardAt) < aliveFor
 	})
 }
 
--- /dev/null
+++ b/core/peers/preferred.go
@@ -0,0 +1,39 @@
+package peers
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/placement"
+)
+
+// preferredEach is the number of nodes of another region that a node sends
+// requests to: two, so that one may fail while its connections stay open.
+const preferredEach = 2
+
+// Preferred returns the nodes of another region that this one should send
+// requests to, most preferred first. Nodes rank differently for each sender, so
+// that the senders' work spreads over all of them by their capacity.
+func (m *Members) Preferred(now time.Time, region domain.Region) []Member {
+	targets := m.Targets(now, region)
+	slices.SortFunc(targets, func(a, b Member) int { return cmp.Compare(m.preference(&b), m.preference(&a)) })
+	return targets[:min(preferredEach, len(targets))]
+}
+
+// defaultCapacity stands for nodes that do not tell theirs.
+const defaultCapacity = 0.4
+
+// preference is a weighted rendezvous score: the chance to rank first is a
+// node's part of the capacity of all.
+func (m *Members) preference(to *Member) float64 {
+	sender := placement.Score(0, domain.UpstreamID(m.self.ID))
+	uniform := (float64(placement.Score(sender, domain.UpstreamID(to.ID))>>11) + 0.5) / (1 << 53)
+	capacity := to.Capacity
+	if capacity <= 0 {
+		capacity = defaultCapacity
+	}
+	return -capacity / math.Log(uniform)
+}
--- a/core/peers/regions.go
+++ b/core/peers/regions.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +22,7 @@
 )
 
 type regionView struct {
-	loads     map[string]instances.Load
+	loads map[string]instances.Load
 	// sent counts the requests on the way there that the loads do not contain
 	// yet, by service.
 	sent      map[string]float64
@@ -50,7 +52,43 @@
 	return &Regions{log: log, all: make(map[domain.Region]*regionView)}
 }
 
-// Told adopts a region's loads; roundTrip is zero if it was not measured.
+// View is what a node knows of another region's load.
+type View struct {
+	Region domain.Region
+	// Age is the time since a node of the region told it.
+	Age   time.Duration
+	Loads []instances.Load
+}
+
+// Views returns at most that many views that are recent enough to be used, any
+// of them.
+func (r *Regions) Views(now time.Time, most int) []View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []View
+	for region, v := range r.all { // the order differs from call to call
+		if len(list) == most {
+			break
+		}
+		if v.age(now) <= loadAge {
+			list = append(list, View{Region: region, Age: v.age(now), Loads: slices.Collect(maps.Values(v.loads))})
+		}
+	}
+	return list
+}
+
+// Heard adopts what a node of the own region knows of other regions, where that
+// is more recent.
+func (r *Regions) Heard(now time.Time, views []View) {
+	for _, heard := range views {
+		if age := r.Age(now, heard.Region); age < 0 || heard.Age < age {
+			r.Told(now.Add(-heard.Age), heard.Region, heard.Loads, 0)
+		}
+	}
+}
+
+// Told adopts a region's loads as of now; roundTrip is zero if it was not
+// measured.
 func (r *Regions) Told(now time.Time, region domain.Region, loads []instances.Load, roundTrip time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -138,7 +176,7 @@
 	return list
 }
 
-// Age returns how old the last word of a region is.
+// Age returns how old the last word of a region is, -1 if there was none.
 func (r *Regions) Age(now time.Time, region domain.Region) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/relay/ports.go
+++ b/core/relay/ports.go
@@ -36,6 +36,8 @@
 	// errkind and carry the verdict of the other node, or "unknown" if the
 	// connection was lost after the request left.
 	Relay(ctx context.Context, to *peers.Member, c *Call) (Answer, error)
+	// Connected tells if a request can leave for the node at once.
+	Connected(to *peers.Member) bool
 }
 
 // Sink receives the answer for the caller.
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -9,17 +9,17 @@
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/routes"
 )
 
 // remote sends the request to a node of another region, which runs or refuses
 // it.
 func (a *attempts) remote(ctx context.Context, region domain.Region) result {
-	targets := a.Members.Targets(a.Now(), region)
-	if len(targets) == 0 {
+	to, found := a.node(region)
+	if !found {
 		return failed(errkind.PeerUnreachable, domain.RunNo, instances.Unreachable, "no node of region %s is reachable", region)
 	}
-	to := targets[rand.IntN(len(targets))]
 	defer a.Regions.Sent(region, a.r.Service)()
 	a.Metrics.Count("relay.sent_to_region", 1)
 	sentAt := a.Now()
@@ -43,6 +43,24 @@
 	return res
 }
 
+// node draws one of the nodes of a region that this one prefers, or else any that
+// it has a connection to.
+func (a *attempts) node(region domain.Region) (peers.Member, bool) {
+	preferred := a.Members.Preferred(a.Now(), region)
+	rand.Shuffle(len(preferred), func(i, j int) { preferred[i], preferred[j] = preferred[j], preferred[i] })
+	for _, list := range [][]peers.Member{preferred, a.Members.Targets(a.Now(), region)} {
+		for _, m := range list {
+			if a.Nodes.Connected(&m) {
+				return m, true
+			}
+		}
+	}
+	if len(preferred) == 0 {
+		return peers.Member{}, false
+	}
+	return preferred[0], true
+}
+
 // relayFailed takes over the verdict of the other node.
 func (a *attempts) relayFailed(ctx context.Context, region domain.Region, err error) result {
 	e := errkind.From(err)
--- a/core/relay/setup_test.go
+++ b/core/relay/setup_test.go
@@ -102,6 +102,8 @@
 	return s.next(ctx, string(to.ID), c)
 }
 
+func (s *script) Connected(*peers.Member) bool { return true }
+
 func (s *script) Relay(ctx context.Context, to *peers.Member, c *relay.Call) (relay.Answer, error) {
 	return s.next(ctx, string(to.ID), c)
 }
