Bound the connections that a node has to one upstream

A node now uses its share, less a fifth for idle ones. TestConnectionsToAnUpstreamAreBounded got 9 of 9 places before, its share after. Counting the nodes of a region no longer copies and sorts them for each request.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -84,7 +84,7 @@
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.ProcessorShare,
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
-	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, Announce: n.announce})
+	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ConnectionShare: n.connectionShare, Announce: n.announce})
 	n.state = newState(o.Documents, n.catalog, log)
 	n.link = &storeLink{log: log, catalog: n.catalog, drop: o.DropStoreConnections}
 	n.upstreams = upstream.NewRouted(upstream.Options{
@@ -117,6 +117,20 @@
 	return sharedbounds.ColdRate(n.settings.Node, n.members.InRegion(time.Now()), id, rate)
 }
 
+const (
+	// connectionReserve is the part of an upstream's connections that is left
+	// unused, for idle ones and for nodes that see other members than this one.
+	connectionReserve = 0.2
+	// minConnections lets every node of a large region use each upstream.
+	minConnections = 2
+)
+
+// connectionShare divides an upstream's connections among the nodes that reach it.
+func (n *Node) connectionShare(all int) int {
+	nodes := n.members.RegionSize(time.Now())
+	return max(minConnections, int((1-connectionReserve)*float64(all)/float64(nodes)))
+}
+
 // inFlight returns the requests being carried, for callers and other nodes.
 func (n *Node) inFlight() int64 { return n.handler.InFlight() + n.relayed.Load() }
 
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -17,6 +17,9 @@
 	Doubt time.Duration
 	// ColdShare returns this node's share of a cold instance's rate.
 	ColdShare func(id domain.UpstreamID, rate float64) float64
+	// ConnectionShare returns how many of an upstream's connections this node may
+	// use.
+	ConnectionShare func(all int) int
 	// Announce passes a notice on to the other nodes of the region; it must not
 	// block. Nil announces nothing.
 	Announce func(Notice)
@@ -47,5 +50,8 @@
 	if o.ColdShare == nil {
 		o.ColdShare = func(_ domain.UpstreamID, rate float64) float64 { return rate }
 	}
+	if o.ConnectionShare == nil {
+		o.ConnectionShare = func(all int) int { return all }
+	}
 	return o
 }
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -81,8 +82,10 @@
 func (p *Pool) copyCandidates(now time.Time, q *Query) []placement.Candidate {
 	p.candidates = p.candidates[:0]
 	sound, usable := 0, 0
+	connections := p.connections()
 	for _, u := range p.upstreams {
 		c := p.candidate(now, u, q.Model)
+		c.Usable = c.Usable && u.inFlight < connections
 		if c.Usable {
 			usable++
 			if !p.suspected(now, u) {
@@ -99,6 +102,15 @@
 	return p.candidates
 }
 
+// connections is how many this node may have to one upstream; each request takes
+// one.
+func (p *Pool) connections() int {
+	if p.config.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return p.options.ConnectionShare(p.config.MaxConnections)
+}
+
 func (p *Pool) candidate(now time.Time, u *upstream, model string) placement.Candidate {
 	return placement.Candidate{
 		ID: u.ID, Place: u.Place, Slots: u.Slots, InFlight: u.inFlight,
--- a/core/instances/pool_test.go
+++ b/core/instances/pool_test.go
@@ -184,3 +184,28 @@
 		ticket.Done(now, instances.Broken)
 	}
 }
+
+// TestConnectionsToAnUpstreamAreBounded: an upstream resets connections beyond its
+// bound, and it is not known then if an at-most-once request ran.
+func TestConnectionsToAnUpstreamAreBounded(t *testing.T) {
+	c := instances.NewCatalog(instances.Options{Self: here, ConnectionShare: func(all int) int { return all / 3 }})
+	table, err := routes.New(1, nil, []routes.Service{{Name: "app", MaxConnections: 9}}, routes.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Configure(table)
+	c.Put(start, instance("u1"))
+	var taken []*instances.Ticket
+	for range 9 {
+		if ticket := place(c, start); ticket != nil {
+			taken = append(taken, ticket)
+		}
+	}
+	if len(taken) != 3 {
+		t.Fatalf("%d connections used, want a third of 9", len(taken))
+	}
+	taken[0].Done(start, instances.Answered)
+	if place(c, start) == nil {
+		t.Error("a connection that is free again is not used")
+	}
+}
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -196,13 +196,15 @@
 
 // Targets returns the nodes of a region that may be sent requests.
 func (m *Members) Targets(now time.Time, region domain.Region) []Member {
+	return m.filter(func(r *record) bool { return m.target(now, r, region) })
+}
+
+func (m *Members) target(now time.Time, r *record, region domain.Region) bool {
 	aliveFor := m.aliveFor
 	if region != m.self.Place.Region {
 		aliveFor = farAliveFor
 	}
-	return m.filter(func(r *record) bool {
-		return r.Place.Region == region && r.State == domain.NodeServing && !r.unreachable && now.Sub(r.heardAt) < aliveFor
-	})
+	return r.Place.Region == region && r.State == domain.NodeServing && !r.unreachable && now.Sub(r.heardAt) < aliveFor
 }
 
 func (m *Members) filter(keep func(*record) bool) []Member {
@@ -230,6 +232,32 @@
 	return ids
 }
 
+// RegionSize returns the number of nodes of the own region that are alive, the own
+// one included.
+func (m *Members) RegionSize(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	size := 1
+	for _, r := range m.all {
+		if r.Place.Region == m.self.Place.Region && r.State != domain.NodeStopped && now.Sub(r.heardAt) < m.aliveFor {
+			size++
+		}
+	}
+	return size
+}
+
+// HasTarget tells if a node of another region may be sent requests.
+func (m *Members) HasTarget(now time.Time, region domain.Region) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.all {
+		if m.target(now, r, region) {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of nodes that are remembered, the own one included.
 func (m *Members) Count() int {
 	m.mu.Lock()
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -191,9 +191,9 @@
 		LocalAllowed: r.Route.Allows(a.Self.Region),
 	}
 	if !r.Relayed {
-		senders := len(a.Members.InRegion(now))
+		senders := a.Members.RegionSize(now)
 		q.Others = a.Regions.Loads(now, r.Service, senders, func(region domain.Region) bool {
-			return region != a.Self.Region && r.Route.Allows(region) && len(a.Members.Targets(now, region)) > 0
+			return region != a.Self.Region && r.Route.Allows(region) && a.Members.HasTarget(now, region)
 		})
 	}
 	return a.Catalog.Pool(r.Service).Place(now, a.Policy, &q)
