--- a/spec/check.sh
+++ b/spec/check.sh
@@ -83,5 +83,16 @@
 	esac
 done
 
+holds relay
+holds relay -DREPEATABLE
+breaks relay -DWITNESS
+for guard in $(guards relay); do
+	case $guard in
+	# What only matters once an attempt follows one that may have run.
+	NO_GUARD_EARLIER_ATTEMPT) breaks relay -DREPEATABLE "-D$guard" ;;
+	*) breaks relay "-D$guard" ;;
+	esac
+done
+
 [ "$failed" -eq 0 ] || echo "an expectation failed"
 exit "$failed"
