Keep another region's small services busy over the way there

A node's room was reckoned from free places only: a place is busy for 60 ms of a call that travels 110 ms more, and what a node already had there was not part of its room after the next word, so that half of the places stayed free.

A node now keeps nine tenths of the requests that it has there, plus its part of the free places (less than zero if requests wait), times those on the way. A service's hold is learnt from requests that found a free slot: with the time in queues in it, expected waits were two to three times too long.

--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -131,7 +131,8 @@
 	var list []*meshpb.ServiceLoad
 	for _, l := range loads {
 		list = append(list, &meshpb.ServiceLoad{
-			Service: l.Service, Usable: uint32(l.Usable), FreeTenths: uint32(l.Free * tenths), DelayMs: uint32(l.Delay.Milliseconds()),
+			Service: l.Service, Usable: uint32(l.Usable), FreeTenths: int32(l.Free * tenths), DelayMs: uint32(l.Delay.Milliseconds()),
+			HoldMs: uint32(l.Hold.Milliseconds()),
 		})
 	}
 	return list
@@ -143,6 +144,7 @@
 		loads = append(loads, instances.Load{
 			Service: l.GetService(), Usable: int(l.GetUsable()), Free: float64(l.GetFreeTenths()) / tenths,
 			Delay: time.Duration(l.GetDelayMs()) * time.Millisecond,
+			Hold:  time.Duration(l.GetHoldMs()) * time.Millisecond,
 		})
 	}
 	return loads
--- a/core/instances/peak_test.go
+++ b/core/instances/peak_test.go
@@ -19,11 +19,11 @@
 	// load is the offered rate relative to what the upstreams can do.
 	load float64
 
-	events     queue
-	draw       *rand.Rand
-	nodes      []*instances.Pool
-	upstreams  map[domain.UpstreamID]*server
-	inTime     int
+	events    queue
+	draw      *rand.Rand
+	nodes     []*instances.Pool
+	upstreams map[domain.UpstreamID]*server
+	inTime    int
 	// late counts all answers that came late, lateAtOnce those to calls that were
 	// not refused before.
 	late       int
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -31,6 +31,8 @@
 	pool   *Pool
 	up     *upstream
 	sentAt time.Time
+	// queued is set if all slots were taken already.
+	queued bool
 	tokens int
 	prompt uint64
 	shared bool
@@ -69,6 +71,7 @@
 	if u.inFlight == 0 {
 		u.heardAt = now
 	}
+	t.queued = float64(u.inFlight)+u.othersNow(now) >= float64(u.Slots)
 	u.inFlight++
 	t.mark = u.backlog.add(now, p.options.PrefillRate, t.tokens)
 	if t.shared {
@@ -229,7 +232,7 @@
 		u.heardAt = heard
 	}
 	u.inFlight--
-	if o == Answered {
+	if o == Answered && !t.queued { // the time in a queue is not part of it
 		p.hold += time.Duration(learnGain * float64(now.Sub(t.sentAt)-p.hold))
 	}
 	p.judge(now, u, o)
--- a/core/peers/regions.go
+++ b/core/peers/regions.go
@@ -23,9 +23,10 @@
 
 type regionView struct {
 	loads map[string]instances.Load
-	// sent counts the requests on the way there that the loads do not contain
-	// yet, by service.
-	sent      map[string]float64
+	// under counts this node's requests on the way there or being served, by
+	// service, and kept those that it may keep there as of the last word.
+	under     map[string]float64
+	kept      map[string]float64
 	at        time.Time
 	roundTrip time.Duration
 	reachable bool
@@ -94,7 +95,7 @@
 	defer r.mu.Unlock()
 	v := r.all[region]
 	if v == nil {
-		v = &regionView{roundTrip: defaultRoundTrip}
+		v = &regionView{roundTrip: defaultRoundTrip, under: make(map[string]float64)}
 		r.all[region] = v
 	}
 	if !v.reachable {
@@ -105,7 +106,10 @@
 	for _, l := range loads {
 		v.loads[l.Service] = l
 	}
-	v.sent = make(map[string]float64)
+	v.kept = make(map[string]float64, len(v.under))
+	for service, n := range v.under {
+		v.kept[service] = keptShare * n
+	}
 	v.at = now
 	if roundTrip > 0 {
 		v.roundTrip += time.Duration(roundTripGain * float64(roundTrip-v.roundTrip))
@@ -132,7 +136,7 @@
 	if v := r.all[region]; v != nil {
 		l := v.loads[service]
 		l.Free = 0
-		v.loads[service] = l
+		v.loads[service], v.kept[service] = l, 0
 	}
 }
 
@@ -145,14 +149,11 @@
 	if v == nil {
 		return func() {}
 	}
-	v.sent[service]++
-	told := v.at
+	v.under[service]++
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if v.at.Equal(told) { // a later word contained the request
-			v.sent[service]--
-		}
+		v.under[service]--
 	}
 }
 
@@ -170,12 +171,29 @@
 		}
 		list = append(list, placement.RegionLoad{
 			Region: region, Delay: l.Delay, RoundTrip: v.roundTrip,
-			Free: l.Free/float64(max(1, senders)) - v.sent[service],
+			Free: v.kept[service] + l.Free*onTheWay(v.roundTrip, l.Hold)/float64(max(1, senders)) - v.under[service],
 		})
 	}
 	return list
 }
 
+// keptShare is the part of its requests in a region that a node goes on having
+// there: what is free is told without them, and the rest makes room for nodes that
+// have fewer.
+const keptShare = 0.9
+
+// maxOnTheWay bounds the requests sent for one place, as holds are estimates.
+const maxOnTheWay = 4
+
+// onTheWay is the number of requests that keep one place busy, those that travel
+// there and back included.
+func onTheWay(roundTrip, hold time.Duration) float64 {
+	if hold <= 0 {
+		return 1
+	}
+	return min(maxOnTheWay, 1+float64(roundTrip)/float64(hold))
+}
+
 // Age returns how old the last word of a region is, -1 if there was none.
 func (r *Regions) Age(now time.Time, region domain.Region) time.Duration {
 	r.mu.Lock()
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -83,11 +83,12 @@
 // an engine has no room for another region's requests.
 const maxPendingForRoom = 200.0
 
-// Room returns how many requests fit before one has to wait, and the expected
-// time to the first byte of a request without a prompt.
+// Room returns how many requests fit before one has to wait, less than zero if
+// some wait, and the expected time to the first byte of a request without a
+// prompt.
 func (c *Candidate) Room(s Speeds) (float64, time.Duration) {
-	room := max(0, float64(c.Slots)-c.load())
-	if s.PrefillRate > 0 {
+	room := float64(c.Slots) - c.load()
+	if s.PrefillRate > 0 && room > 0 {
 		pending := c.PendingTokens / s.PrefillRate
 		room *= max(0, 1-pending/maxPendingForRoom)
 	}
