Send notices of prompts to each other failure domain once

One node there now passes them on.

Tried and taken back: a second upstream that all nodes agree on for the overflow of a prompt's preferred one.

--- a/adapters/edgenode/notices.go
+++ b/adapters/edgenode/notices.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
 )
 
 const (
@@ -28,7 +31,17 @@
 }
 
 // Tell implements mesh.Handler.
-func (n *Node) Tell(notices []instances.Notice) { n.catalog.Noticed(time.Now(), notices) }
+func (n *Node) Tell(notices []instances.Notice, passOn bool) {
+	n.metrics.Count("mesh.notices_heard", int64(len(notices)))
+	n.catalog.Noticed(time.Now(), notices)
+	if !passOn {
+		return
+	}
+	own, _ := n.noticeTargets()
+	for _, m := range own {
+		go n.tell(m, notices, false)
+	}
+}
 
 // tellNotices passes notices on until ctx ends.
 func (n *Node) tellNotices(ctx context.Context) {
@@ -38,7 +51,7 @@
 			return
 		case first := <-n.notices:
 			sleep(ctx, noticeDelay)
-			n.tellNear(ctx, n.collect(first))
+			n.tellNear(n.collect(first))
 		}
 	}
 }
@@ -56,14 +69,40 @@
 	return batch
 }
 
-func (n *Node) tellNear(ctx context.Context, batch []instances.Notice) {
+// tellNear tells the nodes of the own failure domain, and one of each other one of
+// the region, which passes the notices on there: bytes between failure domains are
+// paid for.
+func (n *Node) tellNear(batch []instances.Notice) {
+	own, other := n.noticeTargets()
+	for _, m := range own {
+		go n.tell(m, batch, false)
+	}
+	for _, m := range other {
+		go n.tell(m, batch, true)
+	}
+}
+
+// noticeTargets returns the other nodes of the own failure domain, and one node of
+// each other failure domain of the region.
+func (n *Node) noticeTargets() (own, other []peers.Member) {
+	drawn := make(map[domain.FailureDomain][]peers.Member)
 	for _, m := range n.members.Targets(time.Now(), n.settings.Place.Region) {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-			defer cancel()
-			if err := n.mesh.Tell(ctx, m.PeerAddress, batch); err != nil {
-				n.metrics.Count("mesh.tell_failed", 1)
-			}
-		}()
+		if m.Place == n.settings.Place {
+			own = append(own, m)
+		} else {
+			drawn[m.Place.FailureDomain] = append(drawn[m.Place.FailureDomain], m)
+		}
+	}
+	for _, list := range drawn {
+		other = append(other, list[rand.IntN(len(list))])
+	}
+	return own, other
+}
+
+func (n *Node) tell(to peers.Member, batch []instances.Notice, passOn bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if err := n.mesh.Tell(ctx, to.PeerAddress, batch, passOn); err != nil {
+		n.metrics.Count("mesh.tell_failed", 1)
 	}
 }
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -136,13 +136,14 @@
 	return wordFromWire(reply), c.now().Sub(start), nil
 }
 
-// Tell notes at another node of the region what this one sent to upstreams.
-func (c *Client) Tell(ctx context.Context, address string, notices []instances.Notice) error {
+// Tell notes at another node of the region what nodes sent to upstreams; passOn
+// asks it to tell the other nodes of its failure domain.
+func (c *Client) Tell(ctx context.Context, address string, notices []instances.Notice, passOn bool) error {
 	cn, err := c.conn(address)
 	if err != nil {
 		return err
 	}
-	if _, err := meshpb.NewMeshClient(cn).Tell(ctx, &meshpb.TellRequest{Prompts: noticesToWire(notices)}); err != nil {
+	if _, err := meshpb.NewMeshClient(cn).Tell(ctx, &meshpb.TellRequest{Prompts: noticesToWire(notices), PassOn: passOn}); err != nil {
 		return errkind.New(errkind.PeerUnreachable, "tell %s: %w", address, err)
 	}
 	return nil
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -23,8 +23,9 @@
 	Relay(ctx context.Context, in *Incoming, sink relay.Sink) (f *relay.Failure, sent int)
 	// Exchange takes in another node's word and returns the own one.
 	Exchange(w Word) Word
-	// Tell takes in what another node of the region sent to upstreams.
-	Tell(notices []instances.Notice)
+	// Tell takes in what another node of the region sent to upstreams, and tells
+	// the own failure domain if asked to pass it on.
+	Tell(notices []instances.Notice, passOn bool)
 	// Fetch returns the documents that this node holds.
 	Fetch(tableNewerThan uint64, withInstances bool) Documents
 }
@@ -48,7 +49,7 @@
 }
 
 func (s *server) Tell(_ context.Context, m *meshpb.TellRequest) (*meshpb.TellReply, error) {
-	s.handler.Tell(noticesFromWire(m.GetPrompts()))
+	s.handler.Tell(noticesFromWire(m.GetPrompts()), m.GetPassOn())
 	return &meshpb.TellReply{}, nil
 }
 
