--- a/cmd/faulttest/soak_fleet_test.go
+++ b/cmd/faulttest/soak_fleet_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/standin/routedsim"
 	"github.com/crocusspread/crocusspread/adapters/standin/storesim"
@@ -45,7 +46,13 @@
 	link   *relay
 }
 
-const soakHost = "soak.example"
+const (
+	soakHost = "soak.example"
+	// The bound on repeated requests, as in the users' settings.
+	soakBudgetRatio  = 0.2
+	soakBudgetSlack  = 58
+	soakBudgetWindow = 10 * time.Second
+)
 
 func newSoakFleet(t *testing.T) *soakFleet {
 	store := storesim.New()
@@ -94,7 +101,7 @@
 		"listen":   map[string]string{"front": ports[0], "ready": ports[1], "directory": ports[2], "control": ports[3]},
 		"seeds":    seeds,
 		"limits":   map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": 256, "max_fds": 4096},
-		"bounds":   map[string]any{"grace_s": 8, "retry_budget_ratio": 0.2, "retry_budget_slack": 58, "budget_window_s": 10, "ttl_max_s": 5},
+		"bounds":   map[string]any{"grace_s": 8, "retry_budget_ratio": soakBudgetRatio, "retry_budget_slack": soakBudgetSlack, "budget_window_s": soakBudgetWindow.Seconds(), "ttl_max_s": 5},
 		"provider": map[string]any{"address": node.store.address(), "ttl_min_ms": 1000},
 	})
 	if err == nil {
@@ -173,7 +180,7 @@
 	}
 	for _, u := range f.upstreams {
 		u.link.heal()
-		u.Behave(routedsim.Behaviour{}.With(soakEvents))
+		u.Behave(usualBehaviour.With(soakEvents))
 		u.Register("ready")
 	}
 	for _, n := range f.nodes {
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -20,6 +20,9 @@
 	soakCallerCount = flag.Int("soak.callers", 12, "callers of one soak")
 )
 
+// usualBehaviour takes some time, so that faults strike while requests run.
+var usualBehaviour = routedsim.Behaviour{Work: 30 * time.Millisecond}
+
 // failedSeeds are seeds that broke a promise once; each stays with its cause.
 var failedSeeds = []uint64{}
 
@@ -38,7 +41,7 @@
 
 func soak(t *testing.T, seed uint64) {
 	f := newSoakFleet(t)
-	f.behaveAll(routedsim.Behaviour{})
+	f.behaveAll(usualBehaviour)
 	callers := startSoakCallers(f, *soakCallerCount, seed)
 	story := f.injectFaults(rand.New(rand.NewPCG(seed, 0)), time.Now().Add(*soakLength))
 	f.heal()
@@ -68,7 +71,7 @@
 	return func(f *soakFleet, draw *rand.Rand) func() {
 		u := f.upstreams[draw.IntN(len(f.upstreams))]
 		u.Behave(b.With(soakEvents))
-		return func() { u.Behave(routedsim.Behaviour{}.With(soakEvents)) }
+		return func() { u.Behave(usualBehaviour.With(soakEvents)) }
 	}
 }
 
@@ -130,6 +133,18 @@
 	{"upstream goes dark", onUpstream(func(u *soakUpstream) { u.link.silence() }, healLink)},
 	{"upstream's answers are lost", onUpstream(func(u *soakUpstream) { u.link.loseAnswers() }, healLink)},
 	{"upstream drains", onUpstream(func(u *soakUpstream) { u.Register("draining") }, func(u *soakUpstream) { u.Register("ready") })},
+	{"a region's upstreams drain", func(f *soakFleet, draw *rand.Rand) func() {
+		region := []string{"west", "east"}[draw.IntN(2)]
+		register := func(state string) {
+			for _, u := range f.upstreams {
+				if u.region == region {
+					u.Register(state)
+				}
+			}
+		}
+		register("draining")
+		return func() { register("ready") }
+	}},
 	{"upstream's entry is spoiled", func(f *soakFleet, draw *rand.Rand) func() {
 		u := f.upstreams[draw.IntN(len(f.upstreams))]
 		f.store.Put("servers/"+u.ID, []byte(`{"service": []}`))
@@ -203,15 +218,28 @@
 			}
 		}
 	}
+	f.checkRepeats(runs, len(answers))
 	f.t.Logf("%d requests, %d served", len(answers), served)
 	if served < len(answers)/10 {
 		f.t.Errorf("only %d of %d requests were served", served, len(answers))
 	}
 }
 
+// checkRepeats checks the bound that all nodes share on requests that run again.
+func (f *soakFleet) checkRepeats(runs map[string]int, requests int) {
+	repeats := 0
+	for _, n := range runs {
+		repeats += max(0, n-1)
+	}
+	windows := 1 + int(*soakLength/soakBudgetWindow)
+	if most := soakBudgetRatio*float64(requests) + float64(windows*soakBudgetSlack); float64(repeats) > most {
+		f.t.Errorf("%d requests ran again, the budget allows %.0f", repeats, most)
+	}
+}
+
 // checkEpilogue checks what must hold once the faults are over.
 func (f *soakFleet) checkEpilogue() {
-	f.behaveAll(routedsim.Behaviour{})
+	f.behaveAll(usualBehaviour)
 	want := "u-"
 	if f.configure()%2 == 0 {
 		want = "u2-"
