--- a/adapters/edgenode/far.go
+++ b/adapters/edgenode/far.go
@@ -20,6 +20,12 @@
 	// farStale is the age of a region's load from which a node asks for itself:
 	// some rounds of exchanges after a reader's pace.
 	farStale = 1500 * time.Millisecond
+	// farCheck is how often a node that starts looks if it knows a node of
+	// another region.
+	farCheck = 30 * time.Millisecond
+	// firstAsked is the number of nodes of a region that are asked as long as its
+	// load was never heard: some may be down.
+	firstAsked = 3
 	// exploreEvery makes one exchange in so many go to any node of the region, so
 	// that one that could not be reached is found again.
 	exploreEvery = 8
@@ -28,6 +34,7 @@
 // exchangeFar tells and asks nodes of other regions until ctx ends.
 func (n *Node) exchangeFar(ctx context.Context) {
 	turn := rand.IntN(1 << 16) // nodes that start together begin with different regions
+	n.awaitFar(ctx)
 	for ctx.Err() == nil {
 		regions := n.otherRegions()
 		asked := 0
@@ -47,13 +54,26 @@
 	}
 }
 
+// awaitFar returns once a node of another region is known: until it was asked,
+// requests that may not run here have no place.
+func (n *Node) awaitFar(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, region := range n.otherRegions() {
+			if len(n.maybeRunning(region)) > 0 {
+				return
+			}
+		}
+		sleep(ctx, farCheck)
+	}
+}
+
 // farDue tells if this node asks for a region's load.
 func (n *Node) farDue(region domain.Region) bool {
 	age := n.regions.Age(time.Now(), region)
 	return n.reader() || age < 0 || age > farStale
 }
 
-// otherRegions returns those that a node was heard of, in a fixed order.
+// otherRegions returns the other regions of the fleet, in a fixed order.
 func (n *Node) otherRegions() []domain.Region {
 	var list []domain.Region
 	for _, region := range n.settings.regions() {
@@ -71,8 +91,12 @@
 	if len(candidates) == 0 || turn%exploreEvery == 0 {
 		candidates = n.maybeRunning(region)
 	}
-	if len(candidates) > 0 {
-		go n.exchange(ctx, candidates[turn%len(candidates)])
+	asked := min(1, len(candidates))
+	if n.regions.Age(time.Now(), region) < 0 {
+		asked = min(firstAsked, len(candidates))
+	}
+	for i := range asked {
+		go n.exchange(ctx, candidates[(turn+i)%len(candidates)])
 	}
 }
 
