Relay a prompt to the failure domain that holds it

Cause: a request that is relayed for its prompt went to any node of the other region, which passed 17 kB on to the engine's failure domain half of the time. It now goes to a node of that domain, and a node keeps a connection to each failure domain of a region.

--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -161,14 +161,14 @@
 	if preferred < 0 {
 		return
 	}
-	region := p.upstreams[preferred].Place.Region
-	if region == p.options.Self.Region {
+	place := p.upstreams[preferred].Place
+	if place.Region == p.options.Self.Region {
 		candidates[preferred].CachedTokens = sharedTokens
 		return
 	}
 	for i := range q.Others {
-		if q.Others[i].Region == region {
-			q.Others[i].CachedTokens = sharedTokens
+		if q.Others[i].Region == place.Region {
+			q.Others[i].CachedTokens, q.Others[i].Domain = sharedTokens, place.FailureDomain
 		}
 	}
 }
--- a/core/peers/preferred.go
+++ b/core/peers/preferred.go
@@ -10,17 +10,30 @@
 	"github.com/crocusspread/crocusspread/core/placement"
 )
 
-// preferredEach is the number of nodes of another region that a node sends
+// minPreferred is the least number of nodes of another region that a node sends
 // requests to: two, so that one may fail while its connections stay open.
-const preferredEach = 2
+const minPreferred = 2
 
 // Preferred returns the nodes of another region that this one should send
-// requests to, most preferred first. Nodes rank differently for each sender, so
-// that the senders' work spreads over all of them by their capacity.
+// requests to, most preferred first: one of each failure domain, and more if these
+// are too few. Nodes rank differently for each sender, so that the senders' work
+// spreads over all of them by their capacity.
 func (m *Members) Preferred(now time.Time, region domain.Region) []Member {
 	targets := m.Targets(now, region)
 	slices.SortFunc(targets, func(a, b Member) int { return cmp.Compare(m.preference(&b), m.preference(&a)) })
-	return targets[:min(preferredEach, len(targets))]
+	var chosen, rest []Member
+	for _, t := range targets {
+		same := func(c Member) bool { return c.Place == t.Place }
+		if slices.ContainsFunc(chosen, same) {
+			rest = append(rest, t)
+		} else {
+			chosen = append(chosen, t)
+		}
+	}
+	if missing := min(minPreferred-len(chosen), len(rest)); missing > 0 {
+		chosen = append(chosen, rest[:missing]...)
+	}
+	return chosen
 }
 
 // defaultCapacity stands for nodes that do not tell theirs.
--- a/core/peers/preferred_test.go
+++ b/core/peers/preferred_test.go
@@ -73,3 +73,22 @@
 		t.Errorf("an outdated word is passed on: %+v", views)
 	}
 }
+
+// TestEachFailureDomainOfARegionIsReached: requests can go to the failure domain
+// that has their prompt.
+func TestEachFailureDomainOfARegionIsReached(t *testing.T) {
+	m := table()
+	for i := range 12 {
+		other := member(domain.NodeID(fmt.Sprint("e", i)), "east", 1)
+		other.Place.FailureDomain = []domain.FailureDomain{"east-a", "east-b", "east-c"}[i%3]
+		m.Heard(start, nil, []peers.Member{other})
+	}
+	seen := make(map[domain.FailureDomain]bool)
+	list := m.Preferred(start, "east")
+	for _, p := range list {
+		seen[p.Place.FailureDomain] = true
+	}
+	if len(list) != 3 || len(seen) != 3 {
+		t.Errorf("%d nodes of %d failure domains, want one of each of three", len(list), len(seen))
+	}
+}
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -64,6 +64,8 @@
 	// CachedTokens are those of the request's prompt that an engine there is
 	// expected to hold.
 	CachedTokens int
+	// Domain is where that engine stands; empty if none is known.
+	Domain domain.FailureDomain
 	// Free is this node's share of the requests that fit before they have to
 	// wait, those that it has on the way there taken off. Less than one is the
 	// chance that one fits.
@@ -89,8 +91,10 @@
 	Choice Choice
 	// Index is the candidate of a Local decision.
 	Index int
-	// Region is that of a Remote decision.
+	// Region is that of a Remote decision, Domain the failure domain there that
+	// has the prompt; empty if any will do.
 	Region domain.Region
+	Domain domain.FailureDomain
 	// Delay is the expected time to the first byte at the place chosen; for a
 	// refusal, at the best place.
 	Delay time.Duration
@@ -195,7 +199,7 @@
 			cost += reading + time.Duration(p.ReadAgainWeight*float64(reading))
 		}
 		if !found || cost < best.Cost {
-			best, found = Decision{Choice: Remote, Region: o.Region, Delay: delay, Cost: cost, Tokens: tokens}, true
+			best, found = Decision{Choice: Remote, Region: o.Region, Domain: o.Domain, Delay: delay, Cost: cost, Tokens: tokens}, true
 		}
 	}
 	return best, found
--- a/core/relay/attempts_test.go
+++ b/core/relay/attempts_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/placement"
 	"github.com/crocusspread/crocusspread/core/relay"
 	"github.com/crocusspread/crocusspread/core/routes"
 )
@@ -183,3 +186,27 @@
 	}
 	t.Error("2000 repeats for 2000 requests: the budget was not asked")
 }
+
+// TestRelayedPromptGoesToItsFailureDomain: the node that is asked stands where the
+// engine does that holds the prompt, so that the body crosses no failure domain.
+func TestRelayedPromptGoesToItsFailureDomain(t *testing.T) {
+	for _, holder := range []domain.FailureDomain{"east-a", "east-b"} {
+		r := newRig(t, 0)
+		r.withEast()
+		now := time.Now()
+		for _, fd := range []domain.FailureDomain{"east-a", "east-b"} {
+			node := peers.Member{ID: domain.NodeID("n-" + fd), Place: domain.Place{Region: "east", FailureDomain: fd}, State: domain.NodeServing, Beat: 1}
+			r.Members.Heard(now, &node, nil)
+		}
+		r.Catalog.Put(now, instances.Instance{ID: "engine", Service: "app", Address: "x:1", Place: domain.Place{Region: "east", FailureDomain: holder}, Slots: 4})
+		r.nodes.replies = []reply{{chunks: []string{"whole"}}}
+		req := request(routes.Idempotent, 1)
+		req.Prompt = relay.Prompt{Input: 17000, Parts: []placement.Part{{ID: 7, Tokens: 13000}, {ID: 8, Tokens: 4000}}}
+		if f := r.Serve(context.Background(), req, &caller{}); f != nil {
+			t.Fatal(f)
+		}
+		if want := "n-" + string(holder); len(r.nodes.to) != 1 || r.nodes.to[0] != want {
+			t.Errorf("sent to %v, want %s", r.nodes.to, want)
+		}
+	}
+}
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -16,7 +18,7 @@
 // remote sends the request to a node of another region, which runs or refuses
 // it.
 func (a *attempts) remote(ctx context.Context, region domain.Region) result {
-	to, found := a.node(region)
+	to, found := a.node(region, a.decision.Domain)
 	if !found {
 		return failed(errkind.PeerUnreachable, domain.RunNo, instances.Unreachable, "no node of region %s is reachable", region)
 	}
@@ -43,11 +45,15 @@
 	return res
 }
 
-// node draws one of the nodes of a region that this one prefers, or else any that
-// it has a connection to.
-func (a *attempts) node(region domain.Region) (peers.Member, bool) {
+// node draws one of the nodes of a region that this one prefers, if it can one of a
+// failure domain, as bytes between those are paid for; or else any node that it has
+// a connection to.
+func (a *attempts) node(region domain.Region, near domain.FailureDomain) (peers.Member, bool) {
 	preferred := a.Members.Preferred(a.Now(), region)
 	rand.Shuffle(len(preferred), func(i, j int) { preferred[i], preferred[j] = preferred[j], preferred[i] })
+	slices.SortStableFunc(preferred, func(x, y peers.Member) int {
+		return cmp.Compare(distance(&x, near), distance(&y, near))
+	})
 	for _, list := range [][]peers.Member{preferred, a.Members.Targets(a.Now(), region)} {
 		for _, m := range list {
 			if a.Nodes.Connected(&m) {
@@ -61,6 +67,14 @@
 	return preferred[0], true
 }
 
+// distance is 0 for a node of the failure domain, 1 for others.
+func distance(m *peers.Member, near domain.FailureDomain) int {
+	if m.Place.FailureDomain == near {
+		return 0
+	}
+	return 1
+}
+
 // relayFailed takes over the verdict of the other node.
 func (a *attempts) relayFailed(ctx context.Context, region domain.Region, err error) result {
 	e := errkind.From(err)
