Tell changed entries of upstreams at once, from whoever learns of them

Changes of entries are now told at once: by a reader to its failure domain, by another node that learns of one to two nodes there. Changes are announced only when the revision is noted as of which they hold; before, a word could leave with the new content and the old revision, and nobody took it over.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -160,19 +160,42 @@
 	return from[rand.IntN(len(from))], true
 }
 
-// spreadChanges tells the nodes of the region of a change of the operator's
+// spreadOperator tells the nodes of the region of a change of the operator's
 // documents, if this node reads the store for them.
-func (n *Node) spreadChanges(ctx context.Context) {
+func (n *Node) spreadOperator(ctx context.Context) {
+	n.spread(ctx, n.state.operatorChanged, func() []peers.Member {
+		if !n.reader() {
+			return nil
+		}
+		return n.members.Targets(time.Now(), n.settings.Place.Region)
+	})
+}
+
+// entriesTold is the number of nodes that one which heard of changed entries tells:
+// two, so that all of a failure domain know after a few steps, whoever knew first.
+// Its readers may be unable to read.
+const entriesTold = 2
+
+// spreadEntries tells nodes of the failure domain of a change of the upstreams'
+// entries: a reader all of them, another node a few.
+func (n *Node) spreadEntries(ctx context.Context) {
+	n.spread(ctx, n.state.entriesChanged, func() []peers.Member {
+		own, _ := n.nearTargets()
+		if n.reader() {
+			return own
+		}
+		return draw(own, entriesTold)
+	})
+}
+
+func (n *Node) spread(ctx context.Context, changed <-chan struct{}, to func() []peers.Member) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.state.changed:
-		}
-		if !n.reader() {
-			continue
+		case <-changed:
 		}
-		for _, m := range n.members.Targets(time.Now(), n.settings.Place.Region) {
+		for _, m := range to() {
 			go n.exchange(ctx, m)
 		}
 		sleep(ctx, operatorPace)
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -202,7 +202,8 @@
 	loop(n.exchangeFar)
 	loop(n.bootstrap)
 	loop(n.awaitReady)
-	loop(n.spreadChanges)
+	loop(n.spreadOperator)
+	loop(n.spreadEntries)
 	loop(n.tellNotices)
 }
 
--- a/adapters/edgenode/notices.go
+++ b/adapters/edgenode/notices.go
@@ -37,7 +37,7 @@
 	if !passOn {
 		return
 	}
-	own, _ := n.noticeTargets()
+	own, _ := n.nearTargets()
 	for _, m := range own {
 		go n.tell(m, notices, false)
 	}
@@ -73,7 +73,7 @@
 // the region, which passes the notices on there: bytes between failure domains are
 // paid for.
 func (n *Node) tellNear(batch []instances.Notice) {
-	own, other := n.noticeTargets()
+	own, other := n.nearTargets()
 	for _, m := range own {
 		go n.tell(m, batch, false)
 	}
@@ -82,9 +82,9 @@
 	}
 }
 
-// noticeTargets returns the other nodes of the own failure domain, and one node of
+// nearTargets returns the other nodes of the own failure domain, and one node of
 // each other failure domain of the region.
-func (n *Node) noticeTargets() (own, other []peers.Member) {
+func (n *Node) nearTargets() (own, other []peers.Member) {
 	drawn := make(map[domain.FailureDomain][]peers.Member)
 	for _, m := range n.members.Targets(time.Now(), n.settings.Place.Region) {
 		if m.Place == n.settings.Place {
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -36,14 +36,20 @@
 	operatorKnown, entriesKnown known
 	// completed is closed once the node knows enough to serve.
 	completed chan struct{}
-	// changed gets a token when the operator's documents changed.
-	changed   chan struct{}
-	announced bool
+	// operatorChanged and entriesChanged get a token once a change is adopted and
+	// the revision noted as of which it holds: nodes that are told take over only
+	// what is known as of a later revision than theirs.
+	operatorChanged, entriesChanged chan struct{}
+	// operatorPending is set between the two; toldDigest is that of the entries
+	// at the last token.
+	operatorPending bool
+	toldDigest      uint64
+	announced       bool
 }
 
 func newState(d Documents, c *instances.Catalog, log event.Logger) *state {
 	return &state{documents: d, catalog: c, log: log, evacuated: make(map[domain.FailureDomain]bool),
-		entries: make(map[string][]byte), completed: make(chan struct{}), hashes: make(map[string]uint64), changed: make(chan struct{}, 1)}
+		entries: make(map[string][]byte), completed: make(chan struct{}), hashes: make(map[string]uint64), operatorChanged: make(chan struct{}, 1), entriesChanged: make(chan struct{}, 1)}
 }
 
 // version returns that of the routing table, zero without one.
@@ -71,7 +77,7 @@
 	s.catalog.Configure(t)
 	s.table.Store(t)
 	s.tableText = value
-	s.noteChanged()
+	s.operatorPending = true
 	s.log.Log(event.ListsAdopted, event.F("version", t.Version), event.F("before", before), event.F("from", from),
 		event.F("routes", len(t.Routes)), event.F("services", len(t.Services)))
 }
@@ -115,6 +121,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.operatorKnown.reach(revision, confirmed)
+	if s.operatorPending {
+		s.operatorPending = false
+		notify(s.operatorChanged)
+	}
 }
 
 // entriesReached does the same for the entries of upstreams.
@@ -122,6 +132,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entriesKnown.reach(revision, confirmed)
+	if s.entriesKnown.digest != s.toldDigest {
+		s.toldDigest = s.entriesKnown.digest
+		notify(s.entriesChanged)
+	}
 }
 
 func (s *state) operatorAge() time.Duration {
@@ -152,13 +166,13 @@
 	s.mu.Lock()
 	before := s.evacuated
 	s.evacuated, s.knowsEvacuated = after, true
+	s.operatorPending = true
 	s.mu.Unlock()
 	defer s.noteComplete()
 	if maps.Equal(before, after) {
 		return
 	}
 	s.catalog.SetEvacuated(now, after)
-	s.noteChanged()
 	for fd := range after {
 		if !before[fd] {
 			s.log.Log(event.EvacuationChanged, event.F("failure_domain", fd), event.F("evacuated", true), event.F("from", from))
@@ -259,10 +273,10 @@
 	}
 }
 
-// noteChanged asks for the change to be told to other nodes at once.
-func (s *state) noteChanged() {
+// notify asks for a change to be told to other nodes at once.
+func notify(changed chan struct{}) {
 	select {
-	case s.changed <- struct{}{}:
+	case changed <- struct{}{}:
 	default: // asked for already
 	}
 }
