Never draw a port twice in tests; keep the soak's failed seeds

Cause: ports are drawn at random and free until their process listens, so that another draw can return them, here of the soak beside it; within one process the same was possible and is not any more.

--- a/cmd/faulttest/fleet_test.go
+++ b/cmd/faulttest/fleet_test.go
@@ -242,7 +242,11 @@
 	return up && !n.ended()
 }
 
-// freePorts returns addresses that are free at this moment.
+// givenPorts are those that freePorts returned: their processes may not listen yet.
+var givenPorts sync.Map
+
+// freePorts returns addresses that are free at this moment and were never returned
+// before.
 func freePorts(t testing.TB, n int) []string {
 	t.Helper()
 	var addresses []string
@@ -252,7 +256,11 @@
 		}
 		// Below the ports that the system gives to outgoing connections, so that
 		// none of these takes one before its process listens.
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(10000)))
+		port := 10000 + rand.IntN(10000)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -23,8 +23,11 @@
 // usualBehaviour takes some time, so that faults strike while requests run.
 var usualBehaviour = routedsim.Behaviour{Work: 30 * time.Millisecond}
 
-// failedSeeds are seeds that broke a promise once; each stays with its cause.
-var failedSeeds = []uint64{}
+// failedSeeds are seeds that failed once; each stays with its cause.
+var failedSeeds = []uint64{
+	10,  // the upstreams of the soak stopped streaming before its callers did
+	144, // a node's port was also drawn for another process
+}
 
 // TestSoak injects faults at random into real processes and checks what callers
 // and upstreams see. A seed fixes the faults and their times, not how processes
