--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -17,6 +16,9 @@
 	// bootstrapDelay gives the store the first word.
 	bootstrapDelay = 700 * time.Millisecond
 	bootstrapPace  = time.Second
+	// helpersAsked bounds the nodes that are asked at a time: some may be down or
+	// silent, and none should wait for these.
+	helpersAsked = 4
 )
 
 // bootstrap asks other nodes for what the store does not tell, until the node
@@ -27,15 +29,15 @@
 		for _, address := range n.helpers() {
 			go n.greet(ctx, address)
 			if !n.state.complete() {
-				n.fetchEntries(address)
-				n.fetchOperator(address)
+				go n.fetchEntries(address)
+				go n.fetchOperator(address)
 			}
 		}
 		sleep(ctx, bootstrapPace)
 	}
 }
 
-// helpers are the addresses of nodes that may know more.
+// helpers are addresses of nodes that may know more, other ones each time.
 func (n *Node) helpers() []string {
 	list := slices.Clone(*n.seeds.Load())
 	for _, m := range n.members.Known() {
@@ -43,7 +45,7 @@
 			list = append(list, m.PeerAddress)
 		}
 	}
-	return slices.DeleteFunc(list, func(a string) bool { return a == n.settings.PeerAddress })
+	return draw(slices.DeleteFunc(list, func(a string) bool { return a == n.settings.PeerAddress }), helpersAsked)
 }
 
 // greet exchanges words with a node whose identity is not known yet.
@@ -67,14 +69,13 @@
 func (n *Node) fetchEntries(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	d, err := n.mesh.Fetch(ctx, address, math.MaxUint64, true)
+	e, err := n.mesh.FetchEntries(ctx, address)
 	if err != nil {
-		n.metrics.Count("mesh.fetch_failed", 1)
-		n.log.Log(event.FetchFailed, event.F("from", address), event.F("what", "entries"), event.F("error", err))
+		n.fetchFailed(address, "entries", err)
 		return
 	}
-	if d.Complete && n.state.entriesFromPeer(time.Now(), d) {
-		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(d.Instances)), event.F("revision", d.Entries.Revision), event.F("age_ms", d.Entries.Age.Milliseconds()))
+	if n.state.entriesFromPeer(time.Now(), e) {
+		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(e.Values)), event.F("revision", e.Known.Revision), event.F("age_ms", e.Known.Age.Milliseconds()))
 	}
 }
 
@@ -82,14 +83,13 @@
 func (n *Node) fetchOperator(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	d, err := n.mesh.Fetch(ctx, address, n.state.version(), false)
+	d, err := n.mesh.FetchOperator(ctx, address, n.state.version())
 	var table []byte
 	if err == nil && len(d.Table) > 0 {
 		table, err = unpack(d.Table)
 	}
 	if err != nil {
-		n.metrics.Count("mesh.fetch_failed", 1)
-		n.log.Log(event.FetchFailed, event.F("from", address), event.F("what", "operator"), event.F("error", err))
+		n.fetchFailed(address, "operator's documents", err)
 		return
 	}
 	if len(table) > 0 {
@@ -98,45 +98,53 @@
 	n.state.operatorFromPeer(time.Now(), d)
 }
 
-// Fetch implements mesh.Handler.
-func (n *Node) Fetch(tableNewerThan uint64, withInstances bool) mesh.Documents {
-	return n.state.documentsNewer(tableNewerThan, withInstances)
+func (n *Node) fetchFailed(address, what string, err error) {
+	n.metrics.Count("mesh.fetch_failed", 1)
+	n.log.Log(event.FetchFailed, event.F("from", address), event.F("what", what), event.F("error", err))
 }
 
-func (s *state) documentsNewer(than uint64, withInstances bool) mesh.Documents {
-	var d mesh.Documents
+// FetchOperator implements mesh.Handler.
+func (n *Node) FetchOperator(tableNewerThan uint64) mesh.OperatorDocuments {
+	return n.state.operatorNewer(tableNewerThan)
+}
+
+// FetchEntries implements mesh.Handler.
+func (n *Node) FetchEntries() mesh.Entries { return n.state.allEntries() }
+
+func (s *state) operatorNewer(than uint64) mesh.OperatorDocuments {
+	var d mesh.OperatorDocuments
 	if s.version() > than {
 		d.Table = s.packedTable()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.knowsEvacuated {
-		d.Operator = s.operatorKnown.position(time.Now())
+		d.Known = s.operatorKnown.position(time.Now())
 		d.Evacuated = slices.Collect(maps.Keys(s.evacuated))
 	}
-	if !withInstances || !s.knowsEntries || !s.knowsEvacuated {
-		return d
-	}
-	d.Complete = true
-	d.Entries = s.entriesKnown.position(time.Now())
-	d.Instances = make(map[string][]byte, len(s.entries))
-	for key, value := range s.entries {
-		d.Instances[key] = value
-	}
 	return d
 }
 
+func (s *state) allEntries() mesh.Entries {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.knowsEntries {
+		return mesh.Entries{}
+	}
+	return mesh.Entries{Known: s.entriesKnown.position(time.Now()), Values: maps.Clone(s.entries)}
+}
+
 // operatorFromPeer adopts evacuations that another node knows as of a later
-// revision of the store.
-func (s *state) operatorFromPeer(now time.Time, d mesh.Documents) {
+// revision of the store, or any if this node knows none.
+func (s *state) operatorFromPeer(now time.Time, d mesh.OperatorDocuments) {
 	s.mu.Lock()
-	later := d.Operator.Revision > s.operatorKnown.revision || !s.knowsEvacuated && d.Complete
+	adopt := d.Known.Revision > s.operatorKnown.revision || !s.knowsEvacuated && d.Known.Revision > 0
 	s.mu.Unlock()
-	if !later {
+	if !adopt {
 		return
 	}
 	s.setEvacuated(now, domainSet(d.Evacuated), "peer")
-	s.operatorReached(d.Operator.Revision, now.Add(-d.Operator.Age))
+	s.operatorReached(d.Known.Revision, now.Add(-d.Known.Age))
 }
 
 func domainSet(list []domain.FailureDomain) map[domain.FailureDomain]bool {
@@ -149,18 +157,18 @@
 
 // entriesFromPeer adopts upstreams' entries that another node knows as of a later
 // revision of the store, or any if this node knows none.
-func (s *state) entriesFromPeer(now time.Time, d mesh.Documents) bool {
+func (s *state) entriesFromPeer(now time.Time, e mesh.Entries) bool {
 	s.mu.Lock()
-	adopt := d.Entries.Revision > s.entriesKnown.revision || !s.knowsEntries
+	adopt := e.Known.Revision > s.entriesKnown.revision || !s.knowsEntries && e.Known.Revision > 0
 	s.mu.Unlock()
 	if !adopt {
 		return false
 	}
-	items := make([]ports.Item, 0, len(d.Instances))
-	for key, value := range d.Instances {
+	items := make([]ports.Item, 0, len(e.Values))
+	for key, value := range e.Values {
 		items = append(items, ports.Item{Key: key, Value: value})
 	}
 	s.replaceEntries(now, items)
-	s.entriesReached(d.Entries.Revision, now.Add(-d.Entries.Age))
+	s.entriesReached(e.Known.Revision, now.Add(-e.Known.Age))
 	return true
 }
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -68,7 +68,8 @@
 	return draw(slices.DeleteFunc(n.members.Alive(now), func(m peers.Member) bool { return m.Place.Region == n.settings.Place.Region }), nearSample)
 }
 
-func draw(list []peers.Member, most int) []peers.Member {
+// draw returns at most that many of a list, which it shuffles.
+func draw[T any](list []T, most int) []T {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(most, len(list))]
 }
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -149,38 +149,59 @@
 	return nil
 }
 
-// Documents are what a node without the store can take from another.
-type Documents struct {
-	// Table is empty if the other holds nothing newer.
+// OperatorDocuments are the operator's documents as another node knows them.
+type OperatorDocuments struct {
+	// Known is how far the node knows them; zero if it does not.
+	Known Position
+	// Table is packed; it is empty if the node holds nothing newer than asked for.
 	Table     []byte
-	Instances map[string][]byte
 	Evacuated []domain.FailureDomain
-	// Operator is how far the other knows Table and Evacuated, Entries how far it
-	// knows Instances.
-	Operator Position
-	Entries  Position
-	// Complete is set if Instances and Evacuated were known to the other.
-	Complete bool
 }
 
-// Fetch asks a node for documents.
-func (c *Client) Fetch(ctx context.Context, address string, tableNewerThan uint64, withInstances bool) (Documents, error) {
-	cn, err := c.conn(address)
+// Entries are the upstreams' entries as another node knows them.
+type Entries struct {
+	// Known is how far the node knows them; zero if it does not.
+	Known Position
+	// Values are as the store held them, by key.
+	Values map[string][]byte
+}
+
+// FetchOperator asks a node for the operator's documents.
+func (c *Client) FetchOperator(ctx context.Context, address string, tableNewerThan uint64) (OperatorDocuments, error) {
+	reply, err := c.fetch(ctx, address, &meshpb.FetchRequest{TableNewerThan: tableNewerThan})
 	if err != nil {
-		return Documents{}, err
+		return OperatorDocuments{}, err
+	}
+	d := OperatorDocuments{Known: positionFromWire(reply.GetOperator()), Table: reply.GetTable()}
+	for _, fd := range reply.GetEvacuated() {
+		d.Evacuated = append(d.Evacuated, domain.FailureDomain(fd))
 	}
-	reply, err := meshpb.NewMeshClient(cn).Fetch(ctx, &meshpb.FetchRequest{TableNewerThan: tableNewerThan, Instances: withInstances})
+	return d, nil
+}
+
+// FetchEntries asks a node for the upstreams' entries.
+func (c *Client) FetchEntries(ctx context.Context, address string) (Entries, error) {
+	reply, err := c.fetch(ctx, address, &meshpb.FetchRequest{Instances: true})
 	if err != nil {
-		return Documents{}, errkind.New(errkind.PeerUnreachable, "fetch from %s: %w", address, err)
+		return Entries{}, err
 	}
-	d := Documents{Table: reply.GetTable(), Complete: reply.GetHasEvacuated(), Operator: positionFromWire(reply.GetOperator()), Entries: positionFromWire(reply.GetEntries()), Instances: make(map[string][]byte)}
+	e := Entries{Known: positionFromWire(reply.GetEntries()), Values: make(map[string][]byte, len(reply.GetInstances()))}
 	for _, doc := range reply.GetInstances() {
-		d.Instances[doc.GetKey()] = doc.GetValue()
+		e.Values[doc.GetKey()] = doc.GetValue()
 	}
-	for _, fd := range reply.GetEvacuated() {
-		d.Evacuated = append(d.Evacuated, domain.FailureDomain(fd))
+	return e, nil
+}
+
+func (c *Client) fetch(ctx context.Context, address string, request *meshpb.FetchRequest) (*meshpb.FetchReply, error) {
+	cn, err := c.conn(address)
+	if err != nil {
+		return nil, err
 	}
-	return d, nil
+	reply, err := meshpb.NewMeshClient(cn).Fetch(ctx, request)
+	if err != nil {
+		return nil, errkind.New(errkind.PeerUnreachable, "fetch from %s: %w", address, err)
+	}
+	return reply, nil
 }
 
 // Connected implements relay.Nodes.
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -26,8 +26,9 @@
 	// Tell takes in what another node of the region sent to upstreams, and tells
 	// the own failure domain if asked to pass it on.
 	Tell(notices []instances.Notice, passOn bool)
-	// Fetch returns the documents that this node holds.
-	Fetch(tableNewerThan uint64, withInstances bool) Documents
+	// FetchOperator and FetchEntries return what this node knows.
+	FetchOperator(tableNewerThan uint64) OperatorDocuments
+	FetchEntries() Entries
 }
 
 // NewServer returns a gRPC server for a handler.
@@ -54,11 +55,16 @@
 }
 
 func (s *server) Fetch(_ context.Context, m *meshpb.FetchRequest) (*meshpb.FetchReply, error) {
-	d := s.handler.Fetch(m.GetTableNewerThan(), m.GetInstances())
-	reply := &meshpb.FetchReply{Table: d.Table, HasEvacuated: d.Complete, Operator: positionToWire(d.Operator), Entries: positionToWire(d.Entries)}
-	for key, value := range d.Instances {
-		reply.Instances = append(reply.Instances, &meshpb.Document{Key: key, Value: value})
+	if m.GetInstances() {
+		e := s.handler.FetchEntries()
+		reply := &meshpb.FetchReply{Entries: positionToWire(e.Known)}
+		for key, value := range e.Values {
+			reply.Instances = append(reply.Instances, &meshpb.Document{Key: key, Value: value})
+		}
+		return reply, nil
 	}
+	d := s.handler.FetchOperator(m.GetTableNewerThan())
+	reply := &meshpb.FetchReply{Operator: positionToWire(d.Known), Table: d.Table}
 	for _, fd := range d.Evacuated {
 		reply.Evacuated = append(reply.Evacuated, string(fd))
 	}
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -31,7 +31,7 @@
 	pool   *Pool
 	up     *upstream
 	sentAt time.Time
-	// queued is set if all slots were taken already.
+	// queued is set if the request was expected to wait for a slot.
 	queued bool
 	tokens int
 	prompt uint64
@@ -60,7 +60,7 @@
 	}
 	u := p.upstreams[d.Index]
 	t := &Ticket{Instance: u.Instance, Expected: d.Delay, Cold: u.cold(now), pool: p, up: u,
-		sentAt: now, tokens: d.Tokens, prompt: key, shared: shared}
+		sentAt: now, queued: d.ForSlot > 0, tokens: d.Tokens, prompt: key, shared: shared}
 	p.take(now, t)
 	return d, t
 }
@@ -73,7 +73,6 @@
 	if u.inFlight == 0 {
 		u.heardAt = now
 	}
-	t.queued = float64(u.inFlight)+u.othersNow(now, p.usualOthers(now)) >= float64(u.Slots)
 	u.inFlight++
 	t.mark = u.backlog.add(now, p.options.PrefillRate, t.tokens)
 	if t.shared {
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -221,12 +221,14 @@
 }
 
 // InRegion returns the IDs of the nodes of the own region that are alive, the
-// own one included.
+// own one included, in any order.
 func (m *Members) InRegion(now time.Time) []domain.NodeID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	ids := []domain.NodeID{m.self.ID}
-	for _, other := range m.Alive(now) {
-		if other.Place.Region == m.self.Place.Region {
-			ids = append(ids, other.ID)
+	for id, r := range m.all {
+		if m.near(now, r) {
+			ids = append(ids, id)
 		}
 	}
 	return ids
@@ -239,13 +241,18 @@
 	defer m.mu.Unlock()
 	size := 1
 	for _, r := range m.all {
-		if r.Place.Region == m.self.Place.Region && r.State != domain.NodeStopped && now.Sub(r.heardAt) < m.aliveFor {
+		if m.near(now, r) {
 			size++
 		}
 	}
 	return size
 }
 
+// near tells if a node of the own region is alive.
+func (m *Members) near(now time.Time, r *record) bool {
+	return r.Place.Region == m.self.Place.Region && r.State != domain.NodeStopped && now.Sub(r.heardAt) < m.aliveFor
+}
+
 // HasTarget tells if a node of another region may be sent requests.
 func (m *Members) HasTarget(now time.Time, region domain.Region) bool {
 	m.mu.Lock()
--- a/core/peers/preferred.go
+++ b/core/peers/preferred.go
@@ -19,10 +19,8 @@
 // are too few. Nodes rank differently for each sender, so that the senders' work
 // spreads over all of them by their capacity.
 func (m *Members) Preferred(now time.Time, region domain.Region) []Member {
-	targets := m.Targets(now, region)
-	slices.SortFunc(targets, func(a, b Member) int { return cmp.Compare(m.preference(&b), m.preference(&a)) })
 	var chosen, rest []Member
-	for _, t := range targets {
+	for _, t := range m.byPreference(m.Targets(now, region)) {
 		same := func(c Member) bool { return c.Place == t.Place }
 		if slices.ContainsFunc(chosen, same) {
 			rest = append(rest, t)
@@ -36,6 +34,16 @@
 	return chosen
 }
 
+// byPreference sorts nodes, most preferred first.
+func (m *Members) byPreference(list []Member) []Member {
+	scores := make(map[domain.NodeID]float64, len(list))
+	for i := range list {
+		scores[list[i].ID] = m.preference(&list[i])
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(scores[b.ID], scores[a.ID]) })
+	return list
+}
+
 // defaultCapacity stands for nodes that do not tell theirs.
 const defaultCapacity = 0.4
 
--- a/core/peers/regions.go
+++ b/core/peers/regions.go
@@ -81,9 +81,11 @@
 // Heard adopts what a node of the own region knows of other regions, where that
 // is more recent.
 func (r *Regions) Heard(now time.Time, views []View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, heard := range views {
-		if age := r.Age(now, heard.Region); age < 0 || heard.Age < age {
-			r.Told(now.Add(-heard.Age), heard.Region, heard.Loads, 0)
+		if v := r.all[heard.Region]; v == nil || heard.Age < v.age(now) {
+			r.told(now.Add(-heard.Age), heard.Region, heard.Loads, 0)
 		}
 	}
 }
@@ -93,6 +95,10 @@
 func (r *Regions) Told(now time.Time, region domain.Region, loads []instances.Load, roundTrip time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.told(now, region, loads, roundTrip)
+}
+
+func (r *Regions) told(now time.Time, region domain.Region, loads []instances.Load, roundTrip time.Duration) {
 	v := r.all[region]
 	if v == nil {
 		v = &regionView{roundTrip: defaultRoundTrip, under: make(map[string]float64)}
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -54,12 +54,11 @@
 	slices.SortStableFunc(preferred, func(x, y peers.Member) int {
 		return cmp.Compare(distance(&x, near), distance(&y, near))
 	})
-	for _, list := range [][]peers.Member{preferred, a.Members.Targets(a.Now(), region)} {
-		for _, m := range list {
-			if a.Nodes.Connected(&m) {
-				return m, true
-			}
-		}
+	if m, found := a.connected(preferred); found {
+		return m, true
+	}
+	if m, found := a.connected(a.Members.Targets(a.Now(), region)); found {
+		return m, true
 	}
 	if len(preferred) == 0 {
 		return peers.Member{}, false
@@ -67,6 +66,15 @@
 	return preferred[0], true
 }
 
+// connected returns the first node that a request can leave for at once.
+func (a *attempts) connected(list []peers.Member) (peers.Member, bool) {
+	i := slices.IndexFunc(list, func(m peers.Member) bool { return a.Nodes.Connected(&m) })
+	if i < 0 {
+		return peers.Member{}, false
+	}
+	return list[i], true
+}
+
 // distance is 0 for a node of the failure domain, 1 for others.
 func distance(m *peers.Member, near domain.FailureDomain) int {
 	if m.Place.FailureDomain == near {
