Keep the meaning of a context's end when it becomes an error kind

Cause: both nodes of a forwarded request have its deadline; where the receiver's ends first, its handler returns the context's error, errkind.From made it internal (500), and that answer reached the sender before its own deadline. Callers of the product saw 500 instead of 504. Ruled out: load alone (the order of two timers decides; load only makes the wrong order likely).

From now maps the end of a context to timeout or canceled, for all callers. Both new tests failed before (one kind in core/errkind, one with a receiver whose deadline ends first); 60 runs of the first test under the race detector pass.

--- a/adapters/peer/request_test.go
+++ b/adapters/peer/request_test.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// TestReceiversDeadlineIsATimeout: the receiver's time runs out before the sender's.
+func TestReceiversDeadlineIsATimeout(t *testing.T) {
+	address := startNode(t, func(context.Context, *gateway.Forward, answer.Writer) error { return context.DeadlineExceeded })
+	_, _, err := execute(bounded(t), newClient(t, hangBound), request(address))
+	if !errors.Is(err, errkind.Of(errkind.Timeout)) {
+		t.Errorf("got %v, want kind timeout", err)
+	}
+}
+
 // TestOctetsOfARequestAndItsAnswerArriveUnchanged forwards what HTTP allows and
 // UTF-8 does not.
 func TestOctetsOfARequestAndItsAnswerArriveUnchanged(t *testing.T) {
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -4,6 +4,7 @@
 package errkind
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -173,7 +174,8 @@
 	return Lookup(e.Kind).RetryAfter
 }
 
-// From returns err as an *Error; any other error becomes Internal.
+// From returns err as an *Error. The end of a context becomes Timeout or Canceled,
+// any other error Internal.
 func From(err error) *Error {
 	if err == nil {
 		return nil
@@ -182,5 +184,12 @@
 	if errors.As(err, &e) {
 		return e
 	}
-	return &Error{Kind: Internal, Message: err.Error(), Cause: err}
+	kind := Internal
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		kind = Timeout
+	case errors.Is(err, context.Canceled):
+		kind = Canceled
+	}
+	return &Error{Kind: kind, Message: err.Error(), Cause: err}
 }
--- a/core/errkind/errkind_test.go
+++ b/core/errkind/errkind_test.go
@@ -1,6 +1,7 @@
 package errkind_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -37,3 +38,19 @@
 		t.Errorf("an unlisted error became %q", got)
 	}
 }
+
+// TestEndOfAContextKeepsItsMeaning: a node whose deadline ends a moment before the
+// sender's says so, and not that it failed.
+func TestEndOfAContextKeepsItsMeaning(t *testing.T) {
+	for err, want := range map[error]errkind.Kind{
+		context.DeadlineExceeded: errkind.Timeout, context.Canceled: errkind.Canceled, errors.New("another"): errkind.Internal,
+	} {
+		got := errkind.From(fmt.Errorf("read the answer: %w", err))
+		if got.Kind != want || got.Verdict() == domain.RunNo {
+			t.Errorf("%v became %s with run %s, want kind %s and no promise", err, got.Kind, got.Verdict(), want)
+		}
+		if !errors.Is(got, err) {
+			t.Errorf("%v is lost in %v", err, got)
+		}
+	}
+}
