Name draining nodes of the region before nodes elsewhere

The upstreams behind the draining nodes were out of reach as well, although these nodes still accepted requests.

Change: after serving nodes of the caller's region and of the host's regions, the directory names their draining nodes; requests are relayed to draining nodes of a region in which none serves. The regions of a host whose routes have none in common are those that most of its routes allow, instead of none. A relayed request counts as in flight before it is admitted, so that a stopping node cannot miss it.

--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -32,6 +32,8 @@
 	// CheckAccepting returns nil while the node accepts requests, otherwise the reason why
 	// it does not.
 	CheckAccepting func(ctx context.Context) *errkind.Error
+	// CheckDeadline does the same for a request that may take until the deadline.
+	CheckDeadline func(deadline time.Time) *errkind.Error
 	// CloseConnections reports whether connections are closed after their response.
 	CloseConnections func() bool
 	Log              event.Logger
@@ -108,6 +110,10 @@
 	if headerErr != nil {
 		return nil, 0, errkind.New(errkind.BadRequest, "%w", headerErr)
 	}
+	deadline := arrived.Add(timeout(info, route))
+	if err := h.CheckDeadline(deadline); err != nil {
+		return nil, 0, err
+	}
 	body, size, failure := h.readBody(w, r, table.Limits.MaxBodyBytes)
 	if failure != nil {
 		return nil, 0, failure
@@ -117,7 +123,7 @@
 	return &relay.Request{
 		Message: relay.Message{ID: info.ID, Method: r.Method, Host: r.Host, RequestTarget: r.RequestURI, Header: header, Body: body},
 		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(info.ID), TableVersion: table.Version,
-		Arrived: arrived, Deadline: arrived.Add(timeout(info, route)), ResumeAfter: info.ResumeAfter,
+		Arrived: arrived, Deadline: deadline, ResumeAfter: info.ResumeAfter,
 	}, size, nil
 }
 
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -242,12 +242,12 @@
 // request may run here; the request is rejected if that table is older than the
 // sender's.
 func (n *Node) Relay(ctx context.Context, in *mesh.RelayedRequest, sink relay.Sink) (*relay.Failure, int) {
+	n.relayed.Add(1) // before the check, so that a stopping node waits for every request that passes it
+	defer n.relayed.Add(-1)
 	if f := n.admitRelayed(in); f != nil {
 		n.log.Log(event.RequestRefused, event.F("request", in.ID), event.F("kind", f.Kind), event.F("from", in.From), event.F("detail", f.Message))
 		return f, 0
 	}
-	n.relayed.Add(1)
-	defer n.relayed.Add(-1)
 	sentBefore := in.SendCount
 	f := n.engine.Serve(ctx, &in.Request, sink)
 	return f, in.SendCount - sentBefore
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -51,9 +51,11 @@
 	// time; entries do not wait for a large routing table.
 	fetchingEntries, fetchingOperator atomic.Bool
 	closing                           atomic.Bool // responses close their connections
-	rejecting                         atomic.Bool // new requests are rejected
-	ready                             atomic.Bool
-	seeds                             atomic.Pointer[[]string]
+	// drain is set while the node drains, rejecting once it accepts no request any more.
+	drain     atomic.Pointer[peers.Drain]
+	rejecting atomic.Bool
+	ready     atomic.Bool
+	seeds     atomic.Pointer[[]string]
 }
 
 const (
@@ -104,7 +106,7 @@
 		Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.handler = edge.New(edge.Config{
-		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, CloseConnections: n.closing.Load,
+		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, CheckDeadline: n.checkDeadline, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
 		MaxRequests:       s.MemoryBytes / 2 / bytesPerRequest,
 		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)),
@@ -166,6 +168,16 @@
 	return nil
 }
 
+// checkDeadline returns nil if the node can finish a request that may take until the
+// deadline, otherwise the reason why it cannot.
+func (n *Node) checkDeadline(deadline time.Time) *errkind.Error {
+	d := n.drain.Load()
+	if n.rejecting.Load() || d != nil && !d.Accepts(time.Now(), deadline) {
+		return errkind.New(errkind.Draining, "node %s is shutting down", n.settings.Node)
+	}
+	return nil
+}
+
 // Run serves until ctx ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryFraction * float64(n.settings.MemoryBytes)))
--- a/adapters/edgenode/relayed.go
+++ b/adapters/edgenode/relayed.go
@@ -27,8 +27,8 @@
 	if !route.SendsTo(in.Service) {
 		in.Service = route.ServiceFor(in.ID)
 	}
-	if n.rejecting.Load() {
-		return &relay.Failure{Error: errkind.New(errkind.Draining, "node %s is shutting down", n.settings.Node)}
+	if err := n.checkDeadline(in.Deadline); err != nil {
+		return &relay.Failure{Error: err}
 	}
 	return nil
 }
--- a/adapters/edgenode/shutdown.go
+++ b/adapters/edgenode/shutdown.go
@@ -7,13 +7,10 @@
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/peers"
 )
 
 const (
-	// drainAcceptPeriod is how long a draining node accepts new requests. It covers
-	// callers that cache a directory response for three times its TTL, and the
-	// exchange that removes the node from the directory.
-	drainAcceptPeriod = 3300 * time.Millisecond
 	// shutdownMargin is the part of the grace period reserved for ending the process.
 	shutdownMargin = 400 * time.Millisecond
 	// inFlightPollInterval is how often a draining node checks for requests in flight.
@@ -30,31 +27,37 @@
 	if n.members.State() != domain.NodeStarting {
 		return // it is already shutting down
 	}
-	n.members.SetState(domain.NodeServing)
+	n.members.SetState(time.Now(), domain.NodeServing)
 	n.ready.Store(true)
 	n.log.Log(event.NodeServing, event.F("node", n.settings.Node), event.F("table", n.state.version()), event.F("members", n.members.Count()))
 }
 
 // shutdown drains the node: it removes the node from the directory, still accepts
-// requests from callers with a cached directory response for a while, and waits for
-// requests in flight.
+// requests as peers.Drain allows, and waits for requests in flight.
 func (n *Node) shutdown(ctx context.Context, s *servers) {
 	started := time.Now()
 	deadline := started.Add(n.settings.GracePeriod - shutdownMargin)
 	n.ready.Store(false)
 	n.closing.Store(true)
-	n.members.SetState(domain.NodeDraining)
+	n.drain.Store(&peers.Drain{StartedAt: started, EndsAt: deadline})
+	n.members.SetState(started, domain.NodeDraining)
 	n.log.Log(event.NodeDraining, event.F("node", n.settings.Node), event.F("in_flight", n.inFlight()), event.F("grace_ms", n.settings.GracePeriod.Milliseconds()))
 	n.exchangeWithAll(ctx)
 	go n.unregister()
-	sleep(ctx, min(drainAcceptPeriod, time.Until(deadline)))
+	sleep(ctx, min(peers.DrainAcceptPeriod, time.Until(deadline)))
+	n.awaitIdle(ctx, deadline)
 	n.rejecting.Store(true)
+	n.awaitIdle(ctx, deadline) // for requests that were accepted meanwhile
+	n.members.SetState(time.Now(), domain.NodeStopped)
+	n.exchangeWithAll(ctx)
+	n.closeServers(s)
+}
+
+// awaitIdle waits until no request is in flight, at most until the deadline.
+func (n *Node) awaitIdle(ctx context.Context, deadline time.Time) {
 	for n.inFlight() > 0 && time.Now().Before(deadline) {
 		sleep(ctx, inFlightPollInterval)
 	}
-	n.members.SetState(domain.NodeStopped)
-	n.exchangeWithAll(ctx)
-	n.closeServers(s)
 }
 
 // exchangeWithAll makes an exchange with every live node, so that none lists this
--- a/core/peers/directory.go
+++ b/core/peers/directory.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,20 +11,35 @@
 // maxEntryAddresses is the maximum number of addresses in one answer to a caller.
 const maxEntryAddresses = 64
 
-// EntryAddresses returns the entry addresses for a caller in the given region: those of
-// the live nodes of its region; if there are none, of the preferred regions; if there
-// are none, of all regions.
+// EntryAddresses returns the entry addresses for callers of a host from the given
+// region. preferred are the regions to which routes of the host are restricted; empty
+// if none is. The nodes of the first non-empty group are returned:
+//
+//  1. serving nodes of the caller's region, then of the preferred regions;
+//  2. nodes of these regions that drain and still accept requests: elsewhere, requests
+//     of a restricted route cannot run, and the upstreams of the caller's region are out
+//     of reach without a node there;
+//  3. for restricted hosts, all draining nodes of these regions, which refuse requests
+//     but stay where the requests may run;
+//  4. all serving nodes.
 func (m *Members) EntryAddresses(now time.Time, region domain.Region, preferred []domain.Region) []string {
-	serving := m.serving(now)
-	for _, matches := range []func(Member) bool{
-		func(member Member) bool { return member.Place.Region == region },
-		func(member Member) bool { return slices.Contains(preferred, member.Place.Region) },
-		func(Member) bool { return true },
+	known := m.entryNodes(now)
+	inCallersRegion := func(r *record) bool { return r.Place.Region == region }
+	inPreferred := func(r *record) bool { return slices.Contains(preferred, r.Place.Region) }
+	serving := func(r *record) bool { return r.State == domain.NodeServing }
+	accepting := func(r *record) bool { return r.acceptsWhileDraining(now) }
+	draining := func(r *record) bool { return len(preferred) > 0 && r.State == domain.NodeDraining }
+	anywhere := func(*record) bool { return true }
+	for _, group := range []struct{ place, state func(*record) bool }{
+		{inCallersRegion, serving}, {inPreferred, serving},
+		{inCallersRegion, accepting}, {inPreferred, accepting},
+		{inCallersRegion, draining}, {inPreferred, draining},
+		{anywhere, serving},
 	} {
 		var addresses []string
-		for _, member := range serving {
-			if matches(member) && len(addresses) < maxEntryAddresses {
-				addresses = append(addresses, member.EntryAddress)
+		for i := range known {
+			if r := &known[i]; group.place(r) && group.state(r) && len(addresses) < maxEntryAddresses {
+				addresses = append(addresses, r.EntryAddress)
 			}
 		}
 		if len(addresses) > 0 {
@@ -33,15 +49,17 @@
 	return nil
 }
 
-// serving returns the live nodes that accept callers, including the local node.
-func (m *Members) serving(now time.Time) []Member {
-	list := m.filter(func(r *record) bool {
-		return r.State == domain.NodeServing && !r.unreachable && now.Sub(r.lastHeartbeatAt) < m.aliveFor
-	})
+// entryNodes returns copies of the records of the live and reachable nodes, including
+// the local node, sorted by ID.
+func (m *Members) entryNodes(now time.Time) []record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.self.State == domain.NodeServing {
-		list = append(list, m.self)
+	list := []record{{Member: m.self, drainingSince: m.drainingSince}}
+	for _, r := range m.records {
+		if !r.unreachable && now.Sub(r.lastHeartbeatAt) < m.aliveFor {
+			list = append(list, *r)
+		}
 	}
+	slices.SortFunc(list, func(a, b record) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/core/peers/heartbeat.go
+++ b/core/peers/heartbeat.go
@@ -62,6 +62,7 @@
 		r.HeartbeatCounter, r.lastHeartbeatAt = b.Counter, now
 		if r.State != b.State {
 			r.State = b.State
+			r.updateDraining(now)
 			m.logChange(r, "beat")
 		}
 	}
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -42,6 +42,24 @@
 	unreachable bool
 	alive       bool
 	handle      uint32
+	// drainingSince is when this node learned that the node drains; zero if it does not.
+	drainingSince time.Time
+}
+
+// acceptsWhileDraining reports whether a draining node still accepts requests that are
+// sent there now.
+func (r *record) acceptsWhileDraining(now time.Time) bool {
+	return r.State == domain.NodeDraining && now.Sub(r.drainingSince) < DrainAcceptPeriod-drainNoticeMargin
+}
+
+// updateDraining sets drainingSince after a change of the record.
+func (r *record) updateDraining(now time.Time) {
+	switch {
+	case r.State != domain.NodeDraining:
+		r.drainingSince = time.Time{}
+	case r.drainingSince.IsZero():
+		r.drainingSince = now
+	}
 }
 
 // Members is the table of known nodes, including the local node.
@@ -53,6 +71,8 @@
 	mu      sync.Mutex
 	self    Member
 	records map[domain.NodeID]*record
+	// drainingSince is when the local node began to drain; zero if it has not.
+	drainingSince time.Time
 }
 
 const (
@@ -88,10 +108,13 @@
 }
 
 // SetState sets the state of the local node.
-func (m *Members) SetState(s domain.NodeState) {
+func (m *Members) SetState(now time.Time, s domain.NodeState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self.State = s
+	if s == domain.NodeDraining {
+		m.drainingSince = now
+	}
 }
 
 // State returns the state of the local node.
@@ -147,7 +170,11 @@
 	if r.Incarnation != in.Incarnation {
 		r.unreachable = false
 	}
+	if r.Incarnation != in.Incarnation {
+		r.drainingSince = time.Time{}
+	}
 	r.Member = *in
+	r.updateDraining(now)
 	r.handle = handleOf(in)
 	r.lastHeartbeatAt = now
 	if changed {
@@ -195,17 +222,24 @@
 	return m.filter(func(*record) bool { return true })
 }
 
-// Targets returns the nodes of a region to which requests may be sent, sorted by ID.
+// Targets returns the nodes of a region to which requests may be sent, sorted by ID: the
+// serving ones, or if there are none, those that drain and still accept requests.
 func (m *Members) Targets(now time.Time, region domain.Region) []Member {
-	return m.filter(func(r *record) bool { return m.isTarget(now, r, region) })
+	serving := m.filter(func(r *record) bool { return m.isReachable(now, r, region) && r.State == domain.NodeServing })
+	if len(serving) > 0 {
+		return serving
+	}
+	return m.filter(func(r *record) bool { return m.isReachable(now, r, region) && r.acceptsWhileDraining(now) })
 }
 
-func (m *Members) isTarget(now time.Time, r *record, region domain.Region) bool {
+// isReachable reports whether the node belongs to the region, has a recent heartbeat and
+// responded to the latest call.
+func (m *Members) isReachable(now time.Time, r *record, region domain.Region) bool {
 	aliveFor := m.aliveFor
 	if region != m.self.Place.Region {
 		aliveFor = remoteAliveFor
 	}
-	return r.Place.Region == region && r.State == domain.NodeServing && !r.unreachable && now.Sub(r.lastHeartbeatAt) < aliveFor
+	return r.Place.Region == region && !r.unreachable && now.Sub(r.lastHeartbeatAt) < aliveFor
 }
 
 func (m *Members) filter(keep func(*record) bool) []Member {
@@ -259,7 +293,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range m.records {
-		if m.isTarget(now, r, region) {
+		if m.isReachable(now, r, region) && (r.State == domain.NodeServing || r.acceptsWhileDraining(now)) {
 			return true
 		}
 	}
--- a/core/routes/match.go
+++ b/core/routes/match.go
@@ -45,21 +45,26 @@
 	return nil
 }
 
-// HostRegions returns the regions that all routes of a host allow; nil if no route
+// HostRegions returns the regions that most of the restricted routes of a host allow,
+// sorted: those that all of them allow, if there are any. It returns nil if no route
 // restricts its regions.
 func (t *Table) HostRegions(host string) []domain.Region {
-	var common []domain.Region
+	allowedBy := make(map[domain.Region]int)
+	most := 0
 	for _, r := range t.byHost[strings.ToLower(host)] {
-		if len(r.Regions) == 0 {
-			continue
+		for _, region := range r.Regions {
+			allowedBy[region]++
+			most = max(most, allowedBy[region])
 		}
-		if common == nil {
-			common = slices.Clone(r.Regions)
-			continue
+	}
+	var regions []domain.Region
+	for region, n := range allowedBy {
+		if n == most {
+			regions = append(regions, region)
 		}
-		common = slices.DeleteFunc(common, func(region domain.Region) bool { return !r.Allows(region) })
 	}
-	return common
+	slices.Sort(regions)
+	return regions
 }
 
 // MinEventGaps returns the minimum of MaxEventGap over the routes of each service
--- a/core/routes/match_test.go
+++ b/core/routes/match_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,27 @@
 	}
 }
 
+// Without a region that all restricted routes allow, those allowed by most of them are
+// returned: callers must be given some entry.
+func TestHostRegionsAreThoseAllowedByMostRoutes(t *testing.T) {
+	restricted := func(prefix string, regions ...domain.Region) routes.Route {
+		r := route(prefix, "h", prefix)
+		r.Regions = regions
+		return r
+	}
+	for name, c := range map[string]struct {
+		routes []routes.Route
+		want   []domain.Region
+	}{
+		"one of three differs": {[]routes.Route{restricted("/a/", "west"), restricted("/b/", "west", "east"), restricted("/c/", "south")}, []domain.Region{"west"}},
+		"all differ":           {[]routes.Route{restricted("/a/", "west"), restricted("/b/", "east")}, []domain.Region{"east", "west"}},
+	} {
+		if got := table(t, c.routes...).HostRegions("H"); !slices.Equal(got, c.want) {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 func TestInvalidTablesAreRejected(t *testing.T) {
 	for name, change := range map[string]func(*routes.Route){
 		"no host":         func(r *routes.Route) { r.Host = "" },
