Count bodies that are still arriving against the memory limit

Cause: the limit on bodies in flight was compared with bodies read whole; those still arriving did not count, in chunks not at all, so that callers who send without an end could take any amount of memory. A body also had no deadline.

Change: memory is reserved before a buffer grows, and a body must have arrived by the request's deadline. Tests: fifty bodies that stop halfway, cut bodies with a length and in chunks, a body sent a byte at a time.

--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -114,7 +112,7 @@
 	if err := h.CheckDeadline(deadline); err != nil {
 		return nil, 0, err
 	}
-	body, size, failure := h.readBody(w, r, table.Limits.MaxBodyBytes)
+	body, size, failure := h.readBody(w, r, table.Limits.MaxBodyBytes, deadline)
 	if failure != nil {
 		return nil, 0, failure
 	}
@@ -140,45 +138,6 @@
 	return limit
 }
 
-// readBody reads the whole body, so that it can be sent more than once and has only
-// one framing. It returns the body and its size in bytes.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int64, *errkind.Error) {
-	if r.ContentLength == 0 || r.Body == nil {
-		return nil, 0, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, 0, errkind.New(errkind.BodyTooLarge, "body has %d bytes", r.ContentLength)
-	}
-	if h.bodyBytes.Load()+max(0, r.ContentLength) > h.MaxTotalBodyBytes {
-		return nil, 0, errkind.New(errkind.Overloaded, "request bodies in flight take %d bytes", h.bodyBytes.Load())
-	}
-	reader := io.Reader(r.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := readSized(reader, r.ContentLength)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, 0, errkind.New(errkind.BodyTooLarge, "body is larger than %d bytes", limit)
-		}
-		return nil, 0, errkind.New(errkind.BadRequest, "read body: %w", err)
-	}
-	size := int64(len(body))
-	h.bodyBytes.Add(size)
-	return body, size, nil
-}
-
-// readSized reads a body of the given length; a negative length means unknown.
-func readSized(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // hostOf returns the host of a request without its port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
