Complete streams that stall or break off after their objective

Cause: placement refused every further attempt once the objective of the first event had passed, so a stream that broke off later was never resumed, and a repeatable request whose upstream failed late was not sent elsewhere.

Change: the objective starts again for an attempt that follows one which may have run. A resumable stream without a new event for six times its longest allowed pause, at least 1.7 s, continues elsewhere; slow streams with new events stay. Events are buffered up to 128 KiB and answers up to 64 KiB, so that hundreds without an end fit a node.

--- a/core/relay/attempts_test.go
+++ b/core/relay/attempts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -143,7 +144,7 @@
 	req.Route.Regions = []domain.Region{"south"}
 	f := r.Serve(context.Background(), req, &recordingSink{})
 	if f == nil || len(r.upstreams.calls)+len(r.nodes.calls) > 0 {
-		t.Error("got an attempt in a region that the route does not allow")
+		t.Fatal("got an attempt in a region that the route does not allow")
 	}
 	if f.RetryDelay() <= 0 {
 		t.Error("got no retry delay in the refusal")
@@ -211,3 +212,16 @@
 		}
 	}
 }
+
+// A repeatable request whose upstream breaks its connection after the objective still has
+// time for another attempt.
+func TestRequestThatFailsAfterItsObjectiveIsSentElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		f.upstreams.replies = []reply{{chunks: []string{"par", "t"}, pause: 800 * time.Millisecond, end: errors.New("reset")}, {chunks: []string{"whole"}}}
+		sink := &recordingSink{}
+		if failure := f.Serve(context.Background(), newRequest(routes.Idempotent, 2), sink); failure != nil || sink.body != "whole" {
+			t.Errorf("got failure %v and body %q, want the answer of the second upstream", failure, sink.body)
+		}
+	})
+}
--- a/core/relay/delivery.go
+++ b/core/relay/delivery.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
+	"fmt"
 	"io"
 )
 
@@ -75,9 +75,9 @@
 
 // maxPartialEventBytes is the maximum size of an event that is buffered until it is
 // complete.
-const maxPartialEventBytes = 1 << 20
+const maxPartialEventBytes = 128 << 10
 
-var errEventTooLarge = errors.New("event exceeds 1 MiB")
+var errEventTooLarge = fmt.Errorf("event exceeds %d bytes", maxPartialEventBytes)
 
 // discardPartial discards the bytes of an event that the last upstream did not finish.
 func (c *eventSplitter) discardPartial() { c.partial = c.partial[:0] }
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -85,6 +86,9 @@
 	// bytes arrived; maxGap is the longest gap between bytes.
 	headAt, firstAt, lastAt time.Time
 	maxGap                  time.Duration
+	// lastEventAt is when the attempt was sent or, if later, when the caller was sent a new
+	// event of a resumable stream, in Unix nanoseconds.
+	lastEventAt atomic.Int64
 }
 
 // recordBytes records the arrival of bytes of the answer.
@@ -184,7 +188,7 @@
 	q := instances.Query{
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.InputTokens, OutputTokens: r.Prompt.OutputTokens,
-			Objective: r.Route.Objective, Elapsed: now.Sub(r.Arrived), Remaining: r.Deadline.Sub(now),
+			Objective: r.Route.Objective, Elapsed: a.elapsed(now), Remaining: r.Deadline.Sub(now),
 			Urgent: r.Route.Priority == 0, Excluded: a.tried, Random: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
@@ -199,6 +203,17 @@
 	return a.Catalog.Pool(r.Service).Place(now, a.Policy, &q)
 }
 
+// elapsed returns the time that counts against the objective. It starts again for an
+// attempt that follows one which may have run: the caller cannot send such a request
+// elsewhere by itself, so that a late answer, or the rest of a stream that has begun, is
+// better than none.
+func (a *attempts) elapsed(now time.Time) time.Duration {
+	if a.mayHaveRun {
+		return 0
+	}
+	return now.Sub(a.r.Arrived)
+}
+
 // refuse ends a request that no upstream can serve now.
 func (a *attempts) refuse(ctx context.Context) *Failure {
 	if a.placements > 1 {
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -15,8 +15,9 @@
 
 const (
 	// maxBufferedBytes is the maximum size of an answer that is buffered until it is
-	// complete; larger ones are passed on as they arrive.
-	maxBufferedBytes = 256 << 10
+	// complete; larger ones are passed on as they arrive. Hundreds of answers without an
+	// end must fit a node's memory.
+	maxBufferedBytes = 64 << 10
 	// silenceTimeout is how long an upstream may send nothing to this node, on any
 	// connection, before a repeatable request is sent elsewhere.
 	silenceTimeout = 700 * time.Millisecond
@@ -24,6 +25,10 @@
 	// stream for over a second when they run out of memory, and callers disconnect after
 	// two seconds at the earliest.
 	streamSilenceTimeout = 1700 * time.Millisecond
+	// stallGapFactor is the time without a new event, as a multiple of the longest pause that
+	// meets the objective, after which a resumable stream continues elsewhere. Callers
+	// disconnect after eight times that pause at the earliest.
+	stallGapFactor = 6
 	// firstByteTimeoutFactor and minFirstByteTimeout set the timeout for the first byte
 	// of a repeatable request with attempts left; the factor is a multiple of the
 	// expected time.
@@ -79,6 +84,7 @@
 		return func() {}
 	}
 	start := a.Now()
+	a.lastEventAt.Store(start.UnixNano())
 	firstByteTimeout := max(minFirstByteTimeout, firstByteTimeoutFactor*t.Expected)
 	var timer *time.Timer
 	timer = time.AfterFunc(silenceTimeout, func() {
@@ -88,7 +94,7 @@
 		if t.AnswerStarted() {
 			limit = streamSilenceTimeout
 		}
-		silent := !t.ReceivedWithin(now, limit)
+		silent := !t.ReceivedWithin(now, limit) || a.stalled(t, now)
 		if (silent || !t.AnswerStarted() && waited > firstByteTimeout) && a.Budget.Available(now, a.r.Service, a.budgetNodes()) {
 			cancel(errSilent)
 			return
@@ -98,6 +104,14 @@
 	return func() { timer.Stop() }
 }
 
+// stalled reports whether a resumable stream has begun and brings no new event, although
+// its upstream may be sending something: comments, a part of an event, or the events of
+// other requests.
+func (a *attempts) stalled(t *instances.Ticket, now time.Time) bool {
+	limit := max(streamSilenceTimeout, stallGapFactor*a.r.Route.MaxEventGap)
+	return a.r.Route.Resumable && t.AnswerStarted() && now.Sub(time.Unix(0, a.lastEventAt.Load())) > limit
+}
+
 // sendError classifies an attempt without an answer.
 func (a *attempts) sendError(ctx context.Context, err error) result {
 	kind := errkind.From(err)
@@ -198,9 +212,13 @@
 			if e := a.delivery.begin(h); e != nil {
 				return a.interrupted(ctx, e)
 			}
+			lastID := a.delivery.resumeAfter("")
 			if e := a.delivery.write(b); e != nil {
 				return a.interrupted(ctx, e)
 			}
+			if a.delivery.resumeAfter("") != lastID {
+				a.lastEventAt.Store(now.UnixNano())
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(ctx, h)
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -114,3 +116,56 @@
 		t.Errorf("got %d attempts for a stream that paused, want 1", len(r.upstreams.calls))
 	}
 }
+
+// An upstream that sends comments or a part of an event now and then is not silent, but
+// its stream makes no progress.
+func TestStalledStreamIsResumedElsewhere(t *testing.T) {
+	for name, drip := range map[string]string{"comments": ": still here\n\n", "an event that does not end": "x"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, 2)
+			stalled := []string{"id: 1\ndata: a\n\n"}
+			for range 40 {
+				stalled = append(stalled, drip)
+			}
+			f.upstreams.replies = []reply{{chunks: stalled, pause: 200 * time.Millisecond}, {chunks: []string{"id: 2\ndata: b\n\n"}}}
+			r := streaming(2, true)
+			sink := &recordingSink{}
+			began := time.Now()
+			if failure := f.Serve(context.Background(), r, sink); failure != nil {
+				t.Fatalf("%s: got failure %v, want the rest of the stream", name, failure)
+			}
+			if !strings.HasSuffix(sink.body, "id: 2\ndata: b\n\n") || len(f.upstreams.calls) != 2 || f.upstreams.calls[1].ResumeAfter != "1" {
+				t.Errorf("%s: got body %q in %d attempts, want events 1 and 2 in two", name, sink.body, len(f.upstreams.calls))
+			}
+			if took := time.Since(began); took > 2500*time.Millisecond {
+				t.Errorf("%s: the stream was resumed after %v, want before callers give up", name, took)
+			}
+		})
+	}
+}
+
+// The objective concerns the first event. A stream that breaks off later still has to be
+// completed.
+func TestStreamThatBreaksOffAfterItsObjectiveIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		f.upstreams.replies = []reply{
+			{chunks: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, pause: 900 * time.Millisecond, end: errors.New("reset")},
+			{chunks: []string{"id: 3\ndata: c\n\n"}},
+		}
+		sink := &recordingSink{}
+		if failure := f.Serve(context.Background(), streaming(2, true), sink); failure != nil || !strings.HasSuffix(sink.body, "id: 3\ndata: c\n\n") {
+			t.Errorf("got failure %v and body %q, want the rest of the stream", failure, sink.body)
+		}
+	})
+}
+
+func TestSlowStreamWithNewEventsIsNotResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2)
+		f.upstreams.replies = []reply{{chunks: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"}, pause: 1500 * time.Millisecond}}
+		if failure := f.Serve(context.Background(), streaming(2, true), &recordingSink{}); failure != nil || len(f.upstreams.calls) != 1 {
+			t.Errorf("got failure %v after %d attempts, want one complete stream", failure, len(f.upstreams.calls))
+		}
+	})
+}
