Mend faults noticed in passing

Eviction of prompts took the last holder for the newest, though holders are refreshed in place; it looks at all of them now, and 16,384 prompts are tracked instead of 4,096, as one deployment has 3,362. Nodes of other regions were logged as dead after the limit of the own region while they still received requests. The age of a region without a report was -1 ns, elsewhere -1 ms. A field of routing candidates was never read; an error of crocusctl was always nil.

--- a/cmd/crocusctl/apply.go
+++ b/cmd/crocusctl/apply.go
@@ -30,10 +30,7 @@
 func (c *applyCommand) run(ctx context.Context, _ operatorcli.Output) (operatorcli.Result, error) {
 	ctx, cancel := c.context(ctx)
 	defer cancel()
-	kv, err := c.openKV()
-	if err != nil {
-		return nil, err
-	}
+	kv := c.openKV()
 	return operatorcli.AsResult(operatorcli.Apply(ctx, kv, operatorcli.ApplyRequest{
 		Dir:    c.Dir,
 		Author: c.Author,
--- a/cmd/crocusctl/history.go
+++ b/cmd/crocusctl/history.go
@@ -25,9 +25,6 @@
 func (c *historyCommand) run(ctx context.Context, _ operatorcli.Output) (operatorcli.Result, error) {
 	ctx, cancel := c.context(ctx)
 	defer cancel()
-	kv, err := c.openKV()
-	if err != nil {
-		return nil, err
-	}
+	kv := c.openKV()
 	return operatorcli.AsResult(operatorcli.History(ctx, kv, c.Limit))
 }
--- a/cmd/crocusctl/plan.go
+++ b/cmd/crocusctl/plan.go
@@ -25,9 +25,6 @@
 func (c *planCommand) run(ctx context.Context, _ operatorcli.Output) (operatorcli.Result, error) {
 	ctx, cancel := c.context(ctx)
 	defer cancel()
-	kv, err := c.openKV()
-	if err != nil {
-		return nil, err
-	}
+	kv := c.openKV()
 	return operatorcli.AsResult(operatorcli.Plan(ctx, kv, c.Dir))
 }
--- a/cmd/crocusctl/store.go
+++ b/cmd/crocusctl/store.go
@@ -16,6 +16,6 @@
 }
 
 // openKV returns a client of the key-value service.
-func (o platformOption) openKV() (ports.KV, error) {
-	return platform.New(o.Platform, platform.Options{}).KV(), nil
+func (o platformOption) openKV() ports.KV {
+	return platform.New(o.Platform, platform.Options{}).KV()
 }
--- a/core/instances/prompts.go
+++ b/core/instances/prompts.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -10,9 +11,8 @@
 	// promptRetention is how long an upstream is expected to cache a prompt that no
 	// request uses: engines evict the least recently used parts.
 	promptRetention = 12 * time.Second
-	// maxPrompts is the maximum number of tracked prompts: ten times the number of
-	// long prompts in the largest deployment.
-	maxPrompts = 4096
+	// maxPrompts is the maximum number of tracked prompts, about 4 MB.
+	maxPrompts = 16384
 	// maxHoldersPerPrompt is the maximum number of upstreams tracked per prompt.
 	maxHoldersPerPrompt = 4
 )
@@ -61,7 +61,7 @@
 		return
 	}
 	for key, list := range p {
-		if now.Sub(list[len(list)-1].lastUsedAt) > promptRetention {
+		if !slices.ContainsFunc(list, func(h promptHolder) bool { return now.Sub(h.lastUsedAt) <= promptRetention }) {
 			delete(p, key)
 		}
 	}
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -195,7 +195,7 @@
 // updateLiveness updates and logs which nodes are alive, and removes old records.
 func (m *Members) updateLiveness(now time.Time) {
 	for id, r := range m.records {
-		alive := now.Sub(r.lastHeartbeatAt) < m.aliveFor
+		alive := now.Sub(r.lastHeartbeatAt) < m.aliveLimit(r)
 		if alive != r.alive {
 			r.alive = alive
 			m.logChange(r, "heartbeat age "+now.Sub(r.lastHeartbeatAt).String())
@@ -235,11 +235,15 @@
 // isReachable reports whether the node belongs to the region, has a recent heartbeat and
 // responded to the latest call.
 func (m *Members) isReachable(now time.Time, r *record, region domain.Region) bool {
-	aliveFor := m.aliveFor
-	if region != m.self.Place.Region {
-		aliveFor = remoteAliveFor
+	return r.Place.Region == region && !r.unreachable && now.Sub(r.lastHeartbeatAt) < m.aliveLimit(r)
+}
+
+// aliveLimit returns how long the node counts as alive after its last heartbeat.
+func (m *Members) aliveLimit(r *record) time.Duration {
+	if r.Place.Region != m.self.Place.Region {
+		return remoteAliveFor
 	}
-	return r.Place.Region == region && !r.unreachable && now.Sub(r.lastHeartbeatAt) < aliveFor
+	return m.aliveFor
 }
 
 func (m *Members) filter(keep func(*record) bool) []Member {
--- a/core/peers/members_test.go
+++ b/core/peers/members_test.go
@@ -127,3 +127,36 @@
 		t.Errorf("a forbidden region is returned: %+v", got)
 	}
 }
+
+type memberLog struct{ alive []any }
+
+func (l *memberLog) Log(_ event.Event, fields ...event.Field) {
+	for _, f := range fields {
+		if f.Key == "alive" {
+			l.alive = append(l.alive, f.Value)
+		}
+	}
+}
+
+// Heartbeats of other regions arrive less often; a node there that still receives requests
+// is not logged as dead.
+func TestRemoteNodeIsLoggedAliveWhileItReceivesRequests(t *testing.T) {
+	log := &memberLog{}
+	m := peers.NewMembers(member("self", "west", 0), 3*time.Second, log)
+	remote := member("e1", "east", 1)
+	m.Merge(start, &remote, nil)
+	later := start.Add(4 * time.Second)
+	m.Merge(later, nil, nil)
+	if !m.HasTarget(later, "east") {
+		t.Fatal("the remote node receives no requests after 4 s")
+	}
+	if last := log.alive[len(log.alive)-1]; last != true {
+		t.Errorf("the remote node was logged with alive=%v while it receives requests", last)
+	}
+}
+
+func TestAgeOfRegionWithoutReport(t *testing.T) {
+	if age := peers.NewRegions(event.Discard{}).Age(start, "east"); age != -time.Millisecond {
+		t.Errorf("got age %v without a report, want -1 ms as in other log lines", age)
+	}
+}
--- a/core/peers/regions.go
+++ b/core/peers/regions.go
@@ -206,12 +206,12 @@
 	return min(maxRequestsPerSlot, 1+float64(roundTrip)/float64(slotTime))
 }
 
-// Age returns the time since the last report of a region, or -1 ns if there was none.
+// Age returns the time since the last report of a region, or -1 ms if there was none.
 func (r *Regions) Age(now time.Time, region domain.Region) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if v := r.views[region]; v != nil {
-		return now.Sub(v.updatedAt)
+		return v.age(now)
 	}
-	return -1
+	return -time.Millisecond
 }
--- a/core/routing/builder.go
+++ b/core/routing/builder.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 )
@@ -174,7 +172,6 @@
 		prefillRate:      orDefault(u.PrefillTokensPerSecond, defaultPrefillTokensPerSecond),
 		decodeRate:       orDefault(u.DecodeTokensPerSecond, defaultDecodeTokensPerSecond),
 		cost:             u.CostPerMillionTokens,
-		hash:             xxhash.Sum64String(string(u.Ref.ID)),
 		preferred:        u.Preferred,
 		prefixes:         u.Prefixes,
 		ownWork:          u.Work,
@@ -206,7 +203,6 @@
 		prefillRate:      orDefault(t.PrefillTokensPerSecond, defaultPrefillTokensPerSecond),
 		decodeRate:       orDefault(t.DecodeTokensPerSecond, defaultDecodeTokensPerSecond),
 		cost:             t.CostPerMillionTokens,
-		hash:             xxhash.Sum64String(string(d.Place.FailureDomain)),
 		ownWork:          t.Work,
 		link:             d.Link,
 	}
--- a/core/routing/snapshot.go
+++ b/core/routing/snapshot.go
@@ -52,7 +52,6 @@
 	// prefillRate and decodeRate are in tokens per second.
 	prefillRate, decodeRate float64
 	cost                    float64
-	hash                    uint64
 	preferred               bool
 	prefixes                []uint64
 	ownWork                 *InFlightWork
