Learn the prefill rate of engines

Cause: nodes assumed 75 tokens a millisecond, which is right for engines that read 112 without other work.

Change: each node takes the upper tenth of the rates of its last 256 measured answers: prompts whose shared parts were expected to be cached, at engines without a larger backlog, not queued for a slot. The longest step of an engine follows from the rate.

--- a/core/instances/notice.go
+++ b/core/instances/notice.go
@@ -36,7 +36,7 @@
 	if u == nil {
 		return // the entry has not been received yet or was removed
 	}
-	u.backlog.add(now, p.options.PrefillRate, n.Tokens)
+	u.backlog.add(now, p.prefillRate.tokensPerMS, n.Tokens)
 	if n.Shared != 0 {
 		p.prompts.record(now, n.Shared, u.ID)
 	}
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -24,8 +24,8 @@
 	// SendNotice sends a notice to the other nodes of the region; it must not block.
 	// If it is nil, no notices are sent.
 	SendNotice func(Notice)
-	// PrefillRate is the assumed prefill rate of engines in prompt tokens per
-	// millisecond.
+	// PrefillRate is the prefill rate of engines, in prompt tokens per millisecond, that is
+	// assumed until answers have been measured.
 	PrefillRate float64
 }
 
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -41,6 +41,11 @@
 	// firstByteAt is when the first byte arrived.
 	firstByteAt time.Time
 	backlogMark float64
+	// pendingBefore is the backlog of the upstream, in tokens, before the request.
+	pendingBefore float64
+	// sharedCached is set if the upstream was expected to have all shared parts of the
+	// prompt cached, or if there are none.
+	sharedCached bool
 }
 
 // Place selects where a request runs and reserves a slot if that is in the local
@@ -62,7 +67,8 @@
 	}
 	u := p.upstreams[d.Index]
 	t := &Ticket{Instance: u.Instance, Expected: d.Delay, Cold: u.cold(now), pool: p, upstream: u,
-		sentAt: now, queued: d.SlotWait > 0, tokens: d.Tokens, prompt: key, shared: shared}
+		sentAt: now, queued: d.SlotWait > 0, tokens: d.Tokens, prompt: key, shared: shared,
+		sharedCached: !shared || d.Tokens+sharedTokens <= q.PromptTokens}
 	p.reserve(now, t)
 	return d, t
 }
@@ -76,7 +82,8 @@
 		u.lastByteAt = now
 	}
 	u.inFlight++
-	t.backlogMark = u.backlog.add(now, p.options.PrefillRate, t.tokens)
+	t.pendingBefore = u.backlog.estimate(now, p.prefillRate.tokensPerMS)
+	t.backlogMark = u.backlog.add(now, p.prefillRate.tokensPerMS, t.tokens)
 	if t.shared {
 		p.prompts.record(now, t.prompt, u.ID)
 	}
@@ -122,7 +129,7 @@
 	return placement.Candidate{
 		ID: u.ID, Place: u.Place, Slots: u.Slots, InFlight: u.inFlight,
 		OthersInFlight: u.otherRequestsAt(now, meanOthers),
-		PendingTokens:  u.backlog.estimate(now, p.options.PrefillRate),
+		PendingTokens:  u.backlog.estimate(now, p.prefillRate.tokensPerMS),
 		LatencyRatio:   p.relativeLatency(u),
 		SameDomain:     u.Place == p.options.Self,
 		Usable:         p.usable(now, u, model),
@@ -195,6 +202,9 @@
 	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if worked {
+		p.measurePrefill(t, now.Sub(t.sentAt))
+	}
 	t.recordFirstByte(now)
 	if r.Slots > 0 {
 		t.upstream.updateLoad(now, r)
@@ -210,7 +220,7 @@
 		return
 	}
 	t.answerStarted, t.firstByteAt = true, now
-	t.upstream.backlog.markPrefilled(now, t.pool.options.PrefillRate, t.backlogMark)
+	t.upstream.backlog.markPrefilled(now, t.pool.prefillRate.tokensPerMS, t.backlogMark)
 }
 
 // Progress records the arrival of further bytes of the answer.
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -33,30 +33,30 @@
 	prompts      prompts
 	meanSlotTime time.Duration
 	latencyRatio float64
-	// maxPending is the maximum backlog of an engine in tokens; see
-	// placement.ServicePerformance.
-	maxPending  float64
+	// maxEventGap is the maximum time between two events of the service's streams; zero
+	// means no limit.
+	maxEventGap time.Duration
+	prefillRate prefillRate
 	failureRate float64
 	candidates  []placement.Candidate
 }
 
 func newPool(service string, o *Options) *Pool {
-	return &Pool{service: service, options: o, prompts: make(prompts), meanSlotTime: defaultSlotTime, latencyRatio: 1}
+	return &Pool{service: service, options: o, prompts: make(prompts), meanSlotTime: defaultSlotTime, latencyRatio: 1,
+		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}}
 }
 
 func (p *Pool) configure(s routes.Service, maxEventGap time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.config = s
-	p.maxPending = maxPendingTokens(s.Engine, maxEventGap)
+	p.maxEventGap = maxEventGap
 }
 
 const (
-	// decodeStep and mixedStep are the times that an engine takes to generate one
-	// token of each stream, without and with a prefill chunk in the same step.
-	// prefillChunkTokens is the size of such a chunk.
+	// decodeStep is the time that an engine takes to generate one token of each stream.
+	// prefillChunkTokens is the size of a prefill chunk that it processes in the same step.
 	decodeStep         = 6 * time.Millisecond
-	mixedStep          = 55 * time.Millisecond
 	prefillChunkTokens = 4096
 	// backlogGapShare is the fraction of the maximum event gap that backlogs may
 	// use.
@@ -64,12 +64,17 @@
 )
 
 // maxPendingTokens returns the backlog above which streams pause for longer than
-// maxGap between events; zero if they never do.
-func maxPendingTokens(e *routes.Engine, maxGap time.Duration) float64 {
+// maxGap between events; zero if they never do. rate is the engine's prefill rate in
+// tokens per millisecond.
+func maxPendingTokens(e *routes.Engine, maxGap time.Duration, rate float64) float64 {
 	if e == nil || maxGap <= 0 || e.TokensPerEvent <= 0 {
 		return 0
 	}
 	steps := time.Duration(e.TokensPerEvent)
+	mixedStep := time.Duration(prefillChunkTokens / rate * float64(time.Millisecond))
+	if mixedStep <= decodeStep {
+		return 0
+	}
 	chunks := float64(time.Duration(backlogGapShare*float64(maxGap))-steps*decodeStep) / float64(mixedStep-decodeStep)
 	if chunks >= float64(e.TokensPerEvent) {
 		return 0
@@ -149,8 +154,8 @@
 func (p *Pool) performance() placement.ServicePerformance {
 	s := placement.ServicePerformance{MeanSlotTime: p.meanSlotTime, IdleTTFB: defaultIdleTTFB}
 	if p.config.Engine != nil {
-		s.PrefillRate = p.options.PrefillRate
-		s.MaxPendingTokens = p.maxPending
+		s.PrefillRate = p.prefillRate.tokensPerMS
+		s.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS)
 	}
 	return s
 }
--- /dev/null
+++ b/core/instances/prefillrate.go
@@ -0,0 +1,63 @@
+package instances
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// minRateSampleTokens is the smallest prefill that is measured: the time of a shorter
+	// one is dominated by the network and the first decoding step.
+	minRateSampleTokens = 1500
+	// minTTFB is the time to first byte at an idle upstream, without prefill, that even
+	// the fastest answers take.
+	minTTFB = 10 * time.Millisecond
+	// rateSamples is the number of latest samples that are retained, minRateSamples the
+	// number from which they replace the assumed rate.
+	rateSamples    = 256
+	minRateSamples = 8
+	// rateQuantile is the quantile of the samples that is the estimate. Most disturbances
+	// lower a sample: other nodes' requests that wait at the engine, and cached prompt
+	// parts that were evicted. A lower quantile underestimates the engines the more
+	// the busier they are, and requests are refused that could be served.
+	rateQuantile = 0.9
+)
+
+// prefillRate estimates the rate at which the engines of a pool prefill prompts while
+// they generate tokens, from the time to first byte of answers.
+type prefillRate struct {
+	// tokensPerMS is the estimate in tokens per millisecond.
+	tokensPerMS float64
+	// samples holds the latest rates of single answers, the next one replaces that at
+	// index next.
+	samples []float64
+	next    int
+}
+
+// record adds an answer whose first byte arrived after the given time at an engine that
+// had to prefill the given number of tokens.
+func (r *prefillRate) record(tokens float64, took time.Duration) {
+	prefillTime := max(time.Millisecond, took-minTTFB)
+	sample := tokens / (float64(prefillTime) / float64(time.Millisecond))
+	if len(r.samples) < rateSamples {
+		r.samples = append(r.samples, sample)
+	} else {
+		r.samples[r.next] = sample
+		r.next = (r.next + 1) % rateSamples
+	}
+	if len(r.samples) >= minRateSamples {
+		sorted := slices.Sorted(slices.Values(r.samples))
+		r.tokensPerMS = sorted[int(rateQuantile*float64(len(sorted)))]
+	}
+}
+
+// measurePrefill updates the prefill rate after the first byte of an answer. Samples are
+// prompts whose shared parts were expected to be cached, because a part that is cached
+// unexpectedly would raise the rate, at engines without a larger backlog, whose size is
+// itself an estimate.
+func (p *Pool) measurePrefill(t *Ticket, took time.Duration) {
+	if p.config.Engine == nil || t.answerStarted || t.queued || t.Cold || t.tokens < minRateSampleTokens || !t.sharedCached || t.pendingBefore > float64(t.tokens) {
+		return
+	}
+	p.prefillRate.record(t.pendingBefore+float64(t.tokens), took)
+}
