Count the objective of a further attempt from the end of the one before

An attempt after one that may have run was placed as if no time had passed at every decision, so that it could be held for an engine's backlog until its deadline. The time now begins when the attempt before it ended.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -51,7 +51,7 @@
 func (e *Engine) Serve(ctx context.Context, r *Request, sink Sink) *Failure {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	a := &attempts{Engine: e, r: r, delivery: &delivery{sink: sink}}
+	a := &attempts{Engine: e, r: r, delivery: &delivery{sink: sink}, objectiveFrom: r.Arrived}
 	if r.Route.Resumable {
 		a.delivery.events = &eventSplitter{}
 	}
@@ -82,6 +82,11 @@
 	// mayHaveRun is set once it is uncertain whether an attempt ran.
 	mayHaveRun bool
 	decision   placement.Decision
+	// objectiveFrom is when the time that counts against the objective begins: the
+	// request's arrival or, if later, the end of an attempt that may have run. After such
+	// an attempt the caller cannot send the request elsewhere by itself, so that a late
+	// answer, or the rest of a stream that has begun, is better than none.
+	objectiveFrom time.Time
 	// headAt, firstAt and lastAt are when the answer's head, its first and its latest
 	// bytes arrived; maxGap is the longest gap between bytes.
 	headAt, firstAt, lastAt time.Time
@@ -128,7 +133,7 @@
 			return nil
 		}
 		if res.ran != domain.RunNo {
-			a.mayHaveRun = true
+			a.mayHaveRun, a.objectiveFrom = true, a.Now()
 		}
 		if res.callerDisconnected || ctx.Err() != nil || !a.mayRetry(res) {
 			return a.fail(ctx)
@@ -188,7 +193,7 @@
 	q := instances.Query{
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.InputTokens, OutputTokens: r.Prompt.OutputTokens,
-			Objective: r.Route.Objective, Elapsed: a.elapsed(now), Remaining: r.Deadline.Sub(now),
+			Objective: r.Route.Objective, Elapsed: now.Sub(a.objectiveFrom), Remaining: r.Deadline.Sub(now),
 			Urgent: r.Route.Priority == 0, Excluded: a.tried, Random: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
@@ -203,17 +208,6 @@
 	return a.Catalog.Pool(r.Service).Place(now, a.Policy, &q)
 }
 
-// elapsed returns the time that counts against the objective. It starts again for an
-// attempt that follows one which may have run: the caller cannot send such a request
-// elsewhere by itself, so that a late answer, or the rest of a stream that has begun, is
-// better than none.
-func (a *attempts) elapsed(now time.Time) time.Duration {
-	if a.mayHaveRun {
-		return 0
-	}
-	return now.Sub(a.r.Arrived)
-}
-
 // refuse ends a request that no upstream can serve now.
 func (a *attempts) refuse(ctx context.Context) *Failure {
 	if a.placements > 1 {
