Use upstreams again that were slow for a while

Cause: the latency ratio of an upstream changed only with its own answers. One that had been slow got no request that could show its recovery as long as the others were not busy: none of 600 in the following minute.

Change: the excess over the pool's average halves each 5 s without a new measurement.

--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/event"
@@ -11,10 +12,19 @@
 const (
 	latencyRatioTolerance = 1.5
 	maxLatencyRatio       = 8
+	// latencyRatioHalfLife is the time in which an upstream's excess over the pool's
+	// average halves without a new measurement. An upstream that was slow gets no
+	// requests that could show its recovery while the others are not busy.
+	latencyRatioHalfLife = 5 * time.Second
 )
 
-func (p *Pool) relativeLatency(u *upstream) float64 {
+// relativeLatency returns the ratio of the upstream's response time to that of the pool; 1
+// if it is within latencyRatioTolerance.
+func (p *Pool) relativeLatency(now time.Time, u *upstream) float64 {
 	ratio := u.latencyRatio / p.latencyRatio
+	if age := now.Sub(u.latencyMeasuredAt); ratio > 1 && age > 0 {
+		ratio = 1 + (ratio-1)*math.Exp2(-float64(age)/float64(latencyRatioHalfLife))
+	}
 	if ratio < latencyRatioTolerance {
 		return 1
 	}
@@ -25,9 +35,11 @@
 // small expected delays.
 const minExpectedDelay = 20 * time.Millisecond
 
-func (p *Pool) updateLatencyRatio(t *Ticket, took time.Duration) {
-	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.upstream)))
+func (p *Pool) updateLatencyRatio(t *Ticket, now time.Time) {
+	took := now.Sub(t.sentAt)
+	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.sentAt, t.upstream)))
 	ratio := min(10, max(0.1, float64(took)/float64(expected)))
+	t.upstream.latencyMeasuredAt = now
 	t.upstream.latencyRatio += latencyRatioGain * (ratio - t.upstream.latencyRatio)
 	p.latencyRatio += poolGain * (ratio - p.latencyRatio)
 }
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -130,7 +130,7 @@
 		ID: u.ID, Place: u.Place, Slots: u.Slots, InFlight: u.inFlight,
 		OthersInFlight: u.otherRequestsAt(now, meanOthers),
 		PendingTokens:  u.backlog.estimate(now, p.prefillRate.tokensPerMS),
-		LatencyRatio:   p.relativeLatency(u),
+		LatencyRatio:   p.relativeLatency(now, u),
 		SameDomain:     u.Place == p.options.Self,
 		Usable:         p.usable(now, u, model),
 	}
@@ -210,7 +210,7 @@
 		t.upstream.updateLoad(now, r)
 	}
 	if worked {
-		p.updateLatencyRatio(t, now.Sub(t.sentAt))
+		p.updateLatencyRatio(t, now)
 	}
 }
 
--- a/core/instances/pool_test.go
+++ b/core/instances/pool_test.go
@@ -212,3 +212,32 @@
 		t.Error("a released connection is not reused")
 	}
 }
+
+// An upstream that answered slowly for a while must get requests again, also if the
+// others are never busy.
+func TestUpstreamThatWasSlowIsUsedAgain(t *testing.T) {
+	c := newCatalog(t, instances.Options{}, "u1", "u2")
+	now := start
+	for range 40 {
+		if ticket := placeRequest(c, now); ticket != nil {
+			took := 5 * time.Millisecond
+			if ticket.ID == "u1" {
+				took = 800 * time.Millisecond
+			}
+			ticket.FirstByte(now.Add(took), instances.ReportedLoad{}, true)
+			ticket.Done(now.Add(took), instances.Answered)
+		}
+		now = now.Add(time.Second)
+	}
+	used := false
+	for range 600 {
+		ticket := placeRequest(c, now)
+		used = used || ticket.ID == "u1"
+		ticket.FirstByte(now.Add(5*time.Millisecond), instances.ReportedLoad{}, true)
+		ticket.Done(now.Add(5*time.Millisecond), instances.Answered)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if !used {
+		t.Error("the upstream that was slow got none of 600 requests in the following minute")
+	}
+}
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -52,7 +52,9 @@
 
 	// latencyRatio is the average ratio of actual to expected time to the first byte.
 	latencyRatio float64
-	failureRate  float64
+	// latencyMeasuredAt is when latencyRatio was last updated.
+	latencyMeasuredAt time.Time
+	failureRate       float64
 	// lastByteAt is when the last byte arrived or, if later, when a request was sent
 	// while no other was in flight.
 	lastByteAt   time.Time
