Log the shared prompt parts and the bytes received of failed attempts

The output of the nodes could not tell apart the requests that were under way when an engine crashed: neither what their prompts share nor whether their answers had begun was logged. No logic changed.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -91,13 +91,16 @@
 	// bytes arrived; maxGap is the longest gap between bytes.
 	headAt, firstAt, lastAt time.Time
 	maxGap                  time.Duration
+	// bodyBytes is the number of bytes of the body that the current attempt received.
+	bodyBytes int
 	// lastEventAt is when the attempt was sent or, if later, when the caller was sent a new
 	// event of a resumable stream, in Unix nanoseconds.
 	lastEventAt atomic.Int64
 }
 
-// recordBytes records the arrival of bytes of the answer.
-func (a *attempts) recordBytes(now time.Time) {
+// recordBytes records the arrival of n bytes of the answer.
+func (a *attempts) recordBytes(now time.Time, n int) {
+	a.bodyBytes += n
 	if a.firstAt.IsZero() {
 		a.firstAt = now
 	} else {
@@ -109,6 +112,7 @@
 func (a *attempts) run(ctx context.Context) *Failure {
 	for {
 		a.placements++
+		a.bodyBytes = 0
 		decision, ticket := a.place()
 		a.decision = decision
 		var res result
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -157,6 +157,7 @@
 	var body []byte
 	for {
 		b, err := answer.Next()
+		a.bodyBytes += len(b)
 		body = append(body, b...)
 		if errors.Is(err, io.EOF) {
 			break
@@ -182,7 +183,7 @@
 }
 
 func (a *attempts) deliver(h Head, body []byte) error {
-	a.recordBytes(a.Now())
+	a.recordBytes(a.Now(), 0)
 	if err := a.delivery.begin(h); err != nil {
 		return err
 	}
@@ -208,7 +209,7 @@
 		if len(b) > 0 {
 			now := a.Now()
 			progress(now)
-			a.recordBytes(now)
+			a.recordBytes(now, len(b))
 			if e := a.delivery.begin(h); e != nil {
 				return a.interrupted(ctx, e)
 			}
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/event"
@@ -22,9 +24,19 @@
 	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("to", to),
 		event.F("outcome", res.outcome()), event.F("run", res.ran), event.F("judged", res.upstreamOutcome.String()),
 		event.F("took_ms", a.Now().Sub(sentAt).Milliseconds()), event.F("expected_ms", expected.Milliseconds()),
+		event.F("body_bytes", a.bodyBytes), event.F("shared_parts", partList(a.r.Prompt.SharedParts())),
 		event.F("detail", res.err.Message))
 }
 
+// partList returns the identifiers of prompt parts as callers write them.
+func partList(parts []placement.Part) string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, strconv.FormatUint(p.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // finish logs the request and updates the metrics.
 func (a *attempts) finish(f *Failure) {
 	now := a.Now()
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -28,6 +28,10 @@
 	OutputTokens int
 }
 
+// SharedParts returns the parts that other prompts may have too: all but the last, which
+// belongs to the request itself or to its session.
+func (p *Prompt) SharedParts() []placement.Part { return p.Parts[:max(0, len(p.Parts)-1)] }
+
 // Request is a message with the properties that the node determined on arrival.
 type Request struct {
 	Message
