Let simulated upstreams crash on a part of a prompt

A crashed upstream closes its listener and all connections, and runs again after a while under another ID, as the users describe it. Upstreams also count the requests that reach them.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -7,8 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
+	"maps"
+	"net"
 	"net/http"
-	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,22 +40,33 @@
 	DropResponses bool
 	// Status is the HTTP status of plain responses; zero means 200.
 	Status int
+	// CrashPart is the identifier of a prompt part, as clients write it; the server crashes
+	// when it begins to respond to a prompt with the part. Empty means none.
+	CrashPart string
+	// RestartAfter is the time after which a crashed server runs again, under another ID;
+	// zero means never.
+	RestartAfter time.Duration
 }
 
 // Server is a simulated upstream.
 type Server struct {
+	// ID is the server's first ID; after a crash it has another one.
 	ID      string
 	Service string
 	Zone    string
 	Slots   int
 
-	http  *httptest.Server
-	store *storesim.Store
+	store   *storesim.Store
+	address string
 	// registeredAddress is the address in the store, which differs from the server's
 	// own if requests pass through a proxy.
 	registeredAddress string
 
 	mu              sync.Mutex
+	http            *http.Server // nil while the server is down
+	closed          bool
+	crashes         []time.Time
+	arrivals        map[string]int
 	behaviour       Behaviour
 	executions      map[string]int
 	lastHeader      http.Header
@@ -68,21 +82,45 @@
 // StartWithAddress starts a server and registers the address that via returns for the
 // server's own address, for instance that of a proxy in front of it.
 func StartWithAddress(store *storesim.Store, service, zone, id string, via func(address string) string) *Server {
-	s := &Server{ID: id, Service: service, Zone: zone, Slots: 8, store: store, executions: make(map[string]int)}
-	s.http = httptest.NewServer(s)
+	s := &Server{ID: id, Service: service, Zone: zone, Slots: 8, store: store, executions: make(map[string]int), arrivals: make(map[string]int)}
+	if err := s.listen("127.0.0.1:0"); err != nil {
+		panic(err) // a free port of the loopback interface can always be opened
+	}
 	s.registeredAddress = via(s.Address())
 	s.Register("ready")
 	return s
 }
 
+// listen serves at an address.
+func (s *Server) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return listener.Close()
+	}
+	server := &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}
+	s.address, s.http = listener.Addr().String(), server
+	go func() { _ = server.Serve(listener) }() // it returns once the server crashes or stops
+	return nil
+}
+
 // Address returns the server's own address as host:port.
-func (s *Server) Address() string { return s.http.Listener.Addr().String() }
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
 
 // Register writes the server's entry with the given state to the store.
 func (s *Server) Register(state string) {
 	s.mu.Lock()
 	s.registrationSeq++
 	registrationSeq := s.registrationSeq
+	id := s.currentID()
 	s.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
 		"service": s.Service, "address": s.registeredAddress, "zone": s.Zone, "version": "v1", "slots": s.Slots,
@@ -91,16 +129,78 @@
 	if err != nil {
 		panic(err) // a map of plain values can always be encoded
 	}
-	s.store.Put("servers/"+s.ID, entry)
+	s.store.Put("servers/"+id, entry)
+}
+
+// currentID returns the ID of the running process. The caller must hold s.mu.
+func (s *Server) currentID() string {
+	if n := len(s.crashes); n > 0 {
+		return fmt.Sprintf("%s-%d", s.ID, n)
+	}
+	return s.ID
 }
 
 // Deregister removes the server's entry from the store. The server keeps serving.
-func (s *Server) Deregister() { s.store.Delete("servers/" + s.ID) }
+func (s *Server) Deregister() {
+	s.mu.Lock()
+	id := s.currentID()
+	s.mu.Unlock()
+	s.store.Delete("servers/" + id)
+}
 
 // Close stops the server.
 func (s *Server) Close() {
-	s.http.CloseClientConnections()
-	s.http.Close()
+	s.mu.Lock()
+	s.closed = true
+	server := s.http
+	s.http = nil
+	s.mu.Unlock()
+	if server != nil {
+		_ = server.Close() // the connections are no longer needed
+	}
+}
+
+// crash closes the listener and all connections. The entry remains until the server runs
+// again.
+func (s *Server) crash(restartAfter time.Duration) {
+	s.mu.Lock()
+	server, id := s.http, s.currentID()
+	if server == nil {
+		s.mu.Unlock()
+		return
+	}
+	s.http = nil
+	s.crashes = append(s.crashes, time.Now())
+	s.mu.Unlock()
+	_ = server.Close() // the connections are lost in any case
+	if restartAfter == 0 {
+		return
+	}
+	time.AfterFunc(restartAfter, func() {
+		s.store.Delete("servers/" + id)
+		for s.listen(s.Address()) != nil { // another process may have the port for a moment
+			time.Sleep(restartRetryInterval)
+		}
+		s.Register("ready")
+	})
+}
+
+// restartRetryInterval is the time between two attempts to open the address again.
+const restartRetryInterval = 50 * time.Millisecond
+
+// Crashes returns when the server crashed.
+func (s *Server) Crashes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashes)
+}
+
+// Arrivals returns the number of requests, by request ID, that reached the server,
+// whether it executed them or not.
+func (s *Server) Arrivals() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.arrivals)
 }
 
 // SetBehaviour replaces the behaviour.
@@ -114,11 +214,7 @@
 func (s *Server) Executions() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	counts := make(map[string]int, len(s.executions))
-	for id, n := range s.executions {
-		counts[id] = n
-	}
-	return counts
+	return maps.Clone(s.executions)
 }
 
 // LastHeader returns the header of the most recent request.
@@ -146,9 +242,11 @@
 	s.mu.Lock()
 	b := s.behaviour
 	s.lastHeader = r.Header.Clone()
+	instance := s.currentID()
+	s.arrivals[id]++
 	s.mu.Unlock()
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.ID {
-		w.Header().Set("X-Instance-Id", s.ID)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != instance {
+		w.Header().Set("X-Instance-Id", instance)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -166,6 +264,10 @@
 	if b.DropResponses {
 		panic(http.ErrAbortHandler)
 	}
+	if hasPart(r, b.CrashPart) {
+		s.crash(b.RestartAfter)
+		panic(http.ErrAbortHandler)
+	}
 	header := w.Header()
 	header.Set("X-Request-Id", id)
 	header.Set("X-Response-Seal", "seal-"+id)
@@ -178,6 +280,16 @@
 	_, _ = fmt.Fprintf(w, "%s %s %d", s.ID, r.RequestURI, len(body)) // the client may have disconnected
 }
 
+// hasPart reports whether the prompt of a request has a part. The last part does not
+// count: it belongs to the request itself.
+func hasPart(r *http.Request, part string) bool {
+	parts := strings.Split(r.Header.Get("X-Prompt-Prefix"), ",")
+	return part != "" && slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool {
+		id, _, _ := strings.Cut(p, ":")
+		return id == part
+	})
+}
+
 // neverStreams reports whether a path belongs to a call, whose response is a plain
 // body even if the server is configured to stream.
 func neverStreams(path string) bool {
