Refuse requests with a part of a prompt that crashes upstreams

Cause: every crash was treated as that upstream's own failure. Nothing joined the crashes, although all of them came with one part of the prompts, so each request with the part was placed on an upstream that still ran.

Change: package quarantine keeps, for each shared part, the crashes since it was last answered, and holds a part at the third separate crash. Nodes exchange evidence and holds. A request with a held part is refused with 422, on arrival, before a repeat and at the other end of a hop.

Why it works: an answer clears the parts of all other requests, and crashes that a held part explains accuse no other part.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -45,6 +45,7 @@
 	msg := mesh.ExchangeMessage{Sender: n.members.Self(), TableVersion: n.state.version()}
 	operator, entries := n.state.positions()
 	msg.Operator, msg.Entries = operator.position(now), entries.position(now)
+	msg.Parts = n.parts.Records(now)
 	if region != n.settings.Place.Region {
 		msg.Loads = n.loads(now)
 		msg.Members = n.sample(now, n.settings.Place.Region, remoteSample)
@@ -99,6 +100,7 @@
 	now := time.Now()
 	n.members.Merge(now, &msg.Sender, msg.Members)
 	n.members.ApplyHeartbeats(now, msg.Heartbeats)
+	n.parts.Merge(now, msg.Parts)
 	if msg.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.SetLoads(now, msg.Sender.Place.Region, msg.Loads, roundTrip)
 	} else {
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -22,6 +22,7 @@
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/quarantine"
 	"github.com/crocusspread/crocusspread/core/relay"
 	"github.com/crocusspread/crocusspread/core/sharedbounds"
 )
@@ -34,6 +35,7 @@
 	metrics  *telemetry.Metrics
 
 	catalog   *instances.Catalog
+	parts     *quarantine.Table
 	members   *peers.Members
 	regions   *peers.Regions
 	state     *state
@@ -45,6 +47,8 @@
 
 	startedAt time.Time
 	notices   chan instances.Notice
+	// partsChanged receives a token when a part of prompts is held or released.
+	partsChanged chan struct{}
 	// relayed is the number of requests in flight that other nodes relayed here.
 	relayed atomic.Int64
 	// fetchingEntries and fetchingOperator limit fetches to one of each kind at a
@@ -84,7 +88,7 @@
 
 // New returns a node; Run starts it.
 func New(s *Settings, deps Dependencies, log event.Logger, m *telemetry.Metrics) *Node {
-	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize)}
+	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1)}
 	n.seeds.Store(&s.Seeds)
 	n.members = peers.NewMembers(peers.Member{
 		ID: s.Node, Place: s.Place, EntryAddress: s.EntryAddress, PeerAddress: s.PeerAddress,
@@ -92,6 +96,7 @@
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
 	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
+	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.health = &storeHealth{log: log, catalog: n.catalog, dropConnections: deps.DropStoreConnections}
 	n.upstreams = upstream.NewRouted(upstream.Options{
@@ -102,8 +107,8 @@
 	n.engine = &relay.Engine{
 		Self: s.Place, Catalog: n.catalog, Members: n.members, Regions: n.regions,
 		Upstreams: n.upstreams, Nodes: n.mesh,
-		Budget: sharedbounds.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
-		Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
+		Budget:     sharedbounds.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
+		Quarantine: n.parts, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, CheckDeadline: n.checkDeadline, CloseConnections: n.closing.Load,
@@ -227,6 +232,7 @@
 	loop(n.awaitReady)
 	loop(n.propagateOperator)
 	loop(n.propagateEntries)
+	loop(n.propagateParts)
 	loop(n.sendNotices)
 }
 
--- /dev/null
+++ b/adapters/edgenode/parts.go
@@ -0,0 +1,48 @@
+package edgenode
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/placement"
+)
+
+// partsFanout is the number of nodes of its own failure domain to which a node
+// propagates that a part is held or released.
+const partsFanout = 2
+
+// propagateParts propagates held and released parts immediately: requests with a part that
+// crashes upstreams arrive at any node.
+func (n *Node) propagateParts(ctx context.Context) {
+	n.propagate(ctx, n.partsChanged, func() []peers.Member {
+		own, other := n.regionTargets()
+		targets := append(randomSubset(own, partsFanout), other...)
+		for _, region := range n.otherRegions() {
+			if preferred := n.members.Preferred(time.Now(), region); len(preferred) > 0 {
+				targets = append(targets, preferred[rand.IntN(len(preferred))])
+			}
+		}
+		return targets
+	})
+}
+
+// mayTryPart reports whether this node may send a trial request with a held part: one
+// node of the fleet may, and none while a node is not heard of, as that one may not
+// know of a trial here.
+func (n *Node) mayTryPart(part uint64) bool {
+	now := time.Now()
+	alive := n.members.Alive(now)
+	for _, m := range n.members.Known() {
+		if m.State != domain.NodeStopped && !slices.ContainsFunc(alive, func(a peers.Member) bool { return a.ID == m.ID }) {
+			return false
+		}
+	}
+	own := placement.RendezvousWeight(part, domain.UpstreamID(n.settings.Node))
+	return !slices.ContainsFunc(alive, func(m peers.Member) bool {
+		return placement.RendezvousWeight(part, domain.UpstreamID(m.ID)) > own
+	})
+}
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -9,6 +9,7 @@
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/quarantine"
 	"github.com/crocusspread/crocusspread/core/relay"
 )
 
@@ -93,6 +94,8 @@
 	// in the entries of upstreams.
 	Operator Position
 	Entries  Position
+	// Parts holds what the sender knows about parts of prompts that may crash upstreams.
+	Parts []quarantine.Record
 }
 
 // Position describes how far a node has replicated a part of the store.
@@ -125,6 +128,7 @@
 	for _, b := range msg.Heartbeats {
 		m.Beats = append(m.Beats, &meshpb.MemberBeat{Handle: b.Handle, Beat: b.Counter, State: stateToWire(b.State)})
 	}
+	m.Parts = partsToWire(msg.Parts)
 	m.Loads = loadsToWire(msg.Loads)
 	for _, v := range msg.Views {
 		m.Views = append(m.Views, &meshpb.RegionView{Region: string(v.Region), AgeMs: uint32(v.Age.Milliseconds()), Loads: loadsToWire(v.Loads)})
@@ -164,6 +168,7 @@
 	for _, b := range m.GetBeats() {
 		msg.Heartbeats = append(msg.Heartbeats, peers.CompactHeartbeat{Handle: b.GetHandle(), Counter: b.GetBeat(), State: stateFromWire(b.GetState())})
 	}
+	msg.Parts = partsFromWire(m.GetParts())
 	msg.Loads = loadsFromWire(m.GetLoads())
 	for _, v := range m.GetViews() {
 		msg.Views = append(msg.Views, peers.View{Region: domain.Region(v.GetRegion()), Age: time.Duration(v.GetAgeMs()) * time.Millisecond, Loads: loadsFromWire(v.GetLoads())})
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
@@ -64,7 +65,7 @@
 		if unreachable {
 			return nil, errkind.New(errkind.PeerUnreachable, "connect to %s: %w", to.Address, err)
 		}
-		return nil, errkind.New(errkind.UpstreamFailed, "send to %s: %w", to.Address, err)
+		return nil, errkind.New(errkind.UpstreamFailed, "send to %s: %w", to.Address, markClosed(err))
 	}
 	head, load := r.dialect.DecodeResponse(resp.StatusCode, resp.Header)
 	head.Status = resp.StatusCode
@@ -136,8 +137,20 @@
 	n, err := a.resp.Body.Read(*a.buffer)
 	if errors.Is(err, io.EOF) {
 		a.ended = true
+		return (*a.buffer)[:n], io.EOF
 	}
-	return (*a.buffer)[:n], err
+	return (*a.buffer)[:n], markClosed(err)
+}
+
+// markClosed marks an error that means that the upstream closed or reset the connection.
+// Time-outs don't: they may be caused by the network.
+func markClosed(err error) error {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, closed) {
+			return relay.ConnectionClosed(err)
+		}
+	}
+	return err
 }
 
 // Close releases the connection. If the response was not read to its end, the
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -47,6 +47,7 @@
 	Conflict            Kind = "conflict"
 	NotFound            Kind = "not_found"
 	HistoryLost         Kind = "history_lost"
+	PromptPartHeld      Kind = "prompt_part_held"
 	Internal            Kind = "internal"
 )
 
@@ -100,6 +101,7 @@
 	NotFound:            {404, domain.RunNo, 0, 38},
 	Internal:            {500, domain.RunUnknown, 0, 39},
 	HistoryLost:         {503, domain.RunNo, shortWait, 40},
+	PromptPartHeld:      {422, domain.RunNo, 0, 41},
 }
 
 // Lookup returns the table row of k, or that of Internal if k is not listed.
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -255,6 +255,15 @@
 	p.recordOutcome(now, u, o)
 }
 
+// Registered reports whether the upstream is still registered and accepts requests; one
+// that is leaving closes its connections on purpose.
+func (t *Ticket) Registered() bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	u := t.pool.find(t.ID)
+	return u == t.upstream && !u.Leaving
+}
+
 // AnswerStarted reports whether the first byte of the answer has arrived.
 func (t *Ticket) AnswerStarted() bool {
 	t.pool.mu.Lock()
--- /dev/null
+++ b/core/quarantine/table_test.go
@@ -0,0 +1,274 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	deadly    = uint64(0xdead)
+	companion = uint64(0xc0)
+)
+
+var t0 = time.Unix(1000, 0)
+
+// at returns a time in seconds after t0.
+func at(seconds float64) time.Time { return t0.Add(time.Duration(seconds * float64(time.Second))) }
+
+// crashes records crashes of further processes, one second apart, on requests with the
+// parts, and returns the time after the last one, when its evidence counts.
+func crashes(t *Table, from float64, n int, parts ...uint64) (next float64) {
+	for i := range n {
+		t.RecordCrash(at(from+float64(i)), uint64(from*1000)+uint64(i), parts)
+	}
+	return from + float64(n-1) + 2*settleTime.Seconds()
+}
+
+func isHeld(t *Table, seconds float64, parts ...uint64) bool {
+	_, held, _ := t.Check(at(seconds), parts)
+	return held
+}
+
+func TestVerdict(t *testing.T) {
+	for name, c := range map[string]struct {
+		evidence func(t *Table) (end float64)
+		held     []uint64
+		notHeld  []uint64
+	}{
+		"three crashes hold a part": {
+			func(t *Table) float64 { return crashes(t, 0, 3, deadly) }, []uint64{deadly}, nil},
+		"two crashes do not": {
+			func(t *Table) float64 { return crashes(t, 0, 2, deadly) }, nil, []uint64{deadly}},
+		"crashes of one process count once": {
+			func(t *Table) float64 {
+				for i := range 9 {
+					t.RecordCrash(at(float64(i)), 1, []uint64{deadly})
+				}
+				return 10
+			}, nil, []uint64{deadly}},
+		"crashes at one moment count once": {
+			func(t *Table) float64 {
+				for i := range 9 {
+					t.RecordCrash(at(1), uint64(i), []uint64{deadly})
+				}
+				return 3
+			}, nil, []uint64{deadly}},
+		"an answer clears a part": {
+			func(t *Table) float64 {
+				end := crashes(t, 0, 2, deadly)
+				t.RecordAnswer(at(end), 99, []uint64{deadly})
+				return crashes(t, end+1, 2, deadly)
+			}, nil, []uint64{deadly}},
+		"a part that was answered before needs five crashes": {
+			func(t *Table) float64 {
+				t.RecordAnswer(at(0), 99, []uint64{deadly})
+				return crashes(t, 1, 4, deadly)
+			}, nil, []uint64{deadly}},
+		"five crashes hold a part that was answered before": {
+			func(t *Table) float64 {
+				t.RecordAnswer(at(0), 99, []uint64{deadly})
+				return crashes(t, 1, 5, deadly)
+			}, []uint64{deadly}, nil},
+		"the part that was never answered is held": {
+			func(t *Table) float64 {
+				t.RecordAnswer(at(0), 99, []uint64{companion})
+				return crashes(t, 1, 6, companion, deadly)
+			}, []uint64{deadly}, []uint64{companion}},
+		"of two parts that always come together the more specific one is held": {
+			func(t *Table) float64 { return crashes(t, 0, 6, companion, deadly) }, []uint64{deadly}, []uint64{companion}},
+		"the part at all crashes is held": {
+			func(t *Table) float64 {
+				crashes(t, 0, 1, deadly, 1)
+				crashes(t, 1, 1, deadly, 2)
+				return crashes(t, 2, 1, deadly, 3)
+			}, []uint64{deadly}, []uint64{1, 2, 3}},
+		"requests that waited at the crashed upstreams are explained": {
+			func(t *Table) float64 {
+				for i := range 4 {
+					t.RecordCrash(at(float64(i)), uint64(i), []uint64{deadly})
+					t.RecordCrash(at(float64(i)), uint64(i), []uint64{companion, uint64(i)})
+				}
+				t.RecordCrash(at(4), 4, []uint64{deadly})
+				return 6
+			}, []uint64{deadly}, []uint64{companion}},
+		"a part that others use is not held for a caller's own parts beside it": {
+			func(t *Table) float64 {
+				for i := range 12 {
+					t.RecordAnswer(at(float64(i)-0.5), 99, []uint64{companion})
+					t.RecordCrash(at(float64(i)), uint64(i), []uint64{companion, uint64(100 + i)})
+				}
+				return 14
+			}, nil, []uint64{companion}},
+		"two parts may crash upstreams": {
+			func(t *Table) float64 {
+				crashes(t, 0, 3, deadly)
+				return crashes(t, 4, 3, deadly+1)
+			}, []uint64{deadly, deadly + 1}, nil},
+		"a process that answers later did not crash": {
+			func(t *Table) float64 {
+				crashes(t, 0, 3, deadly)
+				t.RecordAnswer(at(2.15), 0, []uint64{7})
+				return 4
+			}, nil, []uint64{deadly}},
+		"an answer that was under way does not refute a crash": {
+			func(t *Table) float64 {
+				end := crashes(t, 0, 3, deadly)
+				t.RecordAnswer(at(2.05), 2, []uint64{7})
+				return end
+			}, []uint64{deadly}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(Options{})
+			end := c.evidence(table)
+			for _, p := range c.held {
+				if !isHeld(table, end, p) {
+					t.Errorf("part %x is not held", p)
+				}
+			}
+			for _, p := range c.notHeld {
+				if isHeld(table, end, p) {
+					t.Errorf("part %x is held", p)
+				}
+			}
+		})
+	}
+}
+
+func TestAnswerEndsHold(t *testing.T) {
+	table := New(Options{})
+	end := crashes(table, 0, 3, deadly)
+	if !isHeld(table, end, deadly) {
+		t.Fatal("the part is not held")
+	}
+	table.RecordAnswer(at(end+1), 99, []uint64{deadly})
+	if isHeld(table, end+1, deadly) {
+		t.Error("the part is held although an upstream answered a prompt with it")
+	}
+}
+
+func TestTrialsStayWithinThreeRequests(t *testing.T) {
+	table := New(Options{MayTry: func(uint64) bool { return true }})
+	begin := crashes(table, 0, 3, deadly)
+	trials := 0
+	for s := begin; s < begin+3*3600; s += 5 {
+		_, held, trial := table.Check(at(s), []uint64{companion, deadly})
+		if !held {
+			t.Fatalf("the part is released after %.0f s although each trial crashed an upstream", s)
+		}
+		if trial {
+			trials++
+			table.RecordCrash(at(s+1), uint64(9000+trials), []uint64{companion, deadly})
+		}
+	}
+	if trials == 0 || trials > maxTrials {
+		t.Errorf("got %d trial requests, want 1 to %d", trials, maxTrials)
+	}
+}
+
+func TestNodeThatMayNotTrySendsNoTrial(t *testing.T) {
+	for name, mayTry := range map[string]func(uint64) bool{"not elected": func(uint64) bool { return false }, "no trials": nil} {
+		table := New(Options{MayTry: mayTry})
+		begin := crashes(table, 0, 3, deadly)
+		for s := begin; s < 3600; s += 5 {
+			if _, _, trial := table.Check(at(s), []uint64{deadly}); trial {
+				t.Fatalf("%s: a trial was sent", name)
+			}
+		}
+	}
+}
+
+func TestHoldEndsWithoutRequests(t *testing.T) {
+	table := New(Options{})
+	end := crashes(table, 0, 3, deadly)
+	isHeld(table, end, deadly)
+	table.Records(at(end + heldRetention.Seconds() + 1))
+	if isHeld(table, end+heldRetention.Seconds()+2, deadly) {
+		t.Error("the part is still held although no request with it came")
+	}
+}
+
+func TestHoldEndsAfterADay(t *testing.T) {
+	table := New(Options{})
+	end := crashes(table, 0, 3, deadly)
+	for s := end; s < maxHeldFor.Seconds()+60; s += 30 {
+		isHeld(table, s, deadly)
+		table.Records(at(s))
+	}
+	if isHeld(table, maxHeldFor.Seconds()+90, deadly) {
+		t.Error("the part is still held after more than a day")
+	}
+}
+
+// TestEvidenceOfSeveralNodesHoldsPart: each crash is seen by another node, and none sees
+// enough by itself.
+func TestEvidenceOfSeveralNodesHoldsPart(t *testing.T) {
+	a, b, c := New(Options{}), New(Options{}), New(Options{})
+	a.RecordCrash(at(0), 1, []uint64{companion, deadly})
+	b.RecordCrash(at(1), 2, []uint64{companion, deadly})
+	c.RecordCrash(at(2), 3, []uint64{companion, deadly})
+	c.Merge(at(2.5), a.Records(at(2.5)))
+	c.Merge(at(2.5), b.Records(at(2.5)))
+	if !isHeld(c, 3, deadly) {
+		t.Fatal("the part is not held")
+	}
+	a.Merge(at(3), c.Records(at(3)))
+	if !isHeld(a, 3, deadly) || isHeld(a, 3, companion) {
+		t.Error("another node does not hold just the part that it was told of")
+	}
+	restarted := New(Options{})
+	restarted.Merge(at(3), a.Records(at(3)))
+	if !isHeld(restarted, 3, deadly) {
+		t.Error("a node that has just started does not hold the part that it was told of")
+	}
+}
+
+// TestNodeThatWasAnsweredEndsHoldElsewhere: a node that is cut off holds a part by mistake.
+func TestNodeThatWasAnsweredEndsHoldElsewhere(t *testing.T) {
+	cutOff, other := New(Options{}), New(Options{})
+	end := crashes(cutOff, 0, 3, companion)
+	if !isHeld(cutOff, end, companion) {
+		t.Fatal("the part is not held")
+	}
+	other.RecordAnswer(at(end+1), 99, []uint64{companion})
+	other.Merge(at(end+1.5), cutOff.Records(at(end+1.5)))
+	if isHeld(other, end+1.5, companion) {
+		t.Error("a node that was answered adopted the hold")
+	}
+	cutOff.Merge(at(end+2), other.Records(at(end+2)))
+	if isHeld(cutOff, end+2, companion) {
+		t.Error("the hold did not end with another node's answer")
+	}
+}
+
+func TestPromptWithManyPartsIsBounded(t *testing.T) {
+	table := New(Options{})
+	crashes(table, 0, 2, deadly)
+	for i := range 4000 {
+		parts := make([]uint64, 500)
+		for j := range parts {
+			parts[j] = uint64(1_000_000 + i*500 + j)
+		}
+		table.RecordCrash(at(2), 77, parts)
+	}
+	if len(table.parts) > maxParts {
+		t.Errorf("the table has %d parts, want at most %d", len(table.parts), maxParts)
+	}
+	if n := len(table.Records(at(3))); n > maxRecords {
+		t.Errorf("a message has %d records, want at most %d", n, maxRecords)
+	}
+	if end := crashes(table, 4, 1, deadly); !isHeld(table, end, deadly) {
+		t.Error("the evidence against the deadly part was displaced by parts with less")
+	}
+}
+
+func TestRequestIsNotRepeatedAfterSecondCrash(t *testing.T) {
+	table := New(Options{})
+	crashes(table, 0, 1, companion, deadly)
+	if table.Suspected(at(0), []uint64{companion, deadly}) {
+		t.Error("a part is suspected after one crash")
+	}
+	crashes(table, 1, 1, companion, deadly)
+	if !table.Suspected(at(1), []uint64{companion, deadly}) {
+		t.Error("a part is not suspected after two crashes")
+	}
+}
--- /dev/null
+++ b/core/quarantine/verdict.go
@@ -0,0 +1,74 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/event"
+)
+
+// judge holds the parts against which enough evidence speaks. The caller must hold t.mu.
+func (t *Table) judge(now time.Time) {
+	if !t.changed {
+		return
+	}
+	t.removeExplained()
+	settled := now.Add(-settleTime)
+	waiting := false
+	for {
+		var best *part
+		for _, p := range t.parts {
+			if p.held() || len(p.crashes) == 0 {
+				continue
+			}
+			waiting = waiting || p.unsettled(settled)
+			if p.moments(settled) >= p.minMoments() && (best == nil || morePlausible(p, best, settled)) {
+				best = p
+			}
+		}
+		if best == nil {
+			t.changed = waiting
+			return
+		}
+		best.heldAt, best.requestedAt, best.trials = now, now, 0
+		t.options.Log.Log(event.PartHeld, event.F("part", format(best.id)), event.F("crashes", len(best.crashes)),
+			event.F("moments", best.moments(settled)), event.F("answered", !best.answeredAt.IsZero()), event.F("from", "own verdict"))
+		t.notify()
+		t.removeExplained()
+	}
+}
+
+func (p *part) minMoments() int {
+	if p.answeredAt.IsZero() {
+		return minMoments
+	}
+	return minMomentsAnswered
+}
+
+// morePlausible reports whether p is more likely than q to be the cause of the crashes:
+// it was present at more of them; it was never answered, or longer ago; or it is the more
+// specific part, as a sound part is shared by more prompts than it appears to.
+func morePlausible(p, q *part, settled time.Time) bool {
+	return cmp.Or(
+		cmp.Compare(q.moments(settled), p.moments(settled)),
+		p.answeredAt.Compare(q.answeredAt),
+		cmp.Compare(q.position, p.position),
+		cmp.Compare(p.id, q.id),
+	) < 0
+}
+
+// removeExplained removes the crashes that a held part explains from the evidence
+// against the other parts.
+func (t *Table) removeExplained() {
+	for _, h := range t.parts {
+		if !h.held() {
+			continue
+		}
+		for _, p := range t.parts {
+			if !p.held() {
+				p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return h.hasCrash(c.process) })
+			}
+		}
+	}
+}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -13,6 +13,7 @@
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/quarantine"
 	"github.com/crocusspread/crocusspread/core/sharedbounds"
 )
 
@@ -25,10 +26,12 @@
 	Upstreams Upstreams
 	Nodes     Nodes
 	Budget    *sharedbounds.RetryBudget
-	Policy    placement.Policy
-	Log       event.Logger
-	Metrics   Metrics
-	Now       func() time.Time
+	// Quarantine holds back requests with a part that crashes upstreams.
+	Quarantine *quarantine.Table
+	Policy     placement.Policy
+	Log        event.Logger
+	Metrics    Metrics
+	Now        func() time.Time
 }
 
 // Metrics receives the engine's counters and durations.
@@ -52,6 +55,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	a := &attempts{Engine: e, r: r, delivery: &delivery{sink: sink}, objectiveFrom: r.Arrived}
+	for _, p := range r.Prompt.SharedParts() {
+		a.sharedParts = append(a.sharedParts, p.ID)
+	}
 	if r.Route.Resumable {
 		a.delivery.events = &eventSplitter{}
 	}
@@ -91,6 +97,14 @@
 	// bytes arrived; maxGap is the longest gap between bytes.
 	headAt, firstAt, lastAt time.Time
 	maxGap                  time.Duration
+	// sharedParts are the identifiers of the parts that other prompts may have too.
+	sharedParts []uint64
+	// trial is set if the request is sent although one of these parts is held.
+	trial bool
+	// ticket is the slot of the current attempt in this region; nil if it is in another.
+	ticket *instances.Ticket
+	// events counts the events of the current attempt's answer.
+	events eventCounter
 	// bodyBytes is the number of bytes of the body that the current attempt received.
 	bodyBytes int
 	// lastEventAt is when the attempt was sent or, if later, when the caller was sent a new
@@ -111,10 +125,14 @@
 
 func (a *attempts) run(ctx context.Context) *Failure {
 	for {
+		if res, held := a.refuseHeld(); held {
+			a.last = res
+			return a.fail(ctx)
+		}
 		a.placements++
-		a.bodyBytes = 0
+		a.bodyBytes, a.events = 0, eventCounter{}
 		decision, ticket := a.place()
-		a.decision = decision
+		a.decision, a.ticket = decision, ticket
 		var res result
 		switch decision.Choice {
 		case placement.Refuse:
@@ -164,7 +182,7 @@
 
 // mayRetry decides whether another attempt follows and charges it to the budget.
 func (a *attempts) mayRetry(res result) bool {
-	if a.placements >= maxPlacements {
+	if a.placements >= maxPlacements || res.err.Kind == errkind.PromptPartHeld || a.mayCrashAnother(res) {
 		return false
 	}
 	if !res.reached {
@@ -248,7 +266,7 @@
 		err = a.withRetryAfter(errkind.New(errkind.DeadlineUnreachable, "not sent within %v", a.r.Deadline.Sub(a.r.Arrived)))
 	case a.mayHaveRun && err.Verdict() == domain.RunNo:
 		err = errkind.New(errkind.UpstreamFailed, "an earlier attempt may have run; last attempt: %w", err)
-	case !a.mayHaveRun && err.Verdict() == domain.RunNo && err.RetryAfter == 0:
+	case !a.mayHaveRun && err.Verdict() == domain.RunNo && err.RetryAfter == 0 && err.Kind != errkind.PromptPartHeld:
 		err = a.withRetryAfter(err)
 	}
 	return &Failure{Error: err, Broken: a.delivery.started}
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -64,6 +64,7 @@
 	if res.reached {
 		a.r.SendCount++
 	}
+	a.recordProcess(t, res)
 	t.Done(a.Now(), res.upstreamOutcome)
 	a.logAttempt(string(t.ID), sentAt, t.Expected, res)
 	return res
@@ -210,6 +211,7 @@
 			now := a.Now()
 			progress(now)
 			a.recordBytes(now, len(b))
+			a.recordEvents(b)
 			if e := a.delivery.begin(h); e != nil {
 				return a.interrupted(ctx, e)
 			}
--- a/core/relay/ports.go
+++ b/core/relay/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
@@ -14,7 +15,8 @@
 	ReportedLoad() instances.ReportedLoad
 	// Next returns the next bytes, valid until the next call. It returns io.EOF after
 	// the last bytes of a complete answer, and any other error if the answer was
-	// truncated.
+	// truncated; one that matches ErrConnectionClosed if the upstream closed the
+	// connection.
 	Next() ([]byte, error)
 	// SendCount returns the number of upstreams to which the request was sent, as far as
 	// known.
@@ -28,10 +30,23 @@
 type Upstreams interface {
 	// Send returns when the head of the answer has arrived. Errors are of package
 	// errkind: peer_unreachable if no byte was sent; any other kind leaves open whether
-	// the request ran.
+	// the request ran. They match ErrConnectionClosed if the upstream closed the connection
+	// before the head of its answer.
 	Send(ctx context.Context, to *instances.Instance, c *Call) (Answer, error)
 }
 
+// ErrConnectionClosed matches the errors of attempts whose upstream closed or reset the
+// connection before the end of its answer.
+var ErrConnectionClosed = errors.New("the upstream closed the connection")
+
+// ConnectionClosed returns err marked as matching ErrConnectionClosed.
+func ConnectionClosed(err error) error { return connectionClosed{err} }
+
+type connectionClosed struct{ error }
+
+func (e connectionClosed) Is(target error) bool { return target == ErrConnectionClosed }
+func (e connectionClosed) Unwrap() error        { return e.error }
+
 // Nodes sends requests to nodes of other regions.
 type Nodes interface {
 	// Relay returns when the head of the answer has arrived. Errors are of package
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -88,7 +88,9 @@
 func (a *attempts) relayError(ctx context.Context, region domain.Region, err error) result {
 	e := errkind.From(err)
 	if e.Verdict() == domain.RunNo {
-		a.Regions.MarkFull(region, a.r.Service)
+		if e.Kind != errkind.PromptPartHeld {
+			a.Regions.MarkFull(region, a.r.Service)
+		}
 		return result{err: e, ran: domain.RunNo, upstreamOutcome: instances.Unreachable, reached: remoteSends(err) > 0}
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/core/relay/setup_test.go
+++ b/core/relay/setup_test.go
@@ -13,6 +13,7 @@
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/quarantine"
 	"github.com/crocusspread/crocusspread/core/relay"
 	"github.com/crocusspread/crocusspread/core/routes"
 	"github.com/crocusspread/crocusspread/core/sharedbounds"
@@ -26,8 +27,9 @@
 	chunks []string
 	// end is the error after the chunks; nil means a complete answer.
 	end error
-	// err is returned instead of an answer.
-	err error
+	// err is returned instead of an answer, after delay.
+	err   error
+	delay time.Duration
 	// hang blocks until the attempt is canceled.
 	hang bool
 	// pause is the delay before each chunk except the first.
@@ -89,6 +91,7 @@
 	r := s.replies[0]
 	s.replies = s.replies[1:]
 	if r.err != nil {
+		time.Sleep(r.delay)
 		return nil, r.err
 	}
 	if r.head.Status == 0 {
@@ -142,7 +145,7 @@
 	regions := peers.NewRegions(event.Discard{})
 	r.Engine = &relay.Engine{
 		Self: localPlace, Catalog: catalog, Members: members, Regions: regions, Upstreams: r.upstreams, Nodes: r.nodes,
-		Budget: sharedbounds.NewRetryBudget(1, 100, 10*time.Second), Policy: placement.DefaultPolicy(),
+		Budget: sharedbounds.NewRetryBudget(1, 100, 10*time.Second), Quarantine: quarantine.New(quarantine.Options{}), Policy: placement.DefaultPolicy(),
 		Log: event.Discard{}, Metrics: discardMetrics{}, Now: time.Now,
 	}
 	return r
