Report streams that end inside an event as truncated

Callers of routes whose streams may not be resumed got a stream that an upstream had broken off inside an event as a complete success: the end of the connection, or of the chunks, ended the answer.

Cause: only streams that may be resumed were split into events, and only for these was it checked that they end between two.

Change: the events of every stream are counted, and an event stream that ends inside one is truncated. The check of resumable streams stays as strict as it was.

TestStreamThatEndsInsideEventIsReportedToCaller failed before in its four cases (with and without chunks, on the own node and through another region's) and passes.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -33,6 +33,12 @@
 	// CloseAfterEvents is the number of events after which the connection is closed; zero
 	// means never.
 	CloseAfterEvents int
+	// Undelimited sends responses with neither a length nor chunks; they end with their
+	// connection.
+	Undelimited bool
+	// CloseInsideEvent closes the connection inside the event with this number; zero means
+	// never.
+	CloseInsideEvent int
 	// RejectAll rejects all requests and marks them as not executed.
 	RejectAll bool
 	// DropResponses executes requests and then resets the connection instead of
@@ -324,7 +330,15 @@
 		firstEvent = n + 1
 	}
 	controller := http.NewResponseController(w)
+	if b.Undelimited {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then sends neither a length nor chunks
+	}
 	for n := firstEvent; n <= b.Events; n++ {
+		if n == b.CloseInsideEvent {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: ev", n) // the client may have disconnected
+			return
+		}
 		if b.CloseAfterEvents > 0 && n > b.CloseAfterEvents {
 			panic(http.ErrAbortHandler)
 		}
--- a/core/relay/delivery.go
+++ b/core/relay/delivery.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 )
 
 // delivery forwards an answer to the caller, over several attempts if the stream is
@@ -56,13 +55,10 @@
 	return d.events.lastID
 }
 
-// checkComplete returns an error if the answer must not end here: a stream must not end
-// within an event.
-func (d *delivery) checkComplete() error {
-	if d.events != nil && len(bytes.TrimSpace(d.events.partial)) > 0 {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
+// complete reports whether a stream that may be resumed may end here, which is not within
+// an event.
+func (d *delivery) complete() bool {
+	return d.events == nil || len(bytes.TrimSpace(d.events.partial)) == 0
 }
 
 // eventSplitter passes on complete events only, so that a stream can be resumed at
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -233,8 +233,8 @@
 }
 
 func (a *attempts) finishStream(ctx context.Context, h Head) result {
-	if err := a.delivery.checkComplete(); err != nil {
-		return a.interrupted(ctx, err)
+	if a.events.open && h.isEventStream() || !a.delivery.complete() {
+		return a.interrupted(ctx, ConnectionClosed(io.ErrUnexpectedEOF))
 	}
 	if err := a.delivery.begin(h); err != nil { // an empty answer
 		return a.interrupted(ctx, err)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -83,3 +84,9 @@
 	// RanAt is the upstream's ID, for logs.
 	RanAt domain.UpstreamID
 }
+
+// isEventStream reports whether the body consists of events.
+func (h *Head) isEventStream() bool {
+	values := h.Header["Content-Type"]
+	return len(values) > 0 && strings.HasPrefix(strings.ToLower(values[0]), "text/event-stream")
+}
