Hold a part after many crashes at two moments, and exchange refutations

Five crashes at two moments now hold a part that was never answered.

Also found while looking at these runs: an upstream that starts again under its ID answers before its new entry is known, which refuted the crash.

New cases in TestVerdict and TestProcessThatWentOnAnsweringAccusesNoPartElsewhere.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -45,7 +45,7 @@
 	msg := mesh.ExchangeMessage{Sender: n.members.Self(), TableVersion: n.state.version()}
 	operator, entries := n.state.positions()
 	msg.Operator, msg.Entries = operator.position(now), entries.position(now)
-	msg.Parts = n.parts.Records(now)
+	msg.Parts = n.parts.Message(now)
 	if region != n.settings.Place.Region {
 		msg.Loads = n.loads(now)
 		msg.Members = n.sample(now, n.settings.Place.Region, remoteSample)
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -95,7 +95,7 @@
 	Operator Position
 	Entries  Position
 	// Parts holds what the sender knows about parts of prompts that may crash upstreams.
-	Parts []quarantine.Record
+	Parts quarantine.Message
 }
 
 // Position describes how far a node has replicated a part of the store.
--- a/adapters/mesh/parts.go
+++ b/adapters/mesh/parts.go
@@ -22,30 +22,44 @@
 	return time.Duration(ms-1) * time.Millisecond
 }
 
-func partsToWire(records []quarantine.Record) []*meshpb.PartRecord {
-	wire := make([]*meshpb.PartRecord, 0, len(records))
-	for _, r := range records {
+// partsToWire returns nil for an empty message, which is the usual one.
+func partsToWire(msg quarantine.Message) *meshpb.PartMessage {
+	if len(msg.Parts) == 0 && len(msg.Refuted) == 0 {
+		return nil
+	}
+	wire := &meshpb.PartMessage{}
+	for _, r := range msg.Refuted {
+		wire.Refuted = append(wire.Refuted, r.Process)
+		wire.RefutedMs = append(wire.RefutedMs, sinceToWire(r.Since))
+	}
+	for _, r := range msg.Parts {
 		w := &meshpb.PartRecord{Part: r.Part, Position: uint32(r.Position), AnsweredMs: sinceToWire(r.SinceAnswer),
 			HeldMs: sinceToWire(r.SinceHeld), RequestedMs: sinceToWire(r.SinceRequest), Trials: uint32(r.Trials)}
 		for _, c := range r.Crashes {
 			w.Processes = append(w.Processes, c.Process)
 			w.CrashedMs = append(w.CrashedMs, sinceToWire(c.Since))
 		}
-		wire = append(wire, w)
+		wire.Records = append(wire.Records, w)
 	}
 	return wire
 }
 
-func partsFromWire(wire []*meshpb.PartRecord) []quarantine.Record {
-	var records []quarantine.Record
-	for _, w := range wire {
+func partsFromWire(wire *meshpb.PartMessage) quarantine.Message {
+	msg := quarantine.Message{Refuted: crashesFromWire(wire.GetRefuted(), wire.GetRefutedMs())}
+	for _, w := range wire.GetRecords() {
 		r := quarantine.Record{Part: w.GetPart(), Position: int(w.GetPosition()), SinceAnswer: sinceFromWire(w.GetAnsweredMs()),
 			SinceHeld: sinceFromWire(w.GetHeldMs()), SinceRequest: sinceFromWire(w.GetRequestedMs()), Trials: int(w.GetTrials())}
-		times := w.GetCrashedMs()
-		for i, process := range w.GetProcesses()[:min(len(times), len(w.GetProcesses()))] {
-			r.Crashes = append(r.Crashes, quarantine.CrashRecord{Process: process, Since: sinceFromWire(times[i])})
-		}
-		records = append(records, r)
+		r.Crashes = crashesFromWire(w.GetProcesses(), w.GetCrashedMs())
+		msg.Parts = append(msg.Parts, r)
+	}
+	return msg
+}
+
+// crashesFromWire decodes two lists of equal length; surplus elements are ignored.
+func crashesFromWire(processes []uint64, times []uint32) []quarantine.CrashRecord {
+	var list []quarantine.CrashRecord
+	for i, process := range processes[:min(len(times), len(processes))] {
+		list = append(list, quarantine.CrashRecord{Process: process, Since: sinceFromWire(times[i])})
 	}
-	return records
+	return list
 }
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -49,14 +49,15 @@
 	// CrashPart is the identifier of a prompt part, as clients write it; the server crashes
 	// when it begins to respond to a prompt with the part. Empty means none.
 	CrashPart string
-	// RestartAfter is the time after which a crashed server runs again, under another ID;
-	// zero means never.
+	// RestartAfter is the time after which a crashed server runs again; zero means never.
+	// It has another ID then, unless KeepID is set.
 	RestartAfter time.Duration
+	KeepID       bool
 }
 
 // Server is a simulated upstream.
 type Server struct {
-	// ID is the server's first ID; after a crash it has another one.
+	// ID is the server's first ID; after a crash it may have another one.
 	ID      string
 	Service string
 	Zone    string
@@ -72,6 +73,7 @@
 	http            *http.Server // nil while the server is down
 	closed          bool
 	crashes         []time.Time
+	idSuffix        string // of the ID of the running process
 	arrivals        map[string]int
 	behaviour       Behaviour
 	executions      map[string]int
@@ -126,11 +128,11 @@
 	s.mu.Lock()
 	s.registrationSeq++
 	registrationSeq := s.registrationSeq
-	id := s.currentID()
+	id, born := s.currentID(), 1+len(s.crashes)
 	s.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
 		"service": s.Service, "address": s.registeredAddress, "zone": s.Zone, "version": "v1", "slots": s.Slots,
-		"state": state, "cold_remaining_ms": 0, "seq": registrationSeq, "born": 1,
+		"state": state, "cold_remaining_ms": 0, "seq": registrationSeq, "born": born,
 	})
 	if err != nil {
 		panic(err) // a map of plain values can always be encoded
@@ -140,10 +142,7 @@
 
 // currentID returns the ID of the running process. The caller must hold s.mu.
 func (s *Server) currentID() string {
-	if n := len(s.crashes); n > 0 {
-		return fmt.Sprintf("%s-%d", s.ID, n)
-	}
-	return s.ID
+	return s.ID + s.idSuffix
 }
 
 // Deregister removes the server's entry from the store. The server keeps serving.
@@ -168,7 +167,7 @@
 
 // crash closes the listener and all connections. The entry remains until the server runs
 // again.
-func (s *Server) crash(restartAfter time.Duration) {
+func (s *Server) crash(b Behaviour) {
 	s.mu.Lock()
 	server, id := s.http, s.currentID()
 	if server == nil {
@@ -177,12 +176,15 @@
 	}
 	s.http = nil
 	s.crashes = append(s.crashes, time.Now())
+	if !b.KeepID {
+		s.idSuffix = fmt.Sprint("-", len(s.crashes))
+	}
 	s.mu.Unlock()
 	_ = server.Close() // the connections are lost in any case
-	if restartAfter == 0 {
+	if b.RestartAfter == 0 {
 		return
 	}
-	time.AfterFunc(restartAfter, func() {
+	time.AfterFunc(b.RestartAfter, func() {
 		s.store.Delete("servers/" + id)
 		for s.listen(s.Address()) != nil { // another process may have the port for a moment
 			time.Sleep(restartRetryInterval)
@@ -201,6 +203,13 @@
 	return slices.Clone(s.crashes)
 }
 
+// Running reports whether the server accepts connections.
+func (s *Server) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http != nil
+}
+
 // Arrivals returns the number of requests, by request ID, that reached the server,
 // whether it executed them or not.
 func (s *Server) Arrivals() map[string]int {
@@ -271,7 +280,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if hasPart(r, b.CrashPart) {
-		s.crash(b.RestartAfter)
+		s.crash(b)
 		panic(http.ErrAbortHandler)
 	}
 	header := w.Header()
--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -36,8 +36,8 @@
 const minExpectedDelay = 20 * time.Millisecond
 
 func (p *Pool) updateLatencyRatio(t *Ticket, now time.Time) {
-	took := now.Sub(t.sentAt)
-	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.sentAt, t.upstream)))
+	took := now.Sub(t.SentAt)
+	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.SentAt, t.upstream)))
 	ratio := min(10, max(0.1, float64(took)/float64(expected)))
 	t.upstream.latencyMeasuredAt = now
 	t.upstream.latencyRatio += latencyRatioGain * (ratio - t.upstream.latencyRatio)
@@ -48,7 +48,7 @@
 // excluding the time in the upstream's queue. An engine's answer begins once the
 // queueing time is over.
 func (p *Pool) updateMeanSlotTime(t *Ticket, now time.Time) {
-	took := now.Sub(t.sentAt)
+	took := now.Sub(t.SentAt)
 	if p.config.Engine != nil {
 		took = now.Sub(t.firstByteAt) + defaultIdleTTFB
 	} else if t.queued {
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -29,9 +29,11 @@
 	// Cold is set if the upstream was cold when the slot was reserved.
 	Cold bool
 
+	// SentAt is when the slot was reserved.
+	SentAt time.Time
+
 	pool     *Pool
 	upstream *upstream
-	sentAt   time.Time
 	// queued is set if the request was expected to queue for a slot.
 	queued        bool
 	tokens        int
@@ -67,7 +69,7 @@
 	}
 	u := p.upstreams[d.Index]
 	t := &Ticket{Instance: u.Instance, Expected: d.Delay, Cold: u.cold(now), pool: p, upstream: u,
-		sentAt: now, queued: d.SlotWait > 0, tokens: d.Tokens, prompt: key, shared: shared,
+		SentAt: now, queued: d.SlotWait > 0, tokens: d.Tokens, prompt: key, shared: shared,
 		sharedCached: !shared || d.Tokens+sharedTokens <= q.PromptTokens}
 	p.reserve(now, t)
 	return d, t
@@ -203,7 +205,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if worked {
-		p.measurePrefill(t, now.Sub(t.sentAt))
+		p.measurePrefill(t, now.Sub(t.SentAt))
 	}
 	t.recordFirstByte(now)
 	if r.Slots > 0 {
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -24,25 +24,52 @@
 	Trials       int
 }
 
-// CrashRecord is a crash of a process.
+// CrashRecord is a supposed crash of a process, or a time at which the process is known to
+// have run nevertheless.
 type CrashRecord struct {
 	Process uint64
 	Since   time.Duration
 }
 
-// maxRecords is the maximum number of records in one message.
+// Message is what a node tells another one.
+type Message struct {
+	Parts []Record
+	// Refuted lists processes that were known to run at some time after a supposed crash.
+	Refuted []CrashRecord
+}
+
+// maxRecords is the maximum number of records of each kind in one message.
 const maxRecords = 16
 
 // never is a duration in a record that stands for a time that never was.
 const never = time.Duration(-1)
 
-// Records returns records for another node, at most maxRecords: of held parts first, then
-// of those with the latest news.
-func (t *Table) Records(now time.Time) []Record {
+// Message returns the message for another node: of held parts first, then of those with the
+// latest news. It is empty while nothing crashes.
+func (t *Table) Message(now time.Time) Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	t.judge(now)
+	return Message{Parts: t.records(now), Refuted: t.refutations(now)}
+}
+
+// refutations returns the latest refutations.
+func (t *Table) refutations(now time.Time) []CrashRecord {
+	if len(t.refuted) == 0 {
+		return nil
+	}
+	list := make([]CrashRecord, 0, len(t.refuted))
+	for process, at := range t.refuted {
+		list = append(list, CrashRecord{process, now.Sub(at)})
+	}
+	slices.SortFunc(list, func(a, b CrashRecord) int {
+		return cmp.Or(cmp.Compare(a.Since, b.Since), cmp.Compare(a.Process, b.Process))
+	})
+	return list[:min(maxRecords, len(list))]
+}
+
+func (t *Table) records(now time.Time) []Record {
 	if len(t.parts) == 0 {
 		return nil
 	}
@@ -77,12 +104,15 @@
 	return now.Add(-d)
 }
 
-// Merge adopts the records of another node.
-func (t *Table) Merge(now time.Time, records []Record) {
+// Merge adopts the message of another node.
+func (t *Table) Merge(now time.Time, m Message) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i := range records {
-		t.merge(now, &records[i])
+	for _, r := range m.Refuted {
+		t.applyRefutation(r.Process, before(now, r.Since))
+	}
+	for i := range m.Parts {
+		t.merge(now, &m.Parts[i])
 	}
 	t.judge(now)
 }
@@ -93,10 +123,11 @@
 		t.applyAnswer(p, now, at, "answered elsewhere")
 	}
 	for _, c := range r.Crashes {
-		if _, refuted := t.refuted[c.Process]; refuted || c.Since > evidenceRetention {
+		at := before(now, c.Since)
+		if c.Since > evidenceRetention || !at.After(t.refuted[c.Process]) {
 			continue
 		}
-		if p.addCrash(now, crash{c.Process, before(now, c.Since)}) {
+		if p.addCrash(now, crash{c.Process, at}) {
 			t.changed = true
 		}
 	}
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -76,9 +76,12 @@
 
 func (p *part) release() { p.heldAt, p.requestedAt, p.trials = time.Time{}, time.Time{}, 0 }
 
-// removeCrash removes the crash of a process.
-func (p *part) removeCrash(process uint64) {
-	p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return c.process == process })
+// removeCrash removes a crash of a process at the given time or before, and reports whether
+// there was one.
+func (p *part) removeCrash(process uint64, upTo time.Time) bool {
+	before := len(p.crashes)
+	p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return c.process == process && !c.at.After(upTo) })
+	return len(p.crashes) < before
 }
 
 // latest returns when the part was last accused, cleared or held.
--- a/core/quarantine/simulation_test.go
+++ b/core/quarantine/simulation_test.go
@@ -118,10 +118,10 @@
 	if i == j {
 		return
 	}
-	records := f.nodes[i].Records(f.now)
+	message := f.nodes[i].Message(f.now)
 	f.after(simulatedTransit, func() {
-		f.nodes[j].Merge(f.now, records)
-		reply := f.nodes[j].Records(f.now)
+		f.nodes[j].Merge(f.now, message)
+		reply := f.nodes[j].Message(f.now)
 		f.after(simulatedTransit, func() { f.nodes[i].Merge(f.now, reply) })
 	})
 }
@@ -162,6 +162,7 @@
 		return true
 	}
 	r.engine = up[f.rng.IntN(len(up))]
+	sentAt := f.now
 	r.engine.running = append(r.engine.running, r)
 	deadly := slices.Contains(parts, f.deadly)
 	if deadly {
@@ -176,11 +177,11 @@
 			return
 		}
 		r.begun = true
-		table.RecordAnswer(f.now, r.engine.process, parts)
+		table.RecordAnswer(f.now, r.engine.process, sentAt, parts)
 		f.after(time.Duration(100+f.rng.IntN(400))*time.Millisecond, func() {
 			if !r.ended {
 				f.end(r)
-				table.RecordAnswer(f.now, r.engine.process, parts)
+				table.RecordAnswer(f.now, r.engine.process, sentAt, parts)
 			}
 		})
 	})
@@ -195,20 +196,22 @@
 // crash ends all requests of an engine, which runs again later as another process.
 func (f *simulatedFleet) crash(e *simulatedEngine) {
 	f.crashes = append(f.crashes, f.now)
-	f.reset(e)
+	f.reset(e, 1)
 	e.downUntil = f.now.Add(simulatedRestart)
 	e.process += 1000
 }
 
-// reset closes the connections of all requests of an engine.
-func (f *simulatedFleet) reset(e *simulatedEngine) {
-	for _, r := range e.running {
-		r.ended = true
+// reset closes a share of the connections of an engine.
+func (f *simulatedFleet) reset(e *simulatedEngine, share float64) {
+	for _, r := range slices.Clone(e.running) {
+		if f.rng.Float64() >= share {
+			continue
+		}
+		f.end(r)
 		if !r.begun {
 			f.nodes[r.node].RecordCrash(f.now, e.process, r.parts)
 		}
 	}
-	e.running = nil
 }
 
 // crashShare crashes a share of the engines at once.
@@ -287,8 +290,11 @@
 		{"engines one after the other", func(f *simulatedFleet) {
 			f.poisson(1.5, func() { f.crash(f.engines[f.rng.IntN(len(f.engines))]) })
 		}},
-		{"engines that reset their connections", func(f *simulatedFleet) {
-			f.poisson(10, func() { f.reset(f.engines[f.rng.IntN(4)]) })
+		{"engines that reset all their connections", func(f *simulatedFleet) {
+			f.poisson(3, func() { f.reset(f.engines[f.rng.IntN(4)], 1) })
+		}},
+		{"engines that reset some of their connections", func(f *simulatedFleet) {
+			f.poisson(20, func() { f.reset(f.engines[f.rng.IntN(9)], 0.4) })
 		}},
 	} {
 		for _, load := range []struct {
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -19,13 +19,18 @@
 	// upstream is known to have answered.
 	minMoments         = 3
 	minMomentsAnswered = 5
+	// manyCrashes is the number of crashes for which manyCrashesMoments suffice for a part
+	// that was not answered.
+	manyCrashes        = 5
+	manyCrashesMoments = 2
 	// minCrashSpacing is the time between two crashes that are separate moments.
 	minCrashSpacing = 100 * time.Millisecond
 	// settleTime is how long evidence waits for answers, and for evidence against other
 	// parts, to arrive from other nodes before it counts.
 	settleTime = 200 * time.Millisecond
-	// refuteMargin is how much later than a crash an answer of the same process must
-	// arrive to refute the crash; the last bytes before a crash may be read after it.
+	// refuteMargin is how much later than a crash an answer to a request that was sent
+	// before it must arrive to refute the crash; the last bytes before a crash may be read
+	// after it.
 	refuteMargin = 100 * time.Millisecond
 	// evidenceRetention is how long a crash counts as evidence.
 	evidenceRetention = 10 * time.Minute
@@ -69,7 +74,8 @@
 	parts map[uint64]*part
 	// answers holds when parts without evidence were last answered.
 	answers recentAnswers
-	// refuted holds the processes that answered after their supposed crash.
+	// refuted holds, for processes that went on answering after a supposed crash, a time
+	// at which they are known to have run.
 	refuted map[uint64]time.Time
 	// changed is set when evidence changed since the last verdict.
 	changed bool
@@ -101,14 +107,10 @@
 	tracked, offset := limit(parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, refuted := t.refuted[process]; refuted {
-		return
-	}
 	c := crash{process, now}
 	if i := slices.IndexFunc(tracked, t.isHeld); i >= 0 {
-		t.parts[tracked[i]].addCrash(now, c)
-		t.changed = true
-		return
+		tracked = tracked[i : i+1] // the held part explains the crash
+		offset += i
 	}
 	for i, id := range tracked {
 		if t.partFor(now, id, offset+i).addCrash(now, c) {
@@ -118,8 +120,8 @@
 }
 
 // RecordAnswer records that a process of an upstream is answering a request with the
-// given shared parts.
-func (t *Table) RecordAnswer(now time.Time, process uint64, parts []uint64) {
+// given shared parts that was sent at sentAt.
+func (t *Table) RecordAnswer(now time.Time, process uint64, sentAt time.Time, parts []uint64) {
 	tracked, _ := limit(parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -131,7 +133,7 @@
 		}
 		t.applyAnswer(p, now, now, "answered")
 	}
-	t.refute(now, process)
+	t.refute(now, process, sentAt)
 }
 
 func (t *Table) applyAnswer(p *part, now, at time.Time, why string) {
@@ -141,22 +143,33 @@
 	}
 }
 
-// refute discards the evidence from a process that has answered since.
-func (t *Table) refute(now time.Time, process uint64) {
-	before := now.Add(-refuteMargin)
-	found := false
+// refute discards the evidence from a supposed crash of a process that answers a request sent
+// before it. An answer to a later request proves nothing: the upstream may have started
+// again, and this node not know it yet.
+func (t *Table) refute(now time.Time, process uint64, sentAt time.Time) {
 	for _, p := range t.parts {
-		if i := slices.IndexFunc(p.crashes, func(c crash) bool { return c.process == process && c.at.Before(before) }); i >= 0 {
-			p.removeCrash(process)
-			found = true
+		if slices.ContainsFunc(p.crashes, func(c crash) bool {
+			return c.process == process && sentAt.Before(c.at) && now.Sub(c.at) > refuteMargin
+		}) {
+			t.applyRefutation(process, now.Add(-refuteMargin))
+			return
 		}
 	}
-	if found {
-		t.changed = true
-		if len(t.refuted) >= maxRefuted {
-			clear(t.refuted)
+}
+
+// applyRefutation discards the evidence from a process that is known to have run at a time.
+func (t *Table) applyRefutation(process uint64, at time.Time) {
+	if !at.After(t.refuted[process]) {
+		return
+	}
+	if len(t.refuted) >= maxRefuted {
+		clear(t.refuted)
+	}
+	t.refuted[process] = at
+	for _, p := range t.parts {
+		if p.removeCrash(process, at) {
+			t.changed = true
 		}
-		t.refuted[process] = now
 	}
 }
 
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -53,25 +53,32 @@
 				}
 				return 3
 			}, nil, []uint64{deadly}},
+		"five crashes at two moments hold a part": {
+			func(t *Table) float64 {
+				for i := range 5 {
+					t.RecordCrash(at(float64(i/3)), uint64(i), []uint64{deadly})
+				}
+				return 3
+			}, []uint64{deadly}, nil},
 		"an answer clears a part": {
 			func(t *Table) float64 {
 				end := crashes(t, 0, 2, deadly)
-				t.RecordAnswer(at(end), 99, []uint64{deadly})
+				t.RecordAnswer(at(end), 99, at(end), []uint64{deadly})
 				return crashes(t, end+1, 2, deadly)
 			}, nil, []uint64{deadly}},
 		"a part that was answered before needs five crashes": {
 			func(t *Table) float64 {
-				t.RecordAnswer(at(0), 99, []uint64{deadly})
+				t.RecordAnswer(at(0), 99, at(0), []uint64{deadly})
 				return crashes(t, 1, 4, deadly)
 			}, nil, []uint64{deadly}},
 		"five crashes hold a part that was answered before": {
 			func(t *Table) float64 {
-				t.RecordAnswer(at(0), 99, []uint64{deadly})
+				t.RecordAnswer(at(0), 99, at(0), []uint64{deadly})
 				return crashes(t, 1, 5, deadly)
 			}, []uint64{deadly}, nil},
 		"the part that was never answered is held": {
 			func(t *Table) float64 {
-				t.RecordAnswer(at(0), 99, []uint64{companion})
+				t.RecordAnswer(at(0), 99, at(0), []uint64{companion})
 				return crashes(t, 1, 6, companion, deadly)
 			}, []uint64{deadly}, []uint64{companion}},
 		"of two parts that always come together the more specific one is held": {
@@ -94,7 +101,7 @@
 		"a part that others use is not held for a caller's own parts beside it": {
 			func(t *Table) float64 {
 				for i := range 12 {
-					t.RecordAnswer(at(float64(i)-0.5), 99, []uint64{companion})
+					t.RecordAnswer(at(float64(i)-0.5), 99, at(float64(i)-0.5), []uint64{companion})
 					t.RecordCrash(at(float64(i)), uint64(i), []uint64{companion, uint64(100 + i)})
 				}
 				return 14
@@ -104,16 +111,22 @@
 				crashes(t, 0, 3, deadly)
 				return crashes(t, 4, 3, deadly+1)
 			}, []uint64{deadly, deadly + 1}, nil},
-		"a process that answers later did not crash": {
+		"a process that goes on answering did not crash": {
 			func(t *Table) float64 {
 				crashes(t, 0, 3, deadly)
-				t.RecordAnswer(at(2.15), 0, []uint64{7})
+				t.RecordAnswer(at(2.15), 0, at(-1), []uint64{7})
 				return 4
 			}, nil, []uint64{deadly}},
+		"an upstream that started again may answer later requests": {
+			func(t *Table) float64 {
+				end := crashes(t, 0, 3, deadly)
+				t.RecordAnswer(at(2.15), 0, at(2), []uint64{7})
+				return end
+			}, []uint64{deadly}, nil},
 		"an answer that was under way does not refute a crash": {
 			func(t *Table) float64 {
 				end := crashes(t, 0, 3, deadly)
-				t.RecordAnswer(at(2.05), 2, []uint64{7})
+				t.RecordAnswer(at(2.05), 2, at(1), []uint64{7})
 				return end
 			}, []uint64{deadly}, nil},
 	} {
@@ -140,7 +153,7 @@
 	if !isHeld(table, end, deadly) {
 		t.Fatal("the part is not held")
 	}
-	table.RecordAnswer(at(end+1), 99, []uint64{deadly})
+	table.RecordAnswer(at(end+1), 99, at(end+1), []uint64{deadly})
 	if isHeld(table, end+1, deadly) {
 		t.Error("the part is held although an upstream answered a prompt with it")
 	}
@@ -181,7 +194,7 @@
 	table := New(Options{})
 	end := crashes(table, 0, 3, deadly)
 	isHeld(table, end, deadly)
-	table.Records(at(end + heldRetention.Seconds() + 1))
+	table.Message(at(end + heldRetention.Seconds() + 1))
 	if isHeld(table, end+heldRetention.Seconds()+2, deadly) {
 		t.Error("the part is still held although no request with it came")
 	}
@@ -192,7 +205,7 @@
 	end := crashes(table, 0, 3, deadly)
 	for s := end; s < maxHeldFor.Seconds()+60; s += 30 {
 		isHeld(table, s, deadly)
-		table.Records(at(s))
+		table.Message(at(s))
 	}
 	if isHeld(table, maxHeldFor.Seconds()+90, deadly) {
 		t.Error("the part is still held after more than a day")
@@ -206,22 +219,35 @@
 	a.RecordCrash(at(0), 1, []uint64{companion, deadly})
 	b.RecordCrash(at(1), 2, []uint64{companion, deadly})
 	c.RecordCrash(at(2), 3, []uint64{companion, deadly})
-	c.Merge(at(2.5), a.Records(at(2.5)))
-	c.Merge(at(2.5), b.Records(at(2.5)))
+	c.Merge(at(2.5), a.Message(at(2.5)))
+	c.Merge(at(2.5), b.Message(at(2.5)))
 	if !isHeld(c, 3, deadly) {
 		t.Fatal("the part is not held")
 	}
-	a.Merge(at(3), c.Records(at(3)))
+	a.Merge(at(3), c.Message(at(3)))
 	if !isHeld(a, 3, deadly) || isHeld(a, 3, companion) {
 		t.Error("another node does not hold just the part that it was told of")
 	}
 	restarted := New(Options{})
-	restarted.Merge(at(3), a.Records(at(3)))
+	restarted.Merge(at(3), a.Message(at(3)))
 	if !isHeld(restarted, 3, deadly) {
 		t.Error("a node that has just started does not hold the part that it was told of")
 	}
 }
 
+// TestProcessThatWentOnAnsweringAccusesNoPartElsewhere: another node than the one whose
+// connections were lost sees that the upstream runs.
+func TestProcessThatWentOnAnsweringAccusesNoPartElsewhere(t *testing.T) {
+	accusing, other := New(Options{}), New(Options{})
+	end := crashes(accusing, 0, 2, companion)
+	other.Merge(at(end), accusing.Message(at(end)))
+	other.RecordAnswer(at(end), 0, at(-1), []uint64{7})
+	accusing.Merge(at(end), other.Message(at(end)))
+	if end := crashes(accusing, end+1, 1, companion); isHeld(accusing, end, companion) {
+		t.Error("the part is held although one of three upstreams did not crash")
+	}
+}
+
 // TestNodeThatWasAnsweredEndsHoldElsewhere: a node that is cut off holds a part by mistake.
 func TestNodeThatWasAnsweredEndsHoldElsewhere(t *testing.T) {
 	cutOff, other := New(Options{}), New(Options{})
@@ -229,12 +255,12 @@
 	if !isHeld(cutOff, end, companion) {
 		t.Fatal("the part is not held")
 	}
-	other.RecordAnswer(at(end+1), 99, []uint64{companion})
-	other.Merge(at(end+1.5), cutOff.Records(at(end+1.5)))
+	other.RecordAnswer(at(end+1), 99, at(end+1), []uint64{companion})
+	other.Merge(at(end+1.5), cutOff.Message(at(end+1.5)))
 	if isHeld(other, end+1.5, companion) {
 		t.Error("a node that was answered adopted the hold")
 	}
-	cutOff.Merge(at(end+2), other.Records(at(end+2)))
+	cutOff.Merge(at(end+2), other.Message(at(end+2)))
 	if isHeld(cutOff, end+2, companion) {
 		t.Error("the hold did not end with another node's answer")
 	}
@@ -253,7 +279,7 @@
 	if len(table.parts) > maxParts {
 		t.Errorf("the table has %d parts, want at most %d", len(table.parts), maxParts)
 	}
-	if n := len(table.Records(at(3))); n > maxRecords {
+	if n := len(table.Message(at(3)).Parts); n > maxRecords {
 		t.Errorf("a message has %d records, want at most %d", n, maxRecords)
 	}
 	if end := crashes(table, 4, 1, deadly); !isHeld(table, end, deadly) {
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -23,7 +23,7 @@
 				continue
 			}
 			waiting = waiting || p.unsettled(settled)
-			if p.moments(settled) >= p.minMoments() && (best == nil || morePlausible(p, best, settled)) {
+			if p.accused(settled) && (best == nil || morePlausible(p, best, settled)) {
 				best = p
 			}
 		}
@@ -39,11 +39,13 @@
 	}
 }
 
-func (p *part) minMoments() int {
-	if p.answeredAt.IsZero() {
-		return minMoments
+// accused reports whether the crashes until settled suffice to hold the part.
+func (p *part) accused(settled time.Time) bool {
+	moments := p.moments(settled)
+	if !p.answeredAt.IsZero() {
+		return moments >= minMomentsAnswered
 	}
-	return minMomentsAnswered
+	return moments >= minMoments || moments >= manyCrashesMoments && len(p.crashes) >= manyCrashes
 }
 
 // morePlausible reports whether p is more likely than q to be the cause of the crashes:
--- a/core/relay/held.go
+++ b/core/relay/held.go
@@ -29,7 +29,7 @@
 	switch {
 	case len(a.sharedParts) == 0:
 	case res.delivered:
-		a.Quarantine.RecordAnswer(a.Now(), quarantine.ProcessID(t.ID, t.Started), a.sharedParts)
+		a.recordAnswer(t)
 	case a.crashed(res) && t.Registered():
 		a.Quarantine.RecordCrash(a.Now(), quarantine.ProcessID(t.ID, t.Started), a.sharedParts)
 	}
@@ -51,10 +51,14 @@
 	before := a.events.complete
 	a.events.add(b)
 	if a.ticket != nil && before <= maxEventsAtCrash && a.events.complete > maxEventsAtCrash && len(a.sharedParts) > 0 {
-		a.Quarantine.RecordAnswer(a.Now(), quarantine.ProcessID(a.ticket.ID, a.ticket.Started), a.sharedParts)
+		a.recordAnswer(a.ticket)
 	}
 }
 
+func (a *attempts) recordAnswer(t *instances.Ticket) {
+	a.Quarantine.RecordAnswer(a.Now(), quarantine.ProcessID(t.ID, t.Started), t.SentAt, a.sharedParts)
+}
+
 // mayCrashAnother reports whether the request may crash a second upstream if it is sent
 // again after the attempt.
 func (a *attempts) mayCrashAnother(res result) bool {
--- a/core/relay/held_test.go
+++ b/core/relay/held_test.go
@@ -115,7 +115,7 @@
 		r.upstreams.replies = []reply{{err: errkind.New(errkind.UpstreamFailed, "connection timed out")}}
 		r.Serve(context.Background(), promptRequest(routes.Streaming, 1, heldPart), &recordingSink{})
 	}
-	if records := r.Quarantine.Records(time.Now()); len(records) != 0 {
+	if records := r.Quarantine.Message(time.Now()).Parts; len(records) != 0 {
 		t.Errorf("got records %+v after timeouts, want none", records)
 	}
 }
