Let the soak send requests with a part that crashes upstreams

Callers send prompts, one in forty requests with a part that crashes upstreams while that fault is on; sound ones must never be refused for a part. After the faults a fresh part must stop reaching upstreams within the users' bound, beside sound requests. Crashed upstreams of the soak start again under their ID: under another one, callers had to wait for a store that is down. -output keeps the whole output of failed tests.

--- a/cmd/faulttest/process_test.go
+++ b/cmd/faulttest/process_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -112,11 +113,25 @@
 		p.kill()
 		if t.Failed() {
 			t.Logf("output of %s:\n%s", name, tail(p.out.String()))
+			p.save(t)
 		}
 	})
 	return p
 }
 
+var outputDirectory = flag.String("output", "", "directory for the whole output of the processes of failed tests")
+
+// save writes the process's output to a file if the tests were told to.
+func (p *process) save(t testing.TB) {
+	if *outputDirectory == "" {
+		return
+	}
+	name := fmt.Sprintf("%s-%s-%d.log", strings.ReplaceAll(t.Name(), "/", "-"), p.name, p.cmd.Process.Pid)
+	if err := os.WriteFile(filepath.Join(*outputDirectory, name), []byte(p.out.String()), 0o600); err != nil {
+		t.Log(err)
+	}
+}
+
 // maxTailBytes limits the output of one process that a failed test shows.
 const maxTailBytes = 3000
 
--- a/cmd/faulttest/soak_caller_test.go
+++ b/cmd/faulttest/soak_caller_test.go
@@ -35,12 +35,43 @@
 	return n.send(transport, kind, sender)
 }
 
+// promptKinds are the kinds of requests that have a prompt, with the route of each. Those
+// with a crashing part may crash upstreams.
+var promptKinds = map[string]string{"stream": "stream", "once": "once", crashingKind: "once", finalCrashingKind: "once"}
+
+const (
+	// crashingKind has the part of the fault "a part crashes upstreams", finalCrashingKind
+	// that of the check after the faults.
+	crashingKind, crashingSoakPart           = "crashing", "bad1"
+	finalCrashingKind, finalCrashingSoakPart = "final", "bad2"
+	// rareParts is the number of second parts of sound prompts; each is in few of them.
+	rareParts = 200
+)
+
+// prompt returns a prompt for a kind of request, whose last part belongs to the request
+// itself.
+func prompt(kind string, number int64) string {
+	second := fmt.Sprintf("%x", 0x5000+number%rareParts)
+	switch kind {
+	case crashingKind:
+		second = crashingSoakPart
+	case finalCrashingKind:
+		second = finalCrashingSoakPart
+	}
+	return fmt.Sprintf("c0:300,%s:200,%x:40", second, 0x1000000+number)
+}
+
 // send sends one request over the given transport.
 func (n *soakNode) send(transport http.RoundTripper, kind, sender string) soakResponse {
-	r := soakResponse{id: fmt.Sprintf("%s-%s-%d", kind, sender, lastSoakID.Add(1)), kind: kind}
+	number := lastSoakID.Add(1)
+	r := soakResponse{id: fmt.Sprintf("%s-%s-%d", kind, sender, number), kind: kind}
+	route, hasPrompt := promptKinds[kind]
+	if !hasPrompt {
+		route = kind
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entryAddress+"/"+kind+"/"+r.id, strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entryAddress+"/"+route+"/"+r.id, strings.NewReader("body"))
 	if err != nil {
 		r.truncated = true
 		return r
@@ -49,6 +80,10 @@
 	req.Host = soakHost
 	req.Header.Set("X-Request-Id", r.id)
 	req.Header.Set("X-Request-Deadline-Ms", "3000")
+	if hasPrompt {
+		req.Header.Set("X-Model", "m")
+		req.Header.Set("X-Prompt-Prefix", prompt(kind, number))
+	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		r.truncated = true
@@ -79,6 +114,9 @@
 	return c
 }
 
+// crashingEvery is how many requests there are for each one with the crashing part.
+const crashingEvery = 40
+
 func (c *soakCallers) run(d *soakDeployment, caller int, rng *rand.Rand) {
 	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
@@ -89,7 +127,11 @@
 			return
 		case <-time.After(time.Duration(rng.IntN(20)) * time.Millisecond):
 		}
-		r := d.nodes[rng.IntN(len(d.nodes))].send(transport, kinds[rng.IntN(len(kinds))], fmt.Sprint("c", caller))
+		kind := kinds[rng.IntN(len(kinds))]
+		if rng.IntN(crashingEvery) == 0 {
+			kind = crashingKind
+		}
+		r := d.nodes[rng.IntN(len(d.nodes))].send(transport, kind, fmt.Sprint("c", caller))
 		c.mu.Lock()
 		c.responses = append(c.responses, r)
 		c.mu.Unlock()
@@ -114,8 +156,10 @@
 
 // problem describes what is wrong with the response itself, or returns an empty string.
 func (r soakResponse) problem() string {
-	streamed := r.kind == "stream" || r.kind == "once"
+	_, streamed := promptKinds[r.kind]
 	switch {
+	case r.status == http.StatusUnprocessableEntity && r.kind != crashingKind && r.kind != finalCrashingKind:
+		return "a sound request was refused for a part of its prompt"
 	case r.truncated && !streamed && r.status != 0:
 		return "" // the caller can detect the truncation
 	case r.truncated:
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -52,6 +52,7 @@
 	responses := callers.finish()
 	d.waitServing("after the faults")
 	d.check(responses)
+	d.checkCrashingPart()
 	d.checkAfterFaults()
 	if t.Failed() {
 		t.Logf("injected faults of seed %d:\n%s", seed, strings.Join(injected, "\n"))
@@ -140,6 +141,10 @@
 	{"upstream sheds load", upstreamFault(routedsim.Behaviour{RejectAll: true})},
 	{"upstream returns errors", upstreamFault(routedsim.Behaviour{Status: http.StatusInternalServerError})},
 	{"upstream truncates streams", upstreamFault(routedsim.Behaviour{CloseAfterEvents: 2})},
+	{"a part crashes upstreams", func(d *soakDeployment, _ *rand.Rand) func() {
+		d.setBehaviour(crashOn(normalBehaviour, crashingSoakPart))
+		return func() { d.setBehaviour(normalBehaviour) }
+	}},
 	{"upstream is slow", upstreamFault(routedsim.Behaviour{ProcessingTime: 400 * time.Millisecond})},
 	{"connections to an upstream closed", onUpstream(func(u *soakUpstream) { u.proxy.closeOpen() }, nil)},
 	{"connections to an upstream drop all bytes", onUpstream(func(u *soakUpstream) { u.proxy.blackholeOpen() }, restoreLink)},
@@ -215,7 +220,7 @@
 		if r.guaranteesNotRun() && runs[r.id] > 0 {
 			d.t.Errorf("request %s was rejected with status %d, but ran %d times", r.id, r.status, runs[r.id])
 		}
-		if once := r.kind == "call" || r.kind == "home" || r.kind == "once"; once && runs[r.id] > 1 {
+		if repeatable := r.kind == "safe" || r.kind == "stream"; !repeatable && runs[r.id] > 1 {
 			d.t.Errorf("request %s ran %d times, want at most 1", r.id, runs[r.id])
 		}
 		if r.status == http.StatusNotFound {
@@ -252,6 +257,82 @@
 	}
 }
 
+const (
+	// contactPeriod is how long after the fifth crash requests with a part that crashes
+	// upstreams may still reach upstreams; later maxFurtherArrivals of them may.
+	contactPeriod      = 5 * time.Second
+	maxFurtherArrivals = 3
+	crashesBeforeLimit = 5
+)
+
+// checkCrashingPart checks that requests with a part that crashes upstreams stop reaching
+// them, whichever node they arrive at, while sound ones with the same first part are served.
+func (d *soakDeployment) checkCrashingPart() {
+	before := d.crashCount()
+	d.setBehaviour(crashOn(normalBehaviour, finalCrashingSoakPart))
+	defer d.setBehaviour(normalBehaviour)
+	for refusing := 0; refusing < len(d.nodes) && d.crashCount() < before+crashesBeforeLimit; {
+		refusing = 0
+		for _, n := range d.nodes {
+			if n.sendOnce(finalCrashingKind, "first").status == http.StatusUnprocessableEntity {
+				refusing++
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if d.crashCount() >= before+crashesBeforeLimit {
+		time.Sleep(contactPeriod)
+	}
+	arrived := d.arrivals(finalCrashingKind)
+	served := 0
+	const rounds = 10
+	for range rounds {
+		for _, n := range d.nodes {
+			n.sendOnce(finalCrashingKind, "further")
+			if r := n.sendOnce("once", "sound"); r.status == http.StatusOK && r.problem() == "" {
+				served++
+			}
+		}
+	}
+	for _, u := range d.upstreams {
+		waitFor(d.t, u.ID+" to run again", u.Running)
+	}
+	if got := d.arrivals(finalCrashingKind) - arrived; got > maxFurtherArrivals {
+		d.t.Errorf("%d requests with a part that had crashed %d upstreams reached upstreams, want at most %d", got, d.crashCount()-before, maxFurtherArrivals)
+	}
+	if sent := rounds * len(d.nodes); 2*served < sent {
+		d.t.Errorf("%d of %d sound requests were served beside those with a part that crashes upstreams, want at least half", served, sent)
+	}
+}
+
+// crashCount returns how often upstreams have crashed.
+func (d *soakDeployment) crashCount() int {
+	n := 0
+	for _, u := range d.upstreams {
+		n += len(u.Crashes())
+	}
+	return n
+}
+
+// arrivals returns how often requests of a kind reached upstreams.
+func (d *soakDeployment) arrivals(kind string) int {
+	n := 0
+	for _, u := range d.upstreams {
+		for id, count := range u.Arrivals() {
+			if strings.HasPrefix(id, kind+"-") {
+				n += count
+			}
+		}
+	}
+	return n
+}
+
+// crashOn returns a copy of a behaviour with which upstreams crash on a part of a prompt.
+func crashOn(b routedsim.Behaviour, part string) routedsim.Behaviour {
+	b.CrashPart, b.RestartAfter, b.KeepID = part, 400*time.Millisecond, true
+	return b
+}
+
 // checkAfterFaults checks that the nodes recover once all faults have ended: they adopt a
 // new routing table and send no requests to a draining upstream.
 func (d *soakDeployment) checkAfterFaults() {
