Log the rate limits that upstreams name

The output of the nodes could not tell whether they had heard an upstream's limit, nor when. Its header is read and each change is one line. No request is placed differently.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -45,6 +45,7 @@
 	InstanceDoubtful  = Event{404, "instance_doubtful", "An upstream's entry disappeared around an outage of the store; the upstream is retained until the store has been available again for some time."}
 	InstanceSuspect   = Event{405, "instance_suspect", "An upstream failed more often than its peers and is excluded for the stated time."}
 	InstanceRefused   = Event{406, "entry_refused", "An entry in the store could not be decoded or is invalid; no upstream or node is used from it."}
+	InstanceLimited   = Event{407, "instance_limited", "An upstream named, changed or no longer names the rate of requests that it accepts from all nodes; zero means no limit."}
 	MemberChanged     = Event{501, "member_changed", "This node observed a state change of another node of the fleet."}
 	DirectoryEmpty    = Event{503, "directory_empty", "A caller requested the list of entry nodes and no live node was known, or the response could not be written."}
 	DomainChanged     = Event{502, "failure_domain_changed", "A failure domain became reachable or unreachable from this node."}
@@ -66,7 +67,7 @@
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
-		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused,
+		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
 		PlatformFailed, PlatformRestored, StoreHistoryLost, Registered, RegistrationLost,
--- a/core/instances/instance.go
+++ b/core/instances/instance.go
@@ -32,6 +32,9 @@
 // requests.
 type ReportedLoad struct {
 	Running, Waiting, Slots int
+	// RateLimit is the number of requests per second that the upstream accepts from all
+	// nodes together; zero if it names none.
+	RateLimit float64
 }
 
 // Outcome is the result of one request to an upstream.
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -42,6 +42,7 @@
 	evacuated bool
 	coldUntil time.Time
 	pace      sharedbounds.Pacer
+	limit     rateLimit
 
 	inFlight int
 	backlog  backlog
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -56,6 +56,9 @@
 		a.headAt = now
 		h := answer.Head()
 		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected)
+		if !h.Misdirected { // otherwise another instance answered
+			t.RecordRateLimit(now, answer.ReportedLoad().RateLimit)
+		}
 		a.Metrics.Observe("relay.first_byte_us", now.Sub(sentAt))
 		res = a.receive(ctx, answer, t)
 		answer.Close()
