--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -46,6 +46,9 @@
 	DropResponses bool
 	// Status is the HTTP status of plain responses; zero means 200.
 	Status int
+	// RateLimit is the rate, in requests per second from all clients, that the server names in
+	// its responses; zero means none. The server only counts: it serves every request.
+	RateLimit float64
 	// CrashPart is the identifier of a prompt part, as clients write it; the server crashes
 	// when it begins to respond to a prompt with the part. Empty means none.
 	CrashPart string
@@ -75,6 +78,7 @@
 	crashes         []time.Time
 	idSuffix        string // of the ID of the running process
 	arrivals        map[string]int
+	arrivalTimes    []time.Time
 	behaviour       Behaviour
 	executions      map[string]int
 	lastHeader      http.Header
@@ -247,6 +251,23 @@
 	return s.canceled
 }
 
+// MaxArrivals returns the highest number of requests that reached the server in any window of
+// the given length after a time.
+func (s *Server) MaxArrivals(after time.Time, window time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	highest, first := 0, 0
+	for i, at := range s.arrivalTimes {
+		for s.arrivalTimes[first].Before(after) && first < i || at.Sub(s.arrivalTimes[first]) > window {
+			first++
+		}
+		if !at.Before(after) {
+			highest = max(highest, i-first+1)
+		}
+	}
+	return highest
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -259,7 +280,11 @@
 	s.lastHeader = r.Header.Clone()
 	instance := s.currentID()
 	s.arrivals[id]++
+	s.arrivalTimes = append(s.arrivalTimes, time.Now())
 	s.mu.Unlock()
+	if b.RateLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(b.RateLimit, 'f', -1, 64))
+	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != instance {
 		w.Header().Set("X-Instance-Id", instance)
 		w.WriteHeader(http.StatusMisdirectedRequest)
