Keep to the rate limits that upstreams name

An upstream in need that had named 2 requests a second got 128 in 4 s (allowed 17); callers saw it answer later and later.

Placement knew an upstream's slots and what was in flight, so a slow upstream with free slots went on getting its share of the load.

Change: a limit is a bound of all nodes on one upstream, like the rate of a cold one, and uses the same mechanism: nodes ranked alike everywhere divide it, each paces its own sends, and a part stays unused for nodes with another view of the members. Limits and their end are exchanged within the region. Load reported to other regions counts a limited upstream's room by its limit.

Why it works: each request counts when it is placed, so first attempts, repeats, requests that waited and those of other regions are all paced.

TestFleetStaysWithinNamedRateLimit covers 1 to 330 nodes.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -52,6 +52,7 @@
 		return msg
 	}
 	msg.Heartbeats = n.members.CompactHeartbeats(now)
+	msg.RateLimits = n.catalog.RateLimits(now)
 	msg.Views = n.regions.Views(now, maxViews)
 	localLimit := localSample
 	if now.Sub(n.startedAt) < startupPeriod {
@@ -105,6 +106,7 @@
 		n.regions.SetLoads(now, msg.Sender.Place.Region, msg.Loads, roundTrip)
 	} else {
 		n.regions.MergeViews(now, msg.Views)
+		n.catalog.ApplyRateLimits(now, msg.RateLimits)
 	}
 	n.synchronize(now, msg)
 }
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -95,7 +95,7 @@
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.CPUCores,
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
-	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
+	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, RateShare: n.rateShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.health = &storeHealth{log: log, catalog: n.catalog, dropConnections: deps.DropStoreConnections}
@@ -131,6 +131,12 @@
 	return sharedbounds.ColdRate(n.settings.Node, n.members.InRegion(time.Now()), id, rate)
 }
 
+// rateShare returns this node's share of the request rate that an upstream named as its
+// limit.
+func (n *Node) rateShare(id domain.UpstreamID, rate float64) float64 {
+	return sharedbounds.LimitedRate(n.settings.Node, n.members.InRegion(time.Now()), id, rate)
+}
+
 const (
 	// connectionReserve is the fraction of an upstream's connections that is not
 	// used, for idle connections and for nodes whose list of members differs from
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh/meshpb"
@@ -17,6 +18,8 @@
 const (
 	milli  = 1000
 	tenths = 10
+	// maxMilliRate is the highest rate limit that a message can hold.
+	maxMilliRate = math.MaxUint32
 )
 
 func headerToWire(h map[string][]string) []*meshpb.HeaderField {
@@ -96,6 +99,8 @@
 	Entries  Position
 	// Parts holds what the sender knows about parts of prompts that may crash upstreams.
 	Parts quarantine.Message
+	// RateLimits holds the limits that upstreams of the region named.
+	RateLimits []instances.RateLimit
 }
 
 // Position describes how far a node has replicated a part of the store.
@@ -129,6 +134,10 @@
 		m.Beats = append(m.Beats, &meshpb.MemberBeat{Handle: b.Handle, Beat: b.Counter, State: stateToWire(b.State)})
 	}
 	m.Parts = partsToWire(msg.Parts)
+	for _, l := range msg.RateLimits {
+		m.Limits = append(m.Limits, &meshpb.UpstreamLimit{Service: l.Service, Instance: string(l.Instance),
+			MilliPerSecond: uint32(min(maxMilliRate, math.Ceil(l.PerSecond*milli))), AgeMs: uint32(l.Age.Milliseconds())})
+	}
 	m.Loads = loadsToWire(msg.Loads)
 	for _, v := range msg.Views {
 		m.Views = append(m.Views, &meshpb.RegionView{Region: string(v.Region), AgeMs: uint32(v.Age.Milliseconds()), Loads: loadsToWire(v.Loads)})
@@ -169,6 +178,10 @@
 		msg.Heartbeats = append(msg.Heartbeats, peers.CompactHeartbeat{Handle: b.GetHandle(), Counter: b.GetBeat(), State: stateFromWire(b.GetState())})
 	}
 	msg.Parts = partsFromWire(m.GetParts())
+	for _, l := range m.GetLimits() {
+		msg.RateLimits = append(msg.RateLimits, instances.RateLimit{Service: l.GetService(), Instance: domain.UpstreamID(l.GetInstance()),
+			PerSecond: float64(l.GetMilliPerSecond()) / milli, Age: time.Duration(l.GetAgeMs()) * time.Millisecond})
+	}
 	msg.Loads = loadsFromWire(m.GetLoads())
 	for _, v := range m.GetViews() {
 		msg.Views = append(msg.Views, peers.View{Region: domain.Region(v.GetRegion()), Age: time.Duration(v.GetAgeMs()) * time.Millisecond, Loads: loadsFromWire(v.GetLoads())})
--- a/core/instances/load.go
+++ b/core/instances/load.go
@@ -1,6 +1,10 @@
 package instances
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/sharedbounds"
+)
 
 // Load is the load of a pool as reported to other regions.
 type Load struct {
@@ -23,11 +27,18 @@
 	l := Load{Service: p.service, MeanSlotTime: p.meanSlotTime}
 	performance, meanOthers := p.performance(), p.meanOtherRequests(now)
 	for _, u := range p.upstreams {
-		if !p.usable(now, u, "") || p.isSuspect(now, u) || u.cold(now) {
+		if !p.accepts(now, u, "") || p.isSuspect(now, u) || u.cold(now) {
 			continue
 		}
 		c := p.candidate(now, u, "", meanOthers)
 		freeSlots, delay := c.FreeCapacity(performance)
+		if u.limit.perSecond > 0 {
+			slots := sharedbounds.UsableRate(u.limit.perSecond) * p.meanSlotTime.Seconds()
+			if slots < 1 {
+				continue // the nodes of this region use all that the limit allows
+			}
+			freeSlots = min(freeSlots, slots)
+		}
 		if l.Usable == 0 || delay < l.Delay {
 			l.Delay = delay
 		}
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -18,6 +18,8 @@
 	MissingGrace time.Duration
 	// ColdShare returns this node's share of a cold instance's request rate.
 	ColdShare func(id domain.UpstreamID, rate float64) float64
+	// RateShare returns this node's share of the rate that an instance named as its limit.
+	RateShare func(id domain.UpstreamID, rate float64) float64
 	// ConnectionShare returns how many of an upstream's maximum connections this
 	// node may use.
 	ConnectionShare func(all int) int
@@ -52,6 +54,9 @@
 	if o.ColdShare == nil {
 		o.ColdShare = func(_ domain.UpstreamID, rate float64) float64 { return rate }
 	}
+	if o.RateShare == nil {
+		o.RateShare = func(_ domain.UpstreamID, rate float64) float64 { return rate }
+	}
 	if o.ConnectionShare == nil {
 		o.ConnectionShare = func(all int) int { return all }
 	}
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -77,8 +77,8 @@
 
 func (p *Pool) reserve(now time.Time, t *Ticket) {
 	u := t.upstream
-	if t.Cold && p.config.MaxColdRate > 0 {
-		u.pace.Record(now, p.options.ColdShare(u.ID, p.config.MaxColdRate))
+	if rate, bounded := p.ownRate(now, u); bounded {
+		u.pace.Record(now, rate)
 	}
 	if u.inFlight == 0 {
 		u.lastByteAt = now
@@ -138,17 +138,39 @@
 	}
 }
 
+// usable reports whether a request may be sent to an upstream now.
 func (p *Pool) usable(now time.Time, u *upstream, model string) bool {
+	if !p.accepts(now, u, model) {
+		return false
+	}
+	rate, bounded := p.ownRate(now, u)
+	return !bounded || u.pace.Ready(now, rate)
+}
+
+// accepts reports whether an upstream accepts requests, at whatever rate.
+func (p *Pool) accepts(now time.Time, u *upstream, model string) bool {
 	if u.Leaving || u.evacuated || now.Before(u.misdirectedUntil) || u.Place.Region != p.options.Self.Region {
 		return false
 	}
 	if model != "" && len(u.Models) > 0 && !slices.Contains(u.Models, model) {
 		return false
 	}
+	return true
+}
+
+// ownRate returns the number of requests per second that this node may send to an upstream
+// whose rate is bounded, because it is cold or named a limit.
+func (p *Pool) ownRate(now time.Time, u *upstream) (rate float64, bounded bool) {
 	if u.cold(now) && p.config.MaxColdRate > 0 {
-		return u.pace.Ready(now, p.options.ColdShare(u.ID, p.config.MaxColdRate))
+		rate, bounded = p.options.ColdShare(u.ID, p.config.MaxColdRate), true
 	}
-	return true
+	if u.limit.perSecond > 0 {
+		limited := p.options.RateShare(u.ID, u.limit.perSecond)
+		if !bounded || limited < rate {
+			rate, bounded = limited, true
+		}
+	}
+	return rate, bounded
 }
 
 func (p *Pool) isSuspect(now time.Time, u *upstream) bool {
--- a/core/instances/ratelimit.go
+++ b/core/instances/ratelimit.go
@@ -1,8 +1,11 @@
 package instances
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
 )
 
@@ -34,3 +37,59 @@
 	}
 	u.limit = l
 }
+
+// RateLimit tells the other nodes of the region of a limit that an upstream named, or that
+// it no longer names one. Most of them don't send to a limited upstream, and would not learn that the
+// limit ended.
+type RateLimit struct {
+	Service  string
+	Instance domain.UpstreamID
+	// PerSecond is zero if there is no limit any more.
+	PerSecond float64
+	// Age is the time since the upstream stated it to some node.
+	Age time.Duration
+}
+
+const (
+	// endedLimitRetention is how long other nodes are told that a limit ended.
+	endedLimitRetention = 30 * time.Second
+	// maxRateLimits is the maximum number of limits in one message.
+	maxRateLimits = 16
+)
+
+// RateLimits returns the limits most recently stated, at most maxRateLimits of them.
+func (c *Catalog) RateLimits(now time.Time) []RateLimit {
+	var list []RateLimit
+	c.ForEach(func(p *Pool) { list = append(list, p.rateLimits(now)...) })
+	slices.SortFunc(list, func(a, b RateLimit) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Instance, b.Instance))
+	})
+	return list[:min(maxRateLimits, len(list))]
+}
+
+func (p *Pool) rateLimits(now time.Time) []RateLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []RateLimit
+	for _, u := range p.upstreams {
+		age := now.Sub(u.limit.statedAt)
+		if u.limit.perSecond > 0 || !u.limit.statedAt.IsZero() && age < endedLimitRetention {
+			list = append(list, RateLimit{p.service, u.ID, u.limit.perSecond, age})
+		}
+	}
+	return list
+}
+
+// ApplyRateLimits adopts limits received from another node that upstreams stated later than
+// those known here.
+func (c *Catalog) ApplyRateLimits(now time.Time, limits []RateLimit) {
+	for _, l := range limits {
+		p := c.Pool(l.Service)
+		p.mu.Lock()
+		statedAt := now.Add(-l.Age)
+		if u := p.find(l.Instance); u != nil && statedAt.After(u.limit.statedAt) {
+			p.setRateLimit(u, rateLimit{l.PerSecond, statedAt}, "another node")
+		}
+		p.mu.Unlock()
+	}
+}
--- a/core/sharedbounds/bounds_test.go
+++ b/core/sharedbounds/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,3 +114,89 @@
 		}
 	}
 }
+
+// TestFleetStaysWithinNamedRateLimit: every node wants to send to a limited upstream all the
+// time. In any 4 s it may get one and a half times what its limit allows, plus 5. Views of the
+// members differ as while a node is added, gone or cut off.
+func TestFleetStaysWithinNamedRateLimit(t *testing.T) {
+	const window, tolerance, slack = 4 * time.Second, 1.5, 5
+	for _, nodes := range []int{1, 2, 3, 4, 30, 95, 330} {
+		ids := make([]domain.NodeID, nodes)
+		for i := range ids {
+			ids[i] = domain.NodeID(fmt.Sprint("node-", i))
+		}
+		views := map[string]func(i int) []domain.NodeID{
+			"all know all":            func(int) []domain.NodeID { return ids },
+			"one node is not known":   func(i int) []domain.NodeID { return without(ids, 0, i) },
+			"one node that is gone":   func(int) []domain.NodeID { return append([]domain.NodeID{"gone"}, ids...) },
+			"two halves are cut off":  func(i int) []domain.NodeID { return half(ids, i) },
+			"one knows itself only":   func(i int) []domain.NodeID { return alone(ids, i) },
+			"nodes learn of a member": func(i int) []domain.NodeID { return without(ids, nodes-1, i) },
+		}
+		for view, members := range views {
+			for _, rate := range []float64{0.5, 2, 2.1, 7, 50} {
+				sent := sendAtRate(ids, members, rate, 30*time.Second)
+				allowed := int(tolerance*rate*window.Seconds()) + slack
+				if got := maxInWindow(sent, window); got > allowed {
+					t.Errorf("%d nodes, %s, limit %v: %d requests in %v, want at most %d", nodes, view, rate, got, window, allowed)
+				}
+				if want := int(0.3 * rate * 30); len(sent) < want && view != "one node that is gone" {
+					t.Errorf("%d nodes, %s, limit %v: %d requests in 30 s, want at least %d", nodes, view, rate, len(sent), want)
+				}
+			}
+		}
+	}
+}
+
+// sendAtRate returns when nodes sent to the upstream "u", each as often as its share allows.
+func sendAtRate(ids []domain.NodeID, members func(int) []domain.NodeID, rate float64, length time.Duration) []time.Duration {
+	start := time.Unix(1000, 0)
+	pacers := make([]sharedbounds.Pacer, len(ids))
+	shares := make([]float64, len(ids))
+	for i := range ids {
+		shares[i] = sharedbounds.LimitedRate(ids[i], members(i), "u", rate)
+	}
+	var sent []time.Duration
+	for at := time.Duration(0); at < length; at += 10 * time.Millisecond {
+		for i := range ids {
+			if now := start.Add(at); pacers[i].Ready(now, shares[i]) {
+				pacers[i].Record(now, shares[i])
+				sent = append(sent, at)
+			}
+		}
+	}
+	return sent
+}
+
+func maxInWindow(sent []time.Duration, window time.Duration) int {
+	highest, first := 0, 0
+	for i, at := range sent {
+		for at-sent[first] > window {
+			first++
+		}
+		highest = max(highest, i-first+1)
+	}
+	return highest
+}
+
+// without returns the members as known to node i, which does not know another one.
+func without(ids []domain.NodeID, unknown, i int) []domain.NodeID {
+	return slices.DeleteFunc(slices.Clone(ids), func(id domain.NodeID) bool { return id == ids[unknown] && i != unknown })
+}
+
+// half returns the half of the members to which node i belongs.
+func half(ids []domain.NodeID, i int) []domain.NodeID {
+	if middle := len(ids) / 2; i < middle {
+		return ids[:middle]
+	} else {
+		return ids[middle:]
+	}
+}
+
+// alone returns only the first node for itself, and all members for the others.
+func alone(ids []domain.NodeID, i int) []domain.NodeID {
+	if i == 0 {
+		return ids[:1]
+	}
+	return ids
+}
