Tell crashes of upstreams from connections to those that are down

Now a request that was sent after a crash is evidence only if the upstream runs again: it answered a later request, or worked on this one for 20 ms, a second or more after the crash. A part needs crashes of two processes at least.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -127,7 +127,10 @@
 		if c.Since > evidenceRetention || !at.After(t.refuted[c.Process]) {
 			continue
 		}
-		if p.addCrash(now, crash{c.Process, at}) {
+		if known, ok := t.crashed[c.Process]; !ok || at.Before(known) && !t.runAgain[c.Process].After(at) {
+			setBounded(t.crashed, c.Process, at)
+		}
+		if p.addCrash(now, crash{c.Process, at}, at) { // the other node knows that the process ran again
 			t.changed = true
 		}
 	}
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -17,7 +17,7 @@
 	id uint64
 	// position is the greatest index of the part in the prompts that were seen with it.
 	position int
-	// crashes holds the crashes that speak against the part, by process.
+	// crashes holds the crashes that speak against the part.
 	crashes []crash
 	// answeredAt is when an upstream last answered a prompt with the part; zero if it is
 	// not known that one did.
@@ -35,13 +35,16 @@
 func (p *part) held() bool { return !p.heldAt.IsZero() }
 
 // addCrash adds a crash unless the part has been answered since, and reports whether the
-// part changed.
-func (p *part) addCrash(now time.Time, c crash) bool {
+// part changed. A process counts again only if it started again since: runAgainAt is when it
+// is known to have run last.
+func (p *part) addCrash(now time.Time, c crash, runAgainAt time.Time) bool {
 	if !c.at.After(p.answeredAt) {
 		p.clearedAt = now
 		return false
 	}
-	if p.hasCrash(c.process) {
+	if slices.ContainsFunc(p.crashes, func(known crash) bool {
+		return known.process == c.process && !(runAgainAt.After(known.at) && c.at.Sub(known.at) >= minRestartTime)
+	}) {
 		return false
 	}
 	p.crashes = append(p.crashes, c)
@@ -55,6 +58,15 @@
 	return slices.ContainsFunc(p.crashes, func(c crash) bool { return c.process == process })
 }
 
+// processes returns the number of processes whose crashes speak against the part.
+func (p *part) processes() int {
+	distinct := make(map[uint64]bool, len(p.crashes))
+	for _, c := range p.crashes {
+		distinct[c.process] = true
+	}
+	return len(distinct)
+}
+
 // answered clears the part of the evidence before an answer, and ends a hold from before
 // it. It reports whether it ended one.
 func (p *part) answered(now, at time.Time) (released bool) {
--- a/core/quarantine/simulation_test.go
+++ b/core/quarantine/simulation_test.go
@@ -44,6 +44,7 @@
 	node   int
 	parts  []uint64
 	engine *simulatedEngine
+	sentAt time.Time
 	begun  bool
 	ended  bool
 }
@@ -162,7 +163,7 @@
 		return true
 	}
 	r.engine = up[f.rng.IntN(len(up))]
-	sentAt := f.now
+	r.sentAt = f.now
 	r.engine.running = append(r.engine.running, r)
 	deadly := slices.Contains(parts, f.deadly)
 	if deadly {
@@ -177,11 +178,11 @@
 			return
 		}
 		r.begun = true
-		table.RecordAnswer(f.now, r.engine.process, sentAt, parts)
+		table.RecordAnswer(f.now, r.engine.process, r.sentAt, parts)
 		f.after(time.Duration(100+f.rng.IntN(400))*time.Millisecond, func() {
 			if !r.ended {
 				f.end(r)
-				table.RecordAnswer(f.now, r.engine.process, sentAt, parts)
+				table.RecordAnswer(f.now, r.engine.process, r.sentAt, parts)
 			}
 		})
 	})
@@ -209,7 +210,7 @@
 		}
 		f.end(r)
 		if !r.begun {
-			f.nodes[r.node].RecordCrash(f.now, e.process, r.parts)
+			f.nodes[r.node].RecordCrash(f.now, e.process, r.sentAt, r.parts)
 		}
 	}
 }
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -25,6 +25,15 @@
 	manyCrashesMoments = 2
 	// minCrashSpacing is the time between two crashes that are separate moments.
 	minCrashSpacing = 100 * time.Millisecond
+	// minProcesses is the number of processes that must have crashed: connections to a single
+	// upstream may be lost again and again for other reasons.
+	minProcesses = 2
+	// minRestartTime is the minimum time in which an upstream starts again. Until its new entry
+	// is known, its processes cannot be told apart otherwise.
+	minRestartTime = time.Second
+	// minServiceTime is the time for which an upstream that runs works on a request before it
+	// begins its answer. A proxy of one that is down closes connections sooner.
+	minServiceTime = 20 * time.Millisecond
 	// settleTime is how long evidence waits for answers, and for evidence against other
 	// parts, to arrive from other nodes before it counts.
 	settleTime = 200 * time.Millisecond
@@ -51,9 +60,9 @@
 	maxParts           = 2048
 	maxPartsPerRequest = 16
 	maxCrashesPerPart  = 12
-	// maxRefuted is the maximum number of processes that are known to run although their
-	// connections were lost.
-	maxRefuted = 256
+	// maxProcesses is the maximum number of processes that are known to run although their
+	// connections were lost, of those known to have crashed and of those known to run again.
+	maxProcesses = 256
 )
 
 // Options configures a table.
@@ -77,6 +86,11 @@
 	// refuted holds, for processes that went on answering after a supposed crash, a time
 	// at which they are known to have run.
 	refuted map[uint64]time.Time
+	// crashed holds when processes were first seen to crash.
+	crashed map[uint64]time.Time
+	// runAgain holds when processes with a crash answered a later request: the upstream has
+	// started again, and its new entry is not known yet.
+	runAgain map[uint64]time.Time
 	// changed is set when evidence changed since the last verdict.
 	changed bool
 }
@@ -86,7 +100,7 @@
 	if o.Log == nil {
 		o.Log = event.Discard{}
 	}
-	return &Table{options: o, parts: make(map[uint64]*part), refuted: make(map[uint64]time.Time)}
+	return &Table{options: o, parts: make(map[uint64]*part), refuted: make(map[uint64]time.Time), crashed: make(map[uint64]time.Time), runAgain: make(map[uint64]time.Time)}
 }
 
 // ProcessID returns the identifier of a process of an upstream, the same at all nodes.
@@ -102,18 +116,31 @@
 }
 
 // RecordCrash records that a process of an upstream closed its connections before it
-// began its answer to a request with the given shared parts.
-func (t *Table) RecordCrash(now time.Time, process uint64, parts []uint64) {
+// began its answer to a request with the given shared parts that was sent at sentAt. A
+// request that was sent to an upstream after its crash proves nothing.
+func (t *Table) RecordCrash(now time.Time, process uint64, sentAt time.Time, parts []uint64) {
 	tracked, offset := limit(parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	crashedAt, known := t.crashed[process]
+	if known && sentAt.After(crashedAt) {
+		if sentAt.Sub(crashedAt) >= minRestartTime && now.Sub(sentAt) >= minServiceTime {
+			setBounded(t.runAgain, process, sentAt)
+		}
+		if !t.runAgain[process].After(crashedAt) {
+			return
+		}
+	}
+	if !known || sentAt.After(crashedAt) {
+		setBounded(t.crashed, process, now)
+	}
 	c := crash{process, now}
 	if i := slices.IndexFunc(tracked, t.isHeld); i >= 0 {
 		tracked = tracked[i : i+1] // the held part explains the crash
 		offset += i
 	}
 	for i, id := range tracked {
-		if t.partFor(now, id, offset+i).addCrash(now, c) {
+		if t.partFor(now, id, offset+i).addCrash(now, c, t.runAgain[process]) {
 			t.changed = true
 		}
 	}
@@ -144,28 +171,39 @@
 }
 
 // refute discards the evidence from a supposed crash of a process that answers a request sent
-// before it. An answer to a later request proves nothing: the upstream may have started
-// again, and this node not know it yet.
+// before it. An answer to a later request does not refute the crash: the upstream may have
+// started again, and this node not know it yet.
 func (t *Table) refute(now time.Time, process uint64, sentAt time.Time) {
 	for _, p := range t.parts {
-		if slices.ContainsFunc(p.crashes, func(c crash) bool {
-			return c.process == process && sentAt.Before(c.at) && now.Sub(c.at) > refuteMargin
-		}) {
-			t.applyRefutation(process, now.Add(-refuteMargin))
-			return
+		for _, c := range p.crashes {
+			if c.process != process {
+				continue
+			}
+			if sentAt.After(c.at) {
+				setBounded(t.runAgain, process, sentAt)
+			} else if now.Sub(c.at) > refuteMargin {
+				t.applyRefutation(process, now.Add(-refuteMargin))
+				return
+			}
 		}
 	}
 }
 
+// setBounded sets an entry of a map of at most maxProcesses entries.
+func setBounded(m map[uint64]time.Time, process uint64, at time.Time) {
+	if _, known := m[process]; !known && len(m) >= maxProcesses {
+		clear(m)
+	}
+	m[process] = at
+}
+
 // applyRefutation discards the evidence from a process that is known to have run at a time.
 func (t *Table) applyRefutation(process uint64, at time.Time) {
 	if !at.After(t.refuted[process]) {
 		return
 	}
-	if len(t.refuted) >= maxRefuted {
-		clear(t.refuted)
-	}
-	t.refuted[process] = at
+	setBounded(t.refuted, process, at)
+	delete(t.crashed, process)
 	for _, p := range t.parts {
 		if p.removeCrash(process, at) {
 			t.changed = true
@@ -290,7 +328,9 @@
 			delete(t.parts, id)
 		}
 	}
-	maps.DeleteFunc(t.refuted, func(_ uint64, at time.Time) bool { return now.Sub(at) > evidenceRetention })
+	for _, processes := range []map[uint64]time.Time{t.refuted, t.crashed, t.runAgain} {
+		maps.DeleteFunc(processes, func(_ uint64, at time.Time) bool { return now.Sub(at) > evidenceRetention })
+	}
 }
 
 func (t *Table) logRelease(p *part, why string) {
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -19,7 +19,7 @@
 // parts, and returns the time after the last one, when its evidence counts.
 func crashes(t *Table, from float64, n int, parts ...uint64) (next float64) {
 	for i := range n {
-		t.RecordCrash(at(from+float64(i)), uint64(from*1000)+uint64(i), parts)
+		t.RecordCrash(at(from+float64(i)), uint64(from*1000)+uint64(i), at(from+float64(i)-0.05), parts)
 	}
 	return from + float64(n-1) + 2*settleTime.Seconds()
 }
@@ -39,24 +39,54 @@
 			func(t *Table) float64 { return crashes(t, 0, 3, deadly) }, []uint64{deadly}, nil},
 		"two crashes do not": {
 			func(t *Table) float64 { return crashes(t, 0, 2, deadly) }, nil, []uint64{deadly}},
-		"crashes of one process count once": {
+		"upstreams that start again under their IDs count again": {
+			func(t *Table) float64 {
+				for i := range 3 {
+					t.RecordCrash(at(float64(i)*2), uint64(i%2), at(float64(i)*2-0.05), []uint64{deadly})
+					t.RecordAnswer(at(float64(i)*2+1.5), uint64(i%2), at(float64(i)*2+1.4), []uint64{7})
+				}
+				return 7
+			}, []uint64{deadly}, nil},
+		"upstreams that crash as soon as they run again count again": {
+			func(t *Table) float64 {
+				for i := range 8 {
+					t.RecordCrash(at(float64(i/4*2)), uint64(i%4), at(float64(i/4*2)-0.05), []uint64{deadly})
+				}
+				return 3
+			}, []uint64{deadly}, nil},
+		"requests sent to upstreams that are down prove nothing": {
+			func(t *Table) float64 {
+				for i := range 5 {
+					t.RecordCrash(at(0), uint64(i), at(-1), []uint64{7})
+					t.RecordCrash(at(float64(i+1)), uint64(i), at(float64(i+1)-0.01), []uint64{companion})
+				}
+				return 7
+			}, nil, []uint64{companion}},
+		"lost connections to upstreams that are down do not count again": {
+			func(t *Table) float64 {
+				for i := range 20 {
+					t.RecordCrash(at(float64(i)), uint64(i%2), at(float64(i)-0.01), []uint64{companion})
+				}
+				return 21
+			}, nil, []uint64{companion}},
+		"crashes of one process prove nothing": {
 			func(t *Table) float64 {
 				for i := range 9 {
-					t.RecordCrash(at(float64(i)), 1, []uint64{deadly})
+					t.RecordCrash(at(float64(i)), 1, at(float64(i)-0.05), []uint64{deadly})
 				}
 				return 10
 			}, nil, []uint64{deadly}},
 		"crashes at one moment count once": {
 			func(t *Table) float64 {
 				for i := range 9 {
-					t.RecordCrash(at(1), uint64(i), []uint64{deadly})
+					t.RecordCrash(at(1), uint64(i), at(1-0.05), []uint64{deadly})
 				}
 				return 3
 			}, nil, []uint64{deadly}},
 		"five crashes at two moments hold a part": {
 			func(t *Table) float64 {
 				for i := range 5 {
-					t.RecordCrash(at(float64(i/3)), uint64(i), []uint64{deadly})
+					t.RecordCrash(at(float64(i/3)), uint64(i), at(float64(i/3)-0.05), []uint64{deadly})
 				}
 				return 3
 			}, []uint64{deadly}, nil},
@@ -92,17 +122,17 @@
 		"requests that waited at the crashed upstreams are explained": {
 			func(t *Table) float64 {
 				for i := range 4 {
-					t.RecordCrash(at(float64(i)), uint64(i), []uint64{deadly})
-					t.RecordCrash(at(float64(i)), uint64(i), []uint64{companion, uint64(i)})
+					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), []uint64{deadly})
+					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), []uint64{companion, uint64(i)})
 				}
-				t.RecordCrash(at(4), 4, []uint64{deadly})
+				t.RecordCrash(at(4), 4, at(4-0.05), []uint64{deadly})
 				return 6
 			}, []uint64{deadly}, []uint64{companion}},
 		"a part that others use is not held for a caller's own parts beside it": {
 			func(t *Table) float64 {
 				for i := range 12 {
 					t.RecordAnswer(at(float64(i)-0.5), 99, at(float64(i)-0.5), []uint64{companion})
-					t.RecordCrash(at(float64(i)), uint64(i), []uint64{companion, uint64(100 + i)})
+					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), []uint64{companion, uint64(100 + i)})
 				}
 				return 14
 			}, nil, []uint64{companion}},
@@ -170,7 +200,7 @@
 		}
 		if trial {
 			trials++
-			table.RecordCrash(at(s+1), uint64(9000+trials), []uint64{companion, deadly})
+			table.RecordCrash(at(s+1), uint64(9000+trials), at(s+1-0.05), []uint64{companion, deadly})
 		}
 	}
 	if trials == 0 || trials > maxTrials {
@@ -216,9 +246,9 @@
 // enough by itself.
 func TestEvidenceOfSeveralNodesHoldsPart(t *testing.T) {
 	a, b, c := New(Options{}), New(Options{}), New(Options{})
-	a.RecordCrash(at(0), 1, []uint64{companion, deadly})
-	b.RecordCrash(at(1), 2, []uint64{companion, deadly})
-	c.RecordCrash(at(2), 3, []uint64{companion, deadly})
+	a.RecordCrash(at(0), 1, at(0-0.05), []uint64{companion, deadly})
+	b.RecordCrash(at(1), 2, at(1-0.05), []uint64{companion, deadly})
+	c.RecordCrash(at(2), 3, at(2-0.05), []uint64{companion, deadly})
 	c.Merge(at(2.5), a.Message(at(2.5)))
 	c.Merge(at(2.5), b.Message(at(2.5)))
 	if !isHeld(c, 3, deadly) {
@@ -274,7 +304,7 @@
 		for j := range parts {
 			parts[j] = uint64(1_000_000 + i*500 + j)
 		}
-		table.RecordCrash(at(2), 77, parts)
+		table.RecordCrash(at(2), 77, at(2-0.05), parts)
 	}
 	if len(table.parts) > maxParts {
 		t.Errorf("the table has %d parts, want at most %d", len(table.parts), maxParts)
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -41,6 +41,9 @@
 
 // accused reports whether the crashes until settled suffice to hold the part.
 func (p *part) accused(settled time.Time) bool {
+	if p.processes() < minProcesses {
+		return false
+	}
 	moments := p.moments(settled)
 	if !p.answeredAt.IsZero() {
 		return moments >= minMomentsAnswered
--- a/core/relay/held.go
+++ b/core/relay/held.go
@@ -31,7 +31,7 @@
 	case res.delivered:
 		a.recordAnswer(t)
 	case a.crashed(res) && t.Registered():
-		a.Quarantine.RecordCrash(a.Now(), quarantine.ProcessID(t.ID, t.Started), a.sharedParts)
+		a.Quarantine.RecordCrash(a.Now(), quarantine.ProcessID(t.ID, t.Started), t.SentAt, a.sharedParts)
 	}
 }
 
--- a/core/relay/held_test.go
+++ b/core/relay/held_test.go
@@ -29,7 +29,7 @@
 func (r *fixture) hold() {
 	past := time.Now().Add(-10 * time.Second)
 	for i := range 3 {
-		r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), []uint64{1, heldPart})
+		r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), past, []uint64{1, heldPart})
 	}
 }
 
@@ -92,7 +92,7 @@
 		r := newFixture(t, 3)
 		past := time.Now().Add(-10 * time.Second)
 		for i := range 2 {
-			r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), []uint64{heldPart})
+			r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), past, []uint64{heldPart})
 		}
 		broken := reply{end: relay.ConnectionClosed(io.ErrUnexpectedEOF)}
 		if chunks != "" {
