--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -25,6 +25,7 @@
 	storeAddress string
 	nodes        []*soakNode
 	upstreams    []*soakUpstream
+	limited      *soakUpstream // names a rate limit; nil if none does
 
 	mu      sync.Mutex
 	version int
