--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -44,8 +44,8 @@
 // never is a duration in a record that stands for a time that never was.
 const never = time.Duration(-1)
 
-// Message returns the message for another node: of held parts first, then of those with the
-// latest news. It is empty while nothing crashes.
+// Message returns what another node is told, with the records of held parts first, then of
+// those with the latest news. It is empty while nothing crashes.
 func (t *Table) Message(now time.Time) Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -122,17 +120,8 @@
 	tracked, offset := limit(parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	crashedAt, known := t.crashed[process]
-	if known && sentAt.After(crashedAt) {
-		if sentAt.Sub(crashedAt) >= minRestartTime && now.Sub(sentAt) >= minServiceTime {
-			setBounded(t.runAgain, process, sentAt)
-		}
-		if !t.runAgain[process].After(crashedAt) {
-			return
-		}
-	}
-	if !known || sentAt.After(crashedAt) {
-		setBounded(t.crashed, process, now)
+	if !t.recordProcessCrash(now, process, sentAt) {
+		return
 	}
 	c := crash{process, now}
 	if i := slices.IndexFunc(tracked, t.isHeld); i >= 0 {
@@ -170,47 +159,6 @@
 	}
 }
 
-// refute discards the evidence from a supposed crash of a process that answers a request sent
-// before it. An answer to a later request does not refute the crash: the upstream may have
-// started again, and this node not know it yet.
-func (t *Table) refute(now time.Time, process uint64, sentAt time.Time) {
-	for _, p := range t.parts {
-		for _, c := range p.crashes {
-			if c.process != process {
-				continue
-			}
-			if sentAt.After(c.at) {
-				setBounded(t.runAgain, process, sentAt)
-			} else if now.Sub(c.at) > refuteMargin {
-				t.applyRefutation(process, now.Add(-refuteMargin))
-				return
-			}
-		}
-	}
-}
-
-// setBounded sets an entry of a map of at most maxProcesses entries.
-func setBounded(m map[uint64]time.Time, process uint64, at time.Time) {
-	if _, known := m[process]; !known && len(m) >= maxProcesses {
-		clear(m)
-	}
-	m[process] = at
-}
-
-// applyRefutation discards the evidence from a process that is known to have run at a time.
-func (t *Table) applyRefutation(process uint64, at time.Time) {
-	if !at.After(t.refuted[process]) {
-		return
-	}
-	setBounded(t.refuted, process, at)
-	delete(t.crashed, process)
-	for _, p := range t.parts {
-		if p.removeCrash(process, at) {
-			t.changed = true
-		}
-	}
-}
-
 // Check returns a held part among those of a request; held is false if there is none.
 // trial is set if the request may be sent all the same, to find out whether its held
 // part still crashes upstreams.
@@ -275,64 +223,6 @@
 	return p
 }
 
-// evictedShare is the inverse of the share of parts that are removed at once when there
-// are too many.
-const evictedShare = 8
-
-// evict removes expired parts once there are too many, and those with the least evidence if
-// that is not sufficient.
-func (t *Table) evict(now time.Time) {
-	if len(t.parts) < maxParts {
-		return
-	}
-	t.expire(now)
-	if len(t.parts) < maxParts {
-		return
-	}
-	list := slices.SortedFunc(maps.Values(t.parts), func(a, b *part) int {
-		return cmp.Or(compareBool(a.held(), b.held()), cmp.Compare(len(a.crashes), len(b.crashes)), a.latest().Compare(b.latest()))
-	})
-	for _, p := range list[:len(list)/evictedShare] {
-		delete(t.parts, p.id)
-	}
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-// expire removes old evidence, ends holds without requests and removes parts without
-// either.
-func (t *Table) expire(now time.Time) {
-	for id, p := range t.parts {
-		if p.held() {
-			if now.Sub(p.requestedAt) > heldRetention || now.Sub(p.heldAt) > maxHeldFor {
-				p.crashes = nil
-				p.release()
-				t.logRelease(p, "expired")
-			}
-			continue
-		}
-		p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return now.Sub(c.at) > evidenceRetention })
-		if len(p.crashes) == 0 && now.Sub(p.clearedAt) > clearedRetention {
-			if !p.answeredAt.IsZero() {
-				t.answers.record(p.answeredAt, id)
-			}
-			delete(t.parts, id)
-		}
-	}
-	for _, processes := range []map[uint64]time.Time{t.refuted, t.crashed, t.runAgain} {
-		maps.DeleteFunc(processes, func(_ uint64, at time.Time) bool { return now.Sub(at) > evidenceRetention })
-	}
-}
-
 func (t *Table) logRelease(p *part, why string) {
 	t.options.Log.Log(event.PartReleased, event.F("part", format(p.id)), event.F("why", why))
 	t.notify()
