--- /dev/null
+++ b/adapters/mesh/parts_test.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/quarantine"
+)
+
+// evidence returns a message with as many records as a node sends at most.
+func evidence() quarantine.Message {
+	var msg quarantine.Message
+	for i := range 16 {
+		r := quarantine.Record{Part: 1<<47 + uint64(i), Position: i, SinceAnswer: -1, SinceHeld: time.Duration(i-1) * time.Second,
+			SinceRequest: 300 * time.Millisecond, Trials: i % 4}
+		if i == 0 {
+			r.SinceHeld = -1
+		}
+		for j := range 5 {
+			r.Crashes = append(r.Crashes, quarantine.CrashRecord{Process: 1<<60 + uint64(j), Since: time.Duration(j) * time.Second})
+		}
+		msg.Parts = append(msg.Parts, r)
+		msg.Refuted = append(msg.Refuted, quarantine.CrashRecord{Process: 1<<61 + uint64(i), Since: time.Duration(i) * time.Second})
+	}
+	return msg
+}
+
+func TestPartsAndLimitsRoundTrip(t *testing.T) {
+	msg := sampleMessage(3)
+	msg.Parts = evidence()
+	msg.RateLimits = []instances.RateLimit{{Service: "app", Instance: "i-1", PerSecond: 2.1, Age: time.Second}, {Service: "app", Instance: "i-2", Age: 3 * time.Second}}
+	wire := messageToWire(msg)
+	got := messageFromWire(wire)
+	if fmt.Sprint(got) != fmt.Sprint(msg) {
+		t.Errorf("got %+v\nwant %+v", got, msg)
+	}
+	t.Logf("message of %d bytes, of which %d are evidence and limits", proto.Size(wire), proto.Size(wire)-proto.Size(messageToWire(sampleMessage(3))))
+}
+
+// TestMessageWithoutNewsHasNoEvidence: nothing is added while no upstream crashes or is limited.
+func TestMessageWithoutNewsHasNoEvidence(t *testing.T) {
+	msg := sampleMessage(3)
+	before := proto.Size(messageToWire(msg))
+	msg.Parts = quarantine.New(quarantine.Options{}).Message(time.Now())
+	if got := proto.Size(messageToWire(msg)); got != before {
+		t.Errorf("got a message of %d bytes, want %d as without evidence", got, before)
+	}
+}
