Adopt no hold for which a later answer than its evidence is known

Now a node adopts a hold only if evidence remains after the answers that it knows, and tells of the answer; an answer that leaves no evidence ends a hold also if it is older than the verdict.

TestHoldOnOldEvidenceIsNotAdopted failed before and passes.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -117,6 +117,8 @@
 	t.judge(now)
 }
 
+// merge adopts a record. A hold is not adopted if an answer that this node knows of is later
+// than all its evidence.
 func (t *Table) merge(now time.Time, r *Record) {
 	p := t.partFor(now, r.Part, r.Position)
 	if at := before(now, r.SinceAnswer); at.After(p.answeredAt) {
@@ -135,7 +137,7 @@
 		}
 	}
 	heldAt := before(now, r.SinceHeld)
-	if heldAt.IsZero() || !heldAt.After(p.answeredAt) || r.SinceHeld > maxHeldFor || r.SinceRequest > heldRetention {
+	if heldAt.IsZero() || len(p.crashes) == 0 || !heldAt.After(p.answeredAt) || r.SinceHeld > maxHeldFor || r.SinceRequest > heldRetention {
 		return
 	}
 	if !p.held() {
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -67,8 +67,8 @@
 	return len(distinct)
 }
 
-// answered clears the part of the evidence before an answer, and ends a hold from before
-// it. It reports whether it ended one.
+// answered clears the part of the evidence before an answer. It ends a hold from before the
+// answer, and one for which no evidence remains, and reports whether it ended one.
 func (p *part) answered(now, at time.Time) (released bool) {
 	if !at.After(p.answeredAt) {
 		return false
@@ -76,7 +76,7 @@
 	p.answeredAt = at
 	before := len(p.crashes)
 	p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return !c.at.After(at) })
-	released = p.held() && at.After(p.heldAt)
+	released = p.held() && (at.After(p.heldAt) || len(p.crashes) == 0)
 	if released {
 		p.release()
 	}
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -265,6 +265,25 @@
 	}
 }
 
+// TestHoldOnOldEvidenceIsNotAdopted: the node that holds the part has not heard of answers that are
+// later than its evidence, and earlier than its verdict.
+func TestHoldOnOldEvidenceIsNotAdopted(t *testing.T) {
+	holding, other := New(Options{}), New(Options{})
+	end := crashes(holding, 0, 3, companion)
+	other.RecordAnswer(at(end-0.1), 99, at(end-0.2), []uint64{companion})
+	if !isHeld(holding, end, companion) {
+		t.Fatal("the part is not held")
+	}
+	other.Merge(at(end), holding.Message(at(end)))
+	if isHeld(other, end, companion) {
+		t.Error("a node that knows of a later answer than the evidence adopted the hold")
+	}
+	holding.Merge(at(end), other.Message(at(end)))
+	if isHeld(holding, end, companion) {
+		t.Error("the hold did not end with an answer that is later than all its evidence")
+	}
+}
+
 // TestProcessThatWentOnAnsweringAccusesNoPartElsewhere: another node than the one whose
 // connections were lost sees that the upstream runs.
 func TestProcessThatWentOnAnsweringAccusesNoPartElsewhere(t *testing.T) {
