Log how the end of an answer is indicated, and how much of it arrived

Whether a caller got a truncated answer as complete could not be seen in the logs: the lines of served requests had neither the size of the answer nor its framing, and 'unexpected EOF' stood for a missing last chunk and for an end inside an event alike.

Change: request_served and attempt_failed have framing, body_bytes and events; a stream that ended inside an event says so.

--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -71,9 +71,21 @@
 	head.Status = resp.StatusCode
 	head.Header = EndToEnd(resp.Header)
 	head.ContentLength = resp.ContentLength
+	head.Framing = framing(resp)
 	return &routedAnswer{resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte)}, nil
 }
 
+// framing returns how the end of the response is indicated.
+func framing(resp *http.Response) relay.Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return relay.FramedByChunks
+	case delimited(resp):
+		return relay.FramedByLength
+	}
+	return relay.FramedByClose
+}
+
 func (r *Routed) request(ctx context.Context, to *instances.Instance, c *relay.Call) *http.Request {
 	h := http.Header(c.Header).Clone()
 	if h == nil {
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -105,8 +105,10 @@
 	ticket *instances.Ticket
 	// events counts the events of the current attempt's answer.
 	events eventCounter
-	// bodyBytes is the number of bytes of the body that the current attempt received.
+	// bodyBytes is the number of bytes of the body that the current attempt received, and
+	// framing how their end is indicated.
 	bodyBytes int
+	framing   Framing
 	// lastEventAt is when the attempt was sent or, if later, when the caller was sent a new
 	// event of a resumable stream, in Unix nanoseconds.
 	lastEventAt atomic.Int64
@@ -130,7 +132,7 @@
 			return a.fail(ctx)
 		}
 		a.placements++
-		a.bodyBytes, a.events = 0, eventCounter{}
+		a.bodyBytes, a.framing, a.events = 0, "", eventCounter{}
 		decision, ticket := a.place()
 		a.decision, a.ticket = decision, ticket
 		var res result
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -55,6 +55,7 @@
 		now := a.Now()
 		a.headAt = now
 		h := answer.Head()
+		a.framing = h.Framing
 		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected)
 		if !h.Misdirected { // otherwise another instance answered
 			t.RecordRateLimit(now, answer.ReportedLoad().RateLimit)
@@ -235,9 +236,12 @@
 	}
 }
 
+// errInsideEvent is the reason why a stream whose end was received is not complete.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
 func (a *attempts) finishStream(ctx context.Context, h Head) result {
 	if a.events.open && h.isEventStream() || !a.delivery.complete() {
-		return a.interrupted(ctx, ConnectionClosed(io.ErrUnexpectedEOF))
+		return a.interrupted(ctx, ConnectionClosed(errInsideEvent))
 	}
 	if err := a.delivery.begin(h); err != nil { // an empty answer
 		return a.interrupted(ctx, err)
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -24,7 +24,7 @@
 	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("to", to),
 		event.F("outcome", res.outcome()), event.F("run", res.ran), event.F("judged", res.upstreamOutcome.String()),
 		event.F("took_ms", a.Now().Sub(sentAt).Milliseconds()), event.F("expected_ms", expected.Milliseconds()),
-		event.F("body_bytes", a.bodyBytes), event.F("shared_parts", partList(a.r.Prompt.SharedParts())),
+		event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete), event.F("shared_parts", partList(a.r.Prompt.SharedParts())),
 		event.F("detail", res.err.Message))
 }
 
@@ -67,7 +67,8 @@
 		}
 		a.Metrics.Observe("relay.first_us", timeToFirstByte)
 		a.Log.Log(event.RequestServed, append(fields, event.F("status", a.last.status), event.F("first_ms", timeToFirstByte.Milliseconds()),
-			event.F("head_ms", a.headAt.Sub(a.r.Arrived).Milliseconds()), event.F("max_gap_ms", a.maxGap.Milliseconds()), event.F("tokens", a.decision.Tokens))...)
+			event.F("head_ms", a.headAt.Sub(a.r.Arrived).Milliseconds()), event.F("max_gap_ms", a.maxGap.Milliseconds()), event.F("tokens", a.decision.Tokens),
+			event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete))...)
 		return
 	}
 	a.Metrics.Count("relay.failed."+string(f.Kind), 1)
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -34,7 +34,7 @@
 			sent = max(1, sent)
 		}
 	} else {
-		a.headAt = a.Now()
+		a.headAt, a.framing = a.Now(), answer.Head().Framing
 		res = a.receiveRemote(ctx, answer)
 		sent = answer.SendCount()
 		answer.Close()
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -73,6 +73,7 @@
 	Header map[string][]string
 	// ContentLength is -1 if unknown.
 	ContentLength int64
+	Framing       Framing
 	// RequestID is the ID that the upstream echoed; empty if it did not.
 	RequestID domain.RequestID
 	// Signed is set if the upstream signed the answer.
