Let simulated upstreams end responses without length or chunks at any byte

Responses can now end after any number of bytes, and the server can crash there with all its connections.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -36,6 +36,13 @@
 	// Undelimited sends responses with neither a length nor chunks; they end with their
 	// connection.
 	Undelimited bool
+	// EndAfterBytes ends responses after this many bytes, those of the head included; zero
+	// means never.
+	EndAfterBytes int
+	// CrashAtEnd crashes the server when a response ends after EndAfterBytes.
+	CrashAtEnd bool
+	// NoContentType omits the content type of streaming responses.
+	NoContentType bool
 	// CloseInsideEvent closes the connection inside the event with this number; zero means
 	// never.
 	CloseInsideEvent int
@@ -75,6 +82,7 @@
 	mu              sync.Mutex
 	http            *http.Server // nil while the server is down
 	closed          bool
+	connections     map[net.Conn]bool // those to which responses are written directly
 	crashes         []time.Time
 	idSuffix        string // of the ID of the running process
 	arrivals        map[string]int
@@ -94,7 +102,7 @@
 // StartWithAddress starts a server and registers the address that via returns for the
 // server's own address, for instance that of a proxy in front of it.
 func StartWithAddress(store *storesim.Store, service, zone, id string, via func(address string) string) *Server {
-	s := &Server{ID: id, Service: service, Zone: zone, Slots: 8, store: store, executions: make(map[string]int), arrivals: make(map[string]int)}
+	s := &Server{ID: id, Service: service, Zone: zone, Slots: 8, store: store, executions: make(map[string]int), arrivals: make(map[string]int), connections: make(map[net.Conn]bool)}
 	if err := s.listen("127.0.0.1:0"); err != nil {
 		panic(err) // a free port of the loopback interface can always be opened
 	}
@@ -167,6 +175,7 @@
 	if server != nil {
 		_ = server.Close() // the connections are no longer needed
 	}
+	s.closeDirect()
 }
 
 // crash closes the listener and all connections. The entry remains until the server runs
@@ -185,6 +194,7 @@
 	}
 	s.mu.Unlock()
 	_ = server.Close() // the connections are lost in any case
+	s.closeDirect()
 	if b.RestartAfter == 0 {
 		return
 	}
@@ -316,8 +326,13 @@
 		s.stream(w, r, b)
 		return
 	}
+	text := fmt.Sprintf("%s %s %d", s.ID, r.RequestURI, len(body))
+	if b.direct() {
+		s.writeDirect(w, b, []string{text})
+		return
+	}
 	w.WriteHeader(max(http.StatusOK, b.Status))
-	_, _ = fmt.Fprintf(w, "%s %s %d", s.ID, r.RequestURI, len(body)) // the client may have disconnected
+	_, _ = io.WriteString(w, text) // the client may have disconnected
 }
 
 // hasPart reports whether the prompt of a request has a part. The last part does not
@@ -354,40 +369,3 @@
 		return false
 	}
 }
-
-// stream sends the events that follow the Last-Event-Id of the request, or all
-// events without one.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, b Behaviour) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	firstEvent := 1
-	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		firstEvent = n + 1
-	}
-	controller := http.NewResponseController(w)
-	if b.Undelimited {
-		w.Header().Set("Connection", "close")
-		w.Header().Set("Transfer-Encoding", "identity") // net/http then sends neither a length nor chunks
-	}
-	for n := firstEvent; n <= b.Events; n++ {
-		if n == b.CloseInsideEvent {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: ev", n) // the client may have disconnected
-			return
-		}
-		if b.CloseAfterEvents > 0 && n > b.CloseAfterEvents {
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n); err != nil || controller.Flush() != nil {
-			return
-		}
-		if !s.sleep(r, b.EventGap) {
-			return
-		}
-	}
-}
-
-// WithEvents returns a copy of the behaviour with the given number of events for
-// streaming responses.
-func (b Behaviour) WithEvents(events int) Behaviour {
-	b.Events = events
-	return b
-}
