Confirm that an upstream runs before its answer without length or chunks counts as complete

Cause: with neither a length nor chunks an answer ends with its connection, and the connections of a crashed process end in the same way as that of one that is done. The node took each end without a reset for the end of the answer.

Change: after such an end the client of upstreams opens a new connection. Refused: the answer is truncated and handled as before. The bytes are passed on as they arrive; only the end waits.

--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -35,12 +35,13 @@
 	dialect  Dialect
 	pooled   *http.Transport
 	unpooled *http.Transport
+	liveness *livenessChecker
 }
 
 // NewRouted returns a client of instances.
 func NewRouted(o Options, d Dialect) *Routed {
 	o = o.withDefaults()
-	return &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled()}
+	return &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o)}
 }
 
 // Close closes idle connections.
@@ -72,7 +73,10 @@
 	head.Header = EndToEnd(resp.Header)
 	head.ContentLength = resp.ContentLength
 	head.Framing = framing(resp)
-	return &routedAnswer{resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte)}, nil
+	return &routedAnswer{
+		resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte),
+		isRunning: func() error { return r.liveness.check(ctx, to.Address) },
+	}, nil
 }
 
 // framing returns how the end of the response is indicated.
@@ -135,6 +139,8 @@
 	load   instances.ReportedLoad
 	buffer *[]byte
 	ended  bool
+	// isRunning returns an error unless the upstream runs after the call.
+	isRunning func() error
 }
 
 func (a *routedAnswer) Head() relay.Head { return a.head }
@@ -144,20 +150,32 @@
 func (a *routedAnswer) SendCount() int { return 1 }
 
 // Next implements relay.Answer. net/http returns io.ErrUnexpectedEOF for a response
-// that is shorter than its framing specifies, and an error for a connection reset.
+// that is shorter than its framing specifies, and an error for a connection reset. The end
+// of one that is framed by the end of the connection counts only if the upstream still
+// runs; its last bytes are returned before.
 func (a *routedAnswer) Next() ([]byte, error) {
 	n, err := a.resp.Body.Read(*a.buffer)
-	if errors.Is(err, io.EOF) {
-		a.ended = true
-		return (*a.buffer)[:n], io.EOF
+	b := (*a.buffer)[:n]
+	if !errors.Is(err, io.EOF) {
+		return b, markClosed(err)
 	}
-	return (*a.buffer)[:n], markClosed(err)
+	a.ended = true
+	if a.head.Framing != relay.FramedByClose {
+		return b, io.EOF
+	}
+	if n > 0 {
+		return b, nil // the next call gets io.EOF from the body again
+	}
+	if err := a.isRunning(); err != nil {
+		return nil, markClosed(err)
+	}
+	return nil, io.EOF
 }
 
 // markClosed marks an error that means that the upstream closed or reset the connection.
 // Time-outs don't: they may be caused by the network.
 func markClosed(err error) error {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNotRunning} {
 		if errors.Is(err, closed) {
 			return relay.ConnectionClosed(err)
 		}
