Treat event streams that end without any event as truncated

Callers got 200 and an empty body as a complete success when an upstream ended its stream after the head, with or without chunks. No byte of the answer had been sent to the caller, so that the request could still be sent again or be reported as failed.

Cause: the end of a stream was checked for an unfinished event only; an empty answer counted as an answer.

Change: an event stream with status 200 needs an event, unless the caller or the node resumes it after one. TestStreamWithoutAnyEventIsNotDelivered and TestResumableStreamWithoutAnyEventIsSentAgain failed before.

--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -236,19 +237,31 @@
 	}
 }
 
-// errInsideEvent is the reason why a stream whose end was received is not complete.
-var errInsideEvent = errors.New("the stream ended inside an event")
+// Reasons why a stream whose end was received is not complete.
+var (
+	errInsideEvent = errors.New("the stream ended inside an event")
+	errNoEvent     = errors.New("the stream ended without an event")
+)
 
 func (a *attempts) finishStream(ctx context.Context, h Head) result {
 	if a.events.open && h.isEventStream() || !a.delivery.complete() {
 		return a.interrupted(ctx, ConnectionClosed(errInsideEvent))
 	}
+	if a.events.complete == 0 && a.expectsEvent(h) {
+		return a.interrupted(ctx, errNoEvent)
+	}
 	if err := a.delivery.begin(h); err != nil { // an empty answer
 		return a.interrupted(ctx, err)
 	}
 	return result{delivered: true, reached: true, ran: domain.RunYes, upstreamOutcome: instances.Answered, status: h.Status}
 }
 
+// expectsEvent reports whether the body must have an event. The rest of a stream that is
+// resumed after its last event has none.
+func (a *attempts) expectsEvent(h Head) bool {
+	return h.isEventStream() && h.Status == http.StatusOK && a.delivery.resumeAfter(a.r.ResumeAfter) == ""
+}
+
 // interrupted classifies an answer that ended early.
 func (a *attempts) interrupted(ctx context.Context, err error) result {
 	var caller callerError
