Check the events of streams whose upstream omits the content type

A stream that ended inside an event, or without any, still reached callers as complete when the upstream had set no content type: the check depended on that header alone, although the route says that its answers consist of events.

Change: without a content type the kind of the route decides; answers of another type on such a route are delivered as before. TestStreamWithoutContentTypeNeedsWholeEvents failed before in both cases.

--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -244,7 +244,7 @@
 )
 
 func (a *attempts) finishStream(ctx context.Context, h Head) result {
-	if a.events.open && h.isEventStream() || !a.delivery.complete() {
+	if a.events.open && h.isEventStream(a.r.Route.Kind) || !a.delivery.complete() {
 		return a.interrupted(ctx, ConnectionClosed(errInsideEvent))
 	}
 	if a.events.complete == 0 && a.expectsEvent(h) {
@@ -259,7 +259,7 @@
 // expectsEvent reports whether the body must have an event. The rest of a stream that is
 // resumed after its last event has none.
 func (a *attempts) expectsEvent(h Head) bool {
-	return h.isEventStream() && h.Status == http.StatusOK && a.delivery.resumeAfter(a.r.ResumeAfter) == ""
+	return h.isEventStream(a.r.Route.Kind) && h.Status == http.StatusOK && a.delivery.resumeAfter(a.r.ResumeAfter) == ""
 }
 
 // interrupted classifies an answer that ended early.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
@@ -86,8 +87,12 @@
 	RanAt domain.UpstreamID
 }
 
-// isEventStream reports whether the body consists of events.
-func (h *Head) isEventStream() bool {
+// isEventStream reports whether the body consists of events. Without a content type, the
+// kind of the route decides.
+func (h *Head) isEventStream(kind routes.Kind) bool {
 	values := h.Header["Content-Type"]
-	return len(values) > 0 && strings.HasPrefix(strings.ToLower(values[0]), "text/event-stream")
+	if len(values) == 0 {
+		return kind == routes.Streaming && h.Status == http.StatusOK
+	}
+	return strings.HasPrefix(strings.ToLower(values[0]), "text/event-stream")
 }
--- a/core/relay/stream_end_test.go
+++ b/core/relay/stream_end_test.go
@@ -48,3 +48,24 @@
 		t.Errorf("resumed by the node: got %v, want the answer to end", failure.Error)
 	}
 }
+
+// The route says that its answers consist of events; an upstream may omit the content type.
+func TestStreamWithoutContentTypeNeedsWholeEvents(t *testing.T) {
+	for name, chunks := range map[string][]string{"no event": nil, "a part of an event": {"id: 1\ndata: a\n\nid: 2\nda"}} {
+		f := newFixture(t, 3)
+		f.upstreams.replies = []reply{{chunks: chunks}}
+		if failure := f.Serve(context.Background(), streaming(1, false), &recordingSink{}); failure == nil {
+			t.Errorf("%s: got a success, want a failure", name)
+		}
+	}
+}
+
+func TestAnswerOfAnotherTypeOnStreamingRouteIsDelivered(t *testing.T) {
+	f := newFixture(t, 3)
+	head := relay.Head{Status: 200, Signed: true, Header: map[string][]string{"Content-Type": {"application/json"}}}
+	f.upstreams.replies = []reply{{head: head, chunks: []string{"{}"}}}
+	sink := &recordingSink{}
+	if failure := f.Serve(context.Background(), streaming(1, false), sink); failure != nil || sink.body != "{}" {
+		t.Errorf("got %v and body %q, want the whole answer", failure, sink.body)
+	}
+}
