Recognize the ends of lines in streams that use CR alone

Streams whose lines end with CR were never split into events: those that may be resumed were held until 128 KiB or their end and then failed, the others were reported as truncated at their end, although they were complete.

Cause: events were looked for at LF and CR LF only, in two places.

Change: one counter of events recognizes CR, LF and both, also across chunks; the splitter uses it instead of a search of its own over all pending bytes. TestStreamsOfAnyLineEndAreResumedAndDelivered failed before at each chunk size for CR.

--- a/core/relay/delivery.go
+++ b/core/relay/delivery.go
@@ -64,6 +64,7 @@
 // eventSplitter passes on complete events only, so that a stream can be resumed at
 // another upstream after the last one.
 type eventSplitter struct {
+	lines   eventCounter
 	partial []byte
 	out     []byte
 	lastID  string
@@ -76,39 +77,27 @@
 var errEventTooLarge = fmt.Errorf("event exceeds %d bytes", maxPartialEventBytes)
 
 // discardPartial discards the bytes of an event that the last upstream did not finish.
-func (c *eventSplitter) discardPartial() { c.partial = c.partial[:0] }
+func (c *eventSplitter) discardPartial() { c.partial, c.lines = c.partial[:0], eventCounter{} }
 
 // completeEvents appends b and returns the bytes up to the end of the last complete
 // event.
 func (c *eventSplitter) completeEvents(b []byte) []byte {
-	c.partial = append(c.partial, b...)
-	end := lastEventEnd(c.partial)
+	end := c.lines.add(b)
 	if end == 0 {
+		c.partial = append(c.partial, b...)
 		return nil
 	}
-	c.out = append(c.out[:0], c.partial[:end]...)
-	c.partial = append(c.partial[:0], c.partial[end:]...)
+	c.out = append(append(c.out[:0], c.partial...), b[:end]...)
+	c.partial = append(c.partial[:0], b[end:]...)
 	if id := lastEventID(c.out); id != "" {
 		c.lastID = id
 	}
 	return c.out
 }
 
-// lastEventEnd returns the offset after the last blank line.
-func lastEventEnd(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\n\r\n")); i >= 0 {
-		end = max(end, i+3)
-	}
-	return end
-}
-
 // lastEventID returns the value of the last id field.
 func lastEventID(b []byte) string {
-	start := bytes.LastIndex(b, []byte("\nid:"))
+	start := max(bytes.LastIndex(b, []byte("\nid:")), bytes.LastIndex(b, []byte("\rid:")))
 	switch {
 	case start >= 0:
 		start++
@@ -118,7 +107,7 @@
 		return ""
 	}
 	line := b[start+len("id:"):]
-	if i := bytes.IndexByte(line, '\n'); i >= 0 {
+	if i := bytes.IndexAny(line, "\r\n"); i >= 0 {
 		line = line[:i]
 	}
 	return string(bytes.TrimSpace(line))
--- a/core/relay/events_test.go
+++ b/core/relay/events_test.go
@@ -7,6 +7,9 @@
 		"":                              {},
 		"data: a\n\n":                   {complete: 1},
 		"data: a\r\n\r\n":               {complete: 1},
+		"data: a\r\r":                   {complete: 1},
+		"data: a\r\rdata: b\r\n\r":      {complete: 2},
+		"data: a\r\ndata: b\r\n":        {open: true},
 		"id: 1\ndata: a\n\ndata: b\n\n": {complete: 2},
 		"data: a\n\n\n\n":               {complete: 1},
 		"data: a\n":                     {open: true},
@@ -20,6 +23,7 @@
 			for rest := stream; rest != ""; rest = rest[min(size, len(rest)):] {
 				c.add([]byte(rest[:min(size, len(rest))]))
 			}
+			c.afterCR, c.emptyLine = false, false
 			if c != want {
 				t.Errorf("stream %q in chunks of %d: got %+v, want %+v", stream, size, c, want)
 			}
--- a/core/relay/stream_end_test.go
+++ b/core/relay/stream_end_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -69,3 +72,43 @@
 		t.Errorf("got %v and body %q, want the whole answer", failure, sink.body)
 	}
 }
+
+// Lines may end with CR, LF or both.
+func TestStreamsOfAnyLineEndAreResumedAndDelivered(t *testing.T) {
+	for _, eol := range []string{"\n", "\r", "\r\n"} {
+		event := func(id string) string { return strings.ReplaceAll("id: "+id+"\ndata: a\n\n", "\n", eol) }
+		whole := event("1") + event("2")
+		for size := 1; size <= len(whole); size++ {
+			for _, resumable := range []bool{false, true} {
+				f := newFixture(t, 3)
+				f.upstreams.replies = []reply{{head: relay.Head{Status: 200, Signed: true, Header: eventStream}, chunks: split(whole, size)}}
+				sink := &recordingSink{}
+				if failure := f.Serve(context.Background(), streaming(1, resumable), sink); failure != nil || sink.body != whole {
+					t.Errorf("line end %q in chunks of %d, resumable %v: got %v and body %q, want %q", eol, size, resumable, failure, sink.body, whole)
+				}
+			}
+			f := newFixture(t, 3)
+			cut := event("1") + "id: 2" + eol + "da"
+			f.upstreams.replies = []reply{{chunks: split(cut, size), end: io.ErrUnexpectedEOF}, {chunks: []string{event("2")}}}
+			sink := &recordingSink{}
+			if failure := f.Serve(context.Background(), streaming(2, true), sink); failure != nil || withoutBreaks(sink.body) != withoutBreaks(whole) {
+				t.Errorf("line end %q in chunks of %d, resumed: got %v and body %q, want %q", eol, size, failure, sink.body, whole)
+			} else if after := f.upstreams.calls[1].ResumeAfter; after != "1" {
+				t.Errorf("line end %q in chunks of %d: got resume after %q, want 1", eol, size, after)
+			}
+		}
+	}
+}
+
+// split splits text into chunks of size bytes.
+func split(text string, size int) []string {
+	var chunks []string
+	for chunk := range slices.Chunk([]byte(text), size) {
+		chunks = append(chunks, string(chunk))
+	}
+	return chunks
+}
+
+// withoutBreaks removes line breaks, as the last one of an event may be lost where a stream
+// is resumed.
+func withoutBreaks(text string) string { return strings.NewReplacer("\r", "", "\n", "").Replace(text) }
