Reset the connections of HTTP/1.0 callers whose response is broken off

A caller of HTTP/1.0 gets a stream with neither a length nor chunks. When the node gave up a stream that it knew to be broken off, it closed the connection regularly, so that the caller took what had arrived for the whole answer.

Cause: aborting relied on the missing last chunk. The same in the product's own interface, where with TLS even a regular end of the session was announced.

Change: adapters/abort ends such responses for both, with a reset where there are no chunks. TestBrokenOffStreamIsResetForCallersWithoutChunks failed before.

--- a/adapters/callerapi/answer.go
+++ b/adapters/callerapi/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/abort"
 	"github.com/crocusspread/crocusspread/core/answer"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
@@ -84,6 +85,7 @@
 type httpWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	httpReq *http.Request
 	req     *gateway.Request
 	started bool
 	// deadlineSetAt is when the write deadline was last set.
@@ -94,7 +96,7 @@
 }
 
 func newHTTPWriter(w http.ResponseWriter, r *http.Request, req *gateway.Request) *httpWriter {
-	return &httpWriter{w: w, control: http.NewResponseController(w), req: req, idleDeadlineAborts: r.ProtoMajor > 1}
+	return &httpWriter{w: w, control: http.NewResponseController(w), httpReq: r, req: req, idleDeadlineAborts: r.ProtoMajor > 1}
 }
 
 // WriteHead implements answer.Writer.
@@ -150,5 +152,5 @@
 		body, _ := json.Marshal(errorBody(a.req.ID, errkind.From(err)))
 		_ = a.WriteChunk(append(append([]byte("event: error\ndata: "), body...), "\n\n"...))
 	}
-	panic(http.ErrAbortHandler)
+	abort.Response(a.w, a.httpReq)
 }
--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/abort"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
@@ -85,7 +86,7 @@
 	switch {
 	case f == nil:
 	case f.Broken || f.CallerDisconnected:
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller detects the truncated response
+		abort.Response(w, r)
 	default:
 		h.writeFailure(w, f.Error)
 	}
