Let the soak end responses without length or chunks at any byte

Upstreams of the soak always sent a length or chunks, so that it could not find the cause of the ORDER incident. Two faults are added: responses without either, and crashes within them after a random number of bytes. The check of plain responses compares them to their end.

A connection whose bytes the proxy dropped, or that it closes while the end of the connection may be the end of a response, is now reset, as a network does: an end without a reset that no process asked for does not occur there.

The liveness check no longer takes three connections that were closed at once for a sign that the upstream runs: a proxy of one that does not run does the same.

--- a/adapters/upstream/liveness.go
+++ b/adapters/upstream/liveness.go
@@ -22,9 +22,11 @@
 	livenessDialTimeout = 300 * time.Millisecond
 )
 
+const maxClosedConnections = 3
+
 var (
-	errNotRunning = errors.New("the upstream no longer accepts connections after the end of its response")
-	errUnreached  = errors.New("it is unknown whether the upstream runs after the end of its response")
+	errNotRunning      = errors.New("the upstream no longer accepts connections after the end of its response")
+	errLivenessUnknown = errors.New("it is unknown whether the upstream runs after the end of its response")
 )
 
 // livenessChecker finds out whether an upstream still runs after a response that ended
@@ -50,7 +52,7 @@
 }
 
 // check returns nil if the upstream accepts a connection that is opened after the call.
-// errNotRunning means that the upstream refuses connections, errUnreached that it is unknown.
+// errNotRunning means that the upstream refuses connections, errLivenessUnknown that it is unknown.
 func (l *livenessChecker) check(ctx context.Context, address string) error {
 	c := l.join(address)
 	select {
@@ -96,18 +98,19 @@
 	}
 }
 
-// connect opens connections until one stays open or is refused, or until two were closed: an
-// upstream with too many connections closes new ones, but goes on to accept them.
+// connect opens connections until one stays open or is refused, or until
+// maxClosedConnections were closed: an upstream with too many connections closes new ones, but
+// so does a proxy of one that does not run.
 func (l *livenessChecker) connect(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), livenessTimeout)
 	defer cancel()
-	for closed := 0; closed < 2; {
+	for closed := 0; closed < maxClosedConnections; {
 		conn, err := l.dialOnce(ctx, address)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 			return errNotRunning
 		case ctx.Err() != nil:
-			return errUnreached
+			return errLivenessUnknown
 		case err != nil:
 			time.Sleep(livenessObservation)
 			continue
@@ -120,7 +123,7 @@
 		closed++
 		time.Sleep(livenessObservation)
 	}
-	return nil
+	return errLivenessUnknown
 }
 
 func (l *livenessChecker) dialOnce(ctx context.Context, address string) (net.Conn, error) {
--- a/adapters/upstream/liveness_test.go
+++ b/adapters/upstream/liveness_test.go
@@ -137,11 +137,11 @@
 		"the connection stays open":                      {[]dialOutcome{staysOpenOutcome}, nil},
 		"connections are refused":                        {[]dialOutcome{refusedOutcome}, errNotRunning},
 		"closed while the process exits":                 {[]dialOutcome{closesOutcome, refusedOutcome}, errNotRunning},
-		"closed for too many connections":                {[]dialOutcome{closesOutcome}, nil},
-		"closed once":                                    {[]dialOutcome{closesOutcome, staysOpenOutcome}, nil},
+		"closed by a proxy, or for too many connections": {[]dialOutcome{closesOutcome}, errLivenessUnknown},
+		"closed for too many connections for a while":    {[]dialOutcome{closesOutcome, closesOutcome, staysOpenOutcome}, nil},
 		"the opening packet is lost":                     {[]dialOutcome{hangsOutcome, staysOpenOutcome}, nil},
 		"the opening packet is lost, then it is refused": {[]dialOutcome{hangsOutcome, refusedOutcome}, errNotRunning},
-		"no response":                                    {[]dialOutcome{hangsOutcome}, errUnreached},
+		"no response": {[]dialOutcome{hangsOutcome}, errLivenessUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/cmd/faulttest/fault_proxy_test.go
+++ b/cmd/faulttest/fault_proxy_test.go
@@ -176,6 +176,16 @@
 	}
 }
 
+// resetOpen resets open connections; new ones are forwarded.
+func (p *faultProxy) resetOpen() {
+	p.mu.Lock()
+	for c := range p.open {
+		_ = c.client.(*net.TCPConn).SetLinger(0) // it may be closed already
+	}
+	p.mu.Unlock()
+	p.closeOpen()
+}
+
 // blackhole drops all bytes of open and new connections.
 func (p *faultProxy) blackhole() { p.setMode(linkBlackhole, true) }
 
--- a/cmd/faulttest/soak_caller_test.go
+++ b/cmd/faulttest/soak_caller_test.go
@@ -22,6 +22,9 @@
 	truncated bool
 }
 
+// soakTimeout is how long callers wait for a response.
+const soakTimeout = 4 * time.Second
+
 // lastSoakID is the number of the latest request id.
 var lastSoakID atomic.Int64
 
@@ -69,7 +72,7 @@
 	if !hasPrompt {
 		route = kind
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), soakTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entryAddress+"/"+route+"/"+r.id, strings.NewReader("body"))
 	if err != nil {
@@ -173,8 +176,8 @@
 		return "a successful response has no signature"
 	case streamed && r.body != completeSoakStream():
 		return "a stream ended without an error and is incomplete"
-	case !streamed && !strings.Contains(r.body, "/"+r.kind+"/"+r.id+" "):
-		return "the response belongs to another request"
+	case !streamed && !strings.HasSuffix(r.body, "/"+r.kind+"/"+r.id+" 4"):
+		return "the response belongs to another request, or a part of it is missing"
 	}
 	return ""
 }
--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,6 +47,18 @@
 	*routedsim.Server
 	region string
 	proxy  *faultProxy
+	// undelimited counts the reasons why responses may have neither length nor chunks.
+	undelimited atomic.Int32
+}
+
+// closeConnections closes the connections to the upstream. Those on which the end of the
+// connection may be the end of a response are reset, as a network does.
+func (u *soakUpstream) closeConnections() {
+	if u.undelimited.Load() > 0 {
+		u.proxy.resetOpen()
+	} else {
+		u.proxy.closeOpen()
+	}
 }
 
 const (
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -107,9 +107,32 @@
 	}
 }
 
-// restoreLink restores the link to an upstream and closes the connections that still
-// drop bytes.
-func restoreLink(u *soakUpstream) { u.proxy.restore(); u.proxy.closeOpen() }
+// restoreLink restores the link to an upstream and resets the connections that still drop
+// bytes.
+func restoreLink(u *soakUpstream) { u.proxy.restore(); u.proxy.resetOpen() }
+
+// undelimited returns an inject function that makes a random upstream respond with neither
+// length nor chunks. If it crashes, it does so within each response.
+func undelimited(crashes bool) func(*soakDeployment, *rand.Rand) func() {
+	return func(d *soakDeployment, rng *rand.Rand) func() {
+		u := d.upstreams[rng.IntN(len(d.upstreams))]
+		b := normalBehaviour.WithEvents(soakEvents)
+		b.Undelimited, b.EventGap = true, time.Duration(rng.IntN(20))*time.Millisecond
+		if crashes {
+			b.EndAfterBytes, b.CrashAtEnd = 1+rng.IntN(maxUndelimitedBytes), true
+			b.RestartAfter, b.KeepID = time.Duration(200+rng.IntN(1800))*time.Millisecond, true
+		}
+		u.undelimited.Add(1)
+		u.SetBehaviour(b)
+		return func() {
+			u.SetBehaviour(normalBehaviour.WithEvents(soakEvents))
+			time.AfterFunc(soakTimeout, func() { u.undelimited.Add(-1) })
+		}
+	}
+}
+
+// maxUndelimitedBytes is the size of the longest response without length, head included.
+const maxUndelimitedBytes = 320
 
 var soakFaults = []soakFault{
 	{"kill and restart a node", onNode(func(t *testing.T, n *soakNode) { n.process().kill(); n.restart(t) })},
@@ -143,6 +166,8 @@
 	{"upstream sheds load", upstreamFault(routedsim.Behaviour{RejectAll: true})},
 	{"upstream returns errors", upstreamFault(routedsim.Behaviour{Status: http.StatusInternalServerError})},
 	{"upstream truncates streams", upstreamFault(routedsim.Behaviour{CloseAfterEvents: 2})},
+	{"upstream sends neither length nor chunks", undelimited(false)},
+	{"upstream sends neither length nor chunks and crashes", undelimited(true)},
 	{"a part crashes upstreams", func(d *soakDeployment, _ *rand.Rand) func() {
 		d.setBehaviour(crashOn(normalBehaviour, crashingSoakPart))
 		return func() { d.setBehaviour(normalBehaviour) }
@@ -153,7 +178,7 @@
 		return upstreamFault(limited)(d, rng)
 	}},
 	{"upstream is slow", upstreamFault(routedsim.Behaviour{ProcessingTime: 400 * time.Millisecond})},
-	{"connections to an upstream closed", onUpstream(func(u *soakUpstream) { u.proxy.closeOpen() }, nil)},
+	{"connections to an upstream closed", onUpstream((*soakUpstream).closeConnections, nil)},
 	{"connections to an upstream drop all bytes", onUpstream(func(u *soakUpstream) { u.proxy.blackholeOpen() }, restoreLink)},
 	{"link to an upstream drops all bytes", onUpstream(func(u *soakUpstream) { u.proxy.blackhole() }, restoreLink)},
 	{"responses of an upstream lost on the link", onUpstream(func(u *soakUpstream) { u.proxy.dropResponses() }, restoreLink)},
