Let the soak crash upstreams between the events of a response

One in four responses now ends early, half of them between two parts of the body, and the others in flight are cut with it.

--- a/adapters/standin/routedsim/direct.go
+++ b/adapters/standin/routedsim/direct.go
@@ -11,7 +11,7 @@
 
 // direct reports whether responses are written to the connection directly, because
 // net/http cannot send them.
-func (b Behaviour) direct() bool { return b.Undelimited || b.EndAfterBytes > 0 }
+func (b Behaviour) direct() bool { return b.Undelimited || b.EndAfterBytes > 0 || b.EndInBody != nil }
 
 // writeDirect sends a response whose body consists of the given parts, with EventGap
 // between them.
@@ -26,8 +26,13 @@
 		return
 	}
 	defer s.closeTracked(conn)
+	head := head(header, b, parts)
 	out := &limitedConn{conn: conn, left: b.EndAfterBytes, unlimited: b.EndAfterBytes == 0}
-	out.write(head(header, b, parts))
+	if b.EndInBody != nil {
+		size := b.EndInBody(parts)
+		out.left, out.unlimited = len(head)+size, size < 0
+	}
+	out.write(head)
 	for i, part := range parts {
 		if i > 0 {
 			time.Sleep(b.EventGap)
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -39,7 +39,10 @@
 	// EndAfterBytes ends responses after this many bytes, those of the head included; zero
 	// means never.
 	EndAfterBytes int
-	// CrashAtEnd crashes the server when a response ends after EndAfterBytes.
+	// EndInBody, if not nil, returns after how many bytes of the body a response ends; the body
+	// is sent in the given parts. Negative means that it is sent whole.
+	EndInBody func(parts []string) (bytes int)
+	// CrashAtEnd crashes the server when a response ends early.
 	CrashAtEnd bool
 	// NoContentType omits the content type of streaming responses.
 	NoContentType bool
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -112,15 +112,16 @@
 func restoreLink(u *soakUpstream) { u.proxy.restore(); u.proxy.resetOpen() }
 
 // undelimited returns an inject function that makes a random upstream respond with neither
-// length nor chunks. If it crashes, it does so within each response.
+// length nor chunks. If it crashes, it does so within one in crashEvery responses, and cuts
+// the others that it is sending.
 func undelimited(crashes bool) func(*soakDeployment, *rand.Rand) func() {
 	return func(d *soakDeployment, rng *rand.Rand) func() {
 		u := d.upstreams[rng.IntN(len(d.upstreams))]
 		b := normalBehaviour.WithEvents(soakEvents)
 		b.Undelimited, b.EventGap = true, time.Duration(rng.IntN(20))*time.Millisecond
 		if crashes {
-			b.EndAfterBytes, b.CrashAtEnd = 1+rng.IntN(maxUndelimitedBytes), true
-			b.RestartAfter, b.KeepID = time.Duration(200+rng.IntN(1800))*time.Millisecond, true
+			b.EndInBody, b.CrashAtEnd = endInBody, true
+			b.RestartAfter, b.KeepID = time.Duration(200+rng.IntN(1000))*time.Millisecond, true
 		}
 		u.undelimited.Add(1)
 		u.SetBehaviour(b)
@@ -131,8 +132,19 @@
 	}
 }
 
-// maxUndelimitedBytes is the size of the longest response without length, head included.
-const maxUndelimitedBytes = 320
+const crashEvery = 4
+
+// endInBody ends one in crashEvery responses, half of them between two parts of the body.
+func endInBody(parts []string) int {
+	size := len(strings.Join(parts, ""))
+	switch {
+	case rand.IntN(crashEvery) > 0 || size == 0:
+		return -1
+	case rand.IntN(2) == 0:
+		return rand.IntN(size)
+	}
+	return len(strings.Join(parts[:rand.IntN(len(parts))], ""))
+}
 
 var soakFaults = []soakFault{
 	{"kill and restart a node", onNode(func(t *testing.T, n *soakNode) { n.process().kill(); n.restart(t) })},
