Read the store again when its era has changed between two calls

A change could be missed for good: a node that read the store once a second did not notice that it had gone back and that revisions were given out again beyond its own, and watched on from there. An upstream that had reported that it drains in between got half of all requests after 3 s.

Cause: the revision alone was taken for the place in the store's history. The status 410 reports only revisions that the store does not have.

--- a/adapters/edgenode/watcher.go
+++ b/adapters/edgenode/watcher.go
@@ -87,7 +87,6 @@
 			sleep(ctx, retryDelay)
 			return // only a list recovers changes missed by a failed watch
 		}
-		w.era.observe(next.Era, "store")
 		at = next
 		if len(changes) > 0 {
 			w.change(time.Now(), changes)
--- a/core/ports/store.go
+++ b/core/ports/store.go
@@ -43,7 +43,7 @@
 	// Watch waits until an item under the prefix changes after the given position, at
 	// most for the duration wait. It returns the changes and the position to continue
 	// from. It fails with kind history_lost if the changes since that position are no
-	// longer available.
+	// longer available, also because the store has gone back since.
 	Watch(ctx context.Context, prefix string, after StorePosition, wait time.Duration) (changes []Item, at StorePosition, err error)
 	// Put writes an item unconditionally. It fails with kind not_found if the lease
 	// has ended.
