Compare positions of nodes by the era of the store before the revision

After the store went back to a lower revision, nodes that rely on others took neither new documents nor confirmations from them until the revision had grown again. A node with the state of the former era, at the higher revision, handed it to others as newer.

Cause: positions were compared by their revision, on both sides of a restoration.

Change: positions are pairs of era and revision, compared in one function, also in messages between nodes. The era a node has heard of, from the store or another node, only rises; a list of a former one is dropped.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if n.state.adoptPeerEntries(time.Now(), e) {
-		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(e.Values)), event.F("revision", e.Position.Revision), event.F("age_ms", e.Position.Age.Milliseconds()))
+		n.log.Log(event.PeerDocuments, event.F("from", address), event.F("instances", len(e.Values)), event.F("era", e.Position.Era), event.F("revision", e.Position.Revision), event.F("age_ms", e.Position.Age.Milliseconds()))
 	}
 }
 
@@ -141,16 +141,16 @@
 }
 
 // adoptPeerOperator applies the evacuations received from another node if they are
-// from a later revision of the store, or if this node has none yet.
+// from a later position in the store's history, or if this node has none yet.
 func (s *state) adoptPeerOperator(now time.Time, d mesh.OperatorDocuments) {
 	s.mu.Lock()
-	adopt := d.Position.Revision > s.operatorPosition.revision || !s.hasEvacuated && d.Position.Revision > 0
+	adopt := d.Position.Compare(s.operatorPosition.at) > 0 || !s.hasEvacuated && !d.Position.IsZero()
 	s.mu.Unlock()
 	if !adopt {
 		return
 	}
 	s.setEvacuated(now, domainSet(d.Evacuated), "peer")
-	s.confirmOperator(d.Position.Revision, now.Add(-d.Position.Age))
+	s.confirmOperator(d.Position.StorePosition, now.Add(-d.Position.Age))
 }
 
 func domainSet(list []domain.FailureDomain) map[domain.FailureDomain]bool {
@@ -162,11 +162,11 @@
 }
 
 // adoptPeerEntries applies the entries of upstreams received from another node if
-// they are from a later revision of the store, or if this node has none yet. It
-// reports whether it applied them.
+// they are from a later position in the store's history, or if this node has none
+// yet. It reports whether it applied them.
 func (s *state) adoptPeerEntries(now time.Time, e mesh.UpstreamEntries) bool {
 	s.mu.Lock()
-	adopt := e.Position.Revision > s.entriesPosition.revision || !s.hasEntries && e.Position.Revision > 0
+	adopt := e.Position.Compare(s.entriesPosition.at) > 0 || !s.hasEntries && !e.Position.IsZero()
 	s.mu.Unlock()
 	if !adopt {
 		return false
@@ -176,6 +176,6 @@
 		items = append(items, ports.Item{Key: key, Value: value})
 	}
 	s.replaceEntries(now, items)
-	s.confirmEntries(e.Position.Revision, now.Add(-e.Position.Age))
+	s.confirmEntries(e.Position.StorePosition, now.Add(-e.Position.Age))
 	return true
 }
--- a/adapters/edgenode/era.go
+++ b/adapters/edgenode/era.go
@@ -15,15 +15,17 @@
 	current uint64
 }
 
-// observe records an era; from is the address of the node that reported it, or "store".
-func (e *storeEra) observe(era uint64, from string) {
+// observe records an era; from is the address of the node that reported it, or "store". It
+// returns false if the era has passed.
+func (e *storeEra) observe(era uint64, from string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.known && era <= e.current {
-		return
+		return era == e.current
 	}
 	if e.known {
 		e.log.Log(event.StoreRestored, event.F("era", era), event.F("before", e.current), event.F("from", from))
 	}
 	e.known, e.current = true, era
+	return true
 }
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -111,17 +111,22 @@
 	n.synchronize(now, msg)
 }
 
-// synchronize fetches the documents that the other node has of a later revision of
-// the store, and confirms the revision for those that are equal.
+// synchronize fetches the documents that the other node has of a later position in the
+// store's history, and confirms the position for those that are equal.
 func (n *Node) synchronize(now time.Time, msg mesh.ExchangeMessage) {
+	for _, p := range []mesh.Position{msg.Operator, msg.Entries} {
+		if !p.IsZero() {
+			n.era.observe(p.Era, msg.Sender.PeerAddress)
+		}
+	}
 	operator, entries := n.state.positions()
 	needOperator := msg.TableVersion > n.state.version() || operator.behind(msg.Operator)
 	needEntries := entries.behind(msg.Entries)
 	if !needOperator && operator.digest == msg.Operator.Digest {
-		n.state.confirmOperator(msg.Operator.Revision, now.Add(-msg.Operator.Age))
+		n.state.confirmOperator(msg.Operator.StorePosition, now.Add(-msg.Operator.Age))
 	}
 	if !needEntries && entries.digest == msg.Entries.Digest {
-		n.state.confirmEntries(msg.Entries.Revision, now.Add(-msg.Entries.Age))
+		n.state.confirmEntries(msg.Entries.StorePosition, now.Add(-msg.Entries.Age))
 	}
 	if needEntries {
 		startOnce(&n.fetchingEntries, func() { n.fetchEntries(msg.Sender.PeerAddress) })
--- a/adapters/edgenode/position.go
+++ b/adapters/edgenode/position.go
@@ -7,43 +7,43 @@
 
 	"github.com/crocusspread/crocusspread/adapters/mesh"
 	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/ports"
 )
 
-// syncPosition describes how far a node has replicated a part of the store: the
-// revision, a digest of the content, and when the store confirmed the revision to
-// this node, or to the node that this node received the revision from. The store's revision does
-// not change while nothing is written, so only the time shows whether a node that
-// relies on others still receives updates.
+// syncPosition describes how far a node has replicated a part of the store: the position, a
+// digest of the content, and when the store confirmed the position to this node, or to the
+// node that this node received it from. The store's revision does not change while nothing
+// is written, so only the time shows whether a node that relies on others still receives
+// updates.
 type syncPosition struct {
-	revision  uint64
+	at        ports.StorePosition
 	digest    uint64
 	confirmed time.Time
 }
 
-// advance records that the store confirmed a revision at a time; it ignores an
-// older revision.
-func (s *syncPosition) advance(revision uint64, confirmed time.Time) {
-	if revision < s.revision {
+// advance records that the store confirmed a position at a time; it ignores an earlier
+// position.
+func (s *syncPosition) advance(at ports.StorePosition, confirmed time.Time) {
+	if at.Compare(s.at) < 0 {
 		return
 	}
-	s.revision = revision
+	s.at = at
 	if confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
 }
 
-// behind reports whether another node has different content of a later revision.
+// behind reports whether another node has different content of a later position.
 func (s *syncPosition) behind(p mesh.Position) bool {
-	return p.Revision > s.revision && p.Digest != s.digest
+	return p.Compare(s.at) > 0 && p.Digest != s.digest
 }
 
-// position returns the position as sent to other nodes; it is zero if the node has
-// no revision yet.
+// position returns the position as sent to other nodes; it is zero if the node has none yet.
 func (s *syncPosition) position(now time.Time) mesh.Position {
-	if s.revision == 0 {
+	if s.at.IsZero() {
 		return mesh.Position{}
 	}
-	return mesh.Position{Revision: s.revision, Digest: s.digest, Age: now.Sub(s.confirmed)}
+	return mesh.Position{StorePosition: s.at, Digest: s.digest, Age: now.Sub(s.confirmed)}
 }
 
 // entryHash returns a hash over the fields of an upstream's entry that affect
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -42,10 +42,10 @@
 	// completed is closed once the node has all documents that it needs to serve.
 	completed chan struct{}
 	// operatorChanged and entriesChanged receive a token once a change is applied and
-	// its revision is recorded: other nodes adopt only documents of a later revision
+	// its position is recorded: other nodes adopt only documents of a later position
 	// than their own.
 	operatorChanged, entriesChanged chan struct{}
-	// operatorPending is set from the application of a change until its revision is
+	// operatorPending is set from the application of a change until its position is
 	// recorded; notifiedDigest is the digest of the entries at the last token.
 	operatorPending bool
 	notifiedDigest  uint64
@@ -123,12 +123,12 @@
 	s.setEvacuated(now, after, "store")
 }
 
-// confirmOperator records that the operator's documents are applied up to a revision
+// confirmOperator records that the operator's documents are applied up to a position
 // that the store confirmed at the given time.
-func (s *state) confirmOperator(revision uint64, confirmed time.Time) {
+func (s *state) confirmOperator(at ports.StorePosition, confirmed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.operatorPosition.advance(revision, confirmed)
+	s.operatorPosition.advance(at, confirmed)
 	if s.operatorPending {
 		s.operatorPending = false
 		signal(s.operatorChanged)
@@ -136,10 +136,10 @@
 }
 
 // confirmEntries does the same for the entries of upstreams.
-func (s *state) confirmEntries(revision uint64, confirmed time.Time) {
+func (s *state) confirmEntries(at ports.StorePosition, confirmed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entriesPosition.advance(revision, confirmed)
+	s.entriesPosition.advance(at, confirmed)
 	if s.entriesPosition.digest != s.notifiedDigest {
 		s.notifiedDigest = s.entriesPosition.digest
 		signal(s.entriesChanged)
--- a/adapters/edgenode/watcher.go
+++ b/adapters/edgenode/watcher.go
@@ -20,9 +20,9 @@
 	// replace applies a complete list of items, change applies changed ones.
 	replace func(now time.Time, items []ports.Item)
 	change  func(now time.Time, items []ports.Item)
-	// confirm records the revision up to which all items are applied, and when the
+	// confirm records the position up to which all items are applied, and when the
 	// store confirmed it; it may be nil.
-	confirm func(revision uint64, confirmed time.Time)
+	confirm func(at ports.StorePosition, confirmed time.Time)
 	health  *storeHealth
 	era     *storeEra
 	// shouldRead reports whether this node has to read the store after its first list.
@@ -68,7 +68,10 @@
 	if err != nil {
 		return ports.StorePosition{}, err
 	}
-	w.era.observe(at.Era, "store")
+	if !w.era.observe(at.Era, "store") {
+		w.health.log.Log(event.StoreHistoryLost, event.F("prefix", w.prefix), event.F("revision", at.Revision), event.F("era", at.Era))
+		return ports.StorePosition{}, errkind.New(errkind.HistoryLost, "the list of %s is of the former era %d", w.prefix, at.Era)
+	}
 	w.replace(time.Now(), items)
 	w.confirmPosition(at)
 	return at, nil
@@ -99,7 +102,7 @@
 // confirmPosition records that all items up to a position are applied.
 func (w *watcher) confirmPosition(at ports.StorePosition) {
 	if w.confirm != nil {
-		w.confirm(at.Revision, time.Now())
+		w.confirm(at, time.Now())
 	}
 }
 
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -10,6 +10,7 @@
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/quarantine"
 	"github.com/crocusspread/crocusspread/core/relay"
 )
@@ -105,11 +106,11 @@
 
 // Position describes how far a node has replicated a part of the store.
 type Position struct {
-	// Revision is the store revision; zero if the node does not have the part.
-	Revision uint64
+	// StorePosition is zero if the node does not have the part.
+	ports.StorePosition
 	// Digest is a hash of the content.
 	Digest uint64
-	// Age is the time since the store confirmed the revision to some node.
+	// Age is the time since the store confirmed the position to some node.
 	Age time.Duration
 }
 
@@ -117,11 +118,11 @@
 	if p.Revision == 0 {
 		return nil
 	}
-	return &meshpb.Position{Revision: p.Revision, Digest: p.Digest, AgeMs: uint32(p.Age.Milliseconds())}
+	return &meshpb.Position{Era: p.Era, Revision: p.Revision, Digest: p.Digest, AgeMs: uint32(p.Age.Milliseconds())}
 }
 
 func positionFromWire(m *meshpb.Position) Position {
-	return Position{Revision: m.GetRevision(), Digest: m.GetDigest(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
+	return Position{StorePosition: ports.StorePosition{Era: m.GetEra(), Revision: m.GetRevision()}, Digest: m.GetDigest(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
 }
 
 func messageToWire(msg ExchangeMessage) *meshpb.ExchangeMessage {
--- a/adapters/mesh/message_test.go
+++ b/adapters/mesh/message_test.go
@@ -10,13 +10,14 @@
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/ports"
 )
 
 // sampleMessage returns a typical message within a region of the given number of
 // nodes.
 func sampleMessage(nodes int) ExchangeMessage {
 	msg := ExchangeMessage{TableVersion: 1 << 20,
-		Operator: Position{Revision: 1 << 40, Digest: 1 << 60, Age: time.Second}, Entries: Position{Revision: 1 << 40, Digest: 1 << 60, Age: time.Second}}
+		Operator: Position{StorePosition: ports.StorePosition{Era: 1 << 20, Revision: 1 << 40}, Digest: 1 << 60, Age: time.Second}, Entries: Position{StorePosition: ports.StorePosition{Era: 1 << 20, Revision: 1 << 40}, Digest: 1 << 60, Age: time.Second}}
 	loads := []instances.Load{{Service: "assistent-llm", Usable: 30, Free: 200, Delay: 40e6}, {Service: "migratie-api", Usable: 2, Free: 12, Delay: 40e6}}
 	msg.Views = []peers.View{{Region: "another-region", Age: time.Second, Loads: loads}}
 	for i := range min(nodes, 20) {
