Register again when the store has gone back since the lease was granted

A node whose lease is younger than the store's copy lost its entry. When the number of its lease had been given out again, it renewed the other holder's lease and never had an entry again, so that starting nodes could not find it.

Cause: a lease was known by its number alone, which is unique within an era of the store only.

Change: a lease carries the era in which it was granted; writes and renewals answered in another one fail as with a lease that has ended. Nodes register again within a second of hearing of the new era, spread over it to stay within the store's limit of calls. Revoke, which no node called, is gone.

--- a/adapters/edgenode/era.go
+++ b/adapters/edgenode/era.go
@@ -9,12 +9,18 @@
 // storeEra is the highest era of the store that this node knows of.
 type storeEra struct {
 	log event.Logger
+	// risen receives a token when the era rises.
+	risen chan struct{}
 
 	mu      sync.Mutex
 	known   bool
 	current uint64
 }
 
+func newStoreEra(log event.Logger) *storeEra {
+	return &storeEra{log: log, risen: make(chan struct{}, 1)}
+}
+
 // observe records an era; from is the address of the node that reported it, or "store". It
 // returns false if the era has passed.
 func (e *storeEra) observe(era uint64, from string) bool {
@@ -25,6 +31,7 @@
 	}
 	if e.known {
 		e.log.Log(event.StoreRestored, event.F("era", era), event.F("before", e.current), event.F("from", from))
+		signal(e.risen)
 	}
 	e.known, e.current = true, era
 	return true
--- a/adapters/edgenode/registration.go
+++ b/adapters/edgenode/registration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -41,35 +42,52 @@
 // register maintains the node's entry in the store under a lease until ctx ends or
 // the node drains.
 func (n *Node) register(ctx context.Context) {
-	var lease ports.LeaseID
+	var lease ports.Lease
 	for ctx.Err() == nil {
 		if n.closing.Load() {
 			return
 		}
-		if lease == 0 {
+		if lease.ID == 0 {
 			lease = n.writeNodeEntry(ctx)
 		} else if err := n.renew(ctx, lease); errors.Is(err, errkind.Of(errkind.NotFound)) {
-			n.log.Log(event.RegistrationLost, event.F("node", n.settings.Node), event.F("lease", uint64(lease)))
-			lease = 0
+			n.log.Log(event.RegistrationLost, event.F("node", n.settings.Node), event.F("lease", uint64(lease.ID)))
+			lease = ports.Lease{}
 			continue
 		}
-		if lease == 0 {
+		if lease.ID == 0 {
 			sleep(ctx, retryDelay)
 		} else {
-			sleep(ctx, jitter(renewInterval))
+			n.awaitRenewal(ctx)
 		}
 	}
 }
 
-// writeNodeEntry writes the node's entry under a new lease. It returns zero if that
+// reregisterPeriod is the time over which the nodes write their entries again after the
+// store has gone back, so that they stay within its limit of calls.
+const reregisterPeriod = time.Second
+
+// awaitRenewal waits until the lease is to be renewed: after the interval, or when the store
+// has gone back, as the lease may be gone.
+func (n *Node) awaitRenewal(ctx context.Context) {
+	timer := time.NewTimer(jitter(renewInterval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-n.era.risen:
+		sleep(ctx, rand.N(reregisterPeriod))
+	}
+}
+
+// writeNodeEntry writes the node's entry under a new lease. It returns a zero lease if that
 // failed.
-func (n *Node) writeNodeEntry(ctx context.Context) ports.LeaseID {
+func (n *Node) writeNodeEntry(ctx context.Context) ports.Lease {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	lease, err := n.deps.Store.GrantLease(ctx, max(nodeLease, n.settings.MinLease))
 	n.health.recordOutcome(ctx, "grant lease", err)
 	if err != nil {
-		return 0
+		return ports.Lease{}
 	}
 	self := n.members.Self()
 	text, err := json.Marshal(nodeEntry{
@@ -77,18 +95,18 @@
 		PeerAddress: self.PeerAddress, Incarnation: self.Incarnation, CapacityMilli: int(self.Capacity * 1000),
 	})
 	if err == nil {
-		err = n.deps.Store.Put(ctx, n.nodeKey(), text, lease.ID)
+		err = n.deps.Store.Put(ctx, n.nodeKey(), text, lease)
 	}
 	n.health.recordOutcome(ctx, "register", err)
 	if err != nil {
-		return 0
+		return ports.Lease{}
 	}
 	n.log.Log(event.Registered, event.F("node", n.settings.Node), event.F("lease", uint64(lease.ID)))
-	return lease.ID
+	return lease
 }
 
 // renew renews the lease; only an error of kind NotFound means that it is lost.
-func (n *Node) renew(ctx context.Context, lease ports.LeaseID) error {
+func (n *Node) renew(ctx context.Context, lease ports.Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := n.deps.Store.KeepAlive(ctx, lease)
--- a/adapters/edgenode/state_test.go
+++ b/adapters/edgenode/state_test.go
@@ -74,7 +74,7 @@
 }
 
 func TestListOfAFormerEraIsDropped(t *testing.T) {
-	e := &storeEra{log: event.Discard{}}
+	e := newStoreEra(event.Discard{})
 	for _, o := range []struct {
 		era  uint64
 		want bool
--- a/core/ports/ports.go
+++ b/core/ports/ports.go
@@ -24,11 +24,13 @@
 // LeaseID identifies a lease of the key-value service; zero means no lease.
 type LeaseID uint64
 
-// Lease is a granted lease. Revision is its fencing number.
+// Lease is a granted lease. Revision is its fencing number. Era is the era of the store in
+// which it was granted; IDs are unique within an era.
 type Lease struct {
 	ID       LeaseID
 	TTL      time.Duration
 	Revision uint64
+	Era      uint64
 }
 
 // KV is the platform's key-value service. If it cannot be reached, methods fail with
--- a/core/ports/store.go
+++ b/core/ports/store.go
@@ -45,16 +45,15 @@
 	// from. It fails with kind history_lost if the changes since that position are no
 	// longer available, also because the store has gone back since.
 	Watch(ctx context.Context, prefix string, after StorePosition, wait time.Duration) (changes []Item, at StorePosition, err error)
-	// Put writes an item unconditionally. It fails with kind not_found if the lease
-	// has ended.
-	Put(ctx context.Context, key string, value []byte, lease LeaseID) error
+	// Put writes an item unconditionally, under a lease unless it is zero. It fails with
+	// kind not_found if the lease has ended, or if the store has gone back since it was
+	// granted: its ID may then be that of another lease, under which the item was written.
+	Put(ctx context.Context, key string, value []byte, lease Lease) error
 	// Delete removes an item.
 	Delete(ctx context.Context, key string) error
 	// GrantLease returns a new lease.
 	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
 	// KeepAlive extends a lease by its TTL. It fails with kind not_found if the lease
-	// has ended.
-	KeepAlive(ctx context.Context, id LeaseID) error
-	// Revoke ends a lease and deletes its items.
-	Revoke(ctx context.Context, id LeaseID) error
+	// has ended, or if the store has gone back since it was granted.
+	KeepAlive(ctx context.Context, lease Lease) error
 }
