Keep evacuations in force that a restored store lacks for a while

An evacuation that had been acknowledged ended when the store came back from a copy without it, and began again when the operator had written it again: 93 requests reached upstreams under evacuation in two seconds.

Cause: a list was taken as the whole truth, also right after the store had lost what it had acknowledged.

Nodes send each other what the store has, and retain by themselves.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -149,7 +149,7 @@
 	if !adopt {
 		return
 	}
-	s.setEvacuated(now, domainSet(d.Evacuated), "peer")
+	s.listEvacuated(now, domainSet(d.Evacuated), "peer")
 	s.confirmOperator(d.Position.StorePosition, now.Add(-d.Position.Age))
 }
 
--- a/adapters/edgenode/era.go
+++ b/adapters/edgenode/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/crocusspread/crocusspread/core/event"
 )
@@ -11,14 +12,16 @@
 	log event.Logger
 	// risen receives a token when the era rises.
 	risen chan struct{}
+	// onRise is called when the era rises, before anything of the new era is applied.
+	onRise func(now time.Time)
 
 	mu      sync.Mutex
 	known   bool
 	current uint64
 }
 
-func newStoreEra(log event.Logger) *storeEra {
-	return &storeEra{log: log, risen: make(chan struct{}, 1)}
+func newStoreEra(log event.Logger, onRise func(now time.Time)) *storeEra {
+	return &storeEra{log: log, risen: make(chan struct{}, 1), onRise: onRise}
 }
 
 // observe records an era; from is the address of the node that reported it, or "store". It
@@ -31,6 +34,7 @@
 	}
 	if e.known {
 		e.log.Log(event.StoreRestored, event.F("era", era), event.F("before", e.current), event.F("from", from))
+		e.onRise(time.Now())
 		signal(e.risen)
 	}
 	e.known, e.current = true, era
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -99,7 +99,7 @@
 	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, RateShare: n.rateShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
-	n.era = newStoreEra(log)
+	n.era = newStoreEra(log, n.state.markRestored)
 	n.health = &storeHealth{log: log, catalog: n.catalog, dropConnections: deps.DropStoreConnections}
 	n.upstreams = upstream.NewRouted(upstream.Options{
 		DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout,
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -1,7 +1,6 @@
 package edgenode
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +26,9 @@
 	tableDocument []byte
 	// compressedTable is tableDocument as sent to other nodes; nil until the first fetch.
 	compressedTable []byte
-	evacuated       map[domain.FailureDomain]bool
+	// evacuated holds the failure domains under evacuation as in the store.
+	evacuated map[domain.FailureDomain]bool
+	evacuations
 	// entries holds the entries of upstreams as read from the store, by key, for
 	// nodes that cannot read it.
 	entries map[string][]byte
@@ -100,27 +101,21 @@
 			after[fd] = true
 		}
 	}
-	s.setEvacuated(now, after, "store")
+	s.listEvacuated(now, after, "store")
 }
 
 // changeOperator applies changed documents of the operator.
 func (s *state) changeOperator(now time.Time, items []ports.Item) {
-	s.mu.Lock()
-	after := maps.Clone(s.evacuated)
-	s.mu.Unlock()
+	changed := make(map[domain.FailureDomain]bool)
 	for _, i := range items {
 		if s.documents.IsTable(i.Key) && !i.Removed {
 			s.applyTable(i.Value, "store")
 		}
 		if fd, ok := s.documents.EvacuatedDomain(i.Key); ok {
-			if i.Removed {
-				delete(after, fd)
-			} else {
-				after[fd] = true
-			}
+			changed[fd] = !i.Removed
 		}
 	}
-	s.setEvacuated(now, after, "store")
+	s.changeEvacuated(now, changed, "store")
 }
 
 // confirmOperator records that the operator's documents are applied up to a position
@@ -172,30 +167,6 @@
 	return operator, entries
 }
 
-// setEvacuated replaces the set of evacuated failure domains.
-func (s *state) setEvacuated(now time.Time, after map[domain.FailureDomain]bool, from string) {
-	s.mu.Lock()
-	before := s.evacuated
-	s.evacuated, s.hasEvacuated = after, true
-	s.operatorPending = true
-	s.mu.Unlock()
-	defer s.updateCompleted()
-	if maps.Equal(before, after) {
-		return
-	}
-	s.catalog.SetEvacuated(now, after)
-	for fd := range after {
-		if !before[fd] {
-			s.log.Log(event.EvacuationChanged, event.F("failure_domain", fd), event.F("evacuated", true), event.F("from", from))
-		}
-	}
-	for fd := range before {
-		if !after[fd] {
-			s.log.Log(event.EvacuationChanged, event.F("failure_domain", fd), event.F("evacuated", false), event.F("from", from))
-		}
-	}
-}
-
 // replaceEntries applies a complete list of the entries of upstreams.
 func (s *state) replaceEntries(now time.Time, items []ports.Item) {
 	entries := make(map[string][]byte, len(items))
--- a/adapters/edgenode/state_test.go
+++ b/adapters/edgenode/state_test.go
@@ -1,7 +1,9 @@
 package edgenode
 
 import (
+	"maps"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh"
@@ -74,7 +76,7 @@
 }
 
 func TestListOfAFormerEraIsDropped(t *testing.T) {
-	e := newStoreEra(event.Discard{})
+	e := newStoreEra(event.Discard{}, func(time.Time) {})
 	for _, o := range []struct {
 		era  uint64
 		want bool
@@ -84,3 +86,26 @@
 		}
 	}
 }
+
+// TestEvacuationMissingAfterARestorationEndsInTime: no later message of the store is needed.
+func TestEvacuationMissingAfterARestorationEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newState(nil, instances.NewCatalog(instances.Options{}), event.Discard{})
+		both := map[domain.FailureDomain]bool{"west-a": true, "west-b": true}
+		s.listEvacuated(time.Now(), both, "store")
+		s.markRestored(time.Now())
+		s.listEvacuated(time.Now(), map[domain.FailureDomain]bool{}, "store")
+		if !maps.Equal(s.inForce, both) || len(s.evacuated) > 0 {
+			t.Errorf("after the restoration: got %v in force and %v as in the store, want %v and none", s.inForce, s.evacuated, both)
+		}
+		s.changeEvacuated(time.Now(), map[domain.FailureDomain]bool{"west-a": false}, "store")
+		if s.inForce["west-a"] || !s.inForce["west-b"] {
+			t.Errorf("after the end of one: got %v in force, want only the other", s.inForce)
+		}
+		time.Sleep(evacuationRetention + time.Millisecond)
+		synctest.Wait()
+		if len(s.inForce) > 0 {
+			t.Errorf("after %v: got %v in force, want none", evacuationRetention, s.inForce)
+		}
+	})
+}
