Ignore entries of upstreams that are older than what is known of them

After the store came back from an older copy, requests reached upstreams that the node had seen drain or lose their entry, until these wrote again or for good.

Cause: each entry read from the store was taken for the newest word of its upstream.

Change: the catalog remembers start time and sequence number of the newest entry of each upstream, for a minute also after its removal, and of its former processes; older entries are ignored and logged (entry_outdated). An entry without a sequence number is applied as before.

TestUpstreamKnownToLeaveIsNotUsedFromAnOlderCopy failed before.

--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -21,7 +21,9 @@
 	serviceOf map[domain.UpstreamID]string
 	// doubtful maps each instance whose entry disappeared around a store outage
 	// to the time at which it is removed unless it registers again.
-	doubtful  map[domain.UpstreamID]time.Time
+	doubtful map[domain.UpstreamID]time.Time
+	// newest holds the newest entry of each instance, also for a time after its removal.
+	newest    map[domain.UpstreamID]*newestEntry
 	evacuated map[domain.FailureDomain]bool
 	services  map[string]routes.Service
 	// maxEventGaps maps each service to the smallest of the maximum event gaps
@@ -38,6 +40,7 @@
 		pools:     make(map[string]*Pool),
 		serviceOf: make(map[domain.UpstreamID]string),
 		doubtful:  make(map[domain.UpstreamID]time.Time),
+		newest:    make(map[domain.UpstreamID]*newestEntry),
 		evacuated: make(map[domain.FailureDomain]bool),
 		services:  make(map[string]routes.Service),
 	}
@@ -86,6 +89,11 @@
 
 func (c *Catalog) put(now time.Time, in Instance) {
 	delete(c.doubtful, in.ID)
+	if c.isOutdated(in) {
+		c.options.Log.Log(event.InstanceOutdated, event.F("instance", in.ID), event.F("leaving", in.Leaving), event.F("sequence", in.Sequence))
+		return
+	}
+	c.recordEntry(in)
 	if old, known := c.serviceOf[in.ID]; known && old != in.Service {
 		c.pool(old).remove(in.ID)
 	}
@@ -136,10 +144,11 @@
 		c.options.Log.Log(event.InstanceDoubtful, event.F("instance", id), event.F("service", service))
 		return
 	}
-	c.removeInstance(id, service, "entry removed")
+	c.removeInstance(now, id, service, "entry removed")
 }
 
-func (c *Catalog) removeInstance(id domain.UpstreamID, service, why string) {
+func (c *Catalog) removeInstance(now time.Time, id domain.UpstreamID, service, why string) {
+	c.recordRemoval(now, id)
 	delete(c.serviceOf, id)
 	delete(c.doubtful, id)
 	c.pool(service).remove(id)
@@ -171,12 +180,13 @@
 func (c *Catalog) RemoveExpired(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.forgetRemoved(now)
 	if c.storeUnavailable {
 		return
 	}
 	for id, until := range c.doubtful {
 		if !now.Before(until) {
-			c.removeInstance(id, c.serviceOf[id], "missing after the store was restored")
+			c.removeInstance(now, id, c.serviceOf[id], "missing after the store was restored")
 		}
 	}
 }
--- a/core/instances/instance.go
+++ b/core/instances/instance.go
@@ -26,6 +26,8 @@
 	Models []string
 	// Started distinguishes processes with the same ID.
 	Started int64
+	// Sequence rises with each entry that the process writes; zero if the entry has none.
+	Sequence uint64
 }
 
 // ReportedLoad is the load that an upstream reports in the header of an answer, in
