Keep upstreams that a restored store lacks until they can register again

Upstreams that had registered since the copy were dropped at once by a node none of whose calls had failed meanwhile: 503 for each request of a service whose upstreams were all new, until they wrote their entries again.

Cause: entries that are missing are doubted around an outage of the store only.

Change: a rise of the era counts as an outage that ends at that moment.

--- a/adapters/edgenode/evacuations.go
+++ b/adapters/edgenode/evacuations.go
@@ -29,6 +29,7 @@
 	s.mu.Lock()
 	s.restoredAt = now
 	s.mu.Unlock()
+	s.catalog.MarkStoreRestored(now)
 	time.AfterFunc(evacuationRetention, s.endRetention)
 }
 
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -176,6 +176,14 @@
 	}
 }
 
+// MarkStoreRestored records that the store came back from an older copy, which may lack
+// entries. It has the effect of an outage that ends now.
+func (c *Catalog) MarkStoreRestored(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeRestoredAt = now
+}
+
 // RemoveExpired removes doubtful instances whose grace period has expired.
 func (c *Catalog) RemoveExpired(now time.Time) {
 	c.mu.Lock()
