Let the soak restore its store from an older copy

It is now copied, goes back to the copy some tenths of a second to seconds later, and what the operator and the upstreams wrote since is written again up to 1.5 s after that, beside all other faults. After the faults each node must have its entry.

The faults have a file of their own.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -95,6 +95,7 @@
 	lastHeader      http.Header
 	canceled        int
 	registrationSeq int
+	state           string // as last registered
 }
 
 // Start starts a server and registers it in the store.
@@ -142,6 +143,7 @@
 func (s *Server) Register(state string) {
 	s.mu.Lock()
 	s.registrationSeq++
+	s.state = state
 	registrationSeq := s.registrationSeq
 	id, born := s.currentID(), 1+len(s.crashes)
 	s.mu.Unlock()
@@ -155,6 +157,15 @@
 	s.store.Put("servers/"+id, entry)
 }
 
+// RegisterAgain writes the entry with the last state again, as a server does when the store
+// came back from an older copy.
+func (s *Server) RegisterAgain() {
+	s.mu.Lock()
+	state := s.state
+	s.mu.Unlock()
+	s.Register(state)
+}
+
 // currentID returns the ID of the running process. The caller must hold s.mu.
 func (s *Server) currentID() string {
 	return s.ID + s.idSuffix
--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -30,6 +30,7 @@
 
 	mu      sync.Mutex
 	version int
+	routes  []byte // the routing table of that version
 }
 
 // soakNode is one node across restarts of its process.
@@ -172,10 +173,18 @@
 	if err != nil {
 		d.t.Error(err)
 	}
+	d.routes = text
 	d.store.Put("op/config", text)
 	return d.version
 }
 
+// publishAgain stores the last version of the routing table again.
+func (d *soakDeployment) publishAgain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.store.Put("op/config", d.routes)
+}
+
 // waitServing waits until each node is ready and serves a request.
 func (d *soakDeployment) waitServing(when string) {
 	for _, n := range d.nodes {
@@ -193,7 +202,7 @@
 // restore ends all faults and restarts nodes whose process has exited.
 func (d *soakDeployment) restore() {
 	d.store.SetFaults(storesim.Faults{})
-	for _, key := range d.store.Keys("op/evacuate/") {
+	for _, key := range d.store.Keys(evacuationPrefix) {
 		d.store.Delete(key)
 	}
 	for _, u := range d.upstreams {
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/standin/routedsim"
-	"github.com/crocusspread/crocusspread/adapters/standin/storesim"
 )
 
 var (
@@ -61,159 +60,6 @@
 	}
 }
 
-// soakFault is a kind of fault. inject starts one and returns the function that ends
-// it, or nil if it ends by itself.
-type soakFault struct {
-	name   string
-	inject func(d *soakDeployment, rng *rand.Rand) (end func())
-}
-
-// storeFault returns an inject function for faults of the store.
-func storeFault(faults storesim.Faults) func(*soakDeployment, *rand.Rand) func() {
-	return func(d *soakDeployment, _ *rand.Rand) func() {
-		d.store.SetFaults(faults)
-		return func() { d.store.SetFaults(storesim.Faults{}) }
-	}
-}
-
-// upstreamFault returns an inject function that changes the behaviour of a random
-// upstream.
-func upstreamFault(b routedsim.Behaviour) func(*soakDeployment, *rand.Rand) func() {
-	return func(d *soakDeployment, rng *rand.Rand) func() {
-		u := d.upstreams[rng.IntN(len(d.upstreams))]
-		u.SetBehaviour(b.WithEvents(soakEvents))
-		return func() { u.SetBehaviour(normalBehaviour.WithEvents(soakEvents)) }
-	}
-}
-
-// onNode returns an inject function that calls inject for a random node.
-func onNode(inject func(t *testing.T, n *soakNode)) func(*soakDeployment, *rand.Rand) func() {
-	return func(d *soakDeployment, rng *rand.Rand) func() {
-		inject(d.t, d.nodes[rng.IntN(len(d.nodes))])
-		return nil
-	}
-}
-
-// onUpstream returns an inject function that calls inject for a random upstream. The
-// fault ends with end, or by itself if end is nil.
-func onUpstream(inject, end func(u *soakUpstream)) func(*soakDeployment, *rand.Rand) func() {
-	return func(d *soakDeployment, rng *rand.Rand) func() {
-		u := d.upstreams[rng.IntN(len(d.upstreams))]
-		inject(u)
-		if end == nil {
-			return nil
-		}
-		return func() { end(u) }
-	}
-}
-
-// restoreLink restores the link to an upstream and resets the connections that still drop
-// bytes.
-func restoreLink(u *soakUpstream) { u.proxy.restore(); u.proxy.resetOpen() }
-
-// undelimited returns an inject function that makes a random upstream respond with neither
-// length nor chunks. If it crashes, it does so within one in crashEvery responses, and cuts
-// the others that it is sending.
-func undelimited(crashes bool) func(*soakDeployment, *rand.Rand) func() {
-	return func(d *soakDeployment, rng *rand.Rand) func() {
-		u := d.upstreams[rng.IntN(len(d.upstreams))]
-		b := normalBehaviour.WithEvents(soakEvents)
-		b.Undelimited, b.EventGap = true, time.Duration(rng.IntN(20))*time.Millisecond
-		if crashes {
-			b.EndInBody, b.CrashAtEnd = endInBody, true
-			b.RestartAfter, b.KeepID = time.Duration(200+rng.IntN(1000))*time.Millisecond, true
-		}
-		u.undelimited.Add(1)
-		u.SetBehaviour(b)
-		return func() {
-			u.SetBehaviour(normalBehaviour.WithEvents(soakEvents))
-			time.AfterFunc(soakTimeout, func() { u.undelimited.Add(-1) })
-		}
-	}
-}
-
-const crashEvery = 4
-
-// endInBody ends one in crashEvery responses, half of them between two parts of the body.
-func endInBody(parts []string) int {
-	size := len(strings.Join(parts, ""))
-	switch {
-	case rand.IntN(crashEvery) > 0 || size == 0:
-		return -1
-	case rand.IntN(2) == 0:
-		return rand.IntN(size)
-	}
-	return len(strings.Join(parts[:rand.IntN(len(parts))], ""))
-}
-
-var soakFaults = []soakFault{
-	{"kill and restart a node", onNode(func(t *testing.T, n *soakNode) { n.process().kill(); n.restart(t) })},
-	{"stop and restart a node", onNode(func(t *testing.T, n *soakNode) { n.process().terminate(); go n.restart(t) })},
-	{"reload a node", onNode(func(_ *testing.T, n *soakNode) { n.reload() })},
-	{"freeze a node", func(d *soakDeployment, rng *rand.Rand) func() {
-		p := d.nodes[rng.IntN(len(d.nodes))].process()
-		p.freeze()
-		return p.thaw
-	}},
-	{"disconnect a node from the store", func(d *soakDeployment, rng *rand.Rand) func() {
-		n := d.nodes[rng.IntN(len(d.nodes))]
-		n.storeProxy.disconnect()
-		return n.storeProxy.restore
-	}},
-	{"drop all bytes on a node's connections to the store", onNode(func(_ *testing.T, n *soakNode) { n.storeProxy.blackholeOpen() })},
-	{"store rejects requests", storeFault(storesim.Faults{RejectStatus: http.StatusServiceUnavailable})},
-	{"store doesn't respond", storeFault(storesim.Faults{Unresponsive: true})},
-	{"store is slow", storeFault(storesim.Faults{Delay: 300 * time.Millisecond})},
-	{"store loses responses", storeFault(storesim.Faults{DropResponses: true})},
-	{"store sends nothing on watches", storeFault(storesim.Faults{HangWatches: true})},
-	{"store loses its history", func(d *soakDeployment, _ *rand.Rand) func() { d.store.CompactHistory(); return nil }},
-	{"leases are revoked", func(d *soakDeployment, _ *rand.Rand) func() { d.store.RevokeLeases(); return nil }},
-	{"new routing table", func(d *soakDeployment, _ *rand.Rand) func() { d.publishRoutes(); return nil }},
-	{"evacuation", func(d *soakDeployment, rng *rand.Rand) func() {
-		key := "op/evacuate/" + []string{"west-a", "east-a"}[rng.IntN(2)]
-		d.store.Put(key, []byte("{}"))
-		return func() { d.store.Delete(key) }
-	}},
-	{"upstream loses responses", upstreamFault(routedsim.Behaviour{DropResponses: true})},
-	{"upstream sheds load", upstreamFault(routedsim.Behaviour{RejectAll: true})},
-	{"upstream returns errors", upstreamFault(routedsim.Behaviour{Status: http.StatusInternalServerError})},
-	{"upstream truncates streams", upstreamFault(routedsim.Behaviour{CloseAfterEvents: 2})},
-	{"upstream sends neither length nor chunks", undelimited(false)},
-	{"upstream sends neither length nor chunks and crashes", undelimited(true)},
-	{"a part crashes upstreams", func(d *soakDeployment, _ *rand.Rand) func() {
-		d.setBehaviour(crashOn(normalBehaviour, crashingSoakPart))
-		return func() { d.setBehaviour(normalBehaviour) }
-	}},
-	{"upstream names a rate limit", func(d *soakDeployment, rng *rand.Rand) func() {
-		limited := normalBehaviour
-		limited.RateLimit = 1 + float64(rng.IntN(100))/10
-		return upstreamFault(limited)(d, rng)
-	}},
-	{"upstream is slow", upstreamFault(routedsim.Behaviour{ProcessingTime: 400 * time.Millisecond})},
-	{"connections to an upstream closed", onUpstream((*soakUpstream).closeConnections, nil)},
-	{"connections to an upstream drop all bytes", onUpstream(func(u *soakUpstream) { u.proxy.blackholeOpen() }, restoreLink)},
-	{"link to an upstream drops all bytes", onUpstream(func(u *soakUpstream) { u.proxy.blackhole() }, restoreLink)},
-	{"responses of an upstream lost on the link", onUpstream(func(u *soakUpstream) { u.proxy.dropResponses() }, restoreLink)},
-	{"upstream drains", onUpstream(func(u *soakUpstream) { u.Register("draining") }, func(u *soakUpstream) { u.Register("ready") })},
-	{"a region's upstreams drain", func(d *soakDeployment, rng *rand.Rand) func() {
-		region := []string{"west", "east"}[rng.IntN(2)]
-		register := func(state string) {
-			for _, u := range d.upstreams {
-				if u.region == region {
-					u.Register(state)
-				}
-			}
-		}
-		register("draining")
-		return func() { register("ready") }
-	}},
-	{"registration of an upstream corrupted", func(d *soakDeployment, rng *rand.Rand) func() {
-		u := d.upstreams[rng.IntN(len(d.upstreams))]
-		d.store.Put("servers/"+u.ID, []byte(`{"service": []}`))
-		return func() { u.Register("ready") }
-	}},
-}
-
 // injectFaults injects random faults until the given time; several may overlap. It
 // returns a log of the injected faults.
 func (d *soakDeployment) injectFaults(rng *rand.Rand, until time.Time) (injected []string) {
@@ -421,6 +267,7 @@
 	for _, n := range d.nodes {
 		waitFor(d.t, n.name+" to adopt the newest routing table", func() bool { return strings.HasPrefix(n.sendOnce("safe", "end").body, want) })
 	}
+	waitFor(d.t, "all nodes to have an entry in the store", func() bool { return len(d.store.Keys("crocusspread/nodes/")) == len(d.nodes) })
 	draining := d.upstreams[0]
 	draining.Register("draining")
 	time.Sleep(4 * time.Second) // a draining upstream may still receive requests for 3 s
