--- a/adapters/edgenode/state_test.go
+++ b/adapters/edgenode/state_test.go
@@ -95,17 +95,23 @@
 		s.listEvacuated(time.Now(), both, "store")
 		s.markRestored(time.Now())
 		s.listEvacuated(time.Now(), map[domain.FailureDomain]bool{}, "store")
-		if !maps.Equal(s.inForce, both) || len(s.evacuated) > 0 {
-			t.Errorf("after the restoration: got %v in force and %v as in the store, want %v and none", s.inForce, s.evacuated, both)
+		if got := inForce(s); !maps.Equal(got, both) || len(s.operatorDocuments(0).Evacuated) > 0 {
+			t.Errorf("after the restoration: got %v in force and %v as in the store, want %v and none", got, s.operatorDocuments(0).Evacuated, both)
 		}
 		s.changeEvacuated(time.Now(), map[domain.FailureDomain]bool{"west-a": false}, "store")
-		if s.inForce["west-a"] || !s.inForce["west-b"] {
-			t.Errorf("after the end of one: got %v in force, want only the other", s.inForce)
+		if got := inForce(s); got["west-a"] || !got["west-b"] {
+			t.Errorf("after the end of one: got %v in force, want only the other", got)
 		}
 		time.Sleep(evacuationRetention + time.Millisecond)
 		synctest.Wait()
-		if len(s.inForce) > 0 {
-			t.Errorf("after %v: got %v in force, want none", evacuationRetention, s.inForce)
+		if got := inForce(s); len(got) > 0 {
+			t.Errorf("after %v: got %v in force, want none", evacuationRetention, got)
 		}
 	})
 }
+
+func inForce(s *state) map[domain.FailureDomain]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.inForce)
+}
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -267,7 +267,12 @@
 	for _, n := range d.nodes {
 		waitFor(d.t, n.name+" to adopt the newest routing table", func() bool { return strings.HasPrefix(n.sendOnce("safe", "end").body, want) })
 	}
-	waitFor(d.t, "all nodes to have an entry in the store", func() bool { return len(d.store.Keys("crocusspread/nodes/")) == len(d.nodes) })
+	for _, n := range d.nodes {
+		waitFor(d.t, n.name+" to have an entry in the store", func() bool {
+			_, found := d.store.Get("crocusspread/nodes/" + n.name)
+			return found
+		})
+	}
 	draining := d.upstreams[0]
 	draining.Register("draining")
 	time.Sleep(4 * time.Second) // a draining upstream may still receive requests for 3 s
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -69,10 +69,10 @@
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
-		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited,
+		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
-		PlatformFailed, PlatformRestored, StoreHistoryLost, Registered, RegistrationLost,
+		PlatformFailed, PlatformRestored, StoreHistoryLost, Registered, RegistrationLost, StoreRestored,
 		OrderSent, OrdererChanged,
 	}
 }
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -259,7 +258,7 @@
 // expectsEvent reports whether the body must have an event. The rest of a stream that is
 // resumed after its last event has none.
 func (a *attempts) expectsEvent(h Head) bool {
-	return h.isEventStream(a.r.Route.Kind) && h.Status == http.StatusOK && a.delivery.resumeAfter(a.r.ResumeAfter) == ""
+	return h.isEventStream(a.r.Route.Kind) && h.Status == statusOK && a.delivery.resumeAfter(a.r.ResumeAfter) == ""
 }
 
 // interrupted classifies an answer that ended early.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net/http"
 	"strings"
 	"time"
 
@@ -87,12 +86,15 @@
 	RanAt domain.UpstreamID
 }
 
+// statusOK is the only status with which a stream of events begins.
+const statusOK = 200
+
 // isEventStream reports whether the body consists of events. Without a content type, the
 // kind of the route decides.
 func (h *Head) isEventStream(kind routes.Kind) bool {
 	values := h.Header["Content-Type"]
 	if len(values) == 0 {
-		return kind == routes.Streaming && h.Status == http.StatusOK
+		return kind == routes.Streaming && h.Status == statusOK
 	}
 	return strings.HasPrefix(strings.ToLower(values[0]), "text/event-stream")
 }
