Write the entries of nodes under a condition, so that late writes change nothing

A node could miss in the store for good: a write of its entry that got no response was executed after the one that replaced it, under a lease that nobody renewed; or the removal by a stopping process was executed after the next process had registered. The node went on renewing its other lease and noticed nothing. Starting nodes did not find it.

Cause: writes and removals were unconditional, although the store may execute a call without a response seconds later.

Change: a node reads its entry and writes or removes it only at the revision it has seen. A conflict or an ended lease no longer counts as an unavailable store.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -34,17 +34,19 @@
 	log      event.Logger
 	metrics  *telemetry.Metrics
 
-	catalog   *instances.Catalog
-	parts     *quarantine.Table
-	members   *peers.Members
-	regions   *peers.Regions
-	state     *state
-	health    *storeHealth
-	era       *storeEra
-	engine    *relay.Engine
-	handler   *edge.Handler
-	mesh      *mesh.Client
-	upstreams *upstream.Routed
+	catalog *instances.Catalog
+	parts   *quarantine.Table
+	members *peers.Members
+	regions *peers.Regions
+	state   *state
+	health  *storeHealth
+	era     *storeEra
+	// entryRevision is the revision of this node's entry in the store; zero if there is none.
+	entryRevision atomic.Uint64
+	engine        *relay.Engine
+	handler       *edge.Handler
+	mesh          *mesh.Client
+	upstreams     *upstream.Routed
 
 	startedAt time.Time
 	notices   chan instances.Notice
--- a/adapters/edgenode/registration.go
+++ b/adapters/edgenode/registration.go
@@ -94,13 +94,22 @@
 		ID: self.ID, Region: self.Place.Region, FailureDomain: self.Place.FailureDomain, EntryAddress: self.EntryAddress,
 		PeerAddress: self.PeerAddress, Incarnation: self.Incarnation, CapacityMilli: int(self.Capacity * 1000),
 	})
+	var present ports.Item
 	if err == nil {
-		err = n.deps.Store.Put(ctx, n.nodeKey(), text, lease)
+		present, err = n.deps.Store.Get(ctx, n.nodeKey())
+	}
+	var revision uint64
+	if err == nil {
+		revision, err = n.deps.Store.Put(ctx, n.nodeKey(), text, lease, present.Revision)
+	}
+	if errors.Is(err, errkind.Of(errkind.Conflict)) || errors.Is(err, errkind.Of(errkind.NotFound)) {
+		return ports.Lease{} // the entry or the lease has changed meanwhile
 	}
 	n.health.recordOutcome(ctx, "register", err)
 	if err != nil {
 		return ports.Lease{}
 	}
+	n.entryRevision.Store(revision)
 	n.log.Log(event.Registered, event.F("node", n.settings.Node), event.F("lease", uint64(lease.ID)))
 	return lease
 }
--- a/adapters/edgenode/shutdown.go
+++ b/adapters/edgenode/shutdown.go
@@ -70,11 +70,15 @@
 	}
 }
 
-// unregister removes the node's entry from the store.
+// unregister removes the node's entry from the store. An entry of a later process stays.
 func (n *Node) unregister() {
+	revision := n.entryRevision.Load()
+	if revision == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := n.deps.Store.Delete(ctx, n.nodeKey()); err != nil {
+	if err := n.deps.Store.Delete(ctx, n.nodeKey(), revision); err != nil {
 		n.log.Log(event.PlatformFailed, event.F("call", "unregister"), event.F("error", err))
 	}
 }
--- a/adapters/standin/storesim/faults.go
+++ b/adapters/standin/storesim/faults.go
@@ -22,6 +22,9 @@
 	// DropResponses executes calls and then resets the connection instead of
 	// responding.
 	DropResponses bool
+	// LateWrites, if not zero, executes transactions that long after their call, which gets no
+	// response.
+	LateWrites time.Duration
 	// HangWatches makes watches return no changes and never end by themselves.
 	HangWatches bool
 }
--- a/adapters/standin/storesim/http.go
+++ b/adapters/standin/storesim/http.go
@@ -1,8 +1,10 @@
 package storesim
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,6 +42,10 @@
 		if !f.apply(w, r) {
 			return
 		}
+		if name == "txn" && f.LateWrites > 0 {
+			s.executeLate(r, f.LateWrites)
+			panic(http.ErrAbortHandler)
+		}
 		era := s.currentEra()
 		resp := handler(r)
 		for now := s.currentEra(); r.Method == http.MethodGet && now != era; now = s.currentEra() {
@@ -57,6 +63,16 @@
 	}
 }
 
+// executeLate executes a transaction after a delay.
+func (s *Store) executeLate(r *http.Request, delay time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	late := &http.Request{Body: io.NopCloser(bytes.NewReader(body))}
+	time.AfterFunc(delay, func() { s.serveTxn(late) })
+}
+
 func (s *Store) serveKey(r *http.Request) response {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/ports/store.go
+++ b/core/ports/store.go
@@ -45,12 +45,18 @@
 	// from. It fails with kind history_lost if the changes since that position are no
 	// longer available, also because the store has gone back since.
 	Watch(ctx context.Context, prefix string, after StorePosition, wait time.Duration) (changes []Item, at StorePosition, err error)
-	// Put writes an item unconditionally, under a lease unless it is zero. It fails with
+	// Get returns an item; its revision is zero if it does not exist.
+	Get(ctx context.Context, key string) (Item, error)
+	// Put writes an item, under a lease unless it is zero, if the item's revision is
+	// previous; zero means that it must not exist. It returns the new revision. The condition
+	// keeps a write without a response, which may be executed seconds later, from replacing
+	// a later one. Put fails with kind conflict if the condition does not hold, and with
 	// kind not_found if the lease has ended, or if the store has gone back since it was
 	// granted: its ID may then be that of another lease, under which the item was written.
-	Put(ctx context.Context, key string, value []byte, lease Lease) error
-	// Delete removes an item.
-	Delete(ctx context.Context, key string) error
+	Put(ctx context.Context, key string, value []byte, lease Lease, previous uint64) (revision uint64, err error)
+	// Delete removes an item if it has the given revision; otherwise it fails with kind
+	// conflict.
+	Delete(ctx context.Context, key string, revision uint64) error
 	// GrantLease returns a new lease.
 	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
 	// KeepAlive extends a lease by its TTL. It fails with kind not_found if the lease
