Start one process only in place of one that the soak has stopped

Two faults that stopped the same node each started a process after it; the second failed with 'bind: address already in use', and later faults hit that one instead of the node.

--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -91,7 +91,7 @@
 		}
 	}
 	for _, n := range d.nodes {
-		n.start(t)
+		n.start(t, nil)
 	}
 	d.waitServing("after the start")
 	return d
@@ -133,11 +133,14 @@
 	return ports[3]
 }
 
-func (n *soakNode) start(t *testing.T) {
-	p := start(t, n.name, nodeBinary, "--platform", "--settings", n.settings, "--log-lines", "100000")
+// start starts a process in place of a former one, which is nil at first. It does nothing if
+// that has been replaced already.
+func (n *soakNode) start(t *testing.T, former *process) {
 	n.mu.Lock()
-	n.proc = p
-	n.mu.Unlock()
+	defer n.mu.Unlock()
+	if n.proc == former {
+		n.proc = start(t, n.name, nodeBinary, "--platform", "--settings", n.settings, "--log-lines", "100000")
+	}
 }
 
 func (n *soakNode) process() *process {
@@ -215,7 +218,7 @@
 		p := n.process()
 		p.thaw()
 		if p.exited() {
-			n.start(d.t)
+			n.start(d.t, p)
 		}
 	}
 }
@@ -233,8 +236,9 @@
 
 // restart waits until the process of the node has exited and starts a new one.
 func (n *soakNode) restart(t *testing.T) {
-	<-n.process().done
-	n.start(t)
+	p := n.process()
+	<-p.done
+	n.start(t, p)
 }
 
 // reload makes the node reload its settings with SIGHUP.
