Use the terms of the field in comments on crashing parts and limits

Wording only: crashes implicate a part, a node sends no message within the timeout, and gets no response from which to detect a change. No behaviour changes.

--- a/adapters/edgenode/parts.go
+++ b/adapters/edgenode/parts.go
@@ -31,8 +31,8 @@
 }
 
 // mayTryPart reports whether this node may send a trial request with a held part: one
-// node of the fleet may, and none while a node is not heard of, as that one may not
-// know of a trial here.
+// node of the fleet may, and none while there is no message from a node within its timeout,
+// as that one may not know of a trial here.
 func (n *Node) mayTryPart(part uint64) bool {
 	now := time.Now()
 	alive := n.members.Alive(now)
--- a/core/instances/ratelimit.go
+++ b/core/instances/ratelimit.go
@@ -39,8 +39,8 @@
 }
 
 // RateLimit tells the other nodes of the region of a limit that an upstream named, or that
-// it no longer names one. Most of them don't send to a limited upstream, and would not learn that the
-// limit ended.
+// it no longer names one. Most of them send nothing to a limited upstream and get no response
+// from which to detect that the limit has ended.
 type RateLimit struct {
 	Service  string
 	Instance domain.UpstreamID
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -17,7 +17,7 @@
 	id uint64
 	// position is the greatest index of the part in the prompts that were seen with it.
 	position int
-	// crashes holds the crashes that speak against the part.
+	// crashes holds the crashes that implicate the part.
 	crashes []crash
 	// answeredAt is when an upstream last answered a prompt with the part; zero if it is
 	// not known that one did.
@@ -58,7 +58,7 @@
 	return slices.ContainsFunc(p.crashes, func(c crash) bool { return c.process == process })
 }
 
-// processes returns the number of processes whose crashes speak against the part.
+// processes returns the number of processes whose crashes implicate the part.
 func (p *part) processes() int {
 	distinct := make(map[uint64]bool, len(p.crashes))
 	for _, c := range p.crashes {
@@ -110,13 +110,13 @@
 	return latest
 }
 
-// unsettled reports whether a crash after the given time speaks against the part.
+// unsettled reports whether a crash after the given time implicates the part.
 func (p *part) unsettled(settled time.Time) bool {
 	return slices.ContainsFunc(p.crashes, func(c crash) bool { return c.at.After(settled) })
 }
 
 // moments returns the number of separate moments at which crashes up to the given time
-// speak against the part. Crashes within minCrashSpacing count as one: upstreams that fall
+// implicate the part. Crashes within minCrashSpacing count as one: upstreams that crash
 // together have a common cause.
 func (p *part) moments(upTo time.Time) int {
 	times := make([]time.Time, 0, len(p.crashes))
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// minMoments is the number of separate moments at which crashes must speak against a
+	// minMoments is the number of separate moments at which crashes must implicate a
 	// part for it to be held, minMomentsAnswered the same for a part to which some
 	// upstream is known to have answered.
 	minMoments         = 3
@@ -199,7 +199,7 @@
 }
 
 // Suspected reports whether a request with the given parts should not be sent a second
-// time: crashes at more than one moment speak against one of them.
+// time: crashes at more than one moment implicate one of them.
 func (t *Table) Suspected(now time.Time, parts []uint64) bool {
 	tracked, _ := limit(parts)
 	t.mu.Lock()
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -265,8 +265,8 @@
 	}
 }
 
-// TestHoldOnOldEvidenceIsNotAdopted: the node that holds the part has not heard of answers that are
-// later than its evidence, and earlier than its verdict.
+// TestHoldOnOldEvidenceIsNotAdopted: the node that holds the part has not received the answers
+// that are later than its evidence, and earlier than its verdict.
 func TestHoldOnOldEvidenceIsNotAdopted(t *testing.T) {
 	holding, other := New(Options{}), New(Options{})
 	end := crashes(holding, 0, 3, companion)
