Restart the process that a soak fault has stopped

The soak could wait without end: between a kill and the wait for its end, another restart of the same node had started the next process, and the wait was for that one. Faults now wait for the process that they have stopped.

--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -234,9 +234,8 @@
 	return total
 }
 
-// restart waits until the process of the node has exited and starts a new one.
-func (n *soakNode) restart(t *testing.T) {
-	p := n.process()
+// restart waits until a process of the node has exited and starts one in place of it.
+func (n *soakNode) restart(t *testing.T, p *process) {
 	<-p.done
 	n.start(t, p)
 }
--- a/cmd/faulttest/soak_faults_test.go
+++ b/cmd/faulttest/soak_faults_test.go
@@ -125,8 +125,8 @@
 const evacuationPrefix = "op/evacuate/"
 
 var soakFaults = []soakFault{
-	{"kill and restart a node", onNode(func(t *testing.T, n *soakNode) { n.process().kill(); n.restart(t) })},
-	{"stop and restart a node", onNode(func(t *testing.T, n *soakNode) { n.process().terminate(); go n.restart(t) })},
+	{"kill and restart a node", onNode(func(t *testing.T, n *soakNode) { p := n.process(); p.kill(); n.restart(t, p) })},
+	{"stop and restart a node", onNode(func(t *testing.T, n *soakNode) { p := n.process(); p.terminate(); go n.restart(t, p) })},
 	{"reload a node", onNode(func(_ *testing.T, n *soakNode) { n.reload() })},
 	{"freeze a node", func(d *soakDeployment, rng *rand.Rand) func() {
 		p := d.nodes[rng.IntN(len(d.nodes))].process()
