--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -103,8 +103,8 @@
 		} else {
 			p.upstreams[slices.Index(p.upstreams, u)] = replacement
 		}
-		replacement.extendColdUntil(now.Add(in.ColdRemaining))
 		p.logChange(replacement, "registered")
+		p.extendCold(now, replacement, now.Add(in.ColdRemaining), coldFromEntry)
 		return
 	}
 	if in.Leaving != u.Leaving || in.Address != u.Address {
@@ -112,15 +112,7 @@
 	}
 	u.Instance = in
 	if in.ColdRemaining > 0 {
-		u.extendColdUntil(now.Add(in.ColdRemaining))
-	}
-}
-
-// extendColdUntil records that the upstream may be cold until t. It never shortens
-// the cold period.
-func (u *upstream) extendColdUntil(t time.Time) {
-	if t.After(u.coldUntil) {
-		u.coldUntil = t
+		p.extendCold(now, u, now.Add(in.ColdRemaining), coldFromEntry)
 	}
 }
 
@@ -146,7 +138,7 @@
 		fd := u.Place.FailureDomain
 		u.evacuated = after[fd]
 		if before[fd] && !after[fd] {
-			u.extendColdUntil(now.Add(p.config.ColdStart))
+			p.extendCold(now, u, now.Add(p.config.ColdStart), coldFromEvacuation)
 		}
 	}
 }
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -107,8 +107,6 @@
 	return u.inFlight >= minSilentRequests && now.Sub(u.lastByteAt) > engineSilenceTimeout
 }
 
-func (u *upstream) cold(now time.Time) bool { return now.Before(u.coldUntil) }
-
 // markSuspect excludes the upstream for a period that doubles each time.
 func (u *upstream) markSuspect(now time.Time) {
 	if now.Before(u.suspectUntil) {
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -22,7 +22,7 @@
 		return
 	}
 	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("to", to),
-		event.F("outcome", res.outcome()), event.F("run", res.ran), event.F("judged", res.upstreamOutcome.String()),
+		event.F("outcome", res.outcome()), event.F("cold", a.ticket != nil && a.ticket.Cold), event.F("run", res.ran), event.F("judged", res.upstreamOutcome.String()),
 		event.F("took_ms", a.Now().Sub(sentAt).Milliseconds()), event.F("expected_ms", expected.Milliseconds()),
 		event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete), event.F("shared_parts", partList(a.r.Prompt.SharedParts())),
 		event.F("detail", res.err.Message))
@@ -53,7 +53,7 @@
 	switch a.decision.Choice {
 	case placement.Local:
 		if n := len(a.tried); n > 0 {
-			fields = append(fields, event.F("instance", a.tried[n-1]))
+			fields = append(fields, event.F("instance", a.tried[n-1]), event.F("cold", a.ticket != nil && a.ticket.Cold))
 		}
 	case placement.Remote:
 		fields = append(fields, event.F("region", a.decision.Region), event.F("view_age_ms", a.Regions.Age(now, a.decision.Region).Milliseconds()))
