Add failing tests: a cold upstream gets more requests than it bears

The simulated upstreams have cold phases, after a start and at any moment, answer health requests with the time that remains, and count what reaches them.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -66,6 +66,11 @@
 	// It has another ID then, unless KeepID is set.
 	RestartAfter time.Duration
 	KeepID       bool
+	// ColdStart is how long the server is cold after a crash; zero means that it is not.
+	ColdStart time.Duration
+	// RegisterAfter is the time from the restart after a crash until the server writes its new
+	// entry and removes the old one; negative means never.
+	RegisterAfter time.Duration
 }
 
 // Server is a simulated upstream.
@@ -90,10 +95,13 @@
 	idSuffix        string // of the ID of the running process
 	arrivals        map[string]int
 	arrivalTimes    []time.Time
+	acceptedTimes   []time.Time // arrivals of requests that were not misdirected
 	behaviour       Behaviour
 	executions      map[string]int
 	lastHeader      http.Header
 	canceled        int
+	healthRequests  int
+	coldPeriods     []coldPeriod
 	registrationSeq int
 	state           string // as last registered
 }
@@ -146,10 +154,11 @@
 	s.state = state
 	registrationSeq := s.registrationSeq
 	id, born := s.currentID(), 1+len(s.crashes)
+	cold := max(0, s.coldRemaining(time.Now()))
 	s.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
 		"service": s.Service, "address": s.registeredAddress, "zone": s.Zone, "version": "v1", "slots": s.Slots,
-		"state": state, "cold_remaining_ms": 0, "seq": registrationSeq, "born": born,
+		"state": state, "cold_remaining_ms": cold.Milliseconds(), "seq": registrationSeq, "born": born,
 	})
 	if err != nil {
 		panic(err) // a map of plain values can always be encoded
@@ -213,11 +222,19 @@
 		return
 	}
 	time.AfterFunc(b.RestartAfter, func() {
-		s.store.Delete("servers/" + id)
+		s.mu.Lock()
+		s.turnCold(time.Now(), b.ColdStart)
+		s.mu.Unlock()
 		for s.listen(s.Address()) != nil { // another process may have the port for a moment
 			time.Sleep(restartRetryInterval)
 		}
-		s.Register("ready")
+		if b.RegisterAfter < 0 {
+			return
+		}
+		time.AfterFunc(b.RegisterAfter, func() {
+			s.store.Delete("servers/" + id)
+			s.Register("ready")
+		})
 	})
 }
 
@@ -298,6 +315,10 @@
 	if err != nil {
 		return
 	}
+	if r.Method == http.MethodGet && r.URL.Path == healthPath {
+		s.serveHealth(w)
+		return
+	}
 	id := r.Header.Get("X-Request-Id")
 	s.mu.Lock()
 	b := s.behaviour
@@ -314,6 +335,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.mu.Lock()
+	s.acceptedTimes = append(s.acceptedTimes, time.Now())
+	s.mu.Unlock()
 	if b.RejectAll {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/core/sharedbounds/bounds_test.go
+++ b/core/sharedbounds/bounds_test.go
@@ -200,3 +200,72 @@
 	}
 	return ids
 }
+
+// TestColdUpstreamStaysWithinBoundWhateverNodesKnowOfEachOther: every node sends as much as its
+// share allows, also while the nodes do not hear of each other.
+func TestColdUpstreamStaysWithinBoundWhateverNodesKnowOfEachOther(t *testing.T) {
+	const tolerance, slack = 1.5, 3
+	for _, nodes := range []int{1, 2, 3, 4, 8, 30} {
+		ids := make([]domain.NodeID, nodes)
+		for i := range ids {
+			ids[i] = domain.NodeID(fmt.Sprint("node-", i))
+		}
+		views := map[string]func(i int) []domain.NodeID{
+			"all know all":                     func(int) []domain.NodeID { return ids },
+			"none knows another":               func(i int) []domain.NodeID { return ids[i : i+1] },
+			"one knows itself only":            func(i int) []domain.NodeID { return alone(ids, i) },
+			"two halves":                       func(i int) []domain.NodeID { return half(ids, i) },
+			"three parts":                      func(i int) []domain.NodeID { return part(ids, i, 3) },
+			"one half, the others are alone":   func(i int) []domain.NodeID { return halfOrAlone(ids, i) },
+			"pairs":                            func(i int) []domain.NodeID { return part(ids, i, (nodes+1)/2) },
+			"one node is known to itself only": func(i int) []domain.NodeID { return without(ids, 0, i) },
+		}
+		for view, members := range views {
+			for _, rate := range []float64{2, 6.5, 11} {
+				sent := sendToCold(ids, members, rate, 20*time.Second)
+				allowed := int(tolerance*rate) + slack
+				if got := maxInWindow(sent, time.Second-time.Millisecond); got > allowed {
+					t.Errorf("%d nodes, %s, cold rate %v: %d requests in a second, want at most %d", nodes, view, rate, got, allowed)
+				}
+				if want := int(0.1 * rate * 20); len(sent) < want {
+					t.Errorf("%d nodes, %s, cold rate %v: %d requests in 20 s, want at least %d", nodes, view, rate, len(sent), want)
+				}
+			}
+		}
+	}
+}
+
+// sendToCold returns when nodes sent to the upstream "u", each as often as its share allows.
+func sendToCold(ids []domain.NodeID, alive func(int) []domain.NodeID, rate float64, length time.Duration) []time.Duration {
+	start := time.Unix(1000, 0)
+	pacers := make([]sharedbounds.Pacer, len(ids))
+	var sent []time.Duration
+	for at := time.Duration(0); at < length; at += 5 * time.Millisecond {
+		for i := range ids {
+			share := sharedbounds.ColdRate(ids[i], alive(i), "u", rate)
+			if now := start.Add(at); pacers[i].Ready(now, share) {
+				pacers[i].Record(now, share)
+				sent = append(sent, at)
+			}
+		}
+	}
+	return sent
+}
+
+// part returns the part of the members to which node i belongs, if they are in count parts.
+func part(ids []domain.NodeID, i, count int) []domain.NodeID {
+	var members []domain.NodeID
+	for j := i % count; j < len(ids); j += count {
+		members = append(members, ids[j])
+	}
+	return members
+}
+
+// halfOrAlone returns the first half of the members for its nodes, and only the node itself for
+// the others.
+func halfOrAlone(ids []domain.NodeID, i int) []domain.NodeID {
+	if first := half(ids, 0); i < len(first) {
+		return first
+	}
+	return ids[i : i+1]
+}
