Take an upstream for cold after a lost connection until it is known to be warm

Cause: an upstream that crashes and starts again under its ID is cold, and accepts requests before its entry says so, or without ever reaching the store. The nodes knew of cold phases from entries and from evacuations alone, so all of a region sent at the full rate as soon as connections were accepted.

A connection that is refused, closed or reset may mean a restart. From then on the upstream counts as cold, until an answer to an earlier request shows that the same process runs, until a new entry of the same process comes so late that it was written after the loss, or until a cold phase has passed since it answered again. Only services with a cold phase are concerned.

--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -10,21 +10,107 @@
 const (
 	coldFromEntry      = "entry"
 	coldFromEvacuation = "evacuation ended"
+	coldFromLoss       = "connection lost"
 )
 
+const (
+	// entryDelay is the maximum time from the write of an entry until it is applied here.
+	entryDelay = 4 * time.Second
+	// lossRefutedAfter is how long after the loss of a connection an answer must arrive to show
+	// that its process still runs; the last bytes before a crash may be read after it.
+	lossRefutedAfter = 100 * time.Millisecond
+)
+
+// coldness is what a node knows of an upstream's cold phase.
+type coldness struct {
+	// until is when the cold phase ends, from the entry or an evacuation.
+	until time.Time
+	// presumed is set while the upstream may have started again unnoticed.
+	presumed bool
+	// firstLossAt and lastLossAt are the times of the first and the latest loss of a connection
+	// since it was last known that the upstream had not started again.
+	firstLossAt, lastLossAt time.Time
+	// presumedUntil is when a presumed cold phase has ended; zero until the upstream has answered
+	// a request that was sent after the latest loss.
+	presumedUntil time.Time
+}
+
+func (c *coldness) cold(now time.Time) bool {
+	return now.Before(c.until) || c.presumed && (c.presumedUntil.IsZero() || now.Before(c.presumedUntil))
+}
+
+// recordLoss records the loss of a connection.
+func (c *coldness) recordLoss(now time.Time) {
+	if !c.presumed {
+		c.presumed, c.firstLossAt = true, now
+	}
+	c.lastLossAt, c.presumedUntil = now, time.Time{}
+}
+
+// recordAnswer records that bytes of an answer arrived to a request that was sent at sentAt.
+func (c *coldness) recordAnswer(now, sentAt time.Time, coldStart time.Duration) {
+	switch {
+	case !c.presumed:
+	case sentAt.Before(c.firstLossAt):
+		if now.Sub(c.lastLossAt) > lossRefutedAfter {
+			c.presumed = false
+		}
+	case sentAt.After(c.lastLossAt) && c.presumedUntil.IsZero():
+		c.presumedUntil = now.Add(coldStart)
+	}
+}
+
+// recordEntry records a new entry of the same process.
+func (c *coldness) recordEntry(now time.Time) {
+	if c.presumed && now.Sub(c.lastLossAt) > entryDelay {
+		c.presumed = false
+	}
+}
+
+func (u *upstream) cold(now time.Time) bool { return u.coldness.cold(now) }
+
+// hasColdPhase reports whether the service's upstreams are cold after a start.
+func (p *Pool) hasColdPhase() bool { return p.config.ColdStart > 0 && p.config.MaxColdRate > 0 }
+
 // extendCold records that an upstream may be cold until t. It never shortens the cold
 // period.
 func (p *Pool) extendCold(now time.Time, u *upstream, t time.Time, from string) {
-	if !t.After(u.coldUntil) {
+	if !t.After(u.coldness.until) {
 		return
 	}
 	wasCold := u.cold(now)
-	u.coldUntil = t
-	if !wasCold && u.cold(now) {
-		rate, _ := p.ownRate(now, u)
-		p.options.Log.Log(event.InstanceCold, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from),
-			event.F("for_ms", t.Sub(now).Milliseconds()), event.F("own_rate", rate))
+	u.coldness.until = t
+	p.logCold(now, u, wasCold, from)
+}
+
+// logCold logs that an upstream counts as cold since the last change.
+func (p *Pool) logCold(now time.Time, u *upstream, wasCold bool, from string) {
+	if wasCold || !u.cold(now) {
+		return
 	}
+	rate, _ := p.ownRate(now, u)
+	p.options.Log.Log(event.InstanceCold, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from),
+		event.F("for_ms", max(0, u.coldness.until.Sub(now).Milliseconds())), event.F("own_rate", rate))
 }
 
-func (u *upstream) cold(now time.Time) bool { return now.Before(u.coldUntil) }
+// ConnectionLost records that the upstream refused, closed or reset a connection. It may have
+// started again under its ID; until its entry says otherwise, it counts as cold.
+func (t *Ticket) ConnectionLost(now time.Time) {
+	p, u := t.pool, t.upstream
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.hasColdPhase() {
+		return
+	}
+	wasCold := u.cold(now)
+	u.coldness.recordLoss(now)
+	p.logCold(now, u, wasCold, coldFromLoss)
+}
+
+// ConfirmRunning records that an answer of the upstream itself began to arrive, not one of
+// another instance at its address.
+func (t *Ticket) ConfirmRunning(now time.Time) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.upstream.coldness.recordAnswer(now, t.SentAt, t.pool.config.ColdStart)
+}
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -53,3 +53,55 @@
 		})
 	}
 }
+
+// TestUpstreamCountsAsColdAfterLostConnection: it may have started again under its ID.
+func TestUpstreamCountsAsColdAfterLostConnection(t *testing.T) {
+	const many = 3
+	lostAt := start.Add(time.Second)
+	entry := newInstance("a")
+	cases := []struct {
+		name string
+		// change is what happens after the loss; before is a request that was sent before it.
+		change func(c *instances.Catalog, before *instances.Ticket)
+		at     time.Time
+		cold   bool
+	}{
+		{"nothing is known", func(*instances.Catalog, *instances.Ticket) {}, lostAt.Add(time.Minute), true},
+		{"an earlier request is answered", func(_ *instances.Catalog, before *instances.Ticket) {
+			before.ConfirmRunning(lostAt.Add(200 * time.Millisecond))
+		}, lostAt.Add(300 * time.Millisecond), false},
+		{"the last bytes before a crash are read after it", func(_ *instances.Catalog, before *instances.Ticket) {
+			before.ConfirmRunning(lostAt.Add(50 * time.Millisecond))
+		}, lostAt.Add(300 * time.Millisecond), true},
+		{"a later request was answered a moment ago", func(c *instances.Catalog, _ *instances.Ticket) {
+			placeRequest(c, lostAt.Add(time.Second)).ConfirmRunning(lostAt.Add(2 * time.Second))
+		}, lostAt.Add(4 * time.Second), true},
+		{"a later request was answered a cold phase ago", func(c *instances.Catalog, _ *instances.Ticket) {
+			placeRequest(c, lostAt.Add(time.Second)).ConfirmRunning(lostAt.Add(2 * time.Second))
+		}, lostAt.Add(6 * time.Second), false},
+		{"its entry was written before the loss", func(c *instances.Catalog, _ *instances.Ticket) {
+			entry.Sequence = 2
+			c.Put(lostAt.Add(time.Second), entry)
+		}, lostAt.Add(2 * time.Second), true},
+		{"its entry was written after the loss", func(c *instances.Catalog, _ *instances.Ticket) {
+			entry.Sequence = 3
+			c.Put(lostAt.Add(5*time.Second), entry)
+		}, lostAt.Add(6 * time.Second), false},
+		{"a request after the loss is answered before another loss", func(c *instances.Catalog, before *instances.Ticket) {
+			between := placeRequest(c, lostAt.Add(time.Second))
+			before.ConnectionLost(lostAt.Add(2 * time.Second))
+			between.ConfirmRunning(lostAt.Add(3 * time.Second))
+		}, lostAt.Add(4 * time.Second), true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCatalog(t, instances.Options{}, "a")
+			before, lost := placeRequest(c, start), placeRequest(c, start)
+			lost.ConnectionLost(lostAt)
+			tc.change(c, before)
+			if got := countPlaced(c, tc.at, many) < many; got != tc.cold {
+				t.Errorf("the upstream counts as cold: %v, want %v", got, tc.cold)
+			}
+		})
+	}
+}
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -250,8 +250,9 @@
 // Progress records the arrival of further bytes of the answer.
 func (t *Ticket) Progress(now time.Time) {
 	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	t.upstream.lastByteAt = now
-	t.pool.mu.Unlock()
+	t.upstream.coldness.recordAnswer(now, t.SentAt, t.pool.config.ColdStart)
 }
 
 // ReceivedWithin reports whether the upstream sent any byte to this node within the
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -110,6 +110,9 @@
 	if in.Leaving != u.Leaving || in.Address != u.Address {
 		defer p.logChange(u, "entry changed")
 	}
+	if in.Sequence > u.Sequence {
+		u.coldness.recordEntry(now)
+	}
 	u.Instance = in
 	if in.ColdRemaining > 0 {
 		p.extendCold(now, u, now.Add(in.ColdRemaining), coldFromEntry)
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -40,7 +40,7 @@
 type upstream struct {
 	Instance
 	evacuated bool
-	coldUntil time.Time
+	coldness  coldness
 	pace      sharedbounds.Pacer
 	limit     rateLimit
 
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -58,6 +58,7 @@
 		a.framing = h.Framing
 		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected)
 		if !h.Misdirected { // otherwise another instance answered
+			t.ConfirmRunning(now)
 			t.RecordRateLimit(now, answer.ReportedLoad().RateLimit)
 		}
 		a.Metrics.Observe("relay.first_byte_us", now.Sub(sentAt))
@@ -69,6 +70,9 @@
 		a.r.SendCount++
 	}
 	a.recordProcess(t, res)
+	if res.connectionLost() {
+		t.ConnectionLost(a.Now())
+	}
 	t.Done(a.Now(), res.upstreamOutcome)
 	a.logAttempt(string(t.ID), sentAt, t.Expected, res)
 	return res
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"errors"
+
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
@@ -26,6 +28,11 @@
 	status             int
 }
 
+// connectionLost reports whether the upstream refused, closed or reset the connection.
+func (c *result) connectionLost() bool {
+	return c.upstreamOutcome == instances.Unreachable || c.err != nil && errors.Is(c.err, ErrConnectionClosed)
+}
+
 type errorAnswer struct {
 	head Head
 	body []byte
