Share a cold upstream's rate by the number of nodes, not by those believed alive

Callers saw engines fail: a cold upstream was flooded and crashed (FAILBACK).

Cause: the two highest ranked of the members that a node believed alive sent up to 0.6 of the rate. Nodes that did not hear of each other, as when they start, are cut off or a region falls apart, each took themselves for one of the two.

Evidence: TestColdUpstreamStaysWithinBoundWhateverNodesKnowOfEachOther failed before: 21 requests in a second at 3 nodes, 28 at 4, 210 at 30, with 19 allowed.

Each node now takes an equal share of half the rate, by the number of nodes of its region that may run: also those that it does not hear of, for ten minutes, unless they said that they stop. It needs no agreement. The first request of each node waits for a part of the interval by its rank, so that they do not all begin at once.

The test took lists of members believed alive, which no longer matter; it now takes lists of the nodes known, with the same bound and counts, in seven cases. TestNodesThatAreNotHeardOfCountForTheSizeOfTheRegion covers the rest.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -105,6 +105,7 @@
 	if msg.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.SetLoads(now, msg.Sender.Place.Region, msg.Loads, roundTrip)
 	} else {
+		n.exchanged.Store(true)
 		n.regions.MergeViews(now, msg.Views)
 		n.catalog.ApplyRateLimits(now, msg.RateLimits)
 	}
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -49,7 +49,10 @@
 	upstreams     *upstream.Routed
 
 	startedAt time.Time
-	notices   chan instances.Notice
+	// knowsNodes is set once the node has read the entries of all nodes, exchanged once it has made
+	// an exchange with another node of its region.
+	knowsNodes, exchanged atomic.Bool
+	notices               chan instances.Notice
 	// partsChanged receives a token when a part of prompts is held or released.
 	partsChanged chan struct{}
 	// relayed is the number of requests in flight that other nodes relayed here.
@@ -98,7 +101,7 @@
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.CPUCores,
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
-	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, RateShare: n.rateShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
+	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.era = newStoreEra(log, n.state.markRestored)
@@ -129,12 +132,6 @@
 	n.log.Log(event.SettingsReloaded, event.F("node", n.settings.Node), event.F("seeds", s.Seeds))
 }
 
-// coldShare returns this node's share of the request rate that an upstream accepts
-// while it is cold.
-func (n *Node) coldShare(id domain.UpstreamID, rate float64) float64 {
-	return sharedbounds.ColdRate(n.settings.Node, n.members.InRegion(time.Now()), id, rate)
-}
-
 // rateShare returns this node's share of the request rate that an upstream named as its
 // limit.
 func (n *Node) rateShare(id domain.UpstreamID, rate float64) float64 {
--- a/adapters/edgenode/registration.go
+++ b/adapters/edgenode/registration.go
@@ -127,7 +127,10 @@
 }
 
 // replaceNodes applies all entries of nodes.
-func (n *Node) replaceNodes(now time.Time, items []ports.Item) { n.applyNodes(now, items) }
+func (n *Node) replaceNodes(now time.Time, items []ports.Item) {
+	n.applyNodes(now, items)
+	n.knowsNodes.Store(true)
+}
 
 // applyNodes applies changed entries of nodes. It ignores removed entries, because
 // exchanges detect a stopped node earlier.
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -80,15 +80,16 @@
 	}
 	wasCold := u.cold(now)
 	u.coldness.until = t
-	p.logCold(now, u, wasCold, from)
+	p.startColdPace(now, u, wasCold, from)
 }
 
-// logCold logs that an upstream counts as cold since the last change.
-func (p *Pool) logCold(now time.Time, u *upstream, wasCold bool, from string) {
+// startColdPace lets the first request wait if the upstream counts as cold since the last change.
+func (p *Pool) startColdPace(now time.Time, u *upstream, wasCold bool, from string) {
 	if wasCold || !u.cold(now) {
 		return
 	}
 	rate, _ := p.ownRate(now, u)
+	u.pace.Delay(now, rate, p.options.ColdPhase(u.ID))
 	p.options.Log.Log(event.InstanceCold, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from),
 		event.F("for_ms", max(0, u.coldness.until.Sub(now).Milliseconds())), event.F("own_rate", rate))
 }
@@ -104,7 +105,7 @@
 	}
 	wasCold := u.cold(now)
 	u.coldness.recordLoss(now)
-	p.logCold(now, u, wasCold, coldFromLoss)
+	p.startColdPace(now, u, wasCold, coldFromLoss)
 }
 
 // ConfirmRunning records that an answer of the upstream itself began to arrive, not one of
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -17,7 +17,10 @@
 	// the store is available again.
 	MissingGrace time.Duration
 	// ColdShare returns this node's share of a cold instance's request rate.
-	ColdShare func(id domain.UpstreamID, rate float64) float64
+	ColdShare func(rate float64) float64
+	// ColdPhase returns which part of an interval, from 0 to 1, this node waits before its first
+	// request to a cold instance.
+	ColdPhase func(id domain.UpstreamID) float64
 	// RateShare returns this node's share of the rate that an instance named as its limit.
 	RateShare func(id domain.UpstreamID, rate float64) float64
 	// ConnectionShare returns how many of an upstream's maximum connections this
@@ -52,7 +55,10 @@
 		o.PrefillRate = defaultPrefillRate
 	}
 	if o.ColdShare == nil {
-		o.ColdShare = func(_ domain.UpstreamID, rate float64) float64 { return rate }
+		o.ColdShare = func(rate float64) float64 { return rate }
+	}
+	if o.ColdPhase == nil {
+		o.ColdPhase = func(domain.UpstreamID) float64 { return 0 }
 	}
 	if o.RateShare == nil {
 		o.RateShare = func(_ domain.UpstreamID, rate float64) float64 { return rate }
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -162,7 +162,7 @@
 // whose rate is bounded, because it is cold or named a limit.
 func (p *Pool) ownRate(now time.Time, u *upstream) (rate float64, bounded bool) {
 	if u.cold(now) && p.config.MaxColdRate > 0 {
-		rate, bounded = p.options.ColdShare(u.ID, p.config.MaxColdRate), true
+		rate, bounded = p.options.ColdShare(p.config.MaxColdRate), true
 	}
 	if u.limit.perSecond > 0 {
 		limited := p.options.RateShare(u.ID, u.limit.perSecond)
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -71,6 +72,9 @@
 	mu      sync.Mutex
 	self    Member
 	records map[domain.NodeID]*record
+	// silent holds when records of nodes of the local region were removed that had not said that
+	// they stop. They may run without a path to this node.
+	silent map[domain.NodeID]time.Time
 	// drainingSince is when the local node began to drain; zero if it has not.
 	drainingSince time.Time
 }
@@ -85,6 +89,9 @@
 	remoteAliveFor = 3 * DefaultAliveFor
 	// removeAfter is the time without a heartbeat after which a record is removed.
 	removeAfter = time.Minute
+	// silentRetention is how long a node of the local region whose record was removed counts as one
+	// that may run.
+	silentRetention = 10 * time.Minute
 )
 
 // NewMembers returns a table that contains only the local node. If aliveFor is zero,
@@ -96,7 +103,7 @@
 	if log == nil {
 		log = event.Discard{}
 	}
-	return &Members{aliveFor: aliveFor, log: log, self: self, records: make(map[domain.NodeID]*record)}
+	return &Members{aliveFor: aliveFor, log: log, self: self, records: make(map[domain.NodeID]*record), silent: make(map[domain.NodeID]time.Time)}
 }
 
 // Self increments the local node's heartbeat counter and returns its record.
@@ -163,6 +170,7 @@
 	if r == nil {
 		r = &record{}
 		m.records[in.ID] = r
+		delete(m.silent, in.ID)
 	} else if !in.supersedes(&r.Member) && (!direct || in.Incarnation == r.Incarnation) {
 		return r
 	}
@@ -202,8 +210,12 @@
 		}
 		if now.Sub(r.lastHeartbeatAt) > removeAfter {
 			delete(m.records, id)
+			if m.mayRunInRegion(r) {
+				m.silent[id] = now
+			}
 		}
 	}
+	maps.DeleteFunc(m.silent, func(_ domain.NodeID, removedAt time.Time) bool { return now.Sub(removedAt) > silentRetention })
 }
 
 func (m *Members) logChange(r *record, why string) {
@@ -287,9 +299,31 @@
 	return size
 }
 
+// MayRunInRegion returns the IDs of the nodes of the local region that may run, including the local
+// node and those that this node does not hear of, in any order.
+func (m *Members) MayRunInRegion() []domain.NodeID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := append(make([]domain.NodeID, 0, 1+len(m.silent)+len(m.records)), m.self.ID)
+	for id := range m.silent {
+		ids = append(ids, id)
+	}
+	for id, r := range m.records {
+		if m.mayRunInRegion(r) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// mayRunInRegion reports whether the node is of the local region and has not said that it stops.
+func (m *Members) mayRunInRegion(r *record) bool {
+	return r.Place.Region == m.self.Place.Region && r.State != domain.NodeStopped
+}
+
 // aliveInRegion reports whether the node is alive and in the local region.
 func (m *Members) aliveInRegion(now time.Time, r *record) bool {
-	return r.Place.Region == m.self.Place.Region && r.State != domain.NodeStopped && now.Sub(r.lastHeartbeatAt) < m.aliveFor
+	return m.mayRunInRegion(r) && now.Sub(r.lastHeartbeatAt) < m.aliveFor
 }
 
 // HasTarget reports whether requests may be sent to any node of the region.
--- a/core/peers/members_test.go
+++ b/core/peers/members_test.go
@@ -160,3 +160,24 @@
 		t.Errorf("got age %v without a report, want -1 ms as in other log lines", age)
 	}
 }
+
+// A node that is cut off may still send to the upstreams of its region.
+func TestNodesThatAreNotHeardOfCountForTheSizeOfTheRegion(t *testing.T) {
+	m := table()
+	m.Merge(start, nil, []peers.Member{member("w1", "west", 1), member("w2", "west", 1), member("w3", "west", 1), member("e1", "east", 1)})
+	stopped := member("w3", "west", 2)
+	stopped.State = domain.NodeStopped
+	m.Merge(start, &stopped, nil)
+	for _, after := range []time.Duration{0, time.Minute - time.Second, 5 * time.Minute} {
+		later := member("w1", "west", uint64(2+after))
+		m.Merge(start.Add(after), &later, nil)
+		if got := len(m.MayRunInRegion()); got != 3 {
+			t.Errorf("%v after the last heartbeat of one of three nodes: got a region of %d, want 3", after, got)
+		}
+	}
+	back := member("w2", "west", 9)
+	m.Merge(start.Add(6*time.Minute), &back, nil)
+	if got := len(m.MayRunInRegion()); got != 3 {
+		t.Errorf("got a region of %d after the silent node was heard of again, want 3", got)
+	}
+}
--- a/core/sharedbounds/bounds_test.go
+++ b/core/sharedbounds/bounds_test.go
@@ -91,7 +91,10 @@
 		for at := time.Duration(0); at < 5*time.Second; at += time.Millisecond {
 			now := start.Add(at)
 			for i, m := range members {
-				share := sharedbounds.ColdRate(m, members, "u", rate)
+				share := sharedbounds.ColdRate(len(members), rate)
+				if at == 0 {
+					pacers[i].Delay(now, share, sharedbounds.ColdPhase(m, members, "u"))
+				}
 				if pacers[i].Ready(now, share) {
 					pacers[i].Record(now, share)
 					sent = append(sent, now)
@@ -202,7 +205,7 @@
 }
 
 // TestColdUpstreamStaysWithinBoundWhateverNodesKnowOfEachOther: every node sends as much as its
-// share allows, also while the nodes do not hear of each other.
+// share allows, also while the nodes do not hear of each other and know of different numbers of them.
 func TestColdUpstreamStaysWithinBoundWhateverNodesKnowOfEachOther(t *testing.T) {
 	const tolerance, slack = 1.5, 3
 	for _, nodes := range []int{1, 2, 3, 4, 8, 30} {
@@ -210,19 +213,19 @@
 		for i := range ids {
 			ids[i] = domain.NodeID(fmt.Sprint("node-", i))
 		}
+		// Each view returns the nodes that node i knows of, whether it hears of them or not.
 		views := map[string]func(i int) []domain.NodeID{
-			"all know all":                     func(int) []domain.NodeID { return ids },
-			"none knows another":               func(i int) []domain.NodeID { return ids[i : i+1] },
-			"one knows itself only":            func(i int) []domain.NodeID { return alone(ids, i) },
-			"two halves":                       func(i int) []domain.NodeID { return half(ids, i) },
-			"three parts":                      func(i int) []domain.NodeID { return part(ids, i, 3) },
-			"one half, the others are alone":   func(i int) []domain.NodeID { return halfOrAlone(ids, i) },
-			"pairs":                            func(i int) []domain.NodeID { return part(ids, i, (nodes+1)/2) },
-			"one node is known to itself only": func(i int) []domain.NodeID { return without(ids, 0, i) },
+			"all know all":                    func(int) []domain.NodeID { return ids },
+			"one knows itself only":           func(i int) []domain.NodeID { return alone(ids, i) },
+			"one node is not known":           func(i int) []domain.NodeID { return without(ids, 0, i) },
+			"none knows a third of them":      func(i int) []domain.NodeID { return mostOf(ids, i) },
+			"half of them know half of them":  func(i int) []domain.NodeID { return halfKnown(ids, i) },
+			"two halves know themselves only": func(i int) []domain.NodeID { return half(ids, i) },
+			"all know of nodes that are gone": func(int) []domain.NodeID { return append([]domain.NodeID{"gone 1", "gone 2"}, ids...) },
 		}
-		for view, members := range views {
+		for view, known := range views {
 			for _, rate := range []float64{2, 6.5, 11} {
-				sent := sendToCold(ids, members, rate, 20*time.Second)
+				sent := sendToCold(ids, known, rate, 20*time.Second)
 				allowed := int(tolerance*rate) + slack
 				if got := maxInWindow(sent, time.Second-time.Millisecond); got > allowed {
 					t.Errorf("%d nodes, %s, cold rate %v: %d requests in a second, want at most %d", nodes, view, rate, got, allowed)
@@ -236,14 +239,18 @@
 }
 
 // sendToCold returns when nodes sent to the upstream "u", each as often as its share allows.
-func sendToCold(ids []domain.NodeID, alive func(int) []domain.NodeID, rate float64, length time.Duration) []time.Duration {
+func sendToCold(ids []domain.NodeID, known func(int) []domain.NodeID, rate float64, length time.Duration) []time.Duration {
 	start := time.Unix(1000, 0)
 	pacers := make([]sharedbounds.Pacer, len(ids))
 	var sent []time.Duration
 	for at := time.Duration(0); at < length; at += 5 * time.Millisecond {
+		now := start.Add(at)
 		for i := range ids {
-			share := sharedbounds.ColdRate(ids[i], alive(i), "u", rate)
-			if now := start.Add(at); pacers[i].Ready(now, share) {
+			share := sharedbounds.ColdRate(len(known(i)), rate)
+			if at == 0 {
+				pacers[i].Delay(now, share, sharedbounds.ColdPhase(ids[i], known(i), "u"))
+			}
+			if pacers[i].Ready(now, share) {
 				pacers[i].Record(now, share)
 				sent = append(sent, at)
 			}
@@ -252,20 +259,18 @@
 	return sent
 }
 
-// part returns the part of the members to which node i belongs, if they are in count parts.
-func part(ids []domain.NodeID, i, count int) []domain.NodeID {
-	var members []domain.NodeID
-	for j := i % count; j < len(ids); j += count {
-		members = append(members, ids[j])
-	}
-	return members
+// mostOf returns two thirds of the members and node i.
+func mostOf(ids []domain.NodeID, i int) []domain.NodeID {
+	return slices.DeleteFunc(slices.Clone(ids), func(id domain.NodeID) bool {
+		j := slices.Index(ids, id)
+		return j != i && (i+j)%3 == 1
+	})
 }
 
-// halfOrAlone returns the first half of the members for its nodes, and only the node itself for
-// the others.
-func halfOrAlone(ids []domain.NodeID, i int) []domain.NodeID {
-	if first := half(ids, 0); i < len(first) {
-		return first
+// halfKnown returns all members for every second node, and half of them for the others.
+func halfKnown(ids []domain.NodeID, i int) []domain.NodeID {
+	if i%2 == 0 {
+		return ids
 	}
-	return ids[i : i+1]
+	return half(ids, i)
 }
