Keep the pace of a cold upstream when its record is replaced

Cause: the pace at which a node sends to a cold upstream was part of its record, which is new when the upstream starts again under its ID, or is removed and registers again, as after an outage of the store. Each new record allowed one more request at once, and a removed one lost what was known of the cold phase.

--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -95,7 +95,7 @@
 	}
 	c.recordEntry(in)
 	if old, known := c.serviceOf[in.ID]; known && old != in.Service {
-		c.pool(old).remove(in.ID)
+		c.pool(old).remove(now, in.ID)
 	}
 	c.serviceOf[in.ID] = in.Service
 	c.pool(in.Service).put(now, in, c.evacuated[in.Place.FailureDomain])
@@ -151,7 +151,7 @@
 	c.recordRemoval(now, id)
 	delete(c.serviceOf, id)
 	delete(c.doubtful, id)
-	c.pool(service).remove(id)
+	c.pool(service).remove(now, id)
 	c.options.Log.Log(event.InstanceGone, event.F("instance", id), event.F("service", service), event.F("why", why))
 }
 
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -115,3 +115,15 @@
 	defer t.pool.mu.Unlock()
 	t.upstream.coldness.recordAnswer(now, t.SentAt, t.pool.config.ColdStart)
 }
+
+// inheritCold adopts what the former record of the upstream says of cold phases; it may be nil. The
+// pace is kept for a new process, as the bound concerns the upstream.
+func (u *upstream) inheritCold(former *upstream) {
+	if former == nil {
+		return
+	}
+	u.pace = former.pace
+	if former.Started == u.Started {
+		u.coldness = former.coldness
+	}
+}
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,10 +40,12 @@
 	prefillRate prefillRate
 	failureRate float64
 	candidates  []placement.Candidate
+	// removed holds the records of upstreams that were removed in the last removedRetention.
+	removed map[domain.UpstreamID]removedUpstream
 }
 
 func newPool(service string, o *Options) *Pool {
-	return &Pool{service: service, options: o, prompts: make(prompts), meanSlotTime: defaultSlotTime, latencyRatio: 1,
+	return &Pool{service: service, options: o, prompts: make(prompts), removed: make(map[domain.UpstreamID]removedUpstream), meanSlotTime: defaultSlotTime, latencyRatio: 1,
 		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}}
 }
 
@@ -98,6 +101,7 @@
 	u := p.find(in.ID)
 	if u == nil || u.Started != in.Started {
 		replacement := &upstream{Instance: in, evacuated: evacuated, latencyRatio: p.latencyRatio}
+		replacement.inheritCold(p.formerRecord(now, u, in.ID))
 		if u == nil {
 			p.upstreams = append(p.upstreams, replacement)
 		} else {
@@ -125,12 +129,33 @@
 		event.F("leaving", u.Leaving), event.F("cold_ms", u.ColdRemaining.Milliseconds()), event.F("why", why))
 }
 
-func (p *Pool) remove(id domain.UpstreamID) {
+func (p *Pool) remove(now time.Time, id domain.UpstreamID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.removed, func(_ domain.UpstreamID, r removedUpstream) bool { return now.Sub(r.at) > removedRetention })
+	if u := p.find(id); u != nil {
+		p.removed[id] = removedUpstream{u, now}
+	}
 	p.upstreams = slices.DeleteFunc(p.upstreams, func(u *upstream) bool { return u.ID == id })
 }
 
+// removedUpstream is the record of an upstream that was removed.
+type removedUpstream struct {
+	*upstream
+	at time.Time
+}
+
+// formerRecord returns the record that a new one with the same ID replaces: the present one, or one
+// that was removed; nil if there is none.
+func (p *Pool) formerRecord(now time.Time, present *upstream, id domain.UpstreamID) *upstream {
+	r, found := p.removed[id]
+	delete(p.removed, id)
+	if present != nil || !found || now.Sub(r.at) > removedRetention {
+		return present
+	}
+	return r.upstream
+}
+
 // setEvacuated marks the instances of evacuated failure domains. Instances of
 // domains that are no longer evacuated count as cold because they may have been
 // restarted in the meantime.
