Take upstreams for cold after a suspension of the node until newer entries are known

Cause: a node that is frozen or suspended for seconds places what has gathered as soon as it resumes, on entries from before. An upstream that has become cold meanwhile gets all of it (FAILBACK).

Evidence: TestSuspendedNodeSendsNoBurstWhenItResumes, without the call of tick in Place and Tick, places 3 of 3 requests at once.

The catalog is called four times a second. After more than a second without a call, by the monotonic or the wall clock, upstreams with a cold phase count as cold until the node has a list or a confirmation that was not already in the buffer of a connection, for three seconds at most.

--- a/adapters/edgenode/coldshare.go
+++ b/adapters/edgenode/coldshare.go
@@ -1,9 +1,11 @@
 package edgenode
 
 import (
+	"context"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/sharedbounds"
 )
 
@@ -31,3 +33,11 @@
 func (n *Node) coldPhase(id domain.UpstreamID) float64 {
 	return sharedbounds.ColdPhase(n.settings.Node, n.members.MayRunInRegion(), id)
 }
+
+// tickCatalog lets the catalog notice when the node was suspended.
+func (n *Node) tickCatalog(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.catalog.Tick(time.Now())
+		sleep(ctx, instances.TickInterval)
+	}
+}
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -241,6 +241,7 @@
 	loop(n.propagateEntries)
 	loop(n.propagateParts)
 	loop(n.sendNotices)
+	loop(n.tickCatalog)
 }
 
 const (
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -135,6 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entriesPosition.advance(at, confirmed)
+	s.catalog.ConfirmEntries(confirmed)
 	if s.entriesPosition.digest != s.notifiedDigest {
 		s.notifiedDigest = s.entriesPosition.digest
 		signal(s.entriesChanged)
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -218,3 +218,24 @@
 		f(p)
 	}
 }
+
+// Tick is called every TickInterval. A longer time without a call means that the node was
+// suspended.
+func (c *Catalog) Tick(now time.Time) {
+	c.ForEach(func(p *Pool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.tick(now)
+	})
+}
+
+// ConfirmEntries records that the entries of all upstreams are known as of a time.
+func (c *Catalog) ConfirmEntries(asOf time.Time) {
+	c.ForEach(func(p *Pool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, u := range p.upstreams {
+			u.coldness.confirmEntry(asOf)
+		}
+	})
+}
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -11,6 +11,7 @@
 	coldFromEntry      = "entry"
 	coldFromEvacuation = "evacuation ended"
 	coldFromLoss       = "connection lost"
+	coldFromSuspension = "node was suspended"
 )
 
 const (
@@ -19,6 +20,15 @@
 	// lossRefutedAfter is how long after the loss of a connection an answer must arrive to show
 	// that its process still runs; the last bytes before a crash may be read after it.
 	lossRefutedAfter = 100 * time.Millisecond
+	// TickInterval is the interval of Catalog.Tick; after maxTickGap without a call the node was
+	// suspended.
+	TickInterval = 250 * time.Millisecond
+	maxTickGap   = time.Second
+	// bufferedFor is how long after a suspension messages may be read that arrived before its end.
+	bufferedFor = 300 * time.Millisecond
+	// maxOutdatedFor is the maximum time for which entries from before a suspension count as
+	// outdated, if there is no newer list.
+	maxOutdatedFor = 3 * time.Second
 )
 
 // coldness is what a node knows of an upstream's cold phase.
@@ -33,10 +43,21 @@
 	// presumedUntil is when a presumed cold phase has ended; zero until the upstream has answered
 	// a request that was sent after the latest loss.
 	presumedUntil time.Time
+	// outdatedSince is when this node noticed that it had been suspended; zero once newer entries
+	// are known.
+	outdatedSince time.Time
 }
 
 func (c *coldness) cold(now time.Time) bool {
-	return now.Before(c.until) || c.presumed && (c.presumedUntil.IsZero() || now.Before(c.presumedUntil))
+	return now.Before(c.until) || c.presumed && (c.presumedUntil.IsZero() || now.Before(c.presumedUntil)) ||
+		now.Sub(c.outdatedSince) < maxOutdatedFor
+}
+
+// confirmEntry records that the upstream's entry is known as of a time.
+func (c *coldness) confirmEntry(asOf time.Time) {
+	if asOf.Sub(c.outdatedSince) > bufferedFor {
+		c.outdatedSince = time.Time{}
+	}
 }
 
 // recordLoss records the loss of a connection.
@@ -127,3 +148,24 @@
 		u.coldness = former.coldness
 	}
 }
+
+// tick records that the node is not suspended. After a suspension its upstreams count as cold until
+// newer entries are known.
+func (p *Pool) tick(now time.Time) {
+	last := p.tickedAt
+	p.tickedAt = now
+	if last.IsZero() || elapsed(last, now) <= maxTickGap || !p.hasColdPhase() {
+		return
+	}
+	for _, u := range p.upstreams {
+		wasCold := u.cold(now)
+		u.coldness.outdatedSince = now
+		p.startColdPace(now, u, wasCold, coldFromSuspension)
+	}
+}
+
+// elapsed returns the time between two readings of the clock. The monotonic clock does not count
+// while a VM is suspended, the wall clock may be set back.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -54,6 +54,30 @@
 	}
 }
 
+// A node that wakes from a suspension sends what has gathered, on knowledge from before.
+func TestSuspendedNodeSendsNoBurstWhenItResumes(t *testing.T) {
+	const many = 3
+	c := newCatalog(t, instances.Options{}, "a")
+	resumedAt := start.Add(5 * time.Second)
+	for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(instances.TickInterval) {
+		c.Tick(now)
+	}
+	if got := countPlaced(c, start.Add(2*time.Second), many); got < many {
+		t.Errorf("%d of %d requests were placed before the suspension, want all", got, many)
+	}
+	if got := countPlaced(c, resumedAt, many); got > 1 {
+		t.Errorf("%d requests were placed at once after a suspension, want at most 1", got)
+	}
+	c.ConfirmEntries(resumedAt.Add(10 * time.Millisecond)) // read from the buffer of a connection
+	if got := countPlaced(c, resumedAt.Add(100*time.Millisecond), many); got > 1 {
+		t.Errorf("%d requests were placed on entries from before the suspension, want at most 1", got)
+	}
+	c.ConfirmEntries(resumedAt.Add(time.Second))
+	if got := countPlaced(c, resumedAt.Add(time.Second), many); got < many {
+		t.Errorf("%d of %d requests were placed once newer entries were known, want all", got, many)
+	}
+}
+
 // TestUpstreamCountsAsColdAfterLostConnection: it may have started again under its ID.
 func TestUpstreamCountsAsColdAfterLostConnection(t *testing.T) {
 	const many = 3
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -55,6 +55,9 @@
 func (p *Pool) Place(now time.Time, policy placement.Policy, q *Query) (placement.Decision, *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.tickedAt.IsZero() {
+		p.tick(now)
+	}
 	key, sharedTokens, shared := q.SharedPrompt()
 	var candidates []placement.Candidate
 	if q.LocalAllowed {
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -42,6 +42,8 @@
 	candidates  []placement.Candidate
 	// removed holds the records of upstreams that were removed in the last removedRetention.
 	removed map[domain.UpstreamID]removedUpstream
+	// tickedAt is when it was last known that this node is not suspended.
+	tickedAt time.Time
 }
 
 func newPool(service string, o *Options) *Pool {
