Ask upstreams for their health while their entries are not up to date

Cause: an upstream may become cold without a restart. Its entry tells so, and its health responses, which no node asked for. Nodes without the store went on at the full rate (FAILBACK).

While the entries are older than a node that does not read the store gets them, one node of the region asks each upstream with a cold phase for its health, once a second, and tells the others of a cold one at once. The upstream may get the full rate until then: about a second.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -53,6 +53,7 @@
 	}
 	msg.Heartbeats = n.members.CompactHeartbeats(now)
 	msg.RateLimits = n.catalog.RateLimits(now)
+	msg.Statements = n.catalog.Statements(now)
 	msg.Views = n.regions.Views(now, maxViews)
 	localLimit := localSample
 	if now.Sub(n.startedAt) < startupPeriod {
@@ -108,6 +109,7 @@
 		n.exchanged.Store(true)
 		n.regions.MergeViews(now, msg.Views)
 		n.catalog.ApplyRateLimits(now, msg.RateLimits)
+		n.catalog.ApplyStatements(now, msg.Statements)
 	}
 	n.synchronize(now, msg)
 }
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -55,6 +55,8 @@
 	notices               chan instances.Notice
 	// partsChanged receives a token when a part of prompts is held or released.
 	partsChanged chan struct{}
+	// statementsChanged receives a token when an upstream says something new of itself.
+	statementsChanged chan struct{}
 	// relayed is the number of requests in flight that other nodes relayed here.
 	relayed atomic.Int64
 	// fetchingEntries and fetchingOperator limit fetches to one of each kind at a
@@ -94,7 +96,7 @@
 
 // New returns a node; Run starts it.
 func New(s *Settings, deps Dependencies, log event.Logger, m *telemetry.Metrics) *Node {
-	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1)}
+	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1)}
 	n.seeds.Store(&s.Seeds)
 	n.members = peers.NewMembers(peers.Member{
 		ID: s.Node, Place: s.Place, EntryAddress: s.EntryAddress, PeerAddress: s.PeerAddress,
@@ -242,6 +244,8 @@
 	loop(n.propagateParts)
 	loop(n.sendNotices)
 	loop(n.tickCatalog)
+	loop(n.checkHealth)
+	loop(n.propagateStatements)
 }
 
 const (
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -102,6 +102,8 @@
 	Parts quarantine.Message
 	// RateLimits holds the limits that upstreams of the region named.
 	RateLimits []instances.RateLimit
+	// Statements holds what upstreams of the region said of themselves.
+	Statements []instances.Statement
 }
 
 // Position describes how far a node has replicated a part of the store.
@@ -139,6 +141,10 @@
 		m.Limits = append(m.Limits, &meshpb.UpstreamLimit{Service: l.Service, Instance: string(l.Instance),
 			MilliPerSecond: uint32(min(maxMilliRate, math.Ceil(l.PerSecond*milli))), AgeMs: uint32(l.Age.Milliseconds())})
 	}
+	for _, s := range msg.Statements {
+		m.Statements = append(m.Statements, &meshpb.UpstreamStatement{Service: s.Service, Instance: string(s.Instance), Started: s.Started,
+			ColdMs: uint32(s.ColdFor.Milliseconds())})
+	}
 	m.Loads = loadsToWire(msg.Loads)
 	for _, v := range msg.Views {
 		m.Views = append(m.Views, &meshpb.RegionView{Region: string(v.Region), AgeMs: uint32(v.Age.Milliseconds()), Loads: loadsToWire(v.Loads)})
@@ -183,6 +189,10 @@
 		msg.RateLimits = append(msg.RateLimits, instances.RateLimit{Service: l.GetService(), Instance: domain.UpstreamID(l.GetInstance()),
 			PerSecond: float64(l.GetMilliPerSecond()) / milli, Age: time.Duration(l.GetAgeMs()) * time.Millisecond})
 	}
+	for _, s := range m.GetStatements() {
+		msg.Statements = append(msg.Statements, instances.Statement{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()), Started: s.GetStarted(),
+			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond})
+	}
 	msg.Loads = loadsFromWire(m.GetLoads())
 	for _, v := range m.GetViews() {
 		msg.Views = append(msg.Views, peers.View{Region: domain.Region(v.GetRegion()), Age: time.Duration(v.GetAgeMs()) * time.Millisecond, Loads: loadsFromWire(v.GetLoads())})
--- a/adapters/upstream/endless_test.go
+++ b/adapters/upstream/endless_test.go
@@ -110,3 +110,5 @@
 		})
 	}
 }
+
+func (plainDialect) DecodeHealth(http.Header) Health { return Health{} }
--- /dev/null
+++ b/adapters/upstream/health.go
@@ -0,0 +1,37 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+)
+
+// Health is what an upstream says of itself in its response to a health request.
+type Health struct {
+	// Instance is the ID of the upstream that responded.
+	Instance domain.UpstreamID
+	// ColdFor is the remaining time for which it is cold.
+	ColdFor time.Duration
+}
+
+// maxHealthBytes is how much of the body of a health response is read, so that its connection can be
+// used again.
+const maxHealthBytes = 4 << 10
+
+// CheckHealth sends a health request. The status of the response does not matter: an upstream that
+// is busy says as much of itself.
+func (r *Routed) CheckHealth(ctx context.Context, address, path string) (Health, error) {
+	req := (&http.Request{Method: http.MethodGet, URL: targetURL(address, path), Host: address,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{"User-Agent": nil}}).WithContext(ctx)
+	resp, err := r.pooled.RoundTrip(req)
+	if err != nil {
+		return Health{}, errkind.New(errkind.UpstreamFailed, "health request to %s: %w", address, err)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes)) // only its end matters
+	return r.dialect.DecodeHealth(resp.Header), nil
+}
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -26,6 +26,8 @@
 	// DecodeResponse decodes a response header. The caller sets Header and ContentLength
 	// of the result.
 	DecodeResponse(status int, h http.Header) (relay.Head, instances.ReportedLoad)
+	// DecodeHealth decodes the header of the response to a health request.
+	DecodeHealth(h http.Header) Health
 }
 
 // Routed sends requests to instances. It implements relay.Upstreams. net/http never
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -12,6 +12,7 @@
 	coldFromEvacuation = "evacuation ended"
 	coldFromLoss       = "connection lost"
 	coldFromSuspension = "node was suspended"
+	coldFromStatement  = "health response"
 )
 
 const (
@@ -35,6 +36,8 @@
 type coldness struct {
 	// until is when the cold phase ends, from the entry or an evacuation.
 	until time.Time
+	// statedUntil is the end of the cold phase that the upstream stated itself.
+	statedUntil time.Time
 	// presumed is set while the upstream may have started again unnoticed.
 	presumed bool
 	// firstLossAt and lastLossAt are the times of the first and the latest loss of a connection
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -1,10 +1,13 @@
 package instances_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/routes"
 )
 
 // newCold returns an instance whose entry says that it is cold for a time.
@@ -129,3 +132,46 @@
 		})
 	}
 }
+
+func TestHealthIsCheckedOncePerIntervalUnlessTheUpstreamIsKnownToBeCold(t *testing.T) {
+	all := func(domain.UpstreamID) bool { return true }
+	table, err := routes.New(2, nil, []routes.Service{{Name: "app", HealthPath: "/healthz", ColdStart: 3 * time.Second, MaxColdRate: 2}}, routes.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newCatalog(t, instances.Options{}, "a", "b", "c", "d")
+	c.Configure(table)
+	leaving := newInstance("b")
+	leaving.Leaving = true
+	c.Put(start, leaving)
+	c.ApplyStatements(start, []instances.Statement{{Service: "app", Instance: "c", ColdFor: 2 * time.Second}})
+	for _, tc := range []struct {
+		at     time.Duration
+		checks func(domain.UpstreamID) bool
+		want   []domain.UpstreamID
+	}{
+		{0, func(id domain.UpstreamID) bool { return id != "d" }, []domain.UpstreamID{"a"}},
+		{500 * time.Millisecond, all, []domain.UpstreamID{"d"}},
+		{1100 * time.Millisecond, all, []domain.UpstreamID{"a"}},
+		{2200 * time.Millisecond, all, []domain.UpstreamID{"a", "c", "d"}},
+	} {
+		var got []domain.UpstreamID
+		for _, check := range c.DueHealthChecks(start.Add(tc.at), tc.checks) {
+			got = append(got, check.ID)
+		}
+		if !slices.Equal(got, tc.want) {
+			t.Errorf("after %v: health of %v is checked, want %v", tc.at, got, tc.want)
+		}
+	}
+}
+
+func TestStatementOfFormerProcessIsIgnored(t *testing.T) {
+	c := newCatalog(t, instances.Options{})
+	in := newInstance("a")
+	in.Started = 2
+	c.Put(start, in)
+	c.ApplyStatements(start, []instances.Statement{{Service: "app", Instance: "a", Started: 1, ColdFor: time.Minute}})
+	if got := countPlaced(c, start, 3); got < 3 {
+		t.Errorf("%d of 3 requests were placed on an upstream whose former process was cold, want all", got)
+	}
+}
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -43,6 +43,8 @@
 	coldness  coldness
 	pace      sharedbounds.Pacer
 	limit     rateLimit
+	// healthCheckedAt is when this node last sent a health request.
+	healthCheckedAt time.Time
 
 	inFlight int
 	backlog  backlog
