Log what identifies a request that is sent again, where its connection was closed

An attempt of a client has a new ID, so the logs could not show that the same request had been broken off by several crashes. attempt_failed has a fingerprint of method, host, path, caller and body. It is computed after a closed connection only.

--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -21,7 +21,11 @@
 	if res.delivered {
 		return
 	}
-	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("to", to),
+	fingerprint := ""
+	if a.crashed(res) {
+		fingerprint = strconv.FormatUint(a.r.Fingerprint(), 16)
+	}
+	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("fingerprint", fingerprint), event.F("to", to),
 		event.F("outcome", res.outcome()), event.F("cold", a.ticket != nil && a.ticket.Cold), event.F("run", res.ran), event.F("judged", res.upstreamOutcome.String()),
 		event.F("took_ms", a.Now().Sub(sentAt).Milliseconds()), event.F("expected_ms", expected.Milliseconds()),
 		event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete), event.F("shared_parts", partList(a.r.Prompt.SharedParts())),
