--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -62,6 +62,9 @@
 	// CrashPart is the identifier of a prompt part, as clients write it; the server crashes
 	// when it begins to respond to a prompt with the part. Empty means none.
 	CrashPart string
+	// CrashTarget is a request target; the server crashes when it begins to respond to a request
+	// for it. Empty means none.
+	CrashTarget string
 	// RestartAfter is the time after which a crashed server runs again; zero means never.
 	// It has another ID then, unless KeepID is set.
 	RestartAfter time.Duration
@@ -352,7 +355,7 @@
 	if b.DropResponses {
 		panic(http.ErrAbortHandler)
 	}
-	if hasPart(r, b.CrashPart) {
+	if hasPart(r, b.CrashPart) || b.CrashTarget != "" && r.RequestURI == b.CrashTarget {
 		s.crash(b)
 		panic(http.ErrAbortHandler)
 	}
