--- a/adapters/mesh/parts.go
+++ b/adapters/mesh/parts.go
@@ -24,7 +24,7 @@
 
 // partsToWire returns nil for an empty message, which is the usual one.
 func partsToWire(msg quarantine.Message) *meshpb.PartMessage {
-	if len(msg.Parts) == 0 && len(msg.Refuted) == 0 {
+	if len(msg.Suspects) == 0 && len(msg.Refuted) == 0 {
 		return nil
 	}
 	wire := &meshpb.PartMessage{}
@@ -32,8 +32,8 @@
 		wire.Refuted = append(wire.Refuted, r.Process)
 		wire.RefutedMs = append(wire.RefutedMs, sinceToWire(r.Since))
 	}
-	for _, r := range msg.Parts {
-		w := &meshpb.PartRecord{Part: r.Part, Position: uint32(r.Position), AnsweredMs: sinceToWire(r.SinceAnswer),
+	for _, r := range msg.Suspects {
+		w := &meshpb.PartRecord{Part: r.ID, Request: r.Request, Position: uint32(r.Position), AnsweredMs: sinceToWire(r.SinceAnswer),
 			HeldMs: sinceToWire(r.SinceHeld), RequestedMs: sinceToWire(r.SinceRequest), Trials: uint32(r.Trials)}
 		for _, c := range r.Crashes {
 			w.Processes = append(w.Processes, c.Process)
@@ -47,10 +47,10 @@
 func partsFromWire(wire *meshpb.PartMessage) quarantine.Message {
 	msg := quarantine.Message{Refuted: crashesFromWire(wire.GetRefuted(), wire.GetRefutedMs())}
 	for _, w := range wire.GetRecords() {
-		r := quarantine.Record{Part: w.GetPart(), Position: int(w.GetPosition()), SinceAnswer: sinceFromWire(w.GetAnsweredMs()),
+		r := quarantine.Record{Subject: quarantine.Subject{ID: w.GetPart(), Request: w.GetRequest()}, Position: int(w.GetPosition()), SinceAnswer: sinceFromWire(w.GetAnsweredMs()),
 			SinceHeld: sinceFromWire(w.GetHeldMs()), SinceRequest: sinceFromWire(w.GetRequestedMs()), Trials: int(w.GetTrials())}
 		r.Crashes = crashesFromWire(w.GetProcesses(), w.GetCrashedMs())
-		msg.Parts = append(msg.Parts, r)
+		msg.Suspects = append(msg.Suspects, r)
 	}
 	return msg
 }
--- a/adapters/mesh/parts_test.go
+++ b/adapters/mesh/parts_test.go
@@ -15,7 +15,7 @@
 func evidence() quarantine.Message {
 	var msg quarantine.Message
 	for i := range 16 {
-		r := quarantine.Record{Part: 1<<47 + uint64(i), Position: i, SinceAnswer: -1, SinceHeld: time.Duration(i-1) * time.Second,
+		r := quarantine.Record{Subject: quarantine.Subject{ID: 1<<47 + uint64(i), Request: i%2 == 1}, Position: i, SinceAnswer: -1, SinceHeld: time.Duration(i-1) * time.Second,
 			SinceRequest: 300 * time.Millisecond, Trials: i % 4}
 		if i == 0 {
 			r.SinceHeld = -1
@@ -23,7 +23,7 @@
 		for j := range 5 {
 			r.Crashes = append(r.Crashes, quarantine.CrashRecord{Process: 1<<60 + uint64(j), Since: time.Duration(j) * time.Second})
 		}
-		msg.Parts = append(msg.Parts, r)
+		msg.Suspects = append(msg.Suspects, r)
 		msg.Refuted = append(msg.Refuted, quarantine.CrashRecord{Process: 1<<61 + uint64(i), Since: time.Duration(i) * time.Second})
 	}
 	return msg
@@ -31,7 +31,7 @@
 
 func TestPartsAndLimitsRoundTrip(t *testing.T) {
 	msg := sampleMessage(3)
-	msg.Parts = evidence()
+	msg.Suspects = evidence()
 	msg.RateLimits = []instances.RateLimit{{Service: "app", Instance: "i-1", PerSecond: 2.1, Age: time.Second}, {Service: "app", Instance: "i-2", Age: 3 * time.Second}}
 	msg.Statements = []instances.Statement{{Service: "app", Instance: "i-3", Started: 1 << 41, ColdFor: 2 * time.Second}}
 	wire := messageToWire(msg)
@@ -46,7 +46,7 @@
 func TestMessageWithoutNewsHasNoEvidence(t *testing.T) {
 	msg := sampleMessage(3)
 	before := proto.Size(messageToWire(msg))
-	msg.Parts = quarantine.New(quarantine.Options{}).Message(time.Now())
+	msg.Suspects = quarantine.New(quarantine.Options{}).Message(time.Now())
 	if got := proto.Size(messageToWire(msg)); got != before {
 		t.Errorf("got a message of %d bytes, want %d as without evidence", got, before)
 	}
--- a/core/errkind/errkind.go
+++ b/core/errkind/errkind.go
@@ -48,6 +48,7 @@
 	NotFound            Kind = "not_found"
 	HistoryLost         Kind = "history_lost"
 	PromptPartHeld      Kind = "prompt_part_held"
+	RequestHeld         Kind = "request_held"
 	Internal            Kind = "internal"
 )
 
@@ -102,6 +103,7 @@
 	Internal:            {500, domain.RunUnknown, 0, 39},
 	HistoryLost:         {503, domain.RunNo, shortWait, 40},
 	PromptPartHeld:      {422, domain.RunNo, 0, 41},
+	RequestHeld:         {422, domain.RunNo, 0, 42},
 }
 
 // Lookup returns the table row of k, or that of Internal if k is not listed.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -36,9 +36,9 @@
 	AttemptFailed     = Event{305, "attempt_failed", "One attempt at an upstream or in another region failed; the request's own log entry contains its outcome."}
 	RequestServed     = Event{306, "request_served", "A request was answered; the fields contain the inputs of the placement and the chosen upstream."}
 	RequestRefused    = Event{307, "request_refused", "A request was refused on arrival: no routing table, no route, or an invalid message."}
-	PartHeld          = Event{308, "part_held", "Requests with a part of a prompt are refused, because it crashes upstreams; the fields contain the evidence. Compare shared_parts of attempt_failed."}
-	PartReleased      = Event{309, "part_released", "Requests with a part of a prompt are no longer refused; the field why contains the reason."}
-	PartTried         = Event{310, "part_tried", "One request with a held part was sent to an upstream, to find out whether the part still crashes it."}
+	PartHeld          = Event{308, "part_held", "Requests with a part of a prompt, or one request that comes again, are refused because they crash upstreams; the fields contain the kind, the part or the request's fingerprint, and the evidence. Compare shared_parts and fingerprint of attempt_failed."}
+	PartReleased      = Event{309, "part_released", "Requests with a part of a prompt, or one request, are no longer refused; the field why contains the reason."}
+	PartTried         = Event{310, "part_tried", "One request that is held, or has a held part, was sent to an upstream, to find out whether it still crashes it."}
 	UpstreamChanged   = Event{401, "upstream_changed", "An upstream changed its life cycle state."}
 	InstanceChanged   = Event{402, "instance_changed", "An upstream registered itself or changed its entry; it gets requests unless it is leaving."}
 	InstanceGone      = Event{403, "instance_gone", "An upstream's entry was removed; it gets no more requests."}
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -2,24 +2,24 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/placement"
 )
 
-// Record is what a node tells others about a part. Times are given as the time since
+// Record is what a node tells others about a suspect. Times are given as the time since
 // then; negative means never.
 type Record struct {
-	Part     uint64
+	Subject
 	Position int
 	Crashes  []CrashRecord
-	// SinceAnswer is the time since some upstream answered a prompt with the part.
+	// SinceAnswer is the time since some upstream answered a request with the suspect.
 	SinceAnswer time.Duration
-	// SinceHeld is the time since the part was held.
+	// SinceHeld is the time since the suspect was held.
 	SinceHeld time.Duration
-	// SinceRequest is the time since a request with the held part arrived.
+	// SinceRequest is the time since a request with the held suspect arrived.
 	SinceRequest time.Duration
 	Trials       int
 }
@@ -33,7 +33,7 @@
 
 // Message is what a node tells another one.
 type Message struct {
-	Parts []Record
+	Suspects []Record
 	// Refuted lists processes that were known to run at some time after a supposed crash.
 	Refuted []CrashRecord
 }
@@ -44,14 +44,14 @@
 // never is a duration in a record that stands for a time that never was.
 const never = time.Duration(-1)
 
-// Message returns what another node is told, with the records of held parts first, then of
-// those with the latest news. It is empty while nothing crashes.
+// Message returns what another node is told, with the records of held suspects first. It is empty
+// while nothing crashes.
 func (t *Table) Message(now time.Time) Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	t.judge(now)
-	return Message{Parts: t.records(now), Refuted: t.refutations(now)}
+	return Message{Suspects: append(t.partRecords(now), t.requestRecords(now)...), Refuted: t.refutations(now)}
 }
 
 // refutations returns the latest refutations.
@@ -69,18 +69,40 @@
 	return list[:min(maxRecords, len(list))]
 }
 
-func (t *Table) records(now time.Time) []Record {
-	if len(t.parts) == 0 {
+// partRecords returns the records of held parts, then of those with the latest news.
+func (t *Table) partRecords(now time.Time) []Record {
+	return t.records(now, false, func(a, b *suspect) int {
+		return cmp.Or(compareBool(b.held(), a.held()), b.latest().Compare(a.latest()), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// requestRecords returns the records of held requests, then of those on which most upstreams crashed.
+// All requests that a crash breaks off are suspect; which of them are in a message differs from
+// message to message.
+func (t *Table) requestRecords(now time.Time) []Record {
+	t.messages++
+	order := func(p *suspect) uint64 { return placement.RendezvousWeight(p.ID^t.messages, "") }
+	return t.records(now, true, func(a, b *suspect) int {
+		return cmp.Or(compareBool(b.held(), a.held()), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(order(a), order(b)))
+	})
+}
+
+// records returns the first maxRecords records of a kind in the given order.
+func (t *Table) records(now time.Time, requests bool, compare func(a, b *suspect) int) []Record {
+	if t.count(requests) == 0 {
 		return nil
 	}
-	list := slices.Collect(maps.Values(t.parts))
-	slices.SortFunc(list, func(a, b *part) int {
-		return cmp.Or(compareBool(b.held(), a.held()), b.latest().Compare(a.latest()), cmp.Compare(a.id, b.id))
-	})
+	var list []*suspect
+	for s, p := range t.suspects {
+		if s.Request == requests {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, compare)
 	list = list[:min(maxRecords, len(list))]
 	records := make([]Record, 0, len(list))
 	for _, p := range list {
-		r := Record{Part: p.id, Position: p.position, SinceAnswer: since(now, p.answeredAt), SinceHeld: since(now, p.heldAt),
+		r := Record{Subject: p.Subject, Position: p.position, SinceAnswer: since(now, p.answeredAt), SinceHeld: since(now, p.heldAt),
 			SinceRequest: since(now, p.requestedAt), Trials: p.trials}
 		for _, c := range p.crashes {
 			r.Crashes = append(r.Crashes, CrashRecord{c.process, now.Sub(c.at)})
@@ -111,8 +133,8 @@
 	for _, r := range m.Refuted {
 		t.applyRefutation(r.Process, before(now, r.Since))
 	}
-	for i := range m.Parts {
-		t.merge(now, &m.Parts[i])
+	for i := range m.Suspects {
+		t.merge(now, &m.Suspects[i])
 	}
 	t.judge(now)
 }
@@ -120,7 +142,7 @@
 // merge adopts a record. A hold is not adopted if an answer that this node knows of is later
 // than all its evidence.
 func (t *Table) merge(now time.Time, r *Record) {
-	p := t.partFor(now, r.Part, r.Position)
+	p := t.suspectFor(now, r.Subject, r.Position)
 	if at := before(now, r.SinceAnswer); at.After(p.answeredAt) {
 		t.applyAnswer(p, now, at, "answered elsewhere")
 	}
@@ -143,7 +165,7 @@
 	if !p.held() {
 		p.heldAt = heldAt
 		t.changed = true
-		t.options.Log.Log(event.PartHeld, event.F("part", format(p.id)), event.F("crashes", len(p.crashes)), event.F("from", "another node"))
+		t.options.Log.Log(event.PartHeld, event.F("part", format(p.ID)), event.F("kind", p.kind()), event.F("crashes", len(p.crashes)), event.F("from", "another node"))
 		t.notify()
 	} else if heldAt.Before(p.heldAt) {
 		p.heldAt = heldAt
--- a/core/quarantine/processes.go
+++ b/core/quarantine/processes.go
@@ -24,7 +24,7 @@
 // before it. An answer to a later request does not refute the crash: the upstream may have
 // started again, and this node not know it yet.
 func (t *Table) refute(now time.Time, process uint64, sentAt time.Time) {
-	for _, p := range t.parts {
+	for _, p := range t.suspects {
 		for _, c := range p.crashes {
 			if c.process != process {
 				continue
@@ -54,7 +54,7 @@
 	}
 	setBounded(t.refuted, process, at)
 	delete(t.crashed, process)
-	for _, p := range t.parts {
+	for _, p := range t.suspects {
 		if p.removeCrash(process, at) {
 			t.changed = true
 		}
--- a/core/quarantine/retention.go
+++ b/core/quarantine/retention.go
@@ -7,26 +7,41 @@
 	"time"
 )
 
-// evictedShare is the inverse of the share of parts that are removed at once when there
+// evictedShare is the inverse of the share of suspects that are removed at once when there
 // are too many.
 const evictedShare = 8
 
-// evict removes expired parts once there are too many, and those with the least evidence if
-// that is not sufficient.
-func (t *Table) evict(now time.Time) {
-	if len(t.parts) < maxParts {
+// evict removes expired suspects once there are too many whole requests, or too many parts, and
+// those with the least evidence if that is not sufficient.
+func (t *Table) evict(now time.Time, requests bool) {
+	if t.count(requests) < maxSuspects {
 		return
 	}
 	t.expire(now)
-	if len(t.parts) < maxParts {
+	if t.count(requests) < maxSuspects {
 		return
 	}
-	list := slices.SortedFunc(maps.Values(t.parts), func(a, b *part) int {
+	list := slices.SortedFunc(func(yield func(*suspect) bool) {
+		for s, p := range t.suspects {
+			if s.Request == requests && !yield(p) {
+				return
+			}
+		}
+	}, func(a, b *suspect) int {
 		return cmp.Or(compareBool(a.held(), b.held()), cmp.Compare(len(a.crashes), len(b.crashes)), a.latest().Compare(b.latest()))
 	})
 	for _, p := range list[:len(list)/evictedShare] {
-		delete(t.parts, p.id)
+		t.remove(p.Subject)
+	}
+}
+
+// count returns the number of suspects that are whole requests, or parts.
+func (t *Table) count(requests bool) int {
+	n := int(t.requests.Load())
+	if !requests {
+		n = len(t.suspects) - n
 	}
+	return n
 }
 
 // compareBool orders false before true.
@@ -40,10 +55,10 @@
 	return 1
 }
 
-// expire removes old evidence, ends holds without requests and removes parts without
+// expire removes old evidence, ends holds without requests and removes suspects without
 // either.
 func (t *Table) expire(now time.Time) {
-	for id, p := range t.parts {
+	for s, p := range t.suspects {
 		if p.held() {
 			if now.Sub(p.requestedAt) > heldRetention || now.Sub(p.heldAt) > maxHeldFor {
 				p.crashes = nil
@@ -54,10 +69,10 @@
 		}
 		p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return now.Sub(c.at) > evidenceRetention })
 		if len(p.crashes) == 0 && now.Sub(p.clearedAt) > clearedRetention {
-			if !p.answeredAt.IsZero() {
-				t.answers.record(p.answeredAt, id)
+			if !s.Request && !p.answeredAt.IsZero() {
+				t.answers.record(p.answeredAt, s.ID)
 			}
-			delete(t.parts, id)
+			t.remove(s)
 		}
 	}
 	for _, processes := range []map[uint64]time.Time{t.refuted, t.crashed, t.runAgain} {
--- a/core/quarantine/simulation_test.go
+++ b/core/quarantine/simulation_test.go
@@ -23,6 +23,8 @@
 	sharedParts int
 	// deadly is the part that crashes engines; zero means none.
 	deadly uint64
+	// requests counts the requests that are sent once, each of which has another fingerprint.
+	requests uint64
 	// deadlyCompanion is the first part of the requests with the deadly part.
 	deadlyCompanion uint64
 	crashes         []time.Time
@@ -41,12 +43,14 @@
 }
 
 type simulatedRequest struct {
-	node   int
-	parts  []uint64
-	engine *simulatedEngine
-	sentAt time.Time
-	begun  bool
-	ended  bool
+	node int
+	// subjects are those of the request; deadly is set if it crashes engines.
+	subjects []Subject
+	deadly   bool
+	engine   *simulatedEngine
+	sentAt   time.Time
+	begun    bool
+	ended    bool
 }
 
 type simulatedEvent struct {
@@ -139,22 +143,44 @@
 		parts = append(parts, 1_000_000+f.firstPart())
 	}
 	f.sound++
-	if !f.send(parts) {
+	if !f.send(parts, f.soundFingerprint(), false) {
 		f.refusedSound++
 	}
 }
 
-// deadlyRequest sends a request with the deadly part.
-func (f *simulatedFleet) deadlyRequest() { f.send([]uint64{f.deadlyCompanion, f.deadly}) }
+const (
+	// popularRequests is the number of requests that are sent again and again, popularShare their
+	// share of the sound ones.
+	popularRequests = 50
+	popularShare    = 0.2
+)
+
+// soundFingerprint returns the fingerprint of a request that was not sent before, or of a popular one.
+func (f *simulatedFleet) soundFingerprint() uint64 {
+	if f.rng.Float64() < popularShare {
+		return 1 + f.rng.Uint64N(popularRequests)
+	}
+	f.requests++
+	return 1_000_000 + f.requests
+}
+
+// requestWithDeadlyPart sends a request with the deadly part.
+func (f *simulatedFleet) requestWithDeadlyPart() {
+	f.requests++
+	f.send([]uint64{f.deadlyCompanion, f.deadly}, 1_000_000+f.requests, true)
+}
+
+// deadlyRequest sends the request whose fingerprint is deadly, with the given parts.
+func (f *simulatedFleet) deadlyRequest(parts ...uint64) { f.send(parts, f.deadly, true) }
 
 // send sends a request from a random node to a random engine that runs, and reports
 // whether the node did not refuse it.
-func (f *simulatedFleet) send(parts []uint64) bool {
-	r := &simulatedRequest{node: f.rng.IntN(len(f.nodes)), parts: parts}
+func (f *simulatedFleet) send(parts []uint64, fingerprint uint64, deadly bool) bool {
+	r := &simulatedRequest{node: f.rng.IntN(len(f.nodes)), subjects: append(Parts(parts...), Subject{ID: fingerprint, Request: true}), deadly: deadly}
 	table := f.nodes[r.node]
-	if part, held, _ := table.Check(f.now, parts); held {
-		if part != f.deadly {
-			f.heldSound[part] = true
+	if subject, held, _ := table.Check(f.now, r.subjects); held {
+		if subject.ID != f.deadly {
+			f.heldSound[subject.ID] = true
 		}
 		return false
 	}
@@ -165,7 +191,6 @@
 	r.engine = up[f.rng.IntN(len(up))]
 	r.sentAt = f.now
 	r.engine.running = append(r.engine.running, r)
-	deadly := slices.Contains(parts, f.deadly)
 	if deadly {
 		f.deadlyArrivals = append(f.deadlyArrivals, f.now)
 	}
@@ -178,11 +203,11 @@
 			return
 		}
 		r.begun = true
-		table.RecordAnswer(f.now, r.engine.process, r.sentAt, parts)
+		table.RecordAnswer(f.now, r.engine.process, r.sentAt, r.subjects)
 		f.after(time.Duration(100+f.rng.IntN(400))*time.Millisecond, func() {
 			if !r.ended {
 				f.end(r)
-				table.RecordAnswer(f.now, r.engine.process, r.sentAt, parts)
+				table.RecordAnswer(f.now, r.engine.process, r.sentAt, r.subjects)
 			}
 		})
 	})
@@ -210,7 +235,7 @@
 		}
 		f.end(r)
 		if !r.begun {
-			f.nodes[r.node].RecordCrash(f.now, e.process, r.sentAt, r.parts)
+			f.nodes[r.node].RecordCrash(f.now, e.process, r.sentAt, r.subjects)
 		}
 	}
 }
@@ -248,7 +273,7 @@
 				f.poisson(c.soundRate, f.soundRequest)
 				f.run(5 * time.Second)
 				f.deadly, f.deadlyCompanion = 77_777, c.companion
-				f.poisson(c.badRate, f.deadlyRequest)
+				f.poisson(c.badRate, f.requestWithDeadlyPart)
 				f.run(c.duration)
 				worst = max(worst, len(f.crashes))
 				late := 0
@@ -271,6 +296,57 @@
 	}
 }
 
+// TestDeadlyRequestIsHeldAfterFewCrashes checks, over sizes, rates and seeds, that a request that
+// crashes engines stops reaching them within the users' limits: at most three times later than
+// contact_ms after the third crash.
+func TestDeadlyRequestIsHeldAfterFewCrashes(t *testing.T) {
+	const contact, ownPart = 5 * time.Second, 5_000_000
+	for _, c := range []struct {
+		name               string
+		nodes, engines     int
+		soundRate, badRate float64
+		parts              []uint64
+		duration           time.Duration
+	}{
+		{"plain service of three", 9, 3, 100, 1, nil, 30 * time.Second},
+		{"plain service of three, often", 9, 3, 100, 10, nil, 30 * time.Second},
+		{"plain service, seldom", 9, 6, 100, 0.2, nil, 90 * time.Second},
+		{"little else", 9, 3, 2, 1, nil, 30 * time.Second},
+		{"engines, with parts that others have", 9, 18, 300, 1, []uint64{3}, 30 * time.Second},
+		{"engines, with parts of its own", 9, 18, 300, 1, []uint64{ownPart}, 30 * time.Second},
+		{"hundred nodes", 100, 50, 800, 2, []uint64{3}, 30 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			worst := 0
+			for seed := range uint64(*simulationSeeds) {
+				f := newSimulatedFleet(seed, c.nodes, c.engines, 100)
+				f.poisson(c.soundRate, f.soundRequest)
+				f.run(5 * time.Second)
+				f.deadly = 77_777
+				f.poisson(c.badRate, func() { f.deadlyRequest(c.parts...) })
+				f.run(c.duration)
+				worst = max(worst, len(f.crashes))
+				late := 0
+				if len(f.crashes) >= 3 {
+					for _, at := range f.deadlyArrivals {
+						if at.After(f.crashes[2].Add(contact)) {
+							late++
+						}
+					}
+				}
+				if late > 3 {
+					t.Errorf("seed %d: the request reached engines %d times later than %v after the third crash, want at most 3", seed, late, contact)
+				}
+				delete(f.heldSound, ownPart) // no sound request has it
+				if len(f.heldSound) > 0 {
+					t.Errorf("seed %d: sound subjects %v were held, %d of %d sound requests refused", seed, f.heldSound, f.refusedSound, f.sound)
+				}
+			}
+			t.Logf("at most %d crashes in %d seeds", worst, *simulationSeeds)
+		})
+	}
+}
+
 // TestCrashesForOtherReasonsHoldNoPart checks that no part is held on days on which
 // engines crash for reasons that have nothing to do with prompts.
 func TestCrashesForOtherReasonsHoldNoPart(t *testing.T) {
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -13,16 +14,19 @@
 
 const (
 	// minMoments is the number of separate moments at which crashes must implicate a
-	// part for it to be held, minMomentsAnswered the same for a part to which some
-	// upstream is known to have answered.
+	// suspect for it to be held, minMomentsAnswered the same for one that some upstream is
+	// known to have answered.
 	minMoments         = 3
 	minMomentsAnswered = 5
-	// manyCrashes is the number of crashes for which manyCrashesMoments suffice for a part
+	// manyCrashes is the number of crashes for which manyCrashesMoments suffice for a suspect
 	// that was not answered.
 	manyCrashes        = 5
 	manyCrashesMoments = 2
-	// minCrashSpacing is the time between two crashes that are separate moments.
-	minCrashSpacing = 100 * time.Millisecond
+	// minCrashSpacing is the time between two crashes that are separate moments. For whole
+	// requests it is longer than the transit of a record over several nodes, which makes crashes
+	// appear later: upstreams that crash together may all be running the same sound request.
+	minCrashSpacing        = 100 * time.Millisecond
+	minRequestCrashSpacing = 200 * time.Millisecond
 	// minProcesses is the number of processes that must have crashed: connections to a single
 	// upstream may be lost again and again for other reasons.
 	minProcesses = 2
@@ -33,7 +37,7 @@
 	// begins its answer. A proxy of one that is down closes connections sooner.
 	minServiceTime = 20 * time.Millisecond
 	// settleTime is how long evidence waits for answers, and for evidence against other
-	// parts, to arrive from other nodes before it counts.
+	// suspects, to arrive from other nodes before it counts.
 	settleTime = 200 * time.Millisecond
 	// refuteMargin is how much later than a crash an answer to a request that was sent
 	// before it must arrive to refute the crash; the last bytes before a crash may be read
@@ -41,23 +45,23 @@
 	refuteMargin = 100 * time.Millisecond
 	// evidenceRetention is how long a crash counts as evidence.
 	evidenceRetention = 10 * time.Minute
-	// clearedRetention is how long other nodes are told that a part was cleared.
+	// clearedRetention is how long other nodes are told that a suspect was cleared.
 	clearedRetention = 5 * time.Second
-	// heldRetention is how long a part without any request remains held, maxHeldFor how
-	// long any part does.
+	// heldRetention is how long a suspect without any request remains held, maxHeldFor how
+	// long any suspect does.
 	heldRetention = 10 * time.Minute
 	maxHeldFor    = 24 * time.Hour
-	// A trial of a held part is due firstTrialAfter after it was held, each further one
+	// A trial of a held suspect is due firstTrialAfter after it was held, each further one
 	// after trialBackoff times as long. A trial may crash one more upstream; the users
 	// allow three such requests.
 	firstTrialAfter = time.Minute
 	trialBackoff    = 4
 	maxTrials       = 3
-	// maxParts is the maximum number of parts with evidence or held, about 500 kB.
-	// maxPartsPerRequest is the number of parts of one request that are tracked.
-	maxParts           = 2048
-	maxPartsPerRequest = 16
-	maxCrashesPerPart  = 12
+	// maxSuspects is the maximum number of suspects of each kind, about 500 kB.
+	// maxSubjectsPerRequest is the number of subjects of one request that are tracked.
+	maxSuspects           = 2048
+	maxSubjectsPerRequest = 16
+	maxCrashesPerSuspect  = 12
 	// maxProcesses is the maximum number of processes that are known to run although their
 	// connections were lost, of those known to have crashed and of those known to run again.
 	maxProcesses = 256
@@ -66,19 +70,22 @@
 // Options configures a table.
 type Options struct {
 	// MayTry reports whether this node, and at present no other, may send a trial request
-	// with a held part. If it is nil, no trials are sent.
-	MayTry func(part uint64) bool
-	// Changed is called when a part is held or released; it must not block. It may be nil.
+	// with a held suspect. If it is nil, no trials are sent.
+	MayTry func(id uint64) bool
+	// Changed is called when a suspect is held or released; it must not block. It may be nil.
 	Changed func()
 	Log     event.Logger
 }
 
-// Table holds what a node knows about parts of prompts that crash upstreams.
+// Table holds what a node knows about parts of prompts and requests that crash upstreams.
 type Table struct {
 	options Options
 
-	mu    sync.Mutex
-	parts map[uint64]*part
+	// requests is the number of suspects that are whole requests.
+	requests atomic.Int32
+
+	mu       sync.Mutex
+	suspects map[Subject]*suspect
 	// answers holds when parts without evidence were last answered.
 	answers recentAnswers
 	// refuted holds, for processes that went on answering after a supposed crash, a time
@@ -91,6 +98,8 @@
 	runAgain map[uint64]time.Time
 	// changed is set when evidence changed since the last verdict.
 	changed bool
+	// messages counts the messages to other nodes.
+	messages uint64
 }
 
 // New returns an empty table.
@@ -98,7 +107,7 @@
 	if o.Log == nil {
 		o.Log = event.Discard{}
 	}
-	return &Table{options: o, parts: make(map[uint64]*part), refuted: make(map[uint64]time.Time), crashed: make(map[uint64]time.Time), runAgain: make(map[uint64]time.Time)}
+	return &Table{options: o, suspects: make(map[Subject]*suspect), refuted: make(map[uint64]time.Time), crashed: make(map[uint64]time.Time), runAgain: make(map[uint64]time.Time)}
 }
 
 // ProcessID returns the identifier of a process of an upstream, the same at all nodes.
@@ -106,18 +115,23 @@
 	return placement.RendezvousWeight(uint64(started), id)
 }
 
-// limit returns the parts of a request that are tracked: the last ones, as the first parts of
+// HasRequests reports whether any whole request is suspect. If none is, a request need not be
+// identified before an upstream has crashed on it.
+func (t *Table) HasRequests() bool { return t.requests.Load() > 0 }
+
+// limit returns the subjects of a request that are tracked: the last ones, as the first parts of
 // a prompt are the most widely shared ones.
-func limit(parts []uint64) (tracked []uint64, offset int) {
-	offset = max(0, len(parts)-maxPartsPerRequest)
-	return parts[offset:], offset
+func limit(subjects []Subject) (tracked []Subject, offset int) {
+	offset = max(0, len(subjects)-maxSubjectsPerRequest)
+	return subjects[offset:], offset
 }
 
 // RecordCrash records that a process of an upstream closed its connections before it
-// began its answer to a request with the given shared parts that was sent at sentAt. A
-// request that was sent to an upstream after its crash proves nothing.
-func (t *Table) RecordCrash(now time.Time, process uint64, sentAt time.Time, parts []uint64) {
-	tracked, offset := limit(parts)
+// began its answer to a request with the given subjects that was sent at sentAt. Its most
+// specific subject is the last one. A request that was sent to an upstream after its crash
+// proves nothing.
+func (t *Table) RecordCrash(now time.Time, process uint64, sentAt time.Time, subjects []Subject) {
+	tracked, offset := limit(subjects)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.recordProcessCrash(now, process, sentAt) {
@@ -125,69 +139,68 @@
 	}
 	c := crash{process, now}
 	if i := slices.IndexFunc(tracked, t.isHeld); i >= 0 {
-		tracked = tracked[i : i+1] // the held part explains the crash
+		tracked = tracked[i : i+1] // the held suspect explains the crash
 		offset += i
 	}
-	for i, id := range tracked {
-		if t.partFor(now, id, offset+i).addCrash(now, c, t.runAgain[process]) {
+	for i, s := range tracked {
+		if t.suspectFor(now, s, offset+i).addCrash(now, c, t.runAgain[process]) {
 			t.changed = true
 		}
 	}
 }
 
 // RecordAnswer records that a process of an upstream is answering a request with the
-// given shared parts that was sent at sentAt.
-func (t *Table) RecordAnswer(now time.Time, process uint64, sentAt time.Time, parts []uint64) {
-	tracked, _ := limit(parts)
+// given subjects that was sent at sentAt.
+func (t *Table) RecordAnswer(now time.Time, process uint64, sentAt time.Time, subjects []Subject) {
+	tracked, _ := limit(subjects)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range tracked {
-		p := t.parts[id]
-		if p == nil {
-			t.answers.record(now, id)
-			continue
+	for _, s := range tracked {
+		if p := t.suspects[s]; p != nil {
+			t.applyAnswer(p, now, now, "answered")
+		} else if !s.Request {
+			t.answers.record(now, s.ID)
 		}
-		t.applyAnswer(p, now, now, "answered")
 	}
 	t.refute(now, process, sentAt)
 }
 
-func (t *Table) applyAnswer(p *part, now, at time.Time, why string) {
+func (t *Table) applyAnswer(p *suspect, now, at time.Time, why string) {
 	t.changed = true
 	if p.answered(now, at) {
 		t.logRelease(p, why)
 	}
 }
 
-// Check returns a held part among those of a request; held is false if there is none.
+// Check returns a held subject among those of a request; held is false if there is none.
 // trial is set if the request may be sent all the same, to find out whether its held
-// part still crashes upstreams.
-func (t *Table) Check(now time.Time, parts []uint64) (part uint64, held, trial bool) {
-	tracked, _ := limit(parts)
+// subject still crashes upstreams.
+func (t *Table) Check(now time.Time, subjects []Subject) (subject Subject, held, trial bool) {
+	tracked, _ := limit(subjects)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judge(now)
 	i := slices.IndexFunc(tracked, t.isHeld)
 	if i < 0 {
-		return 0, false, false
+		return Subject{}, false, false
 	}
-	p := t.parts[tracked[i]]
+	p := t.suspects[tracked[i]]
 	p.requestedAt = now
-	if p.trialDue(now) && t.options.MayTry != nil && t.options.MayTry(p.id) {
+	if p.trialDue(now) && t.options.MayTry != nil && t.options.MayTry(p.ID) {
 		p.trials++
-		t.options.Log.Log(event.PartTried, event.F("part", format(p.id)), event.F("trial", p.trials))
-		return p.id, true, true
+		t.options.Log.Log(event.PartTried, event.F("part", format(p.ID)), event.F("kind", p.kind()), event.F("trial", p.trials))
+		return p.Subject, true, true
 	}
-	return p.id, true, false
+	return p.Subject, true, false
 }
 
-func (t *Table) isHeld(id uint64) bool {
-	p := t.parts[id]
+func (t *Table) isHeld(s Subject) bool {
+	p := t.suspects[s]
 	return p != nil && p.held()
 }
 
 // trialDue reports whether the time of the next trial has come.
-func (p *part) trialDue(now time.Time) bool {
+func (p *suspect) trialDue(now time.Time) bool {
 	if p.trials >= maxTrials {
 		return false
 	}
@@ -198,33 +211,46 @@
 	return now.Sub(p.heldAt) >= wait
 }
 
-// Suspected reports whether a request with the given parts should not be sent a second
+// Suspected reports whether a request with the given subjects should not be sent a second
 // time: crashes at more than one moment implicate one of them.
-func (t *Table) Suspected(now time.Time, parts []uint64) bool {
-	tracked, _ := limit(parts)
+func (t *Table) Suspected(now time.Time, subjects []Subject) bool {
+	tracked, _ := limit(subjects)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judge(now)
-	return slices.ContainsFunc(tracked, func(id uint64) bool {
-		p := t.parts[id]
+	return slices.ContainsFunc(tracked, func(s Subject) bool {
+		p := t.suspects[s]
 		return p != nil && (p.held() || p.moments(now) > 1)
 	})
 }
 
-// partFor returns the entry of a part, creating it if necessary.
-func (t *Table) partFor(now time.Time, id uint64, position int) *part {
-	p := t.parts[id]
+// suspectFor returns the entry of a subject, creating it if necessary.
+func (t *Table) suspectFor(now time.Time, s Subject, position int) *suspect {
+	p := t.suspects[s]
 	if p == nil {
-		t.evict(now)
-		p = &part{id: id, answeredAt: t.answers.lastAnswer(id)}
-		t.parts[id] = p
+		t.evict(now, s.Request)
+		p = &suspect{Subject: s}
+		if s.Request {
+			t.requests.Add(1)
+		} else {
+			p.answeredAt = t.answers.lastAnswer(s.ID)
+		}
+		t.suspects[s] = p
 	}
 	p.position = max(p.position, position)
 	return p
 }
 
-func (t *Table) logRelease(p *part, why string) {
-	t.options.Log.Log(event.PartReleased, event.F("part", format(p.id)), event.F("why", why))
+// remove removes the entry of a subject.
+func (t *Table) remove(s Subject) {
+	delete(t.suspects, s)
+	if s.Request {
+		t.requests.Add(-1)
+	}
+}
+
+func (t *Table) logRelease(p *suspect, why string) {
+	t.options.Log.Log(event.PartReleased, event.F("part", format(p.ID)), event.F("kind", p.kind()), event.F("why", why))
 	t.notify()
 }
 
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -19,13 +19,13 @@
 // parts, and returns the time after the last one, when its evidence counts.
 func crashes(t *Table, from float64, n int, parts ...uint64) (next float64) {
 	for i := range n {
-		t.RecordCrash(at(from+float64(i)), uint64(from*1000)+uint64(i), at(from+float64(i)-0.05), parts)
+		t.RecordCrash(at(from+float64(i)), uint64(from*1000)+uint64(i), at(from+float64(i)-0.05), Parts(parts...))
 	}
 	return from + float64(n-1) + 2*settleTime.Seconds()
 }
 
 func isHeld(t *Table, seconds float64, parts ...uint64) bool {
-	_, held, _ := t.Check(at(seconds), parts)
+	_, held, _ := t.Check(at(seconds), Parts(parts...))
 	return held
 }
 
@@ -42,73 +42,73 @@
 		"upstreams that start again under their IDs count again": {
 			func(t *Table) float64 {
 				for i := range 3 {
-					t.RecordCrash(at(float64(i)*2), uint64(i%2), at(float64(i)*2-0.05), []uint64{deadly})
-					t.RecordAnswer(at(float64(i)*2+1.5), uint64(i%2), at(float64(i)*2+1.4), []uint64{7})
+					t.RecordCrash(at(float64(i)*2), uint64(i%2), at(float64(i)*2-0.05), Parts(deadly))
+					t.RecordAnswer(at(float64(i)*2+1.5), uint64(i%2), at(float64(i)*2+1.4), Parts(7))
 				}
 				return 7
 			}, []uint64{deadly}, nil},
 		"upstreams that crash as soon as they run again count again": {
 			func(t *Table) float64 {
 				for i := range 8 {
-					t.RecordCrash(at(float64(i/4*2)), uint64(i%4), at(float64(i/4*2)-0.05), []uint64{deadly})
+					t.RecordCrash(at(float64(i/4*2)), uint64(i%4), at(float64(i/4*2)-0.05), Parts(deadly))
 				}
 				return 3
 			}, []uint64{deadly}, nil},
 		"requests sent to upstreams that are down prove nothing": {
 			func(t *Table) float64 {
 				for i := range 5 {
-					t.RecordCrash(at(0), uint64(i), at(-1), []uint64{7})
-					t.RecordCrash(at(float64(i+1)), uint64(i), at(float64(i+1)-0.01), []uint64{companion})
+					t.RecordCrash(at(0), uint64(i), at(-1), Parts(7))
+					t.RecordCrash(at(float64(i+1)), uint64(i), at(float64(i+1)-0.01), Parts(companion))
 				}
 				return 7
 			}, nil, []uint64{companion}},
 		"lost connections to upstreams that are down do not count again": {
 			func(t *Table) float64 {
 				for i := range 20 {
-					t.RecordCrash(at(float64(i)), uint64(i%2), at(float64(i)-0.01), []uint64{companion})
+					t.RecordCrash(at(float64(i)), uint64(i%2), at(float64(i)-0.01), Parts(companion))
 				}
 				return 21
 			}, nil, []uint64{companion}},
 		"crashes of one process prove nothing": {
 			func(t *Table) float64 {
 				for i := range 9 {
-					t.RecordCrash(at(float64(i)), 1, at(float64(i)-0.05), []uint64{deadly})
+					t.RecordCrash(at(float64(i)), 1, at(float64(i)-0.05), Parts(deadly))
 				}
 				return 10
 			}, nil, []uint64{deadly}},
 		"crashes at one moment count once": {
 			func(t *Table) float64 {
 				for i := range 9 {
-					t.RecordCrash(at(1), uint64(i), at(1-0.05), []uint64{deadly})
+					t.RecordCrash(at(1), uint64(i), at(1-0.05), Parts(deadly))
 				}
 				return 3
 			}, nil, []uint64{deadly}},
 		"five crashes at two moments hold a part": {
 			func(t *Table) float64 {
 				for i := range 5 {
-					t.RecordCrash(at(float64(i/3)), uint64(i), at(float64(i/3)-0.05), []uint64{deadly})
+					t.RecordCrash(at(float64(i/3)), uint64(i), at(float64(i/3)-0.05), Parts(deadly))
 				}
 				return 3
 			}, []uint64{deadly}, nil},
 		"an answer clears a part": {
 			func(t *Table) float64 {
 				end := crashes(t, 0, 2, deadly)
-				t.RecordAnswer(at(end), 99, at(end), []uint64{deadly})
+				t.RecordAnswer(at(end), 99, at(end), Parts(deadly))
 				return crashes(t, end+1, 2, deadly)
 			}, nil, []uint64{deadly}},
 		"a part that was answered before needs five crashes": {
 			func(t *Table) float64 {
-				t.RecordAnswer(at(0), 99, at(0), []uint64{deadly})
+				t.RecordAnswer(at(0), 99, at(0), Parts(deadly))
 				return crashes(t, 1, 4, deadly)
 			}, nil, []uint64{deadly}},
 		"five crashes hold a part that was answered before": {
 			func(t *Table) float64 {
-				t.RecordAnswer(at(0), 99, at(0), []uint64{deadly})
+				t.RecordAnswer(at(0), 99, at(0), Parts(deadly))
 				return crashes(t, 1, 5, deadly)
 			}, []uint64{deadly}, nil},
 		"the part that was never answered is held": {
 			func(t *Table) float64 {
-				t.RecordAnswer(at(0), 99, at(0), []uint64{companion})
+				t.RecordAnswer(at(0), 99, at(0), Parts(companion))
 				return crashes(t, 1, 6, companion, deadly)
 			}, []uint64{deadly}, []uint64{companion}},
 		"of two parts that always come together the more specific one is held": {
@@ -122,17 +122,17 @@
 		"requests that waited at the crashed upstreams are explained": {
 			func(t *Table) float64 {
 				for i := range 4 {
-					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), []uint64{deadly})
-					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), []uint64{companion, uint64(i)})
+					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), Parts(deadly))
+					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), Parts(companion, uint64(i)))
 				}
-				t.RecordCrash(at(4), 4, at(4-0.05), []uint64{deadly})
+				t.RecordCrash(at(4), 4, at(4-0.05), Parts(deadly))
 				return 6
 			}, []uint64{deadly}, []uint64{companion}},
 		"a part that others use is not held for a caller's own parts beside it": {
 			func(t *Table) float64 {
 				for i := range 12 {
-					t.RecordAnswer(at(float64(i)-0.5), 99, at(float64(i)-0.5), []uint64{companion})
-					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), []uint64{companion, uint64(100 + i)})
+					t.RecordAnswer(at(float64(i)-0.5), 99, at(float64(i)-0.5), Parts(companion))
+					t.RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), Parts(companion, uint64(100+i)))
 				}
 				return 14
 			}, nil, []uint64{companion}},
@@ -144,19 +144,19 @@
 		"a process that goes on answering did not crash": {
 			func(t *Table) float64 {
 				crashes(t, 0, 3, deadly)
-				t.RecordAnswer(at(2.15), 0, at(-1), []uint64{7})
+				t.RecordAnswer(at(2.15), 0, at(-1), Parts(7))
 				return 4
 			}, nil, []uint64{deadly}},
 		"an upstream that started again may answer later requests": {
 			func(t *Table) float64 {
 				end := crashes(t, 0, 3, deadly)
-				t.RecordAnswer(at(2.15), 0, at(2), []uint64{7})
+				t.RecordAnswer(at(2.15), 0, at(2), Parts(7))
 				return end
 			}, []uint64{deadly}, nil},
 		"an answer that was under way does not refute a crash": {
 			func(t *Table) float64 {
 				end := crashes(t, 0, 3, deadly)
-				t.RecordAnswer(at(2.05), 2, at(1), []uint64{7})
+				t.RecordAnswer(at(2.05), 2, at(1), Parts(7))
 				return end
 			}, []uint64{deadly}, nil},
 	} {
@@ -183,7 +183,7 @@
 	if !isHeld(table, end, deadly) {
 		t.Fatal("the part is not held")
 	}
-	table.RecordAnswer(at(end+1), 99, at(end+1), []uint64{deadly})
+	table.RecordAnswer(at(end+1), 99, at(end+1), Parts(deadly))
 	if isHeld(table, end+1, deadly) {
 		t.Error("the part is held although an upstream answered a prompt with it")
 	}
@@ -194,13 +194,13 @@
 	begin := crashes(table, 0, 3, deadly)
 	trials := 0
 	for s := begin; s < begin+3*3600; s += 5 {
-		_, held, trial := table.Check(at(s), []uint64{companion, deadly})
+		_, held, trial := table.Check(at(s), Parts(companion, deadly))
 		if !held {
 			t.Fatalf("the part is released after %.0f s although each trial crashed an upstream", s)
 		}
 		if trial {
 			trials++
-			table.RecordCrash(at(s+1), uint64(9000+trials), at(s+1-0.05), []uint64{companion, deadly})
+			table.RecordCrash(at(s+1), uint64(9000+trials), at(s+1-0.05), Parts(companion, deadly))
 		}
 	}
 	if trials == 0 || trials > maxTrials {
@@ -213,7 +213,7 @@
 		table := New(Options{MayTry: mayTry})
 		begin := crashes(table, 0, 3, deadly)
 		for s := begin; s < 3600; s += 5 {
-			if _, _, trial := table.Check(at(s), []uint64{deadly}); trial {
+			if _, _, trial := table.Check(at(s), Parts(deadly)); trial {
 				t.Fatalf("%s: a trial was sent", name)
 			}
 		}
@@ -246,9 +246,9 @@
 // enough by itself.
 func TestEvidenceOfSeveralNodesHoldsPart(t *testing.T) {
 	a, b, c := New(Options{}), New(Options{}), New(Options{})
-	a.RecordCrash(at(0), 1, at(0-0.05), []uint64{companion, deadly})
-	b.RecordCrash(at(1), 2, at(1-0.05), []uint64{companion, deadly})
-	c.RecordCrash(at(2), 3, at(2-0.05), []uint64{companion, deadly})
+	a.RecordCrash(at(0), 1, at(0-0.05), Parts(companion, deadly))
+	b.RecordCrash(at(1), 2, at(1-0.05), Parts(companion, deadly))
+	c.RecordCrash(at(2), 3, at(2-0.05), Parts(companion, deadly))
 	c.Merge(at(2.5), a.Message(at(2.5)))
 	c.Merge(at(2.5), b.Message(at(2.5)))
 	if !isHeld(c, 3, deadly) {
@@ -270,7 +270,7 @@
 func TestHoldOnOldEvidenceIsNotAdopted(t *testing.T) {
 	holding, other := New(Options{}), New(Options{})
 	end := crashes(holding, 0, 3, companion)
-	other.RecordAnswer(at(end-0.1), 99, at(end-0.2), []uint64{companion})
+	other.RecordAnswer(at(end-0.1), 99, at(end-0.2), Parts(companion))
 	if !isHeld(holding, end, companion) {
 		t.Fatal("the part is not held")
 	}
@@ -290,7 +290,7 @@
 	accusing, other := New(Options{}), New(Options{})
 	end := crashes(accusing, 0, 2, companion)
 	other.Merge(at(end), accusing.Message(at(end)))
-	other.RecordAnswer(at(end), 0, at(-1), []uint64{7})
+	other.RecordAnswer(at(end), 0, at(-1), Parts(7))
 	accusing.Merge(at(end), other.Message(at(end)))
 	if end := crashes(accusing, end+1, 1, companion); isHeld(accusing, end, companion) {
 		t.Error("the part is held although one of three upstreams did not crash")
@@ -304,7 +304,7 @@
 	if !isHeld(cutOff, end, companion) {
 		t.Fatal("the part is not held")
 	}
-	other.RecordAnswer(at(end+1), 99, at(end+1), []uint64{companion})
+	other.RecordAnswer(at(end+1), 99, at(end+1), Parts(companion))
 	other.Merge(at(end+1.5), cutOff.Message(at(end+1.5)))
 	if isHeld(other, end+1.5, companion) {
 		t.Error("a node that was answered adopted the hold")
@@ -323,12 +323,12 @@
 		for j := range parts {
 			parts[j] = uint64(1_000_000 + i*500 + j)
 		}
-		table.RecordCrash(at(2), 77, at(2-0.05), parts)
+		table.RecordCrash(at(2), 77, at(2-0.05), Parts(parts...))
 	}
-	if len(table.parts) > maxParts {
-		t.Errorf("the table has %d parts, want at most %d", len(table.parts), maxParts)
+	if len(table.suspects) > maxSuspects {
+		t.Errorf("the table has %d parts, want at most %d", len(table.suspects), maxSuspects)
 	}
-	if n := len(table.Message(at(3)).Parts); n > maxRecords {
+	if n := len(table.Message(at(3)).Suspects); n > maxRecords {
 		t.Errorf("a message has %d records, want at most %d", n, maxRecords)
 	}
 	if end := crashes(table, 4, 1, deadly); !isHeld(table, end, deadly) {
@@ -339,11 +339,69 @@
 func TestRequestIsNotRepeatedAfterSecondCrash(t *testing.T) {
 	table := New(Options{})
 	crashes(table, 0, 1, companion, deadly)
-	if table.Suspected(at(0), []uint64{companion, deadly}) {
+	if table.Suspected(at(0), Parts(companion, deadly)) {
 		t.Error("a part is suspected after one crash")
 	}
 	crashes(table, 1, 1, companion, deadly)
-	if !table.Suspected(at(1), []uint64{companion, deadly}) {
+	if !table.Suspected(at(1), Parts(companion, deadly)) {
 		t.Error("a part is not suspected after two crashes")
 	}
 }
+
+// TestRequestThatCrashesUpstreamsIsHeldAtEveryNode: three nodes see one crash each.
+func TestRequestThatCrashesUpstreamsIsHeldAtEveryNode(t *testing.T) {
+	deadlyRequest := []Subject{{ID: 5, Request: true}}
+	nodes := []*Table{New(Options{}), New(Options{}), New(Options{}), New(Options{})}
+	for i := range 3 {
+		nodes[i].RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), deadlyRequest)
+		for other := range 16 { // requests that the crash broke off as well
+			nodes[i].RecordCrash(at(float64(i)), uint64(i), at(float64(i)-0.05), []Subject{{ID: uint64(100 + 16*i + other), Request: true}})
+		}
+	}
+	exchange := func(s float64) {
+		for i := range nodes {
+			for j := range nodes {
+				nodes[j].Merge(at(s), nodes[i].Message(at(s)))
+			}
+		}
+	}
+	for round := range 8 {
+		exchange(2.1 + 0.1*float64(round))
+	}
+	for i, n := range nodes {
+		if _, held, _ := n.Check(at(3), deadlyRequest); !held {
+			t.Errorf("node %d does not hold a request that crashed three upstreams", i)
+		}
+		if _, held, _ := n.Check(at(3), []Subject{{ID: 100, Request: true}}); held {
+			t.Errorf("node %d holds a sound request that one of the crashes broke off", i)
+		}
+		if _, held, _ := n.Check(at(3), Parts(5)); held {
+			t.Errorf("node %d holds a part with the identifier of a held request", i)
+		}
+	}
+	nodes[0].RecordAnswer(at(4), 9, at(3.9), deadlyRequest)
+	exchange(4.1)
+	for i, n := range nodes {
+		if _, held, _ := n.Check(at(4.2), deadlyRequest); held {
+			t.Errorf("node %d holds a request that has been answered", i)
+		}
+	}
+}
+
+func TestRequestsThatCrashesBrokeOffDoNotDisplaceParts(t *testing.T) {
+	table := New(Options{})
+	crashes(table, 0, 2, deadly)
+	for i := range uint64(3 * maxSuspects) {
+		table.RecordCrash(at(2), 77, at(2-0.05), []Subject{{ID: i, Request: true}})
+	}
+	if n := table.count(true); n > maxSuspects || !table.HasRequests() {
+		t.Errorf("the table has %d requests, want at most %d", n, maxSuspects)
+	}
+	if end := crashes(table, 4, 1, deadly); !isHeld(table, end, deadly) {
+		t.Error("the evidence against the deadly part was displaced by requests")
+	}
+	table.Message(at(4000))
+	if n := table.count(true); n != 0 || table.HasRequests() {
+		t.Errorf("the table has %d requests long after the crashes, want none", n)
+	}
+}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -8,7 +8,7 @@
 	"github.com/crocusspread/crocusspread/core/event"
 )
 
-// judge holds the parts against which enough evidence speaks. The caller must hold t.mu.
+// judge holds the suspects that enough crashes implicate. The caller must hold t.mu.
 func (t *Table) judge(now time.Time) {
 	if !t.changed {
 		return
@@ -17,8 +17,8 @@
 	settled := now.Add(-settleTime)
 	waiting := false
 	for {
-		var best *part
-		for _, p := range t.parts {
+		var best *suspect
+		for _, p := range t.suspects {
 			if p.held() || len(p.crashes) == 0 {
 				continue
 			}
@@ -32,15 +32,15 @@
 			return
 		}
 		best.heldAt, best.requestedAt, best.trials = now, now, 0
-		t.options.Log.Log(event.PartHeld, event.F("part", format(best.id)), event.F("crashes", len(best.crashes)),
+		t.options.Log.Log(event.PartHeld, event.F("part", format(best.ID)), event.F("kind", best.kind()), event.F("crashes", len(best.crashes)),
 			event.F("moments", best.moments(settled)), event.F("answered", !best.answeredAt.IsZero()), event.F("from", "own verdict"))
 		t.notify()
 		t.removeExplained()
 	}
 }
 
-// accused reports whether the crashes until settled suffice to hold the part.
-func (p *part) accused(settled time.Time) bool {
+// accused reports whether the crashes until settled suffice to hold the suspect.
+func (p *suspect) accused(settled time.Time) bool {
 	if p.processes() < minProcesses {
 		return false
 	}
@@ -48,29 +48,30 @@
 	if !p.answeredAt.IsZero() {
 		return moments >= minMomentsAnswered
 	}
-	return moments >= minMoments || moments >= manyCrashesMoments && len(p.crashes) >= manyCrashes
+	many := !p.Request && len(p.crashes) >= manyCrashes
+	return moments >= minMoments || many && moments >= manyCrashesMoments
 }
 
 // morePlausible reports whether p is more likely than q to be the cause of the crashes:
 // it was present at more of them; it was never answered, or longer ago; or it is the more
-// specific part, as a sound part is shared by more prompts than it appears to.
-func morePlausible(p, q *part, settled time.Time) bool {
+// specific one, as a sound part is shared by more prompts than it appears to.
+func morePlausible(p, q *suspect, settled time.Time) bool {
 	return cmp.Or(
 		cmp.Compare(q.moments(settled), p.moments(settled)),
 		p.answeredAt.Compare(q.answeredAt),
 		cmp.Compare(q.position, p.position),
-		cmp.Compare(p.id, q.id),
+		cmp.Compare(p.ID, q.ID),
 	) < 0
 }
 
-// removeExplained removes the crashes that a held part explains from the evidence
-// against the other parts.
+// removeExplained removes the crashes that a held suspect explains from the evidence
+// against the others.
 func (t *Table) removeExplained() {
-	for _, h := range t.parts {
+	for _, h := range t.suspects {
 		if !h.held() {
 			continue
 		}
-		for _, p := range t.parts {
+		for _, p := range t.suspects {
 			if !p.held() {
 				p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return h.hasCrash(c.process) })
 			}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -26,7 +26,7 @@
 	Upstreams Upstreams
 	Nodes     Nodes
 	Budget    *sharedbounds.RetryBudget
-	// Quarantine holds back requests with a part that crashes upstreams.
+	// Quarantine holds back requests that crash upstreams.
 	Quarantine *quarantine.Table
 	Policy     placement.Policy
 	Log        event.Logger
@@ -56,7 +56,7 @@
 	defer cancel()
 	a := &attempts{Engine: e, r: r, delivery: &delivery{sink: sink}, objectiveFrom: r.Arrived}
 	for _, p := range r.Prompt.SharedParts() {
-		a.sharedParts = append(a.sharedParts, p.ID)
+		a.subjects = append(a.subjects, quarantine.Subject{ID: p.ID})
 	}
 	if r.Route.Resumable {
 		a.delivery.events = &eventSplitter{}
@@ -97,10 +97,14 @@
 	// bytes arrived; maxGap is the longest gap between bytes.
 	headAt, firstAt, lastAt time.Time
 	maxGap                  time.Duration
-	// sharedParts are the identifiers of the parts that other prompts may have too.
-	sharedParts []uint64
-	// trial is set if the request is sent although one of these parts is held.
+	// subjects are what may crash upstreams: the parts that other prompts may have too and, once
+	// identified is set, the request itself.
+	subjects   []quarantine.Subject
+	identified bool
+	// trial is set if the request is sent although one of these is held.
 	trial bool
+	// crashes is the number of upstreams that may have crashed on the request.
+	crashes int
 	// ticket is the slot of the current attempt in this region; nil if it is in another.
 	ticket *instances.Ticket
 	// events counts the events of the current attempt's answer.
@@ -184,7 +188,7 @@
 
 // mayRetry decides whether another attempt follows and charges it to the budget.
 func (a *attempts) mayRetry(res result) bool {
-	if a.placements >= maxPlacements || res.err.Kind == errkind.PromptPartHeld || a.mayCrashAnother(res) {
+	if a.placements >= maxPlacements || refusedAsHeld(res.err) || a.mayCrashAnother(res) {
 		return false
 	}
 	if !res.reached {
@@ -268,7 +272,7 @@
 		err = a.withRetryAfter(errkind.New(errkind.DeadlineUnreachable, "not sent within %v", a.r.Deadline.Sub(a.r.Arrived)))
 	case a.mayHaveRun && err.Verdict() == domain.RunNo:
 		err = errkind.New(errkind.UpstreamFailed, "an earlier attempt may have run; last attempt: %w", err)
-	case !a.mayHaveRun && err.Verdict() == domain.RunNo && err.RetryAfter == 0 && err.Kind != errkind.PromptPartHeld:
+	case !a.mayHaveRun && err.Verdict() == domain.RunNo && err.RetryAfter == 0 && !refusedAsHeld(err):
 		err = a.withRetryAfter(err)
 	}
 	return &Failure{Error: err, Broken: a.delivery.started}
--- a/core/relay/held.go
+++ b/core/relay/held.go
@@ -10,28 +10,59 @@
 	"github.com/crocusspread/crocusspread/core/quarantine"
 )
 
-// refuseHeld ends a request whose prompt has a held part; ok is false if it has none.
+// identify returns the subjects of the request that may crash upstreams: the shared parts of its
+// prompt and, last, the request itself.
+func (a *attempts) identify() []quarantine.Subject {
+	if !a.identified {
+		a.identified = true
+		a.subjects = append(a.subjects, quarantine.Subject{ID: a.r.Fingerprint(), Request: true})
+	}
+	return a.subjects
+}
+
+// suspects returns the subjects of the request of which something may be known.
+func (a *attempts) suspects() []quarantine.Subject {
+	if a.Quarantine.HasRequests() {
+		return a.identify()
+	}
+	return a.subjects
+}
+
+// refuseHeld ends a request with a held subject; ok is false if it has none.
 func (a *attempts) refuseHeld() (res result, ok bool) {
-	if len(a.sharedParts) == 0 || a.trial {
+	suspects := a.suspects()
+	if len(suspects) == 0 || a.trial {
 		return result{}, false
 	}
-	part, held, trial := a.Quarantine.Check(a.Now(), a.sharedParts)
+	subject, held, trial := a.Quarantine.Check(a.Now(), suspects)
 	a.trial = trial
 	if !held || trial {
 		return result{}, false
 	}
+	id := strconv.FormatUint(subject.ID, 16)
+	if subject.Request {
+		a.Metrics.Count("relay.request_held", 1)
+		return result{err: errkind.New(errkind.RequestHeld, "the request, with fingerprint %s, crashes upstreams", id), ran: domain.RunNo}, true
+	}
 	a.Metrics.Count("relay.part_held", 1)
-	return result{err: errkind.New(errkind.PromptPartHeld, "part %s of the prompt crashes upstreams", strconv.FormatUint(part, 16)), ran: domain.RunNo}, true
+	return result{err: errkind.New(errkind.PromptPartHeld, "part %s of the prompt crashes upstreams", id), ran: domain.RunNo}, true
 }
 
-// recordProcess records what an attempt shows about the shared parts of the prompt.
+// refusedAsHeld reports whether the request was refused because it crashes upstreams.
+func refusedAsHeld(e *errkind.Error) bool {
+	return e.Kind == errkind.PromptPartHeld || e.Kind == errkind.RequestHeld
+}
+
+// recordProcess records what an attempt shows about the subjects of the request.
 func (a *attempts) recordProcess(t *instances.Ticket, res result) {
 	switch {
-	case len(a.sharedParts) == 0:
 	case res.delivered:
 		a.recordAnswer(t)
-	case a.crashed(res) && t.Registered():
-		a.Quarantine.RecordCrash(a.Now(), quarantine.ProcessID(t.ID, t.Started), t.SentAt, a.sharedParts)
+	case a.crashed(res):
+		a.crashes++
+		if t.Registered() {
+			a.Quarantine.RecordCrash(a.Now(), quarantine.ProcessID(t.ID, t.Started), t.SentAt, a.identify())
+		}
 	}
 }
 
@@ -45,22 +76,38 @@
 	return res.err != nil && errors.Is(res.err, ErrConnectionClosed) && a.events.complete <= maxEventsAtCrash
 }
 
+// crashedElsewhere reports the same of an upstream of another region, whose node tells only that the
+// answer was lost.
+func (a *attempts) crashedElsewhere(res result) bool {
+	return res.err != nil && (res.err.Kind == errkind.UpstreamFailed || res.err.Kind == errkind.Truncated) &&
+		res.ran == domain.RunUnknown && a.events.complete <= maxEventsAtCrash
+}
+
 // recordEvents counts the events in the next bytes of an answer. Once there are more than
-// maxEventsAtCrash, the parts of its prompt are known not to have crashed the upstream.
+// maxEventsAtCrash, the request is known not to have crashed the upstream.
 func (a *attempts) recordEvents(b []byte) {
 	before := a.events.complete
 	a.events.add(b)
-	if a.ticket != nil && before <= maxEventsAtCrash && a.events.complete > maxEventsAtCrash && len(a.sharedParts) > 0 {
+	if a.ticket != nil && before <= maxEventsAtCrash && a.events.complete > maxEventsAtCrash {
 		a.recordAnswer(a.ticket)
 	}
 }
 
 func (a *attempts) recordAnswer(t *instances.Ticket) {
-	a.Quarantine.RecordAnswer(a.Now(), quarantine.ProcessID(t.ID, t.Started), t.SentAt, a.sharedParts)
+	if suspects := a.suspects(); len(suspects) > 0 {
+		a.Quarantine.RecordAnswer(a.Now(), quarantine.ProcessID(t.ID, t.Started), t.SentAt, suspects)
+	}
 }
 
-// mayCrashAnother reports whether the request may crash a second upstream if it is sent
+// maxCrashes is the number of upstreams that may have crashed on one request before it is no longer
+// sent again.
+const maxCrashes = 2
+
+// mayCrashAnother reports whether the request may crash one more upstream if it is sent
 // again after the attempt.
 func (a *attempts) mayCrashAnother(res result) bool {
-	return len(a.sharedParts) > 0 && a.crashed(res) && (a.trial || a.Quarantine.Suspected(a.Now(), a.sharedParts))
+	if a.crashes >= maxCrashes {
+		return true
+	}
+	return a.crashed(res) && (a.trial || a.Quarantine.Suspected(a.Now(), a.identify()))
 }
--- a/core/relay/held_test.go
+++ b/core/relay/held_test.go
@@ -9,6 +9,7 @@
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/quarantine"
 	"github.com/crocusspread/crocusspread/core/relay"
 	"github.com/crocusspread/crocusspread/core/routes"
 )
@@ -29,7 +30,7 @@
 func (r *fixture) hold() {
 	past := time.Now().Add(-10 * time.Second)
 	for i := range 3 {
-		r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), past, []uint64{1, heldPart})
+		r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), past, quarantine.Parts(1, heldPart))
 	}
 }
 
@@ -92,7 +93,7 @@
 		r := newFixture(t, 3)
 		past := time.Now().Add(-10 * time.Second)
 		for i := range 2 {
-			r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), past, []uint64{heldPart})
+			r.Quarantine.RecordCrash(past.Add(time.Duration(i)*time.Second), uint64(i), past, quarantine.Parts(heldPart))
 		}
 		broken := reply{end: relay.ConnectionClosed(io.ErrUnexpectedEOF)}
 		if chunks != "" {
@@ -102,7 +103,7 @@
 		if f := r.Serve(context.Background(), promptRequest(routes.Streaming, 1, heldPart), &recordingSink{}); f == nil {
 			t.Fatalf("events %q: got an answer, want a failure", chunks)
 		}
-		if _, got, _ := r.Quarantine.Check(time.Now().Add(time.Second), []uint64{heldPart}); got != held {
+		if _, got, _ := r.Quarantine.Check(time.Now().Add(time.Second), quarantine.Parts(heldPart)); got != held {
 			t.Errorf("after events %q: part held %v, want %v", chunks, got, held)
 		}
 	}
@@ -115,7 +116,7 @@
 		r.upstreams.replies = []reply{{err: errkind.New(errkind.UpstreamFailed, "connection timed out")}}
 		r.Serve(context.Background(), promptRequest(routes.Streaming, 1, heldPart), &recordingSink{})
 	}
-	if records := r.Quarantine.Message(time.Now()).Parts; len(records) != 0 {
+	if records := r.Quarantine.Message(time.Now()).Suspects; len(records) != 0 {
 		t.Errorf("got records %+v after timeouts, want none", records)
 	}
 }
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -23,7 +23,8 @@
 	}
 	fingerprint := ""
 	if a.crashed(res) {
-		fingerprint = strconv.FormatUint(a.r.Fingerprint(), 16)
+		subjects := a.identify()
+		fingerprint = strconv.FormatUint(subjects[len(subjects)-1].ID, 16)
 	}
 	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("fingerprint", fingerprint), event.F("to", to),
 		event.F("outcome", res.outcome()), event.F("cold", a.ticket != nil && a.ticket.Cold), event.F("run", res.ran), event.F("judged", res.upstreamOutcome.String()),
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -40,6 +40,9 @@
 		answer.Close()
 	}
 	a.r.SendCount += sent
+	if a.crashedElsewhere(res) {
+		a.crashes++
+	}
 	a.logAttempt(string(to.ID), sentAt, a.decision.Delay, res)
 	return res
 }
@@ -88,7 +91,7 @@
 func (a *attempts) relayError(ctx context.Context, region domain.Region, err error) result {
 	e := errkind.From(err)
 	if e.Verdict() == domain.RunNo {
-		if e.Kind != errkind.PromptPartHeld {
+		if !refusedAsHeld(e) {
 			a.Regions.MarkFull(region, a.r.Service)
 		}
 		return result{err: e, ran: domain.RunNo, upstreamOutcome: instances.Unreachable, reached: remoteSends(err) > 0}
