--- a/adapters/mesh/parts_test.go
+++ b/adapters/mesh/parts_test.go
@@ -31,7 +31,7 @@
 
 func TestPartsAndLimitsRoundTrip(t *testing.T) {
 	msg := sampleMessage(3)
-	msg.Suspects = evidence()
+	msg.Parts = evidence()
 	msg.RateLimits = []instances.RateLimit{{Service: "app", Instance: "i-1", PerSecond: 2.1, Age: time.Second}, {Service: "app", Instance: "i-2", Age: 3 * time.Second}}
 	msg.Statements = []instances.Statement{{Service: "app", Instance: "i-3", Started: 1 << 41, ColdFor: 2 * time.Second}}
 	wire := messageToWire(msg)
@@ -46,7 +46,7 @@
 func TestMessageWithoutNewsHasNoEvidence(t *testing.T) {
 	msg := sampleMessage(3)
 	before := proto.Size(messageToWire(msg))
-	msg.Suspects = quarantine.New(quarantine.Options{}).Message(time.Now())
+	msg.Parts = quarantine.New(quarantine.Options{}).Message(time.Now())
 	if got := proto.Size(messageToWire(msg)); got != before {
 		t.Errorf("got a message of %d bytes, want %d as without evidence", got, before)
 	}
