Trust a refusal only if it belongs to the request

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the upstream had run, or it ran a second time elsewhere.

Cause: whether an upstream had not run the request, or was another instance, was decided before the request ID of its answer was compared.

The ID is compared first. A refusal without an ID is trusted on a new connection only. What such an answer says of its upstream's load and limit is not used either.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -335,6 +335,7 @@
 	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != instance {
 		w.Header().Set("X-Instance-Id", instance)
+		w.Header().Set("X-Request-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -343,6 +344,7 @@
 	s.mu.Unlock()
 	if b.RejectAll {
 		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("X-Request-Id", id)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -54,8 +54,8 @@
 // the request ran.
 func (r *Routed) Send(ctx context.Context, to *instances.Instance, c *relay.Call) (relay.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected.Store(true); reused.Store(info.Reused) }}
 	req := r.request(httptrace.WithClientTrace(ctx, trace), to, c)
 	transport := r.pooled
 	if c.Route.Kind == routes.AtMostOnce {
@@ -75,6 +75,7 @@
 	head.Header = EndToEnd(resp.Header)
 	head.ContentLength = resp.ContentLength
 	head.Framing = framing(resp)
+	head.Reused = reused.Load()
 	return &routedAnswer{
 		resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte),
 		isRunning: func() error { return r.liveness.check(ctx, to.Address) },
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -56,8 +56,8 @@
 		a.headAt = now
 		h := answer.Head()
 		a.framing = h.Framing
-		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected)
-		if !h.Misdirected { // otherwise another instance answered
+		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected && h.answers(a.r.ID))
+		if !h.Misdirected && h.answers(a.r.ID) { // otherwise another instance answered, or another request
 			t.ConfirmRunning(now)
 			t.RecordRateLimit(now, answer.ReportedLoad().RateLimit)
 		}
@@ -143,13 +143,13 @@
 func (a *attempts) receive(ctx context.Context, answer Answer, t *instances.Ticket) result {
 	h := answer.Head()
 	switch {
+	case !h.answers(a.r.ID):
+		a.Log.Log(event.AnswerCrossed, event.F("request", a.r.ID), event.F("answered", h.RequestID), event.F("instance", t.ID))
+		return failedResult(errkind.UpstreamFailed, domain.RunUnknown, instances.Broken, "upstream returned the answer of request %q", h.RequestID)
 	case h.Misdirected:
 		return failedResult(errkind.NoCapacity, domain.RunNo, instances.Misdirected, "another instance now has this address")
 	case h.NotRun:
 		return failedResult(errkind.Overloaded, domain.RunNo, instances.Shed, "upstream refused with status %d", h.Status)
-	case h.RequestID != "" && h.RequestID != a.r.ID:
-		a.Log.Log(event.AnswerCrossed, event.F("request", a.r.ID), event.F("answered", h.RequestID), event.F("instance", t.ID))
-		return failedResult(errkind.UpstreamFailed, domain.RunUnknown, instances.Broken, "upstream returned the answer of request %q", h.RequestID)
 	case h.Status < 300 && !h.Signed:
 		return failedResult(errkind.UpstreamFailed, domain.RunUnknown, instances.Broken, "success without a signature")
 	}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -76,6 +76,8 @@
 	Framing       Framing
 	// RequestID is the ID that the upstream echoed; empty if it did not.
 	RequestID domain.RequestID
+	// Reused is set if the connection had served earlier requests.
+	Reused bool
 	// Signed is set if the upstream signed the answer.
 	Signed bool
 	// NotRun is set if the upstream states that it did not run the request.
@@ -86,6 +88,15 @@
 	RanAt domain.UpstreamID
 }
 
+// answers reports whether the answer belongs to a request. On a reused connection, an upstream in trouble
+// may send an answer to an earlier request once more; a refusal is not trusted there without an ID.
+func (h *Head) answers(id domain.RequestID) bool {
+	if h.RequestID == "" {
+		return !h.Reused || !h.NotRun && !h.Misdirected
+	}
+	return h.RequestID == id
+}
+
 // statusOK is the only status with which a stream of events begins.
 const statusOK = 200
 
