Continue a stream only with the rest of it

Reported by other operators: a stream had begun and broke off, the next server answered with an error, and clients found the error's text in their stream, or the stream ended as if it were complete.

Cause: once a stream had begun, any answer of the next upstream below 500 was passed on as its rest and ended it: 302, 400, 404, a 200 of another type, an empty 204.

Only a 200 whose body consists of events continues a stream that has begun. Anything else fails the attempt; without another one the caller's connection is broken off.

--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -154,8 +154,21 @@
 		return failedResult(errkind.UpstreamFailed, domain.RunUnknown, instances.Broken, "success without a signature")
 	}
 	h.RanAt = t.ID
+	return a.receiveBody(ctx, answer, h, t.Progress)
+}
+
+// receiveBody passes the body of an answer on. Only the rest of a stream may follow what the caller has
+// of it already.
+func (a *attempts) receiveBody(ctx context.Context, answer Answer, h Head, progress func(time.Time)) result {
+	if a.delivery.started && (h.Status != statusOK || !h.isEventStream(a.r.Route.Kind)) {
+		outcome := instances.Answered
+		if h.Status >= 500 {
+			outcome = instances.ServerError
+		}
+		return failedResult(errkind.UpstreamFailed, domain.RunYes, outcome, "upstream answered %d instead of the rest of the stream", h.Status)
+	}
 	if a.r.Route.Kind == routes.Streaming && h.Status < 300 {
-		return a.receiveStream(ctx, answer, h, t.Progress)
+		return a.receiveStream(ctx, answer, h, progress)
 	}
 	return a.receiveBuffered(ctx, answer, h)
 }
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -12,7 +12,6 @@
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
-	"github.com/crocusspread/crocusspread/core/routes"
 )
 
 // sendRemote sends the request to a node of another region, which runs or refuses it.
@@ -126,9 +125,5 @@
 }
 
 func (a *attempts) receiveRemote(ctx context.Context, answer Answer) result {
-	h := answer.Head()
-	if a.r.Route.Kind == routes.Streaming && h.Status < 300 {
-		return a.receiveStream(ctx, answer, h, func(time.Time) {})
-	}
-	return a.receiveBuffered(ctx, answer, h)
+	return a.receiveBody(ctx, answer, answer.Head(), func(time.Time) {})
 }
--- a/core/relay/stream_test.go
+++ b/core/relay/stream_test.go
@@ -169,3 +169,37 @@
 		}
 	})
 }
+
+// TestErrorOfNextUpstreamIsNotWrittenIntoStream: a stream broke off, and the upstream at which it is
+// resumed answers with something else than the rest of the stream.
+func TestErrorOfNextUpstreamIsNotWrittenIntoStream(t *testing.T) {
+	const begun = "id: 1\ndata: a\n\n"
+	for name, second := range map[string]reply{
+		"not found":               {head: relay.Head{Status: 404, Signed: true}, chunks: []string{"no such\n\n"}},
+		"rejected":                {head: relay.Head{Status: 400}, chunks: []string{"data: bad request\n\n"}},
+		"server error":            {head: relay.Head{Status: 500, Signed: true}, chunks: []string{"internal\n\n"}},
+		"redirect":                {head: relay.Head{Status: 302}},
+		"success that is no text": {head: relay.Head{Status: 200, Signed: true, Header: map[string][]string{"Content-Type": {"application/json"}}}, chunks: []string{"{}\n\n"}},
+		"success without content": {head: relay.Head{Status: 204, Signed: true}},
+	} {
+		for _, remote := range []bool{false, true} {
+			r := newFixture(t, 2)
+			replies := []reply{{chunks: []string{begun}, end: errors.New("reset")}, second}
+			if remote {
+				r = newFixture(t, 0)
+				r.addEastNode()
+				r.nodes.replies = replies
+			} else {
+				r.upstreams.replies = replies
+			}
+			var got recordingSink
+			f := r.Serve(context.Background(), streaming(2, true), &got)
+			if got.body != begun {
+				t.Errorf("%s, remote %v: the caller got %q, want the stream as far as it came", name, remote, got.body)
+			}
+			if f == nil || !f.Broken {
+				t.Errorf("%s, remote %v: got failure %+v, want a stream that is not complete", name, remote, f)
+			}
+		}
+	}
+}
