--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -3,6 +3,7 @@
 package answer
 
 import (
+	"errors"
 	"io"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -45,9 +46,14 @@
 }
 
 // Copy copies the stream to w. It returns a nil error only if the end marker arrived and
-// everything was written. started reports whether the head was written.
+// everything was written. started reports whether the head was written. Errors of package errkind that
+// the writer returns for the head are returned unchanged.
 func Copy(w Writer, s Stream) (started bool, err error) {
 	if err := w.WriteHead(s.Head()); err != nil {
+		var refused *errkind.Error
+		if errors.As(err, &refused) {
+			return false, err
+		}
 		return false, errkind.New(errkind.Canceled, "write answer head: %w", err)
 	}
 	for {
--- a/core/gateway/writer.go
+++ b/core/gateway/writer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/answer"
+	"github.com/crocusspread/crocusspread/core/errkind"
 )
 
 // trackedWriter tracks which part of an answer has been written to the caller, so that a
@@ -25,8 +26,12 @@
 	return &trackedWriter{w: w, startedAt: startedAt, now: now}
 }
 
-// WriteHead implements answer.Writer. It drops the head of a resumed answer.
+// WriteHead implements answer.Writer. It drops the head of a resumed answer, and fails if what follows
+// is not the rest of the answer that has begun.
 func (t *trackedWriter) WriteHead(h answer.Head) error {
+	if t.started && h.Status != t.head.Status {
+		return errkind.New(errkind.UpstreamFailed, "answered %d instead of the rest of the answer", h.Status)
+	}
 	if t.started {
 		return nil
 	}
