--- a/adapters/edgenode/registration.go
+++ b/adapters/edgenode/registration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -141,7 +142,11 @@
 			continue
 		}
 		var e nodeEntry
-		if err := json.Unmarshal(i.Value, &e); err != nil || e.ID == "" {
+		err := json.Unmarshal(i.Value, &e)
+		if err == nil {
+			err = n.checkNodeEntry(i.Key, &e)
+		}
+		if err != nil {
 			n.log.Log(event.InstanceRefused, event.F("key", i.Key), event.F("error", err))
 			continue
 		}
@@ -153,3 +158,21 @@
 	}
 	n.members.MergeRegistered(now, list)
 }
+
+// maxCapacityMilli is the largest capacity that the entry of a node may state.
+const maxCapacityMilli = 1 << 20
+
+// checkNodeEntry returns an error unless a node can have written the entry: another writer may have left
+// one that would be handed out to callers.
+func (n *Node) checkNodeEntry(key string, e *nodeEntry) error {
+	if key != n.deps.Documents.NodePrefix()+string(e.ID) {
+		return fmt.Errorf("the entry is that of node %q", e.ID)
+	}
+	if region, known := n.settings.RegionByFailureDomain[e.FailureDomain]; !known || region != e.Region {
+		return fmt.Errorf("failure domain %q is not known in region %q", e.FailureDomain, e.Region)
+	}
+	if e.CapacityMilli < 0 || e.CapacityMilli > maxCapacityMilli {
+		return fmt.Errorf("the capacity is %d thousandths", e.CapacityMilli)
+	}
+	return errors.Join(domain.CheckName(string(e.ID)), domain.CheckAddress(e.EntryAddress), domain.CheckAddress(e.PeerAddress))
+}
