Add failing tests: what an upstream says of itself in its answers is not obeyed

An upstream that says that it leaves gets 96 to 100 requests in 2 s while its entry says ready, while the nodes are cut off from the store, after its entry came and went, and after the store came back from a copy. One that wants no requests for some seconds gets them, and callers are told 0.3 s where the shortest silence is 8.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -51,6 +51,11 @@
 	CloseInsideEvent int
 	// RejectAll rejects all requests and marks them as not executed.
 	RejectAll bool
+	// Leaving says in all responses that the server leaves.
+	Leaving bool
+	// RetryAfter is what rejections say of when the server wants requests again, as in the header;
+	// empty means nothing.
+	RetryAfter string
 	// DropResponses executes requests and then resets the connection instead of
 	// responding.
 	DropResponses bool
@@ -342,7 +347,13 @@
 	s.mu.Lock()
 	s.acceptedTimes = append(s.acceptedTimes, time.Now())
 	s.mu.Unlock()
+	if b.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if b.RejectAll {
+		if b.RetryAfter != "" {
+			w.Header().Set("Retry-After", b.RetryAfter)
+		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.Header().Set("X-Request-Id", id)
 		w.WriteHeader(http.StatusServiceUnavailable)
