Obey what an upstream says of itself in its answers: that it leaves, and for how long it wants no requests

An upstream that said that it leaves gets nothing from this node until it has started again, whatever its entry says; the other nodes of the region are told at once. If all upstreams of the region want silence, callers get the shortest remaining time, spread over a second.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -117,7 +117,7 @@
 		Self: s.Place, Catalog: n.catalog, Members: n.members, Regions: n.regions,
 		Upstreams: n.upstreams, Nodes: n.mesh,
 		Budget:     sharedbounds.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
-		Quarantine: n.parts, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
+		Quarantine: n.parts, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, CheckDeadline: n.checkDeadline, CloseConnections: n.closing.Load,
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -143,7 +143,7 @@
 	}
 	for _, s := range msg.Statements {
 		m.Statements = append(m.Statements, &meshpb.UpstreamStatement{Service: s.Service, Instance: string(s.Instance), Started: s.Started,
-			ColdMs: uint32(s.ColdFor.Milliseconds())})
+			ColdMs: uint32(s.ColdFor.Milliseconds()), Leaving: s.Leaving})
 	}
 	m.Loads = loadsToWire(msg.Loads)
 	for _, v := range msg.Views {
@@ -191,7 +191,7 @@
 	}
 	for _, s := range m.GetStatements() {
 		msg.Statements = append(msg.Statements, instances.Statement{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()), Started: s.GetStarted(),
-			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond})
+			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond, Leaving: s.GetLeaving()})
 	}
 	msg.Loads = loadsFromWire(m.GetLoads())
 	for _, v := range m.GetViews() {
--- a/adapters/mesh/parts_test.go
+++ b/adapters/mesh/parts_test.go
@@ -33,7 +33,7 @@
 	msg := sampleMessage(3)
 	msg.Parts = evidence()
 	msg.RateLimits = []instances.RateLimit{{Service: "app", Instance: "i-1", PerSecond: 2.1, Age: time.Second}, {Service: "app", Instance: "i-2", Age: 3 * time.Second}}
-	msg.Statements = []instances.Statement{{Service: "app", Instance: "i-3", Started: 1 << 41, ColdFor: 2 * time.Second}}
+	msg.Statements = []instances.Statement{{Service: "app", Instance: "i-3", Started: 1 << 41, ColdFor: 2 * time.Second}, {Service: "app", Instance: "i-4", Leaving: true}}
 	wire := messageToWire(msg)
 	got := messageFromWire(wire)
 	if fmt.Sprint(got) != fmt.Sprint(msg) {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -48,6 +48,8 @@
 	InstanceLimited   = Event{407, "instance_limited", "An upstream named, changed or no longer names the rate of requests that it accepts from all nodes; zero means no limit."}
 	InstanceOutdated  = Event{408, "entry_outdated", "An entry in the store is older than what the node knows of its upstream, as after the store came back from an older copy; it is ignored."}
 	InstanceCold      = Event{409, "instance_cold", "The node began to take an upstream for cold; the fields contain the source, for how long, and the node's share of the cold rate in requests per second."}
+	InstanceLeaving   = Event{410, "instance_leaving", "An upstream said in an answer that it leaves; it gets no more requests from this node until it has started again, whatever its entry says."}
+	InstanceSilenced  = Event{411, "instance_silenced", "An upstream answered 503 and asked for no requests for the stated time; it gets none from this node."}
 	MemberChanged     = Event{501, "member_changed", "This node observed a state change of another node of the fleet."}
 	DirectoryEmpty    = Event{503, "directory_empty", "A caller requested the list of entry nodes and no live node was known, or the response could not be written."}
 	DomainChanged     = Event{502, "failure_domain_changed", "A failure domain became reachable or unreachable from this node."}
@@ -70,7 +72,7 @@
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
-		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold,
+		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
 		PlatformFailed, PlatformRestored, StoreHistoryLost, Registered, RegistrationLost, StoreRestored,
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -53,7 +53,18 @@
 
 func (c *coldness) cold(now time.Time) bool {
 	return now.Before(c.until) || c.presumed && (c.presumedUntil.IsZero() || now.Before(c.presumedUntil)) ||
-		now.Sub(c.outdatedSince) < maxOutdatedFor
+		!c.outdatedSince.IsZero() && now.Sub(c.outdatedSince) < maxOutdatedFor
+}
+
+// end returns when the cold phase ends; zero if that is not known.
+func (c *coldness) end() time.Time {
+	if c.presumed && c.presumedUntil.IsZero() {
+		return time.Time{}
+	}
+	if c.presumed && c.presumedUntil.After(c.until) {
+		return c.presumedUntil
+	}
+	return c.until
 }
 
 // confirmEntry records that the upstream's entry is known as of a time.
@@ -132,23 +143,15 @@
 	p.startColdPace(now, u, wasCold, coldFromLoss)
 }
 
-// ConfirmRunning records that an answer of the upstream itself began to arrive, not one of
-// another instance at its address.
-func (t *Ticket) ConfirmRunning(now time.Time) {
-	t.pool.mu.Lock()
-	defer t.pool.mu.Unlock()
-	t.upstream.coldness.recordAnswer(now, t.SentAt, t.pool.config.ColdStart)
-}
-
-// inheritCold adopts what the former record of the upstream says of cold phases; it may be nil. The
-// pace is kept for a new process, as the bound concerns the upstream.
-func (u *upstream) inheritCold(former *upstream) {
+// inherit adopts what the former record of the upstream says of its process; it may be nil. The pace
+// is kept for a new process, as the bound concerns the upstream.
+func (u *upstream) inherit(former *upstream) {
 	if former == nil {
 		return
 	}
 	u.pace = former.pace
 	if former.Started == u.Started {
-		u.coldness = former.coldness
+		u.coldness, u.silence, u.leavingStated = former.coldness, former.silence, former.leavingStated
 	}
 }
 
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -95,16 +95,16 @@
 	}{
 		{"nothing is known", func(*instances.Catalog, *instances.Ticket) {}, lostAt.Add(time.Minute), true},
 		{"an earlier request is answered", func(_ *instances.Catalog, before *instances.Ticket) {
-			before.ConfirmRunning(lostAt.Add(200 * time.Millisecond))
+			before.RecordReport(lostAt.Add(200*time.Millisecond), instances.ReportedLoad{})
 		}, lostAt.Add(300 * time.Millisecond), false},
 		{"the last bytes before a crash are read after it", func(_ *instances.Catalog, before *instances.Ticket) {
-			before.ConfirmRunning(lostAt.Add(50 * time.Millisecond))
+			before.RecordReport(lostAt.Add(50*time.Millisecond), instances.ReportedLoad{})
 		}, lostAt.Add(300 * time.Millisecond), true},
 		{"a later request was answered a moment ago", func(c *instances.Catalog, _ *instances.Ticket) {
-			placeRequest(c, lostAt.Add(time.Second)).ConfirmRunning(lostAt.Add(2 * time.Second))
+			placeRequest(c, lostAt.Add(time.Second)).RecordReport(lostAt.Add(2*time.Second), instances.ReportedLoad{})
 		}, lostAt.Add(4 * time.Second), true},
 		{"a later request was answered a cold phase ago", func(c *instances.Catalog, _ *instances.Ticket) {
-			placeRequest(c, lostAt.Add(time.Second)).ConfirmRunning(lostAt.Add(2 * time.Second))
+			placeRequest(c, lostAt.Add(time.Second)).RecordReport(lostAt.Add(2*time.Second), instances.ReportedLoad{})
 		}, lostAt.Add(6 * time.Second), false},
 		{"its entry was written before the loss", func(c *instances.Catalog, _ *instances.Ticket) {
 			entry.Sequence = 2
@@ -117,7 +117,7 @@
 		{"a request after the loss is answered before another loss", func(c *instances.Catalog, before *instances.Ticket) {
 			between := placeRequest(c, lostAt.Add(time.Second))
 			before.ConnectionLost(lostAt.Add(2 * time.Second))
-			between.ConfirmRunning(lostAt.Add(3 * time.Second))
+			between.RecordReport(lostAt.Add(3*time.Second), instances.ReportedLoad{})
 		}, lostAt.Add(4 * time.Second), true},
 	}
 	for _, tc := range cases {
--- a/core/instances/instance.go
+++ b/core/instances/instance.go
@@ -30,13 +30,18 @@
 	Sequence uint64
 }
 
-// ReportedLoad is the load that an upstream reports in the header of an answer, in
+// ReportedLoad is what an upstream reports of itself in the header of an answer. The load is in
 // requests.
 type ReportedLoad struct {
 	Running, Waiting, Slots int
 	// RateLimit is the number of requests per second that the upstream accepts from all
 	// nodes together; zero if it names none.
 	RateLimit float64
+	// Leaving is set if the upstream says that it leaves.
+	Leaving bool
+	// Silence is the time for which the upstream wants no requests from this node; zero if it
+	// does not say so.
+	Silence time.Duration
 }
 
 // Outcome is the result of one request to an upstream.
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -45,6 +45,9 @@
 	backlogMark float64
 	// pendingBefore is the backlog of the upstream, in tokens, before the request.
 	pendingBefore float64
+	// endsSilence is set if the request is the first one after a time in which the upstream wanted
+	// none.
+	endsSilence bool
 	// sharedCached is set if the upstream was expected to have all shared parts of the
 	// prompt cached, or if there are none.
 	sharedCached bool
@@ -68,6 +71,9 @@
 	}
 	d := policy.Choose(&q.Request, p.performance(), candidates, q.OtherRegions)
 	if d.Choice != placement.Local {
+		if d.Choice == placement.Refuse && q.LocalAllowed && d.Usable == 0 {
+			d.Silence = p.shortestSilence(now)
+		}
 		return d, nil
 	}
 	u := p.upstreams[d.Index]
@@ -78,11 +84,27 @@
 	return d, t
 }
 
+// shortestSilence returns the remaining time until the first upstream of the region wants requests
+// again; zero if there is one that does not want to be left alone.
+func (p *Pool) shortestSilence(now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, u := range p.upstreams {
+		switch a, until := p.availability(now, u); {
+		case a > Silenced:
+			return 0
+		case a == Silenced && (shortest == 0 || until.Sub(now) < shortest):
+			shortest = max(time.Millisecond, until.Sub(now))
+		}
+	}
+	return shortest
+}
+
 func (p *Pool) reserve(now time.Time, t *Ticket) {
 	u := t.upstream
 	if rate, bounded := p.ownRate(now, u); bounded {
 		u.pace.Record(now, rate)
 	}
+	t.endsSilence = u.silence.send()
 	if u.inFlight == 0 {
 		u.lastByteAt = now
 	}
@@ -141,45 +163,6 @@
 	}
 }
 
-// usable reports whether a request may be sent to an upstream now.
-func (p *Pool) usable(now time.Time, u *upstream, model string) bool {
-	if !p.accepts(now, u, model) {
-		return false
-	}
-	rate, bounded := p.ownRate(now, u)
-	return !bounded || u.pace.Ready(now, rate)
-}
-
-// accepts reports whether an upstream accepts requests, at whatever rate.
-func (p *Pool) accepts(now time.Time, u *upstream, model string) bool {
-	if u.Leaving || u.evacuated || now.Before(u.misdirectedUntil) || u.Place.Region != p.options.Self.Region {
-		return false
-	}
-	if model != "" && len(u.Models) > 0 && !slices.Contains(u.Models, model) {
-		return false
-	}
-	return true
-}
-
-// ownRate returns the number of requests per second that this node may send to an upstream
-// whose rate is bounded, because it is cold or named a limit.
-func (p *Pool) ownRate(now time.Time, u *upstream) (rate float64, bounded bool) {
-	if u.cold(now) && p.config.MaxColdRate > 0 {
-		rate, bounded = p.options.ColdShare(p.config.MaxColdRate), true
-	}
-	if u.limit.perSecond > 0 {
-		limited := p.options.RateShare(u.ID, u.limit.perSecond)
-		if !bounded || limited < rate {
-			rate, bounded = limited, true
-		}
-	}
-	return rate, bounded
-}
-
-func (p *Pool) isSuspect(now time.Time, u *upstream) bool {
-	return now.Before(u.suspectUntil) || p.config.Engine != nil && u.silent(now)
-}
-
 // markCached sets the cached tokens of the candidates and regions that are expected
 // to have a shared prompt cached: upstreams to which nodes of the region sent it,
 // and the upstream that all nodes prefer for it, in any region. With one preferred
@@ -216,7 +199,7 @@
 	if u.Place.Region == p.options.Self.Region {
 		return candidates != nil && candidates[i].Usable
 	}
-	if u.Leaving || u.evacuated {
+	if u.Leaving || u.evacuated || u.leavingStated {
 		return false
 	}
 	return slices.ContainsFunc(q.OtherRegions, func(o placement.RegionLoad) bool { return o.Region == u.Place.Region })
@@ -277,6 +260,9 @@
 		u.lastByteAt = lastByteAt
 	}
 	u.inFlight--
+	if t.endsSilence {
+		u.silence.answered(now, o != Shed)
+	}
 	if o == Answered {
 		p.updateMeanSlotTime(t, now)
 	}
@@ -289,7 +275,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	u := t.pool.find(t.ID)
-	return u == t.upstream && !u.Leaving
+	return u == t.upstream && !u.Leaving && !u.leavingStated
 }
 
 // AnswerStarted reports whether the first byte of the answer has arrived.
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -103,7 +103,7 @@
 	u := p.find(in.ID)
 	if u == nil || u.Started != in.Started {
 		replacement := &upstream{Instance: in, evacuated: evacuated, latencyRatio: p.latencyRatio}
-		replacement.inheritCold(p.formerRecord(now, u, in.ID))
+		replacement.inherit(p.formerRecord(now, u, in.ID))
 		if u == nil {
 			p.upstreams = append(p.upstreams, replacement)
 		} else {
--- a/core/instances/pool_test.go
+++ b/core/instances/pool_test.go
@@ -37,11 +37,21 @@
 // placeRequest places a request and returns its ticket; nil if no instance accepts
 // it.
 func placeRequest(c *instances.Catalog, now time.Time) *instances.Ticket {
-	q := instances.Query{Request: placement.Request{Objective: time.Second, Remaining: 5 * time.Second}, LocalAllowed: true}
-	_, t := c.Pool("app").Place(now, placement.DefaultPolicy(), &q)
+	_, t := place(c, now)
 	return t
 }
 
+// refusal returns the decision on a request that no instance accepts.
+func refusal(c *instances.Catalog, now time.Time) placement.Decision {
+	d, _ := place(c, now)
+	return d
+}
+
+func place(c *instances.Catalog, now time.Time) (placement.Decision, *instances.Ticket) {
+	q := instances.Query{Request: placement.Request{Objective: time.Second, Remaining: 5 * time.Second}, LocalAllowed: true}
+	return c.Pool("app").Place(now, placement.DefaultPolicy(), &q)
+}
+
 // receivesRequest reports whether one of eight concurrent requests is placed on the
 // instance with the given ID.
 func receivesRequest(c *instances.Catalog, now time.Time, id domain.UpstreamID) bool {
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
 )
 
 // Statement is what an upstream said of itself to some node of the region. Nodes tell each other.
@@ -16,6 +18,8 @@
 	Started int64
 	// ColdFor is the remaining time for which it is cold; zero if it did not say so.
 	ColdFor time.Duration
+	// Leaving is set if it said that it leaves.
+	Leaving bool
 }
 
 const (
@@ -32,6 +36,9 @@
 	slices.SortFunc(list, func(a, b Statement) int {
 		return cmp.Or(cmp.Compare(b.ColdFor, a.ColdFor), cmp.Compare(a.Instance, b.Instance))
 	})
+	if len(list) > maxStatements { // others are in the next message
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
 	return list[:min(maxStatements, len(list))]
 }
 
@@ -40,8 +47,8 @@
 	defer p.mu.Unlock()
 	var list []Statement
 	for _, u := range p.upstreams {
-		if coldFor := u.coldness.statedUntil.Sub(now); coldFor > 0 {
-			list = append(list, Statement{Service: p.service, Instance: u.ID, Started: u.Started, ColdFor: coldFor})
+		if coldFor := max(0, u.coldness.statedUntil.Sub(now)); coldFor > 0 || u.leavingStated {
+			list = append(list, Statement{Service: p.service, Instance: u.ID, Started: u.Started, ColdFor: coldFor, Leaving: u.leavingStated})
 		}
 	}
 	return list
@@ -66,4 +73,37 @@
 		u.coldness.statedUntil = until
 		p.extendCold(now, u, until, coldFromStatement)
 	}
+	if s.Leaving {
+		p.setLeaving(u, "another node")
+	}
+}
+
+func (p *Pool) setLeaving(u *upstream, from string) {
+	if !u.leavingStated {
+		u.leavingStated = true
+		p.options.Log.Log(event.InstanceLeaving, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from))
+	}
+}
+
+// RecordReport records what the upstream says of itself in the header of an answer, beside its
+// load. It reports whether other nodes should know it at once.
+func (t *Ticket) RecordReport(now time.Time, r ReportedLoad) (news bool) {
+	t.RecordRateLimit(now, r.RateLimit)
+	p, u := t.pool, t.upstream
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u.coldness.recordAnswer(now, t.SentAt, p.config.ColdStart)
+	if t.endsSilence && r.Silence == 0 {
+		t.endsSilence = false
+		u.silence.answered(now, true)
+	}
+	if r.Silence > 0 {
+		u.silence.ask(now, r.Silence)
+		p.options.Log.Log(event.InstanceSilenced, event.F("instance", u.ID), event.F("service", p.service), event.F("for_ms", min(r.Silence, maxSilence).Milliseconds()))
+	}
+	if r.Leaving && !u.leavingStated {
+		p.setLeaving(u, "answer")
+		return true
+	}
+	return false
 }
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -43,6 +43,10 @@
 	coldness  coldness
 	pace      sharedbounds.Pacer
 	limit     rateLimit
+	silence   silence
+	// leavingStated is set once the process has said in an answer that it leaves. It outlasts any
+	// entry of the same process.
+	leavingStated bool
 	// healthCheckedAt is when this node last sent a health request.
 	healthCheckedAt time.Time
 
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -113,6 +113,9 @@
 	Tokens int
 	// Usable is the number of usable candidates.
 	Usable int
+	// Silence is set if the request is refused because all upstreams of the region want no requests:
+	// the shortest remaining time.
+	Silence time.Duration
 }
 
 // Choose returns the option with the lowest cost. The candidates are the upstreams
--- a/core/placement/retry_after.go
+++ b/core/placement/retry_after.go
@@ -24,3 +24,12 @@
 	factor := 1 - retryAfterJitter/2 + retryAfterJitter*random
 	return time.Duration(factor * float64(base))
 }
+
+// silenceSpread is the time over which callers that wait for the end of a silence are spread.
+const silenceSpread = time.Second
+
+// AfterSilence returns the delay after which a caller should retry whose upstreams want no requests for
+// the given time. The random number is uniformly distributed in [0, 1).
+func AfterSilence(silence time.Duration, random float64) time.Duration {
+	return silence + time.Duration(random*float64(silenceSpread))
+}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -29,9 +29,12 @@
 	// Quarantine holds back requests that crash upstreams.
 	Quarantine *quarantine.Table
 	Policy     placement.Policy
-	Log        event.Logger
-	Metrics    Metrics
-	Now        func() time.Time
+	// StatementsChanged is called when an upstream says something of itself that other nodes should
+	// know at once; it must not block.
+	StatementsChanged func()
+	Log               event.Logger
+	Metrics           Metrics
+	Now               func() time.Time
 }
 
 // Metrics receives the engine's counters and durations.
@@ -241,6 +244,11 @@
 	if a.placements > 1 {
 		return a.fail(ctx)
 	}
+	if a.decision.Silence > 0 {
+		err := errkind.New(errkind.NoCapacity, "all upstreams of service %q want no requests for at least %v", a.r.Service, a.decision.Silence)
+		a.last = result{err: err.WithRetryAfter(placement.AfterSilence(a.decision.Silence, rand.Float64())), ran: domain.RunNo}
+		return a.fail(ctx)
+	}
 	kind := errkind.Overloaded
 	if a.decision.Delay == 0 {
 		kind = errkind.NoCapacity
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -58,8 +58,9 @@
 		a.framing = h.Framing
 		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected && h.answers(a.r.ID))
 		if !h.Misdirected && h.answers(a.r.ID) { // otherwise another instance answered, or another request
-			t.ConfirmRunning(now)
-			t.RecordRateLimit(now, answer.ReportedLoad().RateLimit)
+			if t.RecordReport(now, answer.ReportedLoad()) {
+				a.StatementsChanged()
+			}
 		}
 		a.Metrics.Observe("relay.first_byte_us", now.Sub(sentAt))
 		res = a.receive(ctx, answer, t)
