--- a/adapters/edgenode/registration.go
+++ b/adapters/edgenode/registration.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/names"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/event"
@@ -174,5 +175,5 @@
 	if e.CapacityMilli < 0 || e.CapacityMilli > maxCapacityMilli {
 		return fmt.Errorf("the capacity is %d thousandths", e.CapacityMilli)
 	}
-	return errors.Join(domain.CheckName(string(e.ID)), domain.CheckAddress(e.EntryAddress), domain.CheckAddress(e.PeerAddress))
+	return errors.Join(names.CheckName(string(e.ID)), names.CheckAddress(e.EntryAddress), names.CheckAddress(e.PeerAddress))
 }
--- a/core/domain/address.go
+++ b/adapters/names/names.go
@@ -1,4 +1,5 @@
-package domain
+// Package names checks names and addresses that others wrote, before they are sent, dialed or logged.
+package names
 
 import (
 	"fmt"
