--- a/adapters/adminapi/adminapi.go
+++ b/adapters/adminapi/adminapi.go
@@ -101,6 +101,10 @@
 	InFlight int `json:"in_flight"`
 	// AgeMS is the age of the latest load report.
 	AgeMS int64 `json:"age_ms"`
+	// Reason is why a node on the users' platform sends the upstream no requests, or only some;
+	// "available" if there is no reason. EndsInMS is the time until it ends; zero if not known.
+	Reason   string `json:"reason,omitempty"`
+	EndsInMS int64  `json:"ends_in_ms,omitempty"`
 }
 
 // Domain is the summary of a failure domain's load for one target.
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -325,7 +325,7 @@
 	start(s.directory, l.directory)
 	group.Go(func() error { return s.peer.Serve(l.peer) })
 	if l.metrics != nil {
-		s.metrics = newHTTPServer(telemetry.Handler(n.metrics.Registry))
+		s.metrics = newHTTPServer(n.metricsHandler())
 		start(s.metrics, l.metrics)
 	}
 	return s
--- a/adapters/operatorcli/status.go
+++ b/adapters/operatorcli/status.go
@@ -98,11 +98,22 @@
 	fmt.Fprintln(w, "UPSTREAM\tTARGETS\tSTATE\tRUNNING\tWAITING\tSLOTS\tOWN\tADDRESS\tAGE")
 	for _, u := range upstreams {
 		fmt.Fprintf(w, "%s\t%s %s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n",
-			u.ID, u.Kind, strings.Join(u.Targets, ","), u.State, u.Running, u.Waiting, u.Slots, u.InFlight, u.Address, formatAge(u.AgeMS))
+			u.ID, u.Kind, strings.Join(u.Targets, ","), upstreamState(&u), u.Running, u.Waiting, u.Slots, u.InFlight, u.Address, formatAge(u.AgeMS))
 	}
 	flushTable(w)
 }
 
+// upstreamState returns the state of an upstream, or the reason why it gets no requests and when that ends.
+func upstreamState(u *adminapi.Upstream) string {
+	switch {
+	case u.Reason == "":
+		return string(u.State)
+	case u.EndsInMS > 0:
+		return u.Reason + " for " + formatAge(u.EndsInMS)
+	}
+	return u.Reason
+}
+
 func writeDomains(w io.Writer, domains []adminapi.Domain) {
 	fmt.Fprintln(w, "DOMAIN\tTARGET\tCAPACITY\tFREE\tWAIT\tAGE")
 	for _, d := range domains {
