Send a request on which several upstreams crashed at once from one node, once at a time

Crashes at one moment cannot hold a request: upstreams that are lost together may all be running the same sound one. From three crashed upstreams on, a request is on probation: the node that ranks highest for it, of those that hear of each other, sends it, at most once a second; the others refuse it with 503, not run. An answer ends that everywhere at once.

The soak now draws requests that crash upstreams, upstreams that start again under their ID with a cold phase, that say that they leave, and that want no requests for a time, and checks the users' bounds from what the upstreams received.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -104,7 +104,7 @@
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
 	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
-	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Changed: func() { signal(n.partsChanged) }, Log: log})
+	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.era = newStoreEra(log, n.state.markRestored)
 	n.health = &storeHealth{log: log, catalog: n.catalog, dropConnections: deps.DropStoreConnections}
--- a/adapters/edgenode/parts.go
+++ b/adapters/edgenode/parts.go
@@ -41,8 +41,19 @@
 			return false
 		}
 	}
-	own := placement.RendezvousWeight(part, domain.UpstreamID(n.settings.Node))
-	return !slices.ContainsFunc(alive, func(m peers.Member) bool {
-		return placement.RendezvousWeight(part, domain.UpstreamID(m.ID)) > own
+	return n.highestRanked(part, alive)
+}
+
+// chosenForSuspect reports whether this node is the one that sends a request on which several upstreams
+// have crashed, of the nodes that it hears of.
+func (n *Node) chosenForSuspect(id uint64) bool {
+	return n.highestRanked(id, n.members.Alive(time.Now()))
+}
+
+// highestRanked reports whether no other of the nodes ranks higher for a part or a request.
+func (n *Node) highestRanked(id uint64, others []peers.Member) bool {
+	own := placement.RendezvousWeight(id, domain.UpstreamID(n.settings.Node))
+	return !slices.ContainsFunc(others, func(m peers.Member) bool {
+		return placement.RendezvousWeight(id, domain.UpstreamID(m.ID)) > own
 	})
 }
--- a/adapters/standin/routedsim/cold.go
+++ b/adapters/standin/routedsim/cold.go
@@ -79,10 +79,5 @@
 	return s.healthRequests
 }
 
-// Crash crashes the server as its behaviour says: it runs again after RestartAfter.
-func (s *Server) Crash() {
-	s.mu.Lock()
-	b := s.behaviour
-	s.mu.Unlock()
-	s.crash(b)
-}
+// Crash crashes the server. It runs again as b says of a restart.
+func (s *Server) Crash(b Behaviour) { s.crash(b) }
--- a/cmd/faulttest/soak_caller_test.go
+++ b/cmd/faulttest/soak_caller_test.go
@@ -42,6 +42,9 @@
 // with a crashing part may crash upstreams.
 var promptKinds = map[string]string{"stream": "stream", "once": "once", crashingKind: "once", finalCrashingKind: "once"}
 
+// crashingRequestKind is a request that is the same each time, but for its ID. Upstreams may crash on it.
+const crashingRequestKind, crashingRequestTarget = "again", "/call/again"
+
 const (
 	// crashingKind has the part of the fault "a part crashes upstreams", finalCrashingKind
 	// that of the check after the faults.
@@ -74,7 +77,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), soakTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entryAddress+"/"+route+"/"+r.id, strings.NewReader("body"))
+	target := "/" + route + "/" + r.id
+	if kind == crashingRequestKind {
+		target = crashingRequestTarget
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entryAddress+target, strings.NewReader("body"))
 	if err != nil {
 		r.truncated = true
 		return r
@@ -123,7 +130,7 @@
 func (c *soakCallers) run(d *soakDeployment, caller int, rng *rand.Rand) {
 	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	kinds := []string{"safe", "call", "home", "stream", "once"}
+	kinds := []string{"safe", "call", "home", "stream", "once", "cold"}
 	for {
 		select {
 		case <-c.stop:
@@ -131,8 +138,11 @@
 		case <-time.After(time.Duration(rng.IntN(20)) * time.Millisecond):
 		}
 		kind := kinds[rng.IntN(len(kinds))]
-		if rng.IntN(crashingEvery) == 0 {
+		switch rng.IntN(crashingEvery) {
+		case 0:
 			kind = crashingKind
+		case 1:
+			kind = crashingRequestKind
 		}
 		r := d.nodes[rng.IntN(len(d.nodes))].send(transport, kind, fmt.Sprint("c", caller))
 		c.mu.Lock()
@@ -161,8 +171,8 @@
 func (r soakResponse) problem() string {
 	_, streamed := promptKinds[r.kind]
 	switch {
-	case r.status == http.StatusUnprocessableEntity && r.kind != crashingKind && r.kind != finalCrashingKind:
-		return "a sound request was refused for a part of its prompt"
+	case r.status == http.StatusUnprocessableEntity && r.kind != crashingKind && r.kind != finalCrashingKind && r.kind != crashingRequestKind:
+		return "a sound request was refused as one that crashes upstreams"
 	case r.truncated && !streamed && r.status != 0:
 		return "" // the caller can detect the truncation
 	case r.truncated:
@@ -176,7 +186,9 @@
 		return "a successful response has no signature"
 	case streamed && r.body != completeSoakStream():
 		return "a stream ended without an error and is incomplete"
-	case !streamed && !strings.HasSuffix(r.body, "/"+r.kind+"/"+r.id+" 4"):
+	case r.kind == crashingRequestKind && !strings.HasSuffix(r.body, crashingRequestTarget+" 4"):
+		return "the response belongs to another request, or a part of it is missing"
+	case r.kind != crashingRequestKind && !streamed && !strings.HasSuffix(r.body, "/"+r.kind+"/"+r.id+" 4"):
 		return "the response belongs to another request, or a part of it is missing"
 	}
 	return ""
--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,8 @@
 	storeAddress string
 	nodes        []*soakNode
 	upstreams    []*soakUpstream
-	limited      *soakUpstream // names a rate limit; nil if none does
+	limited      *soakUpstream   // names a rate limit; nil if none does
+	cold         []*soakUpstream // those of the service with cold phases
 
 	mu      sync.Mutex
 	version int
@@ -82,6 +84,7 @@
 			d.addUpstream("app", region, fmt.Sprintf("u-%s-%d", region, n))
 		}
 		d.addUpstream("app2", region, "u2-"+region)
+		d.cold = append(d.cold, d.addUpstream("cold", region, "cold-"+region))
 	}
 	reserveProcesses(t, 4)
 	var seeds []string
@@ -98,14 +101,17 @@
 }
 
 // addUpstream starts a simulated upstream and registers its proxy's address.
-func (d *soakDeployment) addUpstream(service, region, id string) {
+func (d *soakDeployment) addUpstream(service, region, id string) *soakUpstream {
 	u := &soakUpstream{region: region}
 	u.Server = routedsim.StartWithAddress(d.store, service, region+"-a", id, func(address string) string {
 		u.proxy = newFaultProxy(d.t, address)
 		return u.proxy.address()
 	})
 	d.t.Cleanup(u.Close)
-	d.upstreams = append(d.upstreams, u)
+	if service != "cold" { // the faults of the others would hide what a cold one gets
+		d.upstreams = append(d.upstreams, u)
+	}
+	return u
 }
 
 // addNode writes the settings of a node and returns its control address, which serves
@@ -168,10 +174,11 @@
 		"routes": []any{
 			route("safe", "safe", service, 2, false), route("call", "unsafe", "app", 2, false),
 			route("home", "unsafe", "app", 2, false, "west"), route("stream", "streaming", "app", 2, true),
-			route("once", "streaming", "app", 1, false),
+			route("once", "streaming", "app", 1, false), route("cold", "safe", "cold", 2, false),
 		},
-		"services": []any{map[string]any{"name": "app", "max_connections": 500}, map[string]any{"name": "app2", "max_connections": 500}},
-		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		"services": []any{map[string]any{"name": "app", "max_connections": 500}, map[string]any{"name": "app2", "max_connections": 500},
+			map[string]any{"name": "cold", "max_connections": 500, "health_path": "/healthz", "cold_start_s": soakColdPeriod.Seconds(), "cold_per_s": soakColdRate}},
+		"limits": map[string]any{"max_body_bytes": 1 << 20},
 	})
 	if err != nil {
 		d.t.Error(err)
@@ -208,7 +215,7 @@
 	for _, key := range d.store.Keys(evacuationPrefix) {
 		d.store.Delete(key)
 	}
-	for _, u := range d.upstreams {
+	for _, u := range d.allUpstreams() {
 		u.proxy.restore()
 		u.SetBehaviour(normalBehaviour.WithEvents(soakEvents))
 		u.Register("ready")
@@ -223,10 +230,15 @@
 	}
 }
 
+// allUpstreams returns all upstreams, those with a cold phase included.
+func (d *soakDeployment) allUpstreams() []*soakUpstream {
+	return append(slices.Clone(d.upstreams), d.cold...)
+}
+
 // runs returns the number of runs of each request id at all upstreams.
 func (d *soakDeployment) runs() map[string]int {
 	total := make(map[string]int)
-	for _, u := range d.upstreams {
+	for _, u := range d.allUpstreams() {
 		for id, n := range u.Executions() {
 			total[id] += n
 		}
--- a/cmd/faulttest/soak_faults_test.go
+++ b/cmd/faulttest/soak_faults_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -58,6 +59,12 @@
 	}
 }
 
+// startAgain restarts an upstream under its ID, so that what it said of itself no longer holds.
+func startAgain(u *soakUpstream) {
+	u.SetBehaviour(normalBehaviour.WithEvents(soakEvents))
+	u.Crash(routedsim.Behaviour{RestartAfter: 200 * time.Millisecond, KeepID: true})
+}
+
 // restoreLink restores the link to an upstream and resets the connections that still drop
 // bytes.
 func restoreLink(u *soakUpstream) { u.proxy.restore(); u.proxy.resetOpen() }
@@ -115,7 +122,7 @@
 		for _, key := range evacuated {
 			d.store.Put(key, []byte("{}"))
 		}
-		for _, u := range d.upstreams {
+		for _, u := range d.allUpstreams() {
 			u.RegisterAgain()
 		}
 	}
@@ -168,6 +175,30 @@
 		limited.RateLimit = 1 + float64(rng.IntN(100))/10
 		return upstreamFault(limited)(d, rng)
 	}},
+	{"a request crashes upstreams", func(d *soakDeployment, _ *rand.Rand) func() {
+		b := crashOn(normalBehaviour, "")
+		b.CrashTarget = crashingRequestTarget
+		d.setBehaviour(b)
+		return func() { d.setBehaviour(normalBehaviour) }
+	}},
+	{"upstream with a cold phase starts again under its ID", func(d *soakDeployment, rng *rand.Rand) func() {
+		u := d.cold[rng.IntN(len(d.cold))]
+		u.Crash(routedsim.Behaviour{RestartAfter: time.Duration(100+rng.IntN(1000)) * time.Millisecond, KeepID: true, ColdStart: soakColdPeriod,
+			RegisterAfter: time.Duration(rng.IntN(3000)-500) * time.Millisecond})
+		return nil
+	}},
+	{"upstream says that it leaves", func(d *soakDeployment, rng *rand.Rand) func() {
+		u := d.upstreams[rng.IntN(len(d.upstreams))]
+		leaving := normalBehaviour.WithEvents(soakEvents)
+		leaving.Leaving = true
+		u.SetBehaviour(leaving)
+		return func() { startAgain(u) }
+	}},
+	{"upstream wants no requests for a time", func(d *soakDeployment, rng *rand.Rand) func() {
+		silent := normalBehaviour
+		silent.RejectAll, silent.RetryAfter = true, fmt.Sprintf("%.2f", 3*rng.Float64())
+		return upstreamFault(silent)(d, rng)
+	}},
 	{"upstream is slow", upstreamFault(routedsim.Behaviour{ProcessingTime: 400 * time.Millisecond})},
 	{"connections to an upstream closed", onUpstream((*soakUpstream).closeConnections, nil)},
 	{"connections to an upstream drop all bytes", onUpstream(func(u *soakUpstream) { u.proxy.blackholeOpen() }, restoreLink)},
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -51,10 +51,14 @@
 	responses := callers.finish()
 	d.waitServing("after the faults")
 	d.check(responses)
+	d.checkColdArrivals()
 	limitCheck := d.limitOne()
 	d.checkCrashingPart()
+	d.checkCrashingRequest()
 	d.checkAfterFaults()
 	limitCheck()
+	d.checkLeavingUpstream()
+	d.checkSilentUpstream()
 	if t.Failed() {
 		t.Logf("injected faults of seed %d:\n%s", seed, strings.Join(injected, "\n"))
 	}
--- a/core/quarantine/simulation_test.go
+++ b/core/quarantine/simulation_test.go
@@ -79,8 +79,8 @@
 
 func newSimulatedFleet(seed uint64, nodes, engines, sharedParts int) *simulatedFleet {
 	f := &simulatedFleet{rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), sharedParts: sharedParts, heldSound: make(map[uint64]bool)}
-	for range nodes {
-		f.nodes = append(f.nodes, New(Options{}))
+	for i := range nodes {
+		f.nodes = append(f.nodes, New(Options{Chosen: func(id uint64) bool { return id%uint64(nodes) == uint64(i) }}))
 	}
 	for i := range engines {
 		f.engines = append(f.engines, &simulatedEngine{process: uint64(i + 1)})
@@ -178,8 +178,8 @@
 func (f *simulatedFleet) send(parts []uint64, fingerprint uint64, deadly bool) bool {
 	r := &simulatedRequest{node: f.rng.IntN(len(f.nodes)), subjects: append(Parts(parts...), Subject{ID: fingerprint, Request: true}), deadly: deadly}
 	table := f.nodes[r.node]
-	if subject, held, _ := table.Check(f.now, r.subjects); held {
-		if subject.ID != f.deadly {
+	if decision, subject := table.Check(f.now, r.subjects); decision == Refuse || decision == Wait {
+		if decision == Refuse && subject.ID != f.deadly {
 			f.heldSound[subject.ID] = true
 		}
 		return false
--- a/core/quarantine/suspect.go
+++ b/core/quarantine/suspect.go
@@ -55,6 +55,8 @@
 	heldAt time.Time
 	// requestedAt is when a request with the held suspect last arrived at any node.
 	requestedAt time.Time
+	// probedAt is when this node last sent the request on probation.
+	probedAt time.Time
 	// trials is the number of trial requests that were sent since the suspect was held.
 	trials int
 }
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -57,6 +57,10 @@
 	firstTrialAfter = time.Minute
 	trialBackoff    = 4
 	maxTrials       = 3
+	// From crashesUntilProbation on, a request that is not held is sent by one node only, once in
+	// probationInterval. They may all have been at one moment, which is not enough to hold it.
+	crashesUntilProbation = 3
+	probationInterval     = time.Second
 	// maxSuspects is the maximum number of suspects of each kind, about 500 kB.
 	// maxSubjectsPerRequest is the number of subjects of one request that are tracked.
 	maxSuspects           = 2048
@@ -72,6 +76,9 @@
 	// MayTry reports whether this node, and at present no other, may send a trial request
 	// with a held suspect. If it is nil, no trials are sent.
 	MayTry func(id uint64) bool
+	// Chosen reports whether this node is the one, of those it hears of, that sends a request on
+	// which several upstreams have crashed. If it is nil, every node does.
+	Chosen func(id uint64) bool
 	// Changed is called when a suspect is held or released; it must not block. It may be nil.
 	Changed func()
 	Log     event.Logger
@@ -167,31 +174,72 @@
 
 func (t *Table) applyAnswer(p *suspect, now, at time.Time, why string) {
 	t.changed = true
+	onProbation := p.onProbation()
 	if p.answered(now, at) {
 		t.logRelease(p, why)
+	} else if onProbation && len(p.crashes) == 0 {
+		t.notify()
 	}
 }
 
-// Check returns a held subject among those of a request; held is false if there is none.
-// trial is set if the request may be sent all the same, to find out whether its held
-// subject still crashes upstreams.
-func (t *Table) Check(now time.Time, subjects []Subject) (subject Subject, held, trial bool) {
+// Decision is whether a request may be sent.
+type Decision uint8
+
+const (
+	// Send means that nothing is known that speaks against it.
+	Send Decision = iota
+	// Try means that it may be sent although a subject is held or on probation, to find out whether
+	// that still crashes upstreams.
+	Try
+	// Wait means that it may be sent later, or by another node: upstreams have crashed on it, and it
+	// is sent once at a time.
+	Wait
+	// Refuse means that a subject is held.
+	Refuse
+)
+
+// Check decides whether a request with the given subjects may be sent, and returns the subject that
+// speaks against it, if any.
+func (t *Table) Check(now time.Time, subjects []Subject) (Decision, Subject) {
 	tracked, _ := limit(subjects)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judge(now)
-	i := slices.IndexFunc(tracked, t.isHeld)
-	if i < 0 {
-		return Subject{}, false, false
+	if i := slices.IndexFunc(tracked, t.isHeld); i >= 0 {
+		return t.checkHeld(now, t.suspects[tracked[i]]), tracked[i]
+	}
+	for _, s := range tracked {
+		if p := t.suspects[s]; p != nil && p.onProbation() {
+			return t.checkProbation(now, p), s
+		}
 	}
-	p := t.suspects[tracked[i]]
+	return Send, Subject{}
+}
+
+// checkHeld decides whether a request with a held suspect is sent as a trial.
+func (t *Table) checkHeld(now time.Time, p *suspect) Decision {
 	p.requestedAt = now
-	if p.trialDue(now) && t.options.MayTry != nil && t.options.MayTry(p.ID) {
-		p.trials++
-		t.options.Log.Log(event.PartTried, event.F("part", format(p.ID)), event.F("kind", p.kind()), event.F("trial", p.trials))
-		return p.Subject, true, true
+	if !p.trialDue(now) || t.options.MayTry == nil || !t.options.MayTry(p.ID) {
+		return Refuse
+	}
+	p.trials++
+	t.options.Log.Log(event.PartTried, event.F("part", format(p.ID)), event.F("kind", p.kind()), event.F("trial", p.trials))
+	return Try
+}
+
+// onProbation reports whether the suspect is a request on which so many upstreams have crashed that it
+// is sent once at a time.
+func (p *suspect) onProbation() bool {
+	return p.Request && len(p.crashes) >= crashesUntilProbation && p.processes() >= crashesUntilProbation
+}
+
+// checkProbation decides whether this node sends a request on probation now.
+func (t *Table) checkProbation(now time.Time, p *suspect) Decision {
+	if now.Sub(p.probedAt) < probationInterval || t.options.Chosen != nil && !t.options.Chosen(p.ID) {
+		return Wait
 	}
-	return p.Subject, true, false
+	p.probedAt = now
+	return Try
 }
 
 func (t *Table) isHeld(s Subject) bool {
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -25,7 +25,8 @@
 }
 
 func isHeld(t *Table, seconds float64, parts ...uint64) bool {
-	_, held, _ := t.Check(at(seconds), Parts(parts...))
+	decision, _ := t.Check(at(seconds), Parts(parts...))
+	held := decision == Refuse || decision == Try
 	return held
 }
 
@@ -194,7 +195,8 @@
 	begin := crashes(table, 0, 3, deadly)
 	trials := 0
 	for s := begin; s < begin+3*3600; s += 5 {
-		_, held, trial := table.Check(at(s), Parts(companion, deadly))
+		decision, _ := table.Check(at(s), Parts(companion, deadly))
+		held, trial := decision != Send, decision == Try
 		if !held {
 			t.Fatalf("the part is released after %.0f s although each trial crashed an upstream", s)
 		}
@@ -213,7 +215,7 @@
 		table := New(Options{MayTry: mayTry})
 		begin := crashes(table, 0, 3, deadly)
 		for s := begin; s < 3600; s += 5 {
-			if _, _, trial := table.Check(at(s), Parts(deadly)); trial {
+			if decision, _ := table.Check(at(s), Parts(deadly)); decision == Try {
 				t.Fatalf("%s: a trial was sent", name)
 			}
 		}
@@ -369,20 +371,20 @@
 		exchange(2.1 + 0.1*float64(round))
 	}
 	for i, n := range nodes {
-		if _, held, _ := n.Check(at(3), deadlyRequest); !held {
+		if decision, _ := n.Check(at(3), deadlyRequest); decision != Refuse {
 			t.Errorf("node %d does not hold a request that crashed three upstreams", i)
 		}
-		if _, held, _ := n.Check(at(3), []Subject{{ID: 100, Request: true}}); held {
+		if decision, _ := n.Check(at(3), []Subject{{ID: 100, Request: true}}); decision == Refuse {
 			t.Errorf("node %d holds a sound request that one of the crashes broke off", i)
 		}
-		if _, held, _ := n.Check(at(3), Parts(5)); held {
+		if decision, _ := n.Check(at(3), Parts(5)); decision == Refuse {
 			t.Errorf("node %d holds a part with the identifier of a held request", i)
 		}
 	}
 	nodes[0].RecordAnswer(at(4), 9, at(3.9), deadlyRequest)
 	exchange(4.1)
 	for i, n := range nodes {
-		if _, held, _ := n.Check(at(4.2), deadlyRequest); held {
+		if decision, _ := n.Check(at(4.2), deadlyRequest); decision == Refuse {
 			t.Errorf("node %d holds a request that has been answered", i)
 		}
 	}
@@ -405,3 +407,31 @@
 		t.Errorf("the table has %d requests long after the crashes, want none", n)
 	}
 }
+
+// TestRequestOnWhichManyUpstreamsCrashedAtOnceIsSentOnceAtATime: crashes at one moment are not enough to hold a
+// request, which callers may repeat at all nodes at once.
+func TestRequestOnWhichManyUpstreamsCrashedAtOnceIsSentOnceAtATime(t *testing.T) {
+	request := []Subject{{ID: 5, Request: true}}
+	chosen, other := New(Options{Chosen: func(uint64) bool { return true }}), New(Options{Chosen: func(uint64) bool { return false }})
+	for _, n := range []*Table{chosen, other} {
+		for i := range uint64(4) {
+			n.RecordCrash(at(0.03*float64(i)), i, at(-0.05), request)
+		}
+	}
+	for _, c := range []struct {
+		node *Table
+		at   float64
+		want Decision
+	}{{other, 6, Wait}, {chosen, 6, Try}, {chosen, 6.1, Wait}, {other, 8, Wait}, {chosen, 8, Try}} {
+		if got, _ := c.node.Check(at(c.at), request); got != c.want {
+			t.Errorf("after %v s: got decision %v, want %v", c.at, got, c.want)
+		}
+	}
+	chosen.RecordAnswer(at(9), 9, at(8.9), request)
+	other.Merge(at(9.1), chosen.Message(at(9.1)))
+	for _, n := range []*Table{chosen, other} {
+		if got, _ := n.Check(at(9.2), request); got != Send {
+			t.Errorf("got decision %v after an answer, want %v", got, Send)
+		}
+	}
+}
--- a/core/relay/held.go
+++ b/core/relay/held.go
@@ -34,13 +34,18 @@
 	if len(suspects) == 0 || a.trial {
 		return result{}, false
 	}
-	subject, held, trial := a.Quarantine.Check(a.Now(), suspects)
-	a.trial = trial
-	if !held || trial {
-		return result{}, false
-	}
+	decision, subject := a.Quarantine.Check(a.Now(), suspects)
+	a.trial = decision == quarantine.Try
 	id := strconv.FormatUint(subject.ID, 16)
-	if subject.Request {
+	switch {
+	case decision == quarantine.Wait && a.r.Relayed: // the sender decided
+		return result{}, false
+	case decision == quarantine.Wait:
+		a.Metrics.Count("relay.request_on_probation", 1)
+		return result{err: errkind.New(errkind.Overloaded, "upstreams crashed on the request, with fingerprint %s; it is sent once at a time", id), ran: domain.RunNo}, true
+	case decision != quarantine.Refuse:
+		return result{}, false
+	case subject.Request:
 		a.Metrics.Count("relay.request_held", 1)
 		return result{err: errkind.New(errkind.RequestHeld, "the request, with fingerprint %s, crashes upstreams", id), ran: domain.RunNo}, true
 	}
--- a/core/relay/held_test.go
+++ b/core/relay/held_test.go
@@ -103,7 +103,8 @@
 		if f := r.Serve(context.Background(), promptRequest(routes.Streaming, 1, heldPart), &recordingSink{}); f == nil {
 			t.Fatalf("events %q: got an answer, want a failure", chunks)
 		}
-		if _, got, _ := r.Quarantine.Check(time.Now().Add(time.Second), quarantine.Parts(heldPart)); got != held {
+		decision, _ := r.Quarantine.Check(time.Now().Add(time.Second), quarantine.Parts(heldPart))
+		if got := decision == quarantine.Refuse; got != held {
 			t.Errorf("after events %q: part held %v, want %v", chunks, got, held)
 		}
 	}
