--- a/core/instances/availability.go
+++ b/core/instances/availability.go
@@ -30,7 +30,7 @@
 	Cold
 	// Limited means the same for the rate that it named as its limit.
 	Limited
-	// Available means that nothing speaks against sending requests.
+	// Available means that none of these reasons applies.
 	Available
 )
 
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -186,7 +186,7 @@
 type Decision uint8
 
 const (
-	// Send means that nothing is known that speaks against it.
+	// Send means that no subject is held or on probation.
 	Send Decision = iota
 	// Try means that it may be sent although a subject is held or on probation, to find out whether
 	// that still crashes upstreams.
@@ -198,8 +198,8 @@
 	Refuse
 )
 
-// Check decides whether a request with the given subjects may be sent, and returns the subject that
-// speaks against it, if any.
+// Check decides whether a request with the given subjects may be sent, and returns the subject that is
+// held or on probation, if any.
 func (t *Table) Check(now time.Time, subjects []Subject) (Decision, Subject) {
 	tracked, _ := limit(subjects)
 	t.mu.Lock()
