Apply what an upstream says to its present record

An answer to a request from before the upstream was removed and registered again was recorded at the former record and had no effect (TestWhatAnUpstreamSaidOutlastsItsRecord).

--- a/core/instances/availability_test.go
+++ b/core/instances/availability_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+func TestWhatAnUpstreamSaidOutlastsItsRecord(t *testing.T) {
+	c := newCatalog(t, instances.Options{}, "a")
+	during, after := placeRequest(c, start), placeRequest(c, start)
+	during.RecordReport(start, instances.ReportedLoad{Silence: time.Minute})
+	c.Remove(start, "a")
+	c.Put(start.Add(time.Second), newInstance("a"))
+	if got, _ := availabilityOf(t, c, start.Add(time.Second)); got != instances.Silenced {
+		t.Errorf("got %v after the upstream had registered again, want it to be silent", got)
+	}
+	after.RecordReport(start.Add(2*time.Second), instances.ReportedLoad{Leaving: true})
+	if got, _ := availabilityOf(t, c, start.Add(2*time.Second)); got != instances.LeavingStated {
+		t.Errorf("got %v after an answer to a request from before, want leaving", got)
+	}
+}
+
 func TestEndOfSilenceLetsOneRequestThrough(t *testing.T) {
 	const silence = 5 * time.Second
 	for name, tc := range map[string]struct {
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -132,12 +132,13 @@
 // ConnectionLost records that the upstream refused, closed or reset a connection. It may have
 // started again under its ID; until its entry says otherwise, it counts as cold.
 func (t *Ticket) ConnectionLost(now time.Time) {
-	p, u := t.pool, t.upstream
+	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.hasColdPhase() {
 		return
 	}
+	u := t.record()
 	wasCold := u.cold(now)
 	u.coldness.recordLoss(now)
 	p.startColdPace(now, u, wasCold, coldFromLoss)
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -1,9 +1,7 @@
 package instances
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -33,9 +31,6 @@
 func (c *Catalog) Statements(now time.Time) []Statement {
 	var list []Statement
 	c.ForEach(func(p *Pool) { list = append(list, p.statements(now)...) })
-	slices.SortFunc(list, func(a, b Statement) int {
-		return cmp.Or(cmp.Compare(b.ColdFor, a.ColdFor), cmp.Compare(a.Instance, b.Instance))
-	})
 	if len(list) > maxStatements { // others are in the next message
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
@@ -85,13 +80,23 @@
 	}
 }
 
+// record returns the present record of the upstream's process. Since the slot was reserved, the process may have
+// been removed and registered again.
+func (t *Ticket) record() *upstream {
+	if u := t.pool.find(t.ID); u != nil && u.Started == t.Started {
+		return u
+	}
+	return t.upstream
+}
+
 // RecordReport records what the upstream says of itself in the header of an answer, beside its
 // load. It reports whether other nodes should know it at once.
 func (t *Ticket) RecordReport(now time.Time, r ReportedLoad) (news bool) {
 	t.RecordRateLimit(now, r.RateLimit)
-	p, u := t.pool, t.upstream
+	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	u := t.record()
 	u.coldness.recordAnswer(now, t.SentAt, p.config.ColdStart)
 	if t.endsSilence && r.Silence == 0 {
 		t.endsSilence = false
