--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -402,7 +402,7 @@
 // neverStreams reports whether a path belongs to a call, whose response is a plain
 // body even if the server is configured to stream.
 func neverStreams(path string) bool {
-	for _, prefix := range []string{"/safe/", "/call/", "/home/"} {
+	for _, prefix := range []string{"/safe/", "/call/", "/home/", "/cold/"} {
 		if strings.HasPrefix(path, prefix) {
 			return true
 		}
