Take an answer for a sign of life only on a connection from before the loss

A request that was placed before the crash and connected only after the restart was answered by the new process, and that answer was taken for one of the old process: the upstream counted as warm.

A connection that is not accepted in time means a restart only if the upstream has sent nothing for 3 s. Otherwise a busy upstream counts as cold again and again, which may be why the rate did not come back; that was not shown.

--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -12,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
@@ -43,9 +45,35 @@
 // NewRouted returns a client of instances.
 func NewRouted(o Options, d Dialect) *Routed {
 	o = o.withDefaults()
-	return &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o)}
+	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o)}
+	r.pooled.DialContext, r.unpooled.DialContext = refuseOutdated(o.Dial), refuseOutdated(o.Dial)
+	return r
 }
 
+// placedAtKey is the key of the context's value that holds when the upstream of a request was chosen.
+type placedAtKey struct{}
+
+// maxPlacementAge is the maximum time from the choice of an upstream until the connection for the request is
+// established. Beyond it the process may have been replaced unnoticed, or this node suspended.
+const maxPlacementAge = 600 * time.Millisecond
+
+// refuseOutdated returns a dial function that fails with relay.ErrOutdated if the upstream was chosen too long
+// before.
+func refuseOutdated(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		placedAt, _ := ctx.Value(placedAtKey{}).(time.Time)
+		if err != nil || placedAt.IsZero() || time.Since(placedAt) <= maxPlacementAge {
+			return c, err
+		}
+		_ = c.Close() // nothing was sent on it
+		return nil, relay.ErrOutdated
+	}
+}
+
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Close closes idle connections.
 func (r *Routed) Close() { r.pooled.CloseIdleConnections() }
 
@@ -54,17 +82,25 @@
 // the request ran.
 func (r *Routed) Send(ctx context.Context, to *instances.Instance, c *relay.Call) (relay.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	var connected, reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected.Store(true); reused.Store(info.Reused) }}
-	req := r.request(httptrace.WithClientTrace(ctx, trace), to, c)
+	var connectedAt atomic.Pointer[time.Time]
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		now := time.Now()
+		connectedAt.Store(&now)
+		reused.Store(info.Reused)
+	}}
+	req := r.request(httptrace.WithClientTrace(context.WithValue(ctx, placedAtKey{}, c.PlacedAt), trace), to, c)
 	transport := r.pooled
 	if c.Route.Kind == routes.AtMostOnce {
 		transport = r.unpooled
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		unreachable := !connected.Load() && ctx.Err() == nil
+		unreachable := connectedAt.Load() == nil && ctx.Err() == nil
 		cancel()
+		if unreachable && errors.Is(err, relay.ErrOutdated) {
+			return nil, err
+		}
 		if unreachable {
 			return nil, errkind.New(errkind.PeerUnreachable, "connect to %s: %w", to.Address, err)
 		}
@@ -75,7 +111,7 @@
 	head.Header = EndToEnd(resp.Header)
 	head.ContentLength = resp.ContentLength
 	head.Framing = framing(resp)
-	head.Reused = reused.Load()
+	head.Reused, head.ConnectedAt = reused.Load(), *connectedAt.Load()
 	return &routedAnswer{
 		resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte),
 		isRunning: func() error { return r.liveness.check(ctx, to.Address) },
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -18,6 +18,9 @@
 const (
 	// entryDelay is the maximum time from the write of an entry until it is applied here.
 	entryDelay = 4 * time.Second
+	// busyPeriod is the time since the latest byte from an upstream within which a time-out means that
+	// it is busy.
+	busyPeriod = 3 * time.Second
 	// lossRefutedAfter is how long after the loss of a connection an answer must arrive to show
 	// that its process still runs; the last bytes before a crash may be read after it.
 	lossRefutedAfter = 100 * time.Millisecond
@@ -46,6 +49,8 @@
 	// presumedUntil is when a presumed cold phase has ended; zero until the upstream has answered
 	// a request that was sent after the latest loss.
 	presumedUntil time.Time
+	// lastByteAt is when the latest bytes of an answer arrived.
+	lastByteAt time.Time
 	// outdatedSince is when this node noticed that it had been suspended; zero once newer entries
 	// are known.
 	outdatedSince time.Time
@@ -82,15 +87,17 @@
 	c.lastLossAt, c.presumedUntil = now, time.Time{}
 }
 
-// recordAnswer records that bytes of an answer arrived to a request that was sent at sentAt.
-func (c *coldness) recordAnswer(now, sentAt time.Time, coldStart time.Duration) {
+// recordAnswer records that bytes of an answer arrived to a request that got its connection at
+// connectedAt. A connection from before the loss shows that its process still runs.
+func (c *coldness) recordAnswer(now, connectedAt time.Time, coldStart time.Duration) {
+	c.lastByteAt = now
 	switch {
 	case !c.presumed:
-	case sentAt.Before(c.firstLossAt):
+	case connectedAt.Before(c.firstLossAt):
 		if now.Sub(c.lastLossAt) > lossRefutedAfter {
 			c.presumed = false
 		}
-	case sentAt.After(c.lastLossAt) && c.presumedUntil.IsZero():
+	case connectedAt.After(c.lastLossAt) && c.presumedUntil.IsZero():
 		c.presumedUntil = now.Add(coldStart)
 	}
 }
@@ -129,9 +136,18 @@
 		event.F("for_ms", max(0, u.coldness.until.Sub(now).Milliseconds())), event.F("own_rate", rate))
 }
 
-// ConnectionLost records that the upstream refused, closed or reset a connection. It may have
-// started again under its ID; until its entry says otherwise, it counts as cold.
-func (t *Ticket) ConnectionLost(now time.Time) {
+// ConnectedAt records when the request got its connection; zero means that this is not known.
+func (t *Ticket) ConnectedAt(at time.Time) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	if !at.IsZero() {
+		t.connectedAt = at
+	}
+}
+
+// ConnectionLost records that the upstream refused, closed or reset a connection, or did not accept it
+// in time. It may have started again under its ID; until its entry says otherwise, it counts as cold.
+func (t *Ticket) ConnectionLost(now time.Time, timedOut bool) {
 	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,6 +155,9 @@
 		return
 	}
 	u := t.record()
+	if timedOut && now.Sub(u.coldness.lastByteAt) < busyPeriod {
+		return
+	}
 	wasCold := u.cold(now)
 	u.coldness.recordLoss(now)
 	p.startColdPace(now, u, wasCold, coldFromLoss)
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -97,6 +97,10 @@
 		{"an earlier request is answered", func(_ *instances.Catalog, before *instances.Ticket) {
 			before.RecordReport(lostAt.Add(200*time.Millisecond), instances.ReportedLoad{})
 		}, lostAt.Add(300 * time.Millisecond), false},
+		{"an earlier request is answered on a later connection", func(_ *instances.Catalog, before *instances.Ticket) {
+			before.ConnectedAt(lostAt.Add(100 * time.Millisecond))
+			before.RecordReport(lostAt.Add(200*time.Millisecond), instances.ReportedLoad{})
+		}, lostAt.Add(300 * time.Millisecond), true},
 		{"the last bytes before a crash are read after it", func(_ *instances.Catalog, before *instances.Ticket) {
 			before.RecordReport(lostAt.Add(50*time.Millisecond), instances.ReportedLoad{})
 		}, lostAt.Add(300 * time.Millisecond), true},
@@ -116,7 +120,7 @@
 		}, lostAt.Add(6 * time.Second), false},
 		{"a request after the loss is answered before another loss", func(c *instances.Catalog, before *instances.Ticket) {
 			between := placeRequest(c, lostAt.Add(time.Second))
-			before.ConnectionLost(lostAt.Add(2 * time.Second))
+			before.ConnectionLost(lostAt.Add(2*time.Second), false)
 			between.RecordReport(lostAt.Add(3*time.Second), instances.ReportedLoad{})
 		}, lostAt.Add(4 * time.Second), true},
 	}
@@ -124,7 +128,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := newCatalog(t, instances.Options{}, "a")
 			before, lost := placeRequest(c, start), placeRequest(c, start)
-			lost.ConnectionLost(lostAt)
+			lost.ConnectionLost(lostAt, false)
 			tc.change(c, before)
 			if got := countPlaced(c, tc.at, many) < many; got != tc.cold {
 				t.Errorf("the upstream counts as cold: %v, want %v", got, tc.cold)
@@ -133,6 +137,19 @@
 	}
 }
 
+func TestTimeOutMeansARestartOnlyIfTheUpstreamHasBeenSilent(t *testing.T) {
+	for silentFor, cold := range map[time.Duration]bool{time.Second: false, 4 * time.Second: true} {
+		c := newCatalog(t, instances.Options{}, "a")
+		ticket := placeRequest(c, start)
+		ticket.Progress(start)
+		placeRequest(c, start.Add(silentFor)) // sending is no sign of life
+		ticket.ConnectionLost(start.Add(silentFor), true)
+		if got := countPlaced(c, start.Add(silentFor), 2) < 2; got != cold {
+			t.Errorf("a time-out %v after the latest byte: the upstream counts as cold: %v, want %v", silentFor, got, cold)
+		}
+	}
+}
+
 func TestHealthIsCheckedOncePerIntervalUnlessTheUpstreamIsKnownToBeCold(t *testing.T) {
 	all := func(domain.UpstreamID) bool { return true }
 	table, err := routes.New(2, nil, []routes.Service{{Name: "app", HealthPath: "/healthz", ColdStart: 3 * time.Second, MaxColdRate: 2}}, routes.Limits{})
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -40,6 +40,8 @@
 	prompt        uint64
 	shared        bool
 	answerStarted bool
+	// connectedAt is when the request got its connection.
+	connectedAt time.Time
 	// firstByteAt is when the first byte arrived.
 	firstByteAt time.Time
 	backlogMark float64
@@ -77,7 +79,7 @@
 		return d, nil
 	}
 	u := p.upstreams[d.Index]
-	t := &Ticket{Instance: u.Instance, Expected: d.Delay, Cold: u.cold(now), pool: p, upstream: u,
+	t := &Ticket{Instance: u.Instance, connectedAt: now, Expected: d.Delay, Cold: u.cold(now), pool: p, upstream: u,
 		SentAt: now, queued: d.SlotWait > 0, tokens: d.Tokens, prompt: key, shared: shared,
 		sharedCached: !shared || d.Tokens+sharedTokens <= q.PromptTokens}
 	p.reserve(now, t)
@@ -238,7 +240,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.upstream.lastByteAt = now
-	t.upstream.coldness.recordAnswer(now, t.SentAt, t.pool.config.ColdStart)
+	t.upstream.coldness.recordAnswer(now, t.connectedAt, t.pool.config.ColdStart)
 }
 
 // ReceivedWithin reports whether the upstream sent any byte to this node within the
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -45,6 +45,7 @@
 		a.Budget.RecordFirstSend(a.Now(), a.r.Service)
 	}
 	call := a.newCall()
+	call.PlacedAt = t.SentAt
 	sentAt := a.Now()
 	stop := a.watchSilence(t, cancel)
 	answer, err := a.Upstreams.Send(ctx, &t.Instance, call)
@@ -56,6 +57,7 @@
 		a.headAt = now
 		h := answer.Head()
 		a.framing = h.Framing
+		t.ConnectedAt(h.ConnectedAt)
 		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected && h.answers(a.r.ID))
 		if !h.Misdirected && h.answers(a.r.ID) { // otherwise another instance answered, or another request
 			if t.RecordReport(now, answer.ReportedLoad()) {
@@ -72,7 +74,7 @@
 	}
 	a.recordProcess(t, res)
 	if res.connectionLost() {
-		t.ConnectionLost(a.Now())
+		t.ConnectionLost(a.Now(), res.timedOut())
 	}
 	t.Done(a.Now(), res.upstreamOutcome)
 	a.logAttempt(string(t.ID), sentAt, t.Expected, res)
@@ -126,6 +128,8 @@
 func (a *attempts) sendError(ctx context.Context, err error) result {
 	kind := errkind.From(err)
 	switch {
+	case errors.Is(err, ErrOutdated):
+		return result{err: errkind.New(errkind.NoCapacity, "not sent: %w", err), ran: domain.RunNo, upstreamOutcome: instances.Canceled}
 	case kind.Kind == errkind.PeerUnreachable:
 		return failedResult(errkind.NoCapacity, domain.RunNo, instances.Unreachable, "upstream not reached: %w", err)
 	case errors.Is(context.Cause(ctx), errSilent):
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -28,11 +28,18 @@
 	status             int
 }
 
-// connectionLost reports whether the upstream refused, closed or reset the connection.
+// connectionLost reports whether the upstream refused, closed or reset the connection, or did not accept it in
+// time.
 func (c *result) connectionLost() bool {
 	return c.upstreamOutcome == instances.Unreachable || c.err != nil && errors.Is(c.err, ErrConnectionClosed)
 }
 
+// timedOut reports whether the attempt failed because of a time-out.
+func (c *result) timedOut() bool {
+	var t interface{ Timeout() bool }
+	return c.err != nil && errors.As(c.err, &t) && t.Timeout()
+}
+
 type errorAnswer struct {
 	head Head
 	body []byte
--- a/core/relay/ports.go
+++ b/core/relay/ports.go
@@ -35,6 +35,10 @@
 	Send(ctx context.Context, to *instances.Instance, c *Call) (Answer, error)
 }
 
+// ErrOutdated matches the errors of attempts that were not sent because the upstream had been chosen too long
+// before: what is known of it may have changed.
+var ErrOutdated = errors.New("the upstream was chosen too long ago")
+
 // ErrConnectionClosed matches the errors of attempts whose upstream closed or reset the
 // connection before the end of its answer.
 var ErrConnectionClosed = errors.New("the upstream closed the connection")
--- a/core/relay/refusal_test.go
+++ b/core/relay/refusal_test.go
@@ -32,3 +32,15 @@
 		}
 	}
 }
+
+// TestRequestThatWasNotSentInTimeIsPlacedAgain: what was known of its upstream may have changed.
+func TestRequestThatWasNotSentInTimeIsPlacedAgain(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.AtMostOnce, routes.Idempotent} {
+		r := newFixture(t, 3)
+		r.upstreams.replies = []reply{{err: relay.ErrOutdated}, success}
+		req := newRequest(kind, 1)
+		if f := r.Serve(context.Background(), req, &recordingSink{}); f != nil || req.SendCount != 1 {
+			t.Errorf("%v: got failure %+v after %d sends, want an answer after 1", kind, f, req.SendCount)
+		}
+	}
+}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -61,6 +61,8 @@
 	*Request
 	// ResumeAfter replaces the request's value once events were delivered.
 	ResumeAfter string
+	// PlacedAt is when the upstream was chosen; zero if that is not known.
+	PlacedAt time.Time
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
 	// Priority is the request's priority at model engines; 0 is the highest.
@@ -78,6 +80,8 @@
 	RequestID domain.RequestID
 	// Reused is set if the connection had served earlier requests.
 	Reused bool
+	// ConnectedAt is when the request got its connection; zero if that is not known.
+	ConnectedAt time.Time
 	// Signed is set if the upstream signed the answer.
 	Signed bool
 	// NotRun is set if the upstream states that it did not run the request.
