Let a held part explain only the crashes at which it was present

Cause: the crashes of a held part were compared by process alone. An upstream that starts again under its ID is known as the same process until its new entry is read; if it then crashed on a request, that evidence was removed as explained by the part.

Evidence: TestHeldPartDoesNotExplainLaterCrashesOfTheSameProcess failed before; the request was sent on.

--- a/core/quarantine/suspect.go
+++ b/core/quarantine/suspect.go
@@ -83,8 +83,12 @@
 	return true
 }
 
-func (p *suspect) hasCrash(process uint64) bool {
-	return slices.ContainsFunc(p.crashes, func(c crash) bool { return c.process == process })
+// hasCrash reports whether a crash implicates the suspect. A process that is known under the same identifier may
+// have started again and crashed once more.
+func (p *suspect) hasCrash(c crash) bool {
+	return slices.ContainsFunc(p.crashes, func(known crash) bool {
+		return known.process == c.process && c.at.Sub(known.at).Abs() < minRestartTime
+	})
 }
 
 // processes returns the number of processes whose crashes implicate the suspect.
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -435,3 +435,22 @@
 		}
 	}
 }
+
+// TestHeldPartDoesNotExplainLaterCrashesOfTheSameProcess: upstreams start again under their IDs, and the node does
+// not know their new entries yet.
+func TestHeldPartDoesNotExplainLaterCrashesOfTheSameProcess(t *testing.T) {
+	request := []Subject{{ID: 5, Request: true}}
+	table := New(Options{})
+	for i := range uint64(4) {
+		table.RecordCrash(at(float64(i)), i, at(float64(i)-0.05), Parts(deadly))
+	}
+	if !isHeld(table, 5, deadly) {
+		t.Fatal("the deadly part is not held")
+	}
+	for i := range uint64(4) {
+		table.RecordCrash(at(8+float64(i)), i, at(8+float64(i)-0.05), request)
+	}
+	if got, _ := table.Check(at(13), request); got != Refuse {
+		t.Errorf("got decision %v on a request that crashed four upstreams after a part had, want %v", got, Refuse)
+	}
+}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -73,7 +73,7 @@
 		}
 		for _, p := range t.suspects {
 			if !p.held() {
-				p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return h.hasCrash(c.process) })
+				p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return h.hasCrash(c) })
 			}
 		}
 	}
