Show that a node breaks off streams of a sound server that pauses

Claim: a resumable stream without an event for 1.7 to 2.4 s is cancelled at its server although no other server can take it, and the caller's connection ends without a complete answer; callers wait longer.

--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -13,7 +13,7 @@
 	silenceStreams = 6
 	// preempted is how many of them are preempted, the newest ones.
 	preempted     = 3
-	silenceEvents = 40
+	silenceEvents = 8
 	// silencePause is shorter than the time after which callers give up a stream: two seconds,
 	// four times the objective (0.6 s) or eight times the longest pause (0.4 s), whichever is
 	// longest: 3.2 s.
@@ -31,10 +31,10 @@
 	}
 	defer f.close()
 	f.configure(7, 210, route("vraag", "/vraag/", "streaming", "model", map[string]any{
-		"gap_aim_ms": 400, "target_latency_ms": 600, "resumable": true, "max_attempts": 2}))
+		"gap_aim_ms": 400, "target_latency_ms": 600, "timeout_ms": 4000, "resumable": true, "max_attempts": 2}))
 	pause := 0
 	if trouble {
-		pause = 5
+		pause = 3
 	}
 	if _, err := f.startServer("nl-west-a", behaviour{ID: "i-1", Service: "model", Slots: 24, Work: 50 * time.Millisecond,
 		Events: silenceEvents, Gap: 100 * time.Millisecond, PauseAfter: pause, PauseFor: silencePause, PauseFrom: silenceStreams - preempted}); err != nil {
@@ -52,7 +52,7 @@
 		wait.Go(func() {
 			c := f.client(nodes[0])
 			sent := time.Now()
-			r := c.send("/vraag/stream/1", 8*time.Second, nil)
+			r := c.send("/vraag/stream/1", 4*time.Second, nil)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
