--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{behaviour: b, log: f.rec.log}
+	s := &server{behaviour: b, log: f.rec.log, address: listener.Addr().String()}
 	go s.serve(listener)
 	f.register(b.ID, b.Service, zone, listener.Addr().String(), b.Slots)
 	return s, nil
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -37,8 +37,8 @@
 	// BodyBytes is the size of a plain body, HalfPause the time between its halves.
 	BodyBytes int
 	HalfPause time.Duration
-	// MaxConnections is the number of connections above which new ones are reset; zero means
-	// no limit.
+	// MaxConnections is the number of connections above which new ones are reset, half of it while
+	// the queue is more than half full; zero means no limit.
 	MaxConnections int
 }
 
@@ -63,6 +63,7 @@
 type server struct {
 	behaviour
 	log         func(format string, args ...any)
+	address     string
 	running     atomic.Int32
 	connections atomic.Int32
 	streams     atomic.Int32
@@ -84,9 +85,9 @@
 		if err != nil {
 			return
 		}
-		if n := s.connections.Add(1); s.MaxConnections > 0 && int(n) > s.MaxConnections {
+		if n := s.connections.Add(1); s.MaxConnections > 0 && int(n) > s.maxConnections() {
 			s.connections.Add(-1)
-			s.log("%s resets a connection beyond its %d", s.ID, s.MaxConnections)
+			s.log("%s resets a connection beyond the %d that it takes now", s.ID, s.maxConnections())
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			_ = conn.Close()
 			continue
@@ -101,6 +102,14 @@
 	}
 }
 
+// maxConnections returns the number of connections that the server takes now.
+func (s *server) maxConnections() int {
+	if waiting := int(s.running.Load()) - s.Slots; 2*waiting > s.Queue {
+		return s.MaxConnections / 2
+	}
+	return s.MaxConnections
+}
+
 // exchange answers one request; it returns false if the connection ends with it.
 func (s *server) exchange(conn net.Conn, reader *bufio.Reader) (keep bool) {
 	req, err := http.ReadRequest(reader)
