Show that SIGHUP ends a node that drains

Claim: a SIGHUP between the SIGTERM of a node and its end kills it, as its handler is taken back when the stop begins. Callers lose requests that servers run, with planned work only (LOST).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." && exec target/review-standin memory review/2/record.txt
+cd "$(dirname "$0")/../.." && exec target/review-standin hangup review/2/record.txt
