--- a/review/standin/hangup.go
+++ b/review/standin/hangup.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return 0, err
 	}
-	nodes, err := f.startNodes("nl-west-a", "nl-west-a")
+	nodes, err := f.startNodes("nl-west-a", "nl-west-a", "nl-west-a")
 	if err != nil {
 		return 0, err
 	}
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -42,7 +42,7 @@
 		Events: silenceEvents, Gap: 100 * time.Millisecond, PauseAfter: pause, PauseFor: silencePause, PauseFrom: silenceStreams - preempted}); err != nil {
 		return 0, err
 	}
-	nodes, err := f.startNodes("nl-west-a", "nl-west-a")
+	nodes, err := f.startNodes("nl-west-a", "nl-west-a", "nl-west-a")
 	if err != nil {
 		return 0, err
 	}
--- a/review/standin/truncated.go
+++ b/review/standin/truncated.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -90,7 +91,7 @@
 			return 0, err
 		}
 	}
-	nodes, err := f.startNodes("nl-west-a", "nl-west-a", "nl-west-a")
+	nodes, err := f.startNodes(slices.Repeat([]string{"nl-west-a"}, 9)...)
 	if err != nil {
 		return 0, err
 	}
