Keep the signals of a process until it ends

Cause: reload gave SIGHUP back when the drain began, and its default effect ends the process ("signal: hangup", so neither a failed reload nor a shortened drain).

Change: package signals registers for them when the program is initialized and never gives one back; both commands use it. Both modes of crocusspread write their log through the writer that never blocks; lines that cannot be written are counted in log.lines_dropped. signal_received logs each signal and its effect.

--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -115,6 +115,9 @@
 	return n, nil
 }
 
+// Metrics returns the node's metrics, which its admin address serves.
+func (n *Node) Metrics() *telemetry.Metrics { return n.metrics }
+
 // newIncarnation returns a random incarnation other than zero.
 func newIncarnation() domain.Incarnation {
 	var b [8]byte
--- a/adapters/telemetry/metrics.go
+++ b/adapters/telemetry/metrics.go
@@ -26,6 +26,9 @@
 	ForwardsReceived = "forwards.received"
 )
 
+// LogLinesDropped is the gauge of log lines that were not written since the start.
+const LogLinesDropped = "log.lines_dropped"
+
 // Metrics records the metrics of a node. It implements gateway.Observer.
 type Metrics struct {
 	Registry metrics.Registry
@@ -47,6 +50,11 @@
 	metrics.GetOrRegisterGauge(name, m.Registry).Update(v)
 }
 
+// ObserveGauge adds a gauge whose value is read when the metrics are served.
+func (m *Metrics) ObserveGauge(name string, value func() int64) {
+	m.Registry.GetOrRegister(name, func() metrics.Gauge { return metrics.NewFunctionalGauge(value) })
+}
+
 // Observe adds a duration to a histogram of microseconds.
 func (m *Metrics) Observe(name string, d time.Duration) {
 	h := m.Registry.GetOrRegister(name, func() metrics.Histogram {
--- a/adapters/telemetry/writer.go
+++ b/adapters/telemetry/writer.go
@@ -16,6 +16,8 @@
 	output  io.Writer
 	limit   int64
 	dropped atomic.Int64
+	// reported is the part of dropped that was written to the output.
+	reported int64
 	// budget is the number of lines that may still be written in the current second.
 	budget  atomic.Int64
 	done    chan struct{}
@@ -52,7 +54,7 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped since the last report.
+// Dropped returns the number of lines dropped since the start.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
 // Close writes the queued lines; it returns after the timeout even if the output
@@ -91,10 +93,15 @@
 	}
 }
 
-// report writes the number of dropped lines and resets it.
+// report writes the number of lines dropped since the last report. If the output fails,
+// a later report includes them.
 func (w *Writer) report() {
-	if n := w.dropped.Swap(0); n > 0 {
-		w.writeLine(fmt.Appendf(nil, "log_lines_dropped count=%d\n", n))
+	dropped := w.dropped.Load()
+	if dropped == w.reported {
+		return
+	}
+	if _, err := w.output.Write(fmt.Appendf(nil, "log_lines_dropped count=%d\n", dropped-w.reported)); err == nil {
+		w.reported = dropped
 	}
 }
 
--- a/cmd/crocusctl/main.go
+++ b/cmd/crocusctl/main.go
@@ -8,12 +8,11 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/crocusspread/crocusspread/adapters/operatorcli"
+	"github.com/crocusspread/crocusspread/adapters/signals"
 )
 
 // exitUsage is the exit code for an invalid command line. Other errors exit with the
@@ -48,8 +47,9 @@
 	if err != nil {
 		return usage(err, out)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	signals.HandleCommand(func(os.Signal) { stop() })
 	out.JSON = global.Output == "json"
 	return out.Print(runners[parser.Active.Name].run(ctx, out))
 }
--- a/cmd/crocusspread/main.go
+++ b/cmd/crocusspread/main.go
@@ -2,20 +2,17 @@
 package main
 
 import (
-	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
-	"k8s.io/klog/v2"
 
 	"github.com/crocusspread/crocusspread/adapters/node"
 	"github.com/crocusspread/crocusspread/adapters/settings"
+	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/event"
 )
 
 // exitUsage is the exit code for invalid arguments.
@@ -28,7 +25,7 @@
 	PrintDefaults bool   `long:"print-defaults" description:"Print every setting with its default and exit"`
 	Platform      bool   `long:"platform" description:"Run on the users' platform: routes, upstreams and nodes come from its store, settings from --settings or $CROCUSSPREAD_CONFIG"`
 	MetricsPort   int    `long:"metrics-port" value-name:"PORT" description:"With --platform: port that serves metrics on the entry's IP address; 0 serves none"`
-	LogLines      int    `long:"log-lines" default:"600" value-name:"N" description:"With --platform: most log lines a second; more are dropped and counted"`
+	LogLines      int    `long:"log-lines" default:"600" value-name:"N" description:"Most log lines a second; more are dropped and counted"`
 	Verbosity     int    `short:"v" long:"verbosity" default:"0" description:"Verbosity of the log"`
 }
 
@@ -78,12 +75,11 @@
 
 // serve runs the node until it receives a termination signal.
 func serve(opts options, s *settings.Settings) error {
-	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(logFlags)
-	if err := logFlags.Set("v", fmt.Sprint(opts.Verbosity)); err != nil {
+	logWriter, err := setUpLog(opts, os.Stderr)
+	if err != nil {
 		return err
 	}
-	defer klog.Flush()
+	defer logWriter.Close(flushTimeout)
 	cfg, err := node.FromSettings(s)
 	if err != nil {
 		return err
@@ -92,7 +88,20 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	n.Metrics().ObserveGauge(telemetry.LogLinesDropped, logWriter.Dropped)
+	ctx := handleSignals(cfg.Log, logWriter, func() { checkSettings(opts.Settings, cfg.Log) })
+	if ctx.Err() != nil {
+		return nil // a stop was requested before the node listened
+	}
 	return n.Run(ctx)
 }
+
+// checkSettings logs whether the settings file is valid. A running node keeps the settings
+// that it was started with.
+func checkSettings(path string, log event.Logger) {
+	if _, err := settings.Load(path); err != nil {
+		log.Log(event.SettingsRefused, event.F("path", path), event.F("error", err))
+		return
+	}
+	log.Log(event.SettingsKept, event.F("path", path))
+}
--- a/cmd/crocusspread/routed.go
+++ b/cmd/crocusspread/routed.go
@@ -3,17 +3,12 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/crocusspread/crocusspread/adapters/edgenode"
 	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
@@ -22,8 +17,6 @@
 )
 
 const (
-	// flushTimeout limits the final writes of the log.
-	flushTimeout = 100 * time.Millisecond
 	// storeDialTimeout allows for the round-trip time between regions and a lost
 	// packet.
 	storeDialTimeout = 1500 * time.Millisecond
@@ -55,31 +48,19 @@
 		}
 		s.MetricsAddress = net.JoinHostPort(host, strconv.Itoa(opts.MetricsPort))
 	}
-	logWriter, err := setUpLog(opts)
+	logWriter, err := setUpLog(opts, os.Stdout)
 	if err != nil {
 		return err
 	}
 	defer logWriter.Close(flushTimeout)
-	log := telemetry.NewLog(s.Node)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	n := edgenode.New(s, dependencies(s), log, telemetry.NewMetrics(s.Place))
-	go reload(ctx, n, path, log)
-	return n.Run(ctx)
-}
-
-// setUpLog directs the log to standard output without ever blocking on it.
-func setUpLog(opts options) (*telemetry.Writer, error) {
-	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "v": strconv.Itoa(opts.Verbosity)} {
-		if err := flags.Set(name, value); err != nil {
-			return nil, err
-		}
+	log, metrics := telemetry.NewLog(s.Node), telemetry.NewMetrics(s.Place)
+	metrics.ObserveGauge(telemetry.LogLinesDropped, logWriter.Dropped)
+	n := edgenode.New(s, dependencies(s), log, metrics)
+	ctx := handleSignals(log, logWriter, func() { reload(n, path, log) })
+	if ctx.Err() != nil {
+		return nil // a stop was requested before the node listened
 	}
-	w := telemetry.NewWriter(os.Stdout, opts.LogLines)
-	klog.SetOutput(w)
-	return w, nil
+	return n.Run(ctx)
 }
 
 // dependencies returns the platform-specific dependencies of the node.
@@ -96,22 +77,12 @@
 	}
 }
 
-// reload reloads the settings on SIGHUP; invalid settings are not applied.
-func reload(ctx context.Context, n *edgenode.Node, path string, log event.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
-		s, err := platform.LoadSettings(path)
-		if err != nil {
-			log.Log(event.SettingsRefused, event.F("path", path), event.F("error", err))
-			continue
-		}
-		n.Reload(s)
+// reload reloads the settings; invalid settings are not applied.
+func reload(n *edgenode.Node, path string, log event.Logger) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Log(event.SettingsRefused, event.F("path", path), event.F("error", err))
+		return
 	}
+	n.Reload(s)
 }
--- a/cmd/faulttest/planned_stop_test.go
+++ b/cmd/faulttest/planned_stop_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,6 +35,18 @@
 		{name: "platform down", stopped: []string{"north-1"}, before: failPlatform},
 		{name: "platform link drops all bytes", stopped: []string{"north-1"}, before: onNodes(func(n *nodeProc) { n.platformProxy.blackhole() }, "north-1")},
 		{name: "second SIGTERM during the stop", stopped: []string{"north-1"}, during: onNodes(func(n *nodeProc) { n.terminate() }, "north-1")},
+		{
+			name: "SIGHUP, SIGINT and SIGQUIT during the stop", stopped: []string{"north-1", "south-1"},
+			during: onNodes(func(n *nodeProc) {
+				for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGINT, syscall.SIGHUP, syscall.SIGQUIT, syscall.SIGHUP} {
+					n.signal(s)
+				}
+			}, "north-1", "south-1"),
+		},
+		{
+			name: "SIGHUP, and the reader of the log gone, before the stop", stopped: []string{"north-1"},
+			before: onNodes(func(n *nodeProc) { n.closeOutput(); n.signal(syscall.SIGHUP) }, "north-1"),
+		},
 		{
 			name: "connections between nodes closed during the stop", stopped: []string{"north-1"}, mayLoseResponses: true,
 			during: onNodes((*nodeProc).closePeerConnections, "north-1", "south-1", "south-2"),
--- a/cmd/faulttest/process_test.go
+++ b/cmd/faulttest/process_test.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -93,6 +94,13 @@
 	out  output
 	done chan struct{} // closed once the process has exited
 	err  error         // result of Wait, valid once done is closed
+	// killed is set before SIGKILL is sent, or another signal that ends the process.
+	killed atomic.Bool
+
+	mu sync.Mutex
+	// reader is the reading end of the pipe that is the process's output; nil while
+	// there is none.
+	reader *os.File
 }
 
 var _ io.Writer = (*output)(nil)
@@ -100,17 +108,26 @@
 // start starts a process and kills it at the end of the test.
 func start(t testing.TB, name, binary string, args ...string) *process {
 	t.Helper()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
 	p := &process{name: name, cmd: exec.Command(binary, args...), done: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
-	if err := p.cmd.Start(); err != nil {
+	p.cmd.Stdout, p.cmd.Stderr = writer, writer
+	err = p.cmd.Start()
+	_ = writer.Close() // the process has its own copy
+	if err != nil {
 		t.Fatalf("start %s: %v", name, err)
 	}
+	copied := p.read(reader)
 	go func() {
 		defer close(p.done)
 		p.err = p.cmd.Wait()
+		<-copied
 	}()
 	t.Cleanup(func() {
 		p.kill()
+		p.closeOutput()
 		if t.Failed() {
 			t.Logf("output of %s:\n%s", name, tail(p.out.String()))
 			p.save(t)
@@ -119,6 +136,63 @@
 	return p
 }
 
+// read collects what arrives at the reading end of the process's output. The returned
+// channel is closed once nothing more can arrive there.
+func (p *process) read(reader *os.File) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reader = reader
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = io.Copy(&p.out, reader) // ends with the process, or when the reader is closed
+	}()
+	return ended
+}
+
+// closeOutput closes the reading end of the process's output, as a log collector that
+// ends does.
+func (p *process) closeOutput() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reader != nil {
+		_ = p.reader.Close()
+		p.reader = nil
+	}
+}
+
+// reopenOutput reads the process's output again after closeOutput, unless it has exited.
+func (p *process) reopenOutput() {
+	reader, err := os.Open(fmt.Sprintf("/proc/%d/fd/1", p.cmd.Process.Pid))
+	if err == nil {
+		p.read(reader)
+	}
+}
+
+// handlesSignals reports whether the process has registered for its signals, the last of
+// which is SIGPIPE. Until then the runtime ends it on any of them.
+func (p *process) handlesSignals() bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(status)) {
+		var ignored uint64
+		if n, _ := fmt.Sscanf(line, "SigIgn: %x", &ignored); n == 1 {
+			return ignored&(1<<(syscall.SIGPIPE-1)) != 0
+		}
+	}
+	return false
+}
+
+// checkEnd fails the test if the process has ended otherwise than by its own decision
+// with exit code 0, or by SIGKILL.
+func (p *process) checkEnd(t testing.TB) {
+	if p.exited() && !p.killed.Load() && p.err != nil {
+		t.Errorf("%s, process %d, ended: %v; want exit code 0", p.name, p.cmd.Process.Pid, p.err)
+	}
+}
+
 var outputDirectory = flag.String("output", "", "directory for the whole output of the processes of failed tests")
 
 // save writes the process's output to a file if the tests were told to.
@@ -141,6 +215,7 @@
 
 // kill sends SIGKILL and waits until the process has exited.
 func (p *process) kill() {
+	p.killed.Store(true)
 	p.signal(syscall.SIGKILL)
 	<-p.done
 }
@@ -150,7 +225,16 @@
 func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
 
 // terminate requests a planned stop with SIGTERM.
-func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+func (p *process) terminate() { p.stopWith(syscall.SIGTERM) }
+
+// stopWith sends a signal that requests a planned stop. A process that doesn't handle
+// signals yet is ended by it.
+func (p *process) stopWith(s syscall.Signal) {
+	if !p.handlesSignals() {
+		p.killed.Store(true)
+	}
+	p.signal(s)
+}
 
 func (p *process) exited() bool {
 	select {
--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -40,9 +40,16 @@
 	name, region, settings     string
 	entryAddress, readyAddress string
 	storeProxy                 *faultProxy
+	// metricsPort is the port of the node's metrics; empty if it serves none.
+	metricsPort string
+	// wrapper is a command that runs the node's binary and its arguments, which follow;
+	// empty if the binary is run itself.
+	wrapper []string
 
 	mu   sync.Mutex
 	proc *process
+	// former holds the processes before it.
+	former []*process
 }
 
 // soakUpstream is a simulated upstream with the proxy on its link.
@@ -144,8 +151,25 @@
 func (n *soakNode) start(t *testing.T, former *process) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.proc == former {
-		n.proc = start(t, n.name, nodeBinary, "--platform", "--settings", n.settings, "--log-lines", "100000")
+	if n.proc != former {
+		return
+	}
+	if former != nil {
+		n.former = append(n.former, former)
+	}
+	command := append(slices.Clone(n.wrapper), nodeBinary, "--platform", "--settings", n.settings, "--log-lines", "100000")
+	if n.metricsPort != "" {
+		command = append(command, "--metrics-port", n.metricsPort)
+	}
+	n.proc = start(t, n.name, command[0], command[1:]...)
+}
+
+// checkEnds checks how the node's processes ended; see process.checkEnd.
+func (n *soakNode) checkEnds(t *testing.T) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range append(n.former, n.proc) {
+		p.checkEnd(t)
 	}
 }
 
@@ -252,8 +276,12 @@
 	n.start(t, p)
 }
 
-// reload makes the node reload its settings with SIGHUP.
-func (n *soakNode) reload() { n.process().signal(syscall.SIGHUP) }
+// reload makes the node reload its settings with SIGHUP, once its process handles signals.
+func (n *soakNode) reload() {
+	if p := n.process(); p.handlesSignals() {
+		p.signal(syscall.SIGHUP)
+	}
+}
 
 // isHomeRequest reports whether a request id belongs to the route that allows only
 // region west.
