--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -59,6 +59,9 @@
 	limitCheck()
 	d.checkLeavingUpstream()
 	d.checkSilentUpstream()
+	for _, n := range d.nodes {
+		n.checkEnds(t)
+	}
 	if t.Failed() {
 		t.Logf("injected faults of seed %d:\n%s", seed, strings.Join(injected, "\n"))
 	}
