Answer every request before a stopping node ends

Callers of a node that was stopped as planned got a closed connection 7.6 s after the signal when their request waited or ran longer than that, at-most-once ones too.

Cause: a draining node took any request in its first 2.9 s and passed the caller's deadline on, although it ends earlier, and closed connections at its end without an answer. Ruled out: a drain that does not wait for relayed requests, and connections that close while answers are written; shorter requests were answered in the same runs.

Change: the deadline of a request that is accepted during the drain is shortened to the time of the last answers, placement decides with it, and upstreams get 0.15 s less, so that their "not run" arrives. What is in flight at that time is answered, 503 if it was not sent and 504 otherwise. A body that does not arrive by then is refused as not run. Simulated upstreams can have a queue and keep deadlines.

peers.Drain.Accept replaces Accepts; its test has the same cases and checks the deadlines as well.

--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -31,8 +33,8 @@
 	// CheckAccepting returns nil while the node accepts requests, otherwise the reason why
 	// it does not.
 	CheckAccepting func(ctx context.Context) *errkind.Error
-	// CheckDeadline does the same for a request that may take until the deadline.
-	CheckDeadline func(deadline time.Time) *errkind.Error
+	// Accept does the same for a request whose deadline is set, which it may shorten.
+	Accept func(r *relay.Request) *errkind.Error
 	// CloseConnections reports whether connections are closed after their response.
 	CloseConnections func() bool
 	Log              event.Logger
@@ -109,21 +111,26 @@
 	if headerErr != nil {
 		return nil, 0, errkind.New(errkind.BadRequest, "%w", headerErr)
 	}
-	deadline := arrived.Add(timeout(info, route))
-	if err := h.CheckDeadline(deadline); err != nil {
+	limit := arrived.Add(timeout(info, route))
+	req := &relay.Request{
+		Message: relay.Message{ID: info.ID, Method: r.Method, Host: r.Host, RequestTarget: r.RequestURI},
+		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(info.ID), TableVersion: table.Version,
+		Arrived: arrived, Deadline: limit, ResumeAfter: info.ResumeAfter,
+	}
+	if err := h.Accept(req); err != nil {
 		return nil, 0, err
 	}
-	body, size, failure := h.readBody(w, r, table.Limits.MaxBodyBytes, deadline)
+	body, size, failure := h.readBody(w, r, table.Limits.MaxBodyBytes, req.Deadline)
+	if req.Deadline.Before(limit) && failure != nil && errors.Is(failure, os.ErrDeadlineExceeded) {
+		failure = errkind.New(errkind.Draining, "the body did not arrive before the end of the node")
+	}
 	if failure != nil {
 		return nil, 0, failure
 	}
 	header := upstream.EndToEnd(r.Header)
 	h.Dialect.StripInternalHeaders(header)
-	return &relay.Request{
-		Message: relay.Message{ID: info.ID, Method: r.Method, Host: r.Host, RequestTarget: r.RequestURI, Header: header, Body: body},
-		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(info.ID), TableVersion: table.Version,
-		Arrived: arrived, Deadline: deadline, ResumeAfter: info.ResumeAfter,
-	}, size, nil
+	req.Header, req.Body = header, body
+	return req, size, nil
 }
 
 // timeout returns the time that a request may take: the lower of the limits of its
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -260,6 +260,9 @@
 		n.log.Log(event.RequestRefused, event.F("request", in.ID), event.F("kind", f.Kind), event.F("from", in.From), event.F("detail", f.Message))
 		return f, 0
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(n.requests, func() { cancel(relay.ErrStopping) })()
 	sentBefore := in.SendCount
 	f := n.engine.Serve(ctx, &in.Request, sink)
 	return f, in.SendCount - sentBefore
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -63,6 +63,9 @@
 	// time; entries do not wait for a large routing table.
 	fetchingEntries, fetchingOperator atomic.Bool
 	closing                           atomic.Bool // responses close their connections
+	// requests is the context of all requests; endRequests ends it when the node stops.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 	// drain is set while the node drains, rejecting once it accepts no request any more.
 	drain     atomic.Pointer[peers.Drain]
 	rejecting atomic.Bool
@@ -98,6 +101,7 @@
 func New(s *Settings, deps Dependencies, log event.Logger, m *telemetry.Metrics) *Node {
 	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1)}
 	n.seeds.Store(&s.Seeds)
+	n.requests, n.endRequests = context.WithCancelCause(context.Background())
 	n.members = peers.NewMembers(peers.Member{
 		ID: s.Node, Place: s.Place, EntryAddress: s.EntryAddress, PeerAddress: s.PeerAddress,
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.CPUCores,
@@ -120,7 +124,7 @@
 		Quarantine: n.parts, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.handler = edge.New(edge.Config{
-		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, CheckDeadline: n.checkDeadline, CloseConnections: n.closing.Load,
+		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
 		MaxRequests:       s.MemoryBytes / 2 / bytesPerRequest,
 		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)),
@@ -182,13 +186,20 @@
 	return nil
 }
 
-// checkDeadline returns nil if the node can finish a request that may take until the
-// deadline, otherwise the reason why it cannot.
-func (n *Node) checkDeadline(deadline time.Time) *errkind.Error {
+// accept returns nil if the node can finish a request, whose deadline it shortens if the
+// node stops before. Otherwise it returns the reason why it cannot.
+func (n *Node) accept(r *relay.Request) *errkind.Error {
 	d := n.drain.Load()
-	if n.rejecting.Load() || d != nil && !d.Accepts(time.Now(), deadline) {
+	if d == nil {
+		return nil
+	}
+	deadline, accepted := d.Accept(time.Now(), r.Deadline)
+	if n.rejecting.Load() || !accepted {
 		return errkind.New(errkind.Draining, "node %s is shutting down", n.settings.Node)
 	}
+	if deadline.Before(r.Deadline) {
+		r.Deadline, r.Reserve = deadline, peers.DrainReserve
+	}
 	return nil
 }
 
@@ -317,6 +328,7 @@
 		directory: newHTTPServer(directory.Handler()),
 		peer:      mesh.NewServer(insecure.NewCredentials(), n, time.Now),
 	}
+	s.entry.BaseContext = func(net.Listener) context.Context { return n.requests }
 	start := func(server *http.Server, listener net.Listener) {
 		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	}
--- a/adapters/edgenode/relayed.go
+++ b/adapters/edgenode/relayed.go
@@ -27,7 +27,7 @@
 	if !route.SendsTo(in.Service) {
 		in.Service = route.ServiceFor(in.ID)
 	}
-	if err := n.checkDeadline(in.Deadline); err != nil {
+	if err := n.accept(&in.Request); err != nil {
 		return &relay.Failure{Error: err}
 	}
 	return nil
--- a/adapters/edgenode/shutdown.go
+++ b/adapters/edgenode/shutdown.go
@@ -8,6 +8,7 @@
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/relay"
 )
 
 const (
@@ -33,21 +34,28 @@
 }
 
 // shutdown drains the node: it removes the node from the directory, still accepts
-// requests as peers.Drain allows, and waits for requests in flight.
+// requests as peers.Drain allows, waits for requests in flight, and answers those that
+// are still in flight shortly before the end.
 func (n *Node) shutdown(ctx context.Context, s *servers) {
 	started := time.Now()
 	deadline := started.Add(n.settings.GracePeriod - shutdownMargin)
 	n.ready.Store(false)
 	n.closing.Store(true)
-	n.drain.Store(&peers.Drain{StartedAt: started, EndsAt: deadline})
+	drain := &peers.Drain{StartedAt: started, EndsAt: deadline}
+	n.drain.Store(drain)
 	n.members.SetState(started, domain.NodeDraining)
 	n.log.Log(event.NodeDraining, event.F("node", n.settings.Node), event.F("in_flight", n.inFlight()), event.F("grace_ms", n.settings.GracePeriod.Milliseconds()))
 	n.exchangeWithAll(ctx)
 	go n.unregister()
 	sleep(ctx, min(peers.DrainAcceptPeriod, time.Until(deadline)))
-	n.awaitIdle(ctx, deadline)
+	n.awaitIdle(ctx, drain.LastAnswersAt())
 	n.rejecting.Store(true)
-	n.awaitIdle(ctx, deadline) // for requests that were accepted meanwhile
+	n.awaitIdle(ctx, drain.LastAnswersAt()) // for requests that were accepted meanwhile
+	if left := n.inFlight(); left > 0 {
+		n.log.Log(event.RequestsEnded, event.F("node", n.settings.Node), event.F("in_flight", left))
+		n.endRequests(relay.ErrStopping)
+		n.awaitIdle(ctx, deadline)
+	}
 	n.members.SetState(time.Now(), domain.NodeStopped)
 	n.exchangeWithAll(ctx)
 	n.closeServers(s)
--- a/adapters/standin/routedsim/serve.go
+++ b/adapters/standin/routedsim/serve.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -52,10 +53,26 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	deadline := timeLeft(r, b)
+	if !s.sleep(r, min(b.QueueTime, deadline)) {
+		return
+	}
+	if b.QueueTime > deadline {
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("X-Request-Id", id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	deadline -= b.QueueTime
 	s.mu.Lock()
 	s.executions[id]++
 	s.mu.Unlock()
-	if !s.sleep(r, b.ProcessingTime) {
+	if !s.sleep(r, min(b.ProcessingTime, deadline)) {
+		return
+	}
+	if b.ProcessingTime > deadline {
+		w.Header().Set("X-Request-Id", id)
+		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
 	if b.DropResponses {
@@ -82,6 +99,16 @@
 	_, _ = io.WriteString(w, text) // the client may have disconnected
 }
 
+// timeLeft returns the time until the deadline that a request arrived with, if the server
+// keeps it.
+func timeLeft(r *http.Request, b Behaviour) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get("X-Request-Deadline-Ms"), 64)
+	if err != nil || !b.KeepsDeadlines {
+		return math.MaxInt64
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // hasPart reports whether the prompt of a request has a part. The last part does not
 // count: it belongs to the request itself.
 func hasPart(r *http.Request, part string) bool {
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -23,6 +23,11 @@
 type Behaviour struct {
 	// ProcessingTime is the processing time of a request.
 	ProcessingTime time.Duration
+	// QueueTime is how long a request waits before it is executed.
+	QueueTime time.Duration
+	// KeepsDeadlines ends requests at the deadline that they arrive with: one that still
+	// waits is rejected as not executed, another one is answered with status 504.
+	KeepsDeadlines bool
 	// Events is the number of events of a streaming response; zero means that the
 	// response is a plain body.
 	Events int
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -25,6 +25,7 @@
 	SettingsRefused   = Event{106, "settings_refused", "The settings file could not be read or is invalid; the settings in force remain unchanged."}
 	SettingsKept      = Event{107, "settings_kept", "The settings file was read after SIGHUP and is valid; this node applies it when it starts again."}
 	SignalReceived    = Event{108, "signal_received", "The process received a signal; the field effect contains what it does. None ends the process at once, except SIGKILL."}
+	RequestsEnded     = Event{109, "requests_ended", "A stopping node answered the requests that were still in flight: \"not run\" if they were not sent to an upstream, otherwise a time-out."}
 	ListsAdopted      = Event{201, "lists_adopted", "A higher version of the lists is in force on this node."}
 	ListsRefused      = Event{202, "lists_refused", "A document was invalid or older; the version in force remains unchanged. Check the author's change."}
 	ListsUnavailable  = Event{203, "lists_unavailable", "Neither the key-value service nor a peer returned lists; the node keeps its present lists and retries."}
@@ -70,7 +71,7 @@
 // Catalogue returns all events ordered by number.
 func Catalogue() []Event {
 	return []Event{
-		NodeStarted, NodeServing, NodeDraining, NodeStopped, SettingsReloaded, SettingsRefused, SettingsKept, SignalReceived,
+		NodeStarted, NodeServing, NodeDraining, NodeStopped, SettingsReloaded, SettingsRefused, SettingsKept, SignalReceived, RequestsEnded,
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
--- a/core/peers/drain.go
+++ b/core/peers/drain.go
@@ -10,19 +10,36 @@
 	// drainNoticeMargin covers the time until the other nodes know that a node drains,
 	// and the transit of a request to it.
 	drainNoticeMargin = 500 * time.Millisecond
+	// lastAnswersPeriod is the end of the drain in which requests still in flight are
+	// answered instead of cut.
+	lastAnswersPeriod = 250 * time.Millisecond
+	// DrainReserve is how long before the end of a request whose deadline the drain
+	// shortens its upstream has to answer: time for the answer to arrive, in particular
+	// one that says that the request has not run.
+	DrainReserve = 150 * time.Millisecond
 )
 
 // Drain is the planned stop of the local node.
 type Drain struct {
 	StartedAt time.Time
-	// EndsAt is when requests still in flight are cut.
+	// EndsAt is when connections of callers are closed.
 	EndsAt time.Time
 }
 
-// Accepts reports whether the node accepts a request that arrives now and may take until
-// deadline. After DrainAcceptPeriod only requests that certainly end before the node
-// stops are accepted: a longer one is served by another node after a refusal, but
-// would have no complete answer here.
-func (d *Drain) Accepts(now, deadline time.Time) bool {
-	return now.Before(d.StartedAt.Add(DrainAcceptPeriod)) || !deadline.After(d.EndsAt)
+// LastAnswersAt returns when the node answers requests still in flight and abandons
+// their upstreams.
+func (d *Drain) LastAnswersAt() time.Time { return d.EndsAt.Add(-lastAnswersPeriod) }
+
+// Accept returns the deadline of a request that arrives now and may take until the given
+// deadline, and whether the node accepts the request. After DrainAcceptPeriod only
+// requests that certainly end before the node stops are accepted: a longer one is served
+// by another node after a refusal. Before it, the deadline of a longer one is shortened,
+// so that it is refused at once if its upstreams are known to need more time, and has an
+// answer in any case.
+func (d *Drain) Accept(now, deadline time.Time) (time.Time, bool) {
+	last := d.LastAnswersAt()
+	if !deadline.After(last) {
+		return deadline, true
+	}
+	return last, now.Before(d.StartedAt.Add(DrainAcceptPeriod))
 }
--- a/core/peers/drain_test.go
+++ b/core/peers/drain_test.go
@@ -21,8 +21,15 @@
 		{"short request that may end after the node", 6 * time.Second, 2 * time.Second, false},
 	} {
 		now := start.Add(c.arrives)
-		if got := d.Accepts(now, now.Add(c.duration)); got != c.want {
+		deadline, got := d.Accept(now, now.Add(c.duration))
+		if got != c.want {
 			t.Errorf("%s: accepted %v, want %v", c.name, got, c.want)
 		}
+		if got && !deadline.Before(d.EndsAt) {
+			t.Errorf("%s: its deadline is %v after the start of the drain, want one before the end after %v", c.name, deadline.Sub(start), d.EndsAt.Sub(start))
+		}
+		if limit := now.Add(c.duration); got && limit.Before(d.LastAnswersAt()) && !deadline.Equal(limit) {
+			t.Errorf("%s: its deadline is %v after its arrival, want %v as requested", c.name, deadline.Sub(now), c.duration)
+		}
 	}
 }
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -69,6 +69,12 @@
 	return f
 }
 
+// ErrStopping is the cancellation cause of the context of a request that is still in
+// flight when the node stops. The request gets an answer, unless its answer has begun.
+var ErrStopping = errors.New("end of the node")
+
+func stopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
 // Failure is the reason why a request has no complete answer.
 type Failure struct {
 	*errkind.Error
@@ -224,7 +230,7 @@
 	q := instances.Query{
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.InputTokens, OutputTokens: r.Prompt.OutputTokens,
-			Objective: r.Route.Objective, Elapsed: now.Sub(a.objectiveFrom), Remaining: r.Deadline.Sub(now),
+			Objective: r.Route.Objective, Elapsed: now.Sub(a.objectiveFrom), Remaining: r.Deadline.Sub(now) - r.Reserve,
 			Urgent: r.Route.Priority == 0, Excluded: a.tried, Random: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
@@ -266,7 +272,7 @@
 // fail determines the failure or upstream error that the caller receives.
 func (a *attempts) fail(ctx context.Context) *Failure {
 	res := a.last
-	if res.callerDisconnected || errors.Is(ctx.Err(), context.Canceled) {
+	if res.callerDisconnected || errors.Is(ctx.Err(), context.Canceled) && !stopping(ctx) {
 		return &Failure{Error: errkind.New(errkind.Canceled, "the caller disconnected"), Broken: a.delivery.started, CallerDisconnected: true}
 	}
 	if res.errorAnswer != nil && !a.delivery.started {
@@ -274,6 +280,10 @@
 	}
 	err := res.err
 	switch {
+	case stopping(ctx) && a.mayHaveRun:
+		err = errkind.New(errkind.Timeout, "no complete answer before the %w", ErrStopping)
+	case stopping(ctx):
+		err = errkind.New(errkind.Draining, "not sent before the %w", ErrStopping)
 	case ctx.Err() != nil && a.mayHaveRun:
 		err = errkind.New(errkind.Timeout, "no complete answer within %v", a.r.Deadline.Sub(a.r.Arrived))
 	case ctx.Err() != nil:
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -82,7 +82,7 @@
 }
 
 func (a *attempts) newCall() *Call {
-	left := a.r.Deadline.Sub(a.Now())
+	left := a.r.Deadline.Sub(a.Now()) - a.r.Reserve
 	return &Call{Request: a.r, ResumeAfter: a.delivery.resumeAfter(a.r.ResumeAfter), TimeLeft: max(time.Millisecond, left), Priority: min(9, max(0, a.r.Route.Priority))}
 }
 
@@ -136,6 +136,8 @@
 		return failedResult(errkind.UpstreamSilent, domain.RunUnknown, instances.Broken, "no answer: %w", errSilent)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failedResult(errkind.Timeout, domain.RunUnknown, instances.Broken, "no answer before the deadline")
+	case stopping(ctx):
+		return failedResult(errkind.Timeout, domain.RunUnknown, instances.Canceled, "no answer before the %w", ErrStopping)
 	case ctx.Err() != nil:
 		res := failedResult(errkind.Canceled, domain.RunUnknown, instances.Canceled, "the caller disconnected")
 		res.callerDisconnected = true
@@ -287,6 +289,8 @@
 func (a *attempts) interrupted(ctx context.Context, err error) result {
 	var caller callerError
 	switch {
+	case !errors.As(err, &caller) && stopping(ctx):
+		return failedResult(errkind.Timeout, domain.RunUnknown, instances.Canceled, "answer incomplete at the %w", ErrStopping)
 	case errors.As(err, &caller), ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
 		res := failedResult(errkind.Canceled, domain.RunUnknown, instances.Canceled, "the caller disconnected")
 		res.callerDisconnected = true
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -95,6 +95,9 @@
 		}
 		return result{err: e, ran: domain.RunNo, upstreamOutcome: instances.Unreachable, reached: remoteSends(err) > 0}
 	}
+	if stopping(ctx) {
+		return failedResult(errkind.Timeout, domain.RunUnknown, instances.Canceled, "no answer before the %w", ErrStopping)
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		res := failedResult(errkind.Canceled, domain.RunUnknown, instances.Canceled, "the caller disconnected")
 		res.callerDisconnected = true
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -42,8 +42,11 @@
 	// TableVersion is the version of the routing table that selected the route.
 	TableVersion uint64
 	Arrived      time.Time
-	// Deadline is when the caller's or the route's timeout expires.
+	// Deadline is when the caller's or the route's timeout expires, or when the node
+	// ends the request because it stops.
 	Deadline time.Time
+	// Reserve is how long before the deadline upstreams have to answer.
+	Reserve time.Duration
 	// ResumeAfter is the ID of the last event that the caller already has.
 	ResumeAfter string
 	// Relayed is set if another node sent the request here; it is then run in this
