--- a/cmd/faulttest/process_test.go
+++ b/cmd/faulttest/process_test.go
@@ -227,6 +227,13 @@
 // terminate requests a planned stop with SIGTERM.
 func (p *process) terminate() { p.stopWith(syscall.SIGTERM) }
 
+// signalIfHandled sends a signal unless the process doesn't handle signals yet.
+func (p *process) signalIfHandled(s syscall.Signal) {
+	if p.handlesSignals() {
+		p.signal(s)
+	}
+}
+
 // stopWith sends a signal that requests a planned stop. A process that doesn't handle
 // signals yet is ended by it.
 func (p *process) stopWith(s syscall.Signal) {
--- a/cmd/faulttest/signals_test.go
+++ b/cmd/faulttest/signals_test.go
@@ -22,7 +22,7 @@
 	store := storesim.New()
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	d := &soakDeployment{t: t, store: store, storeAddress: server.Listener.Addr().String()}
+	d := &soakDeployment{t: t, store: store, storeAddress: server.Listener.Addr().String(), timeout: soakRouteTimeout}
 	d.publishRoutes()
 	u = d.addUpstream("app", "west", "u-west")
 	reserveProcesses(t, 1)
--- a/cmd/faulttest/soak_caller_test.go
+++ b/cmd/faulttest/soak_caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,14 +70,19 @@
 
 // send sends one request over the given transport.
 func (n *soakNode) send(transport http.RoundTripper, kind, sender string) soakResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), soakTimeout)
+	defer cancel()
+	return n.sendWithin(ctx, transport, kind, sender, 3*time.Second)
+}
+
+// sendWithin sends one request with the given deadline.
+func (n *soakNode) sendWithin(ctx context.Context, transport http.RoundTripper, kind, sender string, deadline time.Duration) soakResponse {
 	number := lastSoakID.Add(1)
 	r := soakResponse{id: fmt.Sprintf("%s-%s-%d", kind, sender, number), kind: kind}
 	route, hasPrompt := promptKinds[kind]
 	if !hasPrompt {
 		route = kind
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), soakTimeout)
-	defer cancel()
 	target := "/" + route + "/" + r.id
 	if kind == crashingRequestKind {
 		target = crashingRequestTarget
@@ -89,7 +95,7 @@
 	req.GetBody = nil // prevents the transport from retrying the request
 	req.Host = soakHost
 	req.Header.Set("X-Request-Id", r.id)
-	req.Header.Set("X-Request-Deadline-Ms", "3000")
+	req.Header.Set("X-Request-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	if hasPrompt {
 		req.Header.Set("X-Model", "m")
 		req.Header.Set("X-Prompt-Prefix", prompt(kind, number))
--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -29,6 +29,7 @@
 	upstreams    []*soakUpstream
 	limited      *soakUpstream   // names a rate limit; nil if none does
 	cold         []*soakUpstream // those of the service with cold phases
+	timeout      time.Duration   // of all routes
 
 	mu      sync.Mutex
 	version int
@@ -78,13 +79,15 @@
 	soakBudgetRatio  = 0.2
 	soakBudgetSlack  = 58
 	soakBudgetWindow = 10 * time.Second
+	// soakRouteTimeout is the time limit of the routes.
+	soakRouteTimeout = 3 * time.Second
 )
 
 func newSoakDeployment(t *testing.T) *soakDeployment {
 	store := storesim.New()
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	d := &soakDeployment{t: t, store: store, storeAddress: server.Listener.Addr().String()}
+	d := &soakDeployment{t: t, store: store, storeAddress: server.Listener.Addr().String(), timeout: soakRouteTimeout}
 	d.publishRoutes()
 	for _, region := range []string{"west", "east"} {
 		for n := range 2 {
@@ -190,7 +193,7 @@
 		service = "app2"
 	}
 	route := func(name, kind, service string, attempts int, resumable bool, regions ...string) map[string]any {
-		return map[string]any{"name": name, "host": soakHost, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000,
+		return map[string]any{"name": name, "host": soakHost, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": d.timeout.Milliseconds(),
 			"target_latency_ms": 1000, "gap_aim_ms": 500, "priority": 1, "service": service, "max_attempts": attempts, "resumable": resumable, "allowed_regions": regions}
 	}
 	text, err := json.Marshal(map[string]any{
@@ -277,11 +280,7 @@
 }
 
 // reload makes the node reload its settings with SIGHUP, once its process handles signals.
-func (n *soakNode) reload() {
-	if p := n.process(); p.handlesSignals() {
-		p.signal(syscall.SIGHUP)
-	}
-}
+func (n *soakNode) reload() { n.process().signalIfHandled(syscall.SIGHUP) }
 
 // isHomeRequest reports whether a request id belongs to the route that allows only
 // region west.
