Hold requests open for as long as a test of limits needs them

TestRequestBeyondLimitIsRefused/limit_of_concurrency was seen once beside load: a third request was served where two are allowed.

Cause: the test's own deadline. It ended the requests that it holds 5 s after their start, which made room for the third one if the steps between took longer; the run that failed took 12.8 s. The time limit now holds for the beginning of an answer only; what the test checks is unchanged.

--- a/adapters/node/admission_test.go
+++ b/adapters/node/admission_test.go
@@ -41,18 +41,21 @@
 	return f
 }
 
-// requestTokens requests a generation of at most the given number of tokens.
+// limitClient limits the time until an answer begins. It doesn't limit the time for which
+// an answer is held open: a held request that ends makes room for another one.
+var limitClient = &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: readyTimeout}}
+
+// requestTokens requests a generation of at most the given number of tokens, which is held
+// open until its body is closed.
 func requestTokens(t *testing.T, f *fleet.Fleet, tokens string) *http.Response {
 	t.Helper()
 	body := `{"model":"m","stream":true,"max_tokens":` + tokens + `,"messages":[{"role":"user","content":"q"}]}`
-	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout/6)
-	t.Cleanup(cancel)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Nodes[0].CallerAddress+"/v1/chat/completions", strings.NewReader(body))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.Nodes[0].CallerAddress+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Header.Set("Authorization", "Bearer k")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := limitClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
