Name the reserve for late answers once

The node that shortens a deadline and the one that runs a relayed request reserve the same time for the same reason. No change of behaviour; tests of relay, peers, mesh and edge pass.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -198,7 +198,7 @@
 		return errkind.New(errkind.Draining, "node %s is shutting down", n.settings.Node)
 	}
 	if deadline.Before(r.Deadline) {
-		r.Deadline, r.Reserve = deadline, peers.DrainReserve
+		r.Deadline, r.Reserve = deadline, relay.AnswerReserve
 	}
 	return nil
 }
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -223,11 +223,6 @@
 	RouteName string
 }
 
-// answerReserve is how much longer than its upstream the node that runs a relayed request
-// waits for the answer, so that one that says at the deadline that the request has not run
-// is passed on. The relaying node ends the request at its own deadline.
-const answerReserve = 150 * time.Millisecond
-
 func requestFromWire(m *meshpb.RelayRequest, now time.Time) *RelayedRequest {
 	in := &RelayedRequest{RouteName: m.GetRoute()}
 	in.Message = relay.Message{
@@ -241,8 +236,9 @@
 	in.Service = m.GetService()
 	in.TableVersion = m.GetTableVersion()
 	in.Arrived = now.Add(-time.Duration(m.GetElapsedMs()) * time.Millisecond)
-	in.Reserve = answerReserve
-	in.Deadline = now.Add(time.Duration(m.GetLeftMs())*time.Millisecond + answerReserve)
+	// The relaying node ends the request at its own deadline.
+	in.Reserve = relay.AnswerReserve
+	in.Deadline = now.Add(time.Duration(m.GetLeftMs())*time.Millisecond + in.Reserve)
 	in.ResumeAfter = string(m.GetResumeAfter())
 	in.Relayed, in.From, in.SendCount = true, domain.NodeID(m.GetFrom()), int(m.GetSent())
 	return in
--- a/adapters/signals/signals.go
+++ b/adapters/signals/signals.go
@@ -5,7 +5,7 @@
 //
 // Signals that report a fault of the program itself (SIGSEGV, SIGBUS, SIGFPE, SIGILL,
 // SIGTRAP, SIGSYS) and those of job control (SIGTSTP, SIGTTIN, SIGTTOU) keep the
-// effects that the Go runtime gives them; all others have none.
+// effects that the Go runtime gives them. It gives none to those that are not named here.
 //
 // Only commands import this package.
 package signals
--- a/cmd/crocusctl/command.go
+++ b/cmd/crocusctl/command.go
@@ -27,7 +27,8 @@
 // runner is implemented by a command's options, a struct with go-flags tags.
 type runner interface {
 	// run executes the command. ctx is canceled when the process receives a signal that
-	// would end it, see package signals. A long-running command may write to out itself and return a nil result.
+	// would end it; see package signals. A long-running command may write to out itself
+	// and return a nil result.
 	run(ctx context.Context, out operatorcli.Output) (operatorcli.Result, error)
 }
 
--- a/core/peers/drain.go
+++ b/core/peers/drain.go
@@ -13,10 +13,6 @@
 	// lastAnswersPeriod is the end of the drain in which requests still in flight are
 	// answered instead of cut.
 	lastAnswersPeriod = 250 * time.Millisecond
-	// DrainReserve is how long before the end of a request whose deadline the drain
-	// shortens its upstream has to answer: time for the answer to arrive, in particular
-	// one that says that the request has not run.
-	DrainReserve = 150 * time.Millisecond
 )
 
 // Drain is the planned stop of the local node.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -33,6 +33,12 @@
 // belongs to the request itself or to its session.
 func (p *Prompt) SharedParts() []placement.Part { return p.Parts[:max(0, len(p.Parts)-1)] }
 
+// AnswerReserve is how long before the deadline of a request its upstream has to answer, if
+// the caller still waits then: a relayed request, or one whose deadline this node has
+// shortened. It leaves time for an answer that the upstream gives at its deadline, in
+// particular one that says that the request has not run.
+const AnswerReserve = 150 * time.Millisecond
+
 // Request is a message with the properties that the node determined on arrival.
 type Request struct {
 	Message
@@ -45,7 +51,7 @@
 	// Deadline is when the caller's or the route's timeout expires, or when the node
 	// ends the request because it stops.
 	Deadline time.Time
-	// Reserve is how long before the deadline upstreams have to answer.
+	// Reserve is zero or AnswerReserve.
 	Reserve time.Duration
 	// ResumeAfter is the ID of the last event that the caller already has.
 	ResumeAfter string
