--- a/cmd/faulttest/process_test.go
+++ b/cmd/faulttest/process_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -33,6 +34,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
+	if signal.Ignored(syscall.SIGHUP) {
+		// Started by nohup. Processes started from here have the default effect again.
+		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	}
 	dir, err := os.MkdirTemp("", "faulttest")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
