--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -35,6 +35,12 @@
 	CheckAccepting func(ctx context.Context) *errkind.Error
 	// Accept does the same for a request whose deadline is set, which it may shorten.
 	Accept func(r *relay.Request) *errkind.Error
+	// Authorize returns the client account of a request by its header, nil if the request
+	// has and needs none. It is nil if requests need no account.
+	Authorize func(h http.Header, route *routes.Route, t *routes.Table) (*routes.Account, *errkind.Error)
+	// Charge charges a request to the quota of its account before its body is read. It is
+	// nil if accounts have no quotas.
+	Charge func(ctx context.Context, r *relay.Request) *errkind.Error
 	// CloseConnections reports whether connections are closed after their response.
 	CloseConnections func() bool
 	Log              event.Logger
@@ -111,15 +117,27 @@
 	if headerErr != nil {
 		return nil, 0, errkind.New(errkind.BadRequest, "%w", headerErr)
 	}
+	var account *routes.Account
+	if h.Authorize != nil {
+		var failure *errkind.Error
+		if account, failure = h.Authorize(r.Header, route, table); failure != nil {
+			return nil, 0, failure
+		}
+	}
 	limit := arrived.Add(timeout(info, route))
 	req := &relay.Request{
 		Message: relay.Message{ID: info.ID, Method: r.Method, Host: r.Host, RequestTarget: r.RequestURI},
-		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(info.ID), TableVersion: table.Version,
+		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(info.ID), Account: account, TableVersion: table.Version,
 		Arrived: arrived, Deadline: limit, ResumeAfter: info.ResumeAfter,
 	}
 	if err := h.Accept(req); err != nil {
 		return nil, 0, err
 	}
+	if h.Charge != nil && account != nil {
+		if err := h.Charge(r.Context(), req); err != nil {
+			return nil, 0, err
+		}
+	}
 	body, size, failure := h.readBody(w, r, table.Limits.MaxBodyBytes, req.Deadline)
 	if req.Deadline.Before(limit) && failure != nil && errors.Is(failure, os.ErrDeadlineExceeded) {
 		failure = errkind.New(errkind.Draining, "the body did not arrive before the end of the node")
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -45,6 +45,8 @@
 	Prompt  Prompt
 	Route   *routes.Route
 	Service string
+	// Account is the caller's client account; nil if the request has none.
+	Account *routes.Account
 	// TableVersion is the version of the routing table that selected the route.
 	TableVersion uint64
 	Arrived      time.Time
@@ -65,6 +67,11 @@
 	SendCount int
 }
 
+// Allows reports whether the request may be processed in a region.
+func (r *Request) Allows(region domain.Region) bool {
+	return r.Route.Allows(region) && (r.Account == nil || r.Account.Allows(region))
+}
+
 // Call is one attempt at an upstream or a node.
 type Call struct {
 	*Request
--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -51,6 +51,8 @@
 	Split []WeightedService
 	// Regions are the regions that may process requests; empty allows all.
 	Regions []domain.Region
+	// Public is set if requests need no key of a client account.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -111,4 +113,7 @@
 	Limits   Limits
 
 	byHost map[string][]*Route // longest prefix first
+	// accounts and accountsByKey are empty if requests need no key.
+	accounts      map[string]*Account // by name
+	accountsByKey map[keyHash]*Account
 }
