Apply the regions and the priority of client accounts to requests

Cause: placement looked at the regions and the priority of the route only, and the fingerprint of a request used the caller's Authorization header, which nodes that get the request relayed do not have.

Change: Request.Allows binds the placement and its retries. Request.Priority divides ten levels among the priorities of the accounts and, within each account, of the routes. Request.Fingerprint uses the account's name in place of the key. SetAccounts takes hashes of keys too.

Without an account all three are as before.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -231,15 +231,15 @@
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.InputTokens, OutputTokens: r.Prompt.OutputTokens,
 			Objective: r.Route.Objective, Elapsed: now.Sub(a.objectiveFrom), Remaining: r.Deadline.Sub(now) - r.Reserve,
-			Urgent: r.Route.Priority == 0, Excluded: a.tried, Random: rand.Uint32(),
+			Urgent: r.urgent(), Excluded: a.tried, Random: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
-		LocalAllowed: r.Route.Allows(a.Self.Region),
+		LocalAllowed: r.Allows(a.Self.Region),
 	}
 	if !r.Relayed {
 		senders := a.Members.RegionSize(now)
 		q.OtherRegions = a.Regions.Loads(now, r.Service, senders, func(region domain.Region) bool {
-			return region != a.Self.Region && r.Route.Allows(region) && a.Members.HasTarget(now, region)
+			return region != a.Self.Region && r.Allows(region) && a.Members.HasTarget(now, region)
 		})
 	}
 	return a.Catalog.Pool(r.Service).Place(now, a.Policy, &q)
--- a/core/relay/fingerprint.go
+++ b/core/relay/fingerprint.go
@@ -12,7 +12,9 @@
 // Fingerprint identifies a message that is sent again with another request ID, at any node: it is the
 // same for the same method, host, target, caller and body. It is part of a cryptographic hash, so that no
 // caller can make up a message with the fingerprint of another caller's.
-func (m *Message) Fingerprint() uint64 {
+func (m *Message) Fingerprint() uint64 { return m.fingerprint(m.Header[callerHeader]) }
+
+func (m *Message) fingerprint(caller []string) uint64 {
 	h := sha256.New()
 	write := func(field string) {
 		var size [8]byte
@@ -23,7 +25,7 @@
 	write(m.Method)
 	write(m.Host)
 	write(m.RequestTarget)
-	for _, value := range m.Header[callerHeader] {
+	for _, value := range caller {
 		write(value)
 	}
 	h.Write(m.Body)
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -83,7 +83,7 @@
 
 func (a *attempts) newCall() *Call {
 	left := a.r.Deadline.Sub(a.Now()) - a.r.Reserve
-	return &Call{Request: a.r, ResumeAfter: a.delivery.resumeAfter(a.r.ResumeAfter), TimeLeft: max(time.Millisecond, left), Priority: min(9, max(0, a.r.Route.Priority))}
+	return &Call{Request: a.r, ResumeAfter: a.delivery.resumeAfter(a.r.ResumeAfter), TimeLeft: max(time.Millisecond, left), Priority: a.r.Priority()}
 }
 
 // errSilent is the cancellation cause of an attempt whose upstream stopped sending.
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -52,6 +52,9 @@
 		event.F("expected_ms", a.decision.Delay.Milliseconds()), event.F("usable", a.decision.Usable),
 		event.F("sent", a.r.SendCount), event.F("took_ms", took.Milliseconds()),
 	}
+	if a.r.Account != nil {
+		fields = append(fields, event.F("account", a.r.Account.Name))
+	}
 	if a.r.Relayed {
 		fields = append(fields, event.F("from", a.r.From))
 	}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -72,6 +72,27 @@
 	return r.Route.Allows(region) && (r.Account == nil || r.Account.Allows(region))
 }
 
+// Priority returns the priority of the request, from 0 to routes.PriorityLevels-1; 0 is most
+// urgent.
+func (r *Request) Priority() int { return routes.RequestPriority(r.Account, r.Route) }
+
+// urgent reports whether the request has the highest priority.
+func (r *Request) urgent() bool {
+	if r.Account == nil {
+		return r.Route.Priority == 0
+	}
+	return r.Priority() == 0
+}
+
+// Fingerprint identifies a request that is sent again with another request ID. The caller is
+// the client account, whose key is not known at every node, or else that of the message.
+func (r *Request) Fingerprint() uint64 {
+	if r.Account == nil {
+		return r.Message.Fingerprint()
+	}
+	return r.fingerprint([]string{r.Account.Name})
+}
+
 // Call is one attempt at an upstream or a node.
 type Call struct {
 	*Request
--- a/core/routes/account.go
+++ b/core/routes/account.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
+	"unicode"
 
 	"github.com/crocusspread/crocusspread/core/domain"
 )
@@ -12,14 +14,20 @@
 // Account is a client account of the routing table.
 type Account struct {
 	Name string
-	// Keys are the bearer keys of the account. New replaces them by their hashes.
+	// Keys are the bearer keys of the account. SetAccounts replaces them by their hashes.
 	Keys []string
+	// KeyHashes are the hashes of further keys.
+	KeyHashes []KeyHash
 	// Priority is the priority among the accounts; 0 is most urgent. It goes before the
 	// priority of the route.
 	Priority int
 	// Regions are the regions that may process the account's requests; empty allows all.
 	Regions []domain.Region
 	Quota   Quota
+
+	// firstLevel and levels are the request priorities of the account's requests, set by
+	// SetAccounts.
+	firstLevel, levels int
 }
 
 // Quota limits what the requests of an account use over all nodes together.
@@ -50,18 +58,19 @@
 	return len(a.Regions) == 0 || slices.Contains(a.Regions, region)
 }
 
-// keyHash identifies a bearer key. A lookup by hash takes the same time whatever part
+// KeyHash identifies a bearer key. A lookup by hash takes the same time whatever part
 // of a key is right.
-type keyHash [sha256.Size]byte
+type KeyHash [sha256.Size]byte
 
-func hashKey(key string) keyHash { return sha256.Sum256([]byte(key)) }
+// HashKey returns the hash of a bearer key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
 // SetAccounts validates the client accounts and adds them to a table that is not in use
 // yet.
 func (t *Table) SetAccounts(accounts []Account) error {
 	var errs []error
 	t.accounts = make(map[string]*Account, len(accounts))
-	t.accountsByKey = make(map[keyHash]*Account)
+	t.accountsByKey = make(map[KeyHash]*Account)
 	for i := range accounts {
 		a := &accounts[i]
 		errs = append(errs, a.check()...)
@@ -70,14 +79,17 @@
 		}
 		t.accounts[a.Name] = a
 		for _, key := range a.Keys {
-			hash := hashKey(key)
+			a.KeyHashes = append(a.KeyHashes, HashKey(key))
+		}
+		for _, hash := range a.KeyHashes {
 			if other := t.accountsByKey[hash]; other != nil && other != a {
 				errs = append(errs, fmt.Errorf("accounts %q and %q have a key in common", other.Name, a.Name))
 			}
 			t.accountsByKey[hash] = a
 		}
-		a.Keys = nil
+		a.Keys, a.KeyHashes = nil, nil
 	}
+	t.rankPriorities(accounts)
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("routing table version %d: %w", t.Version, err)
 	}
@@ -89,6 +101,9 @@
 	if a.Name == "" {
 		errs = append(errs, errors.New("account without a name"))
 	}
+	if strings.ContainsFunc(a.Name, unicode.IsControl) {
+		errs = append(errs, fmt.Errorf("account %q: the name cannot be sent in a header", a.Name))
+	}
 	if a.Quota.PerSecond < 0 || a.Quota.Burst < 0 || a.Quota.TokensPerPlainRequest < 0 {
 		errs = append(errs, fmt.Errorf("account %q: the quota has a negative number", a.Name))
 	}
@@ -103,7 +118,7 @@
 	if key == "" {
 		return nil
 	}
-	return t.accountsByKey[hashKey(key)]
+	return t.accountsByKey[HashKey(key)]
 }
 
 // AccountByName returns the account with the name, or nil if there is none.
--- a/core/routes/account_test.go
+++ b/core/routes/account_test.go
@@ -10,7 +10,7 @@
 
 func TestAccountIsFoundByItsKeysOnly(t *testing.T) {
 	tbl := table(t, route("r", "h", "/"))
-	if err := tbl.SetAccounts([]routes.Account{{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b", Keys: []string{"k3"}}}); err != nil {
+	if err := tbl.SetAccounts([]routes.Account{{Name: "a", Keys: []string{"k1"}, KeyHashes: []routes.KeyHash{routes.HashKey("k2")}}, {Name: "b", Keys: []string{"k3"}}}); err != nil {
 		t.Fatal(err)
 	}
 	for key, want := range map[string]string{"k1": "a", "k2": "a", "k3": "b", "k": "", "k11": "", "": ""} {
@@ -28,7 +28,8 @@
 	for want, accounts := range map[string][]routes.Account{
 		"without a name":  {{Keys: []string{"k"}}},
 		"listed twice":    {{Name: "a"}, {Name: "a"}},
-		"key in common":   {{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"k"}}},
+		"key in common":   {{Name: "a", Keys: []string{"k"}}, {Name: "b", KeyHashes: []routes.KeyHash{routes.HashKey("k")}}},
+		"in a header":     {{Name: "a\r\nX-Other: b"}},
 		"negative number": {{Name: "a", Quota: routes.Quota{PerSecond: -1}}},
 	} {
 		err := table(t, route("r", "h", "/")).SetAccounts(accounts)
--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -53,6 +53,10 @@
 	Regions []domain.Region
 	// Public is set if requests need no key of a client account.
 	Public bool
+
+	// priorityRank is the rank of the priority among the distinct priorities of all routes,
+	// of which there are priorityRanks. They are set in tables with accounts.
+	priorityRank, priorityRanks int
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -115,5 +119,5 @@
 	byHost map[string][]*Route // longest prefix first
 	// accounts and accountsByKey are empty if requests need no key.
 	accounts      map[string]*Account // by name
-	accountsByKey map[keyHash]*Account
+	accountsByKey map[KeyHash]*Account
 }
