Authorize requests with the keys of client accounts

Cause: op/config may contain tenants and public routes, which were ignored.

Change: decode both; answer 401 to requests without a known key unless the route is public; remove Authorization and X-Tenant if the table has accounts, and set X-Tenant for upstreams. A relayed request carries the account's name; the receiver resolves it in its own table and refuses it as lists_outdated if the account is unknown or does not allow the region. Nodes send each other the routing table with hashes in place of keys.

--- a/adapters/edge/dialect.go
+++ b/adapters/edge/dialect.go
@@ -32,6 +32,11 @@
 	ParseRequest(h http.Header) (RequestInfo, error)
 	// StripInternalHeaders removes headers that only the gateway may set.
 	StripInternalHeaders(h http.Header)
+	// AccountKey returns the key of a client account that a request carries; found is false if
+	// it carries none.
+	AccountKey(h http.Header) (key string, found bool)
+	// StripAccountHeaders removes the headers that hold the key or the name of a client account.
+	StripAccountHeaders(h http.Header)
 	// SetRetryAfter sets the header that states when the caller may retry.
 	SetRetryAfter(h http.Header, retryAfter time.Duration)
 	// ReadyPath returns the URL path of readiness checks.
--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -147,6 +147,9 @@
 	}
 	header := upstream.EndToEnd(r.Header)
 	h.Dialect.StripInternalHeaders(header)
+	if table.HasAccounts() {
+		h.Dialect.StripAccountHeaders(header)
+	}
 	req.Header, req.Body = header, body
 	return req, size, nil
 }
--- a/adapters/edgenode/dependencies.go
+++ b/adapters/edgenode/dependencies.go
@@ -24,6 +24,9 @@
 	EvacuatedDomain(key string) (domain.FailureDomain, bool)
 	// DecodeTable decodes and validates a routing table.
 	DecodeTable(value []byte) (*routes.Table, error)
+	// WithoutKeys returns a routing table with hashes in place of the keys of client accounts,
+	// as it may be sent to other nodes.
+	WithoutKeys(table []byte) ([]byte, error)
 	// DecodeInstance decodes and validates the entry of an upstream.
 	DecodeInstance(key string, value []byte) (instances.Instance, error)
 }
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -124,7 +124,7 @@
 		Quarantine: n.parts, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.handler = edge.New(edge.Config{
-		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, CloseConnections: n.closing.Load,
+		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, Authorize: n.authorize, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
 		MaxRequests:       s.MemoryBytes / 2 / bytesPerRequest,
 		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)),
--- a/adapters/edgenode/relayed.go
+++ b/adapters/edgenode/relayed.go
@@ -23,7 +23,11 @@
 	case !route.Allows(n.settings.Place.Region):
 		return &relay.Failure{Error: errkind.New(errkind.ListsOutdated, "routing table version %d does not allow route %q in this region", table.Version, in.RouteName)}
 	}
-	in.Route = route
+	account, err := n.relayedAccount(in, route, table)
+	if err != nil {
+		return &relay.Failure{Error: err}
+	}
+	in.Route, in.Account = route, account
 	if !route.SendsTo(in.Service) {
 		in.Service = route.ServiceFor(in.ID)
 	}
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -22,7 +22,8 @@
 	table atomic.Pointer[routes.Table]
 
 	mu sync.Mutex
-	// tableDocument is the routing table as read from the store.
+	// tableDocument is the routing table as read from the store, without keys of client
+	// accounts.
 	tableDocument []byte
 	// compressedTable is tableDocument as sent to other nodes; nil until the first fetch.
 	compressedTable []byte
@@ -76,6 +77,15 @@
 		s.log.Log(event.ListsRefused, event.F("from", from), event.F("error", err), event.F("in_force", s.version()))
 		return
 	}
+	if t.Version <= s.version() {
+		return
+	}
+	if t.HasAccounts() {
+		if value, err = s.documents.WithoutKeys(value); err != nil {
+			s.log.Log(event.ListsRefused, event.F("from", from), event.F("error", err), event.F("in_force", s.version()))
+			return
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.version()
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -209,22 +209,27 @@
 		ResumeAfter: []byte(c.ResumeAfter), Model: c.Prompt.Model,
 		InputTokens: uint32(c.Prompt.InputTokens), OutputTokens: uint32(c.Prompt.OutputTokens),
 	}
+	if c.Account != nil {
+		m.Account = c.Account.Name
+	}
 	for _, p := range c.Prompt.Parts {
 		m.Parts = append(m.Parts, &meshpb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
 	}
 	return m
 }
 
-// RelayedRequest is a request relayed by another node. It holds the name of the route;
-// the receiver resolves it in its own routing table.
+// RelayedRequest is a request relayed by another node. It holds the names of the route and of
+// the client account; the receiver resolves them in its own routing table.
 type RelayedRequest struct {
 	relay.Request
 	// RouteName is the name of the route in the sender's routing table.
 	RouteName string
+	// AccountName is the name of the client account; empty if the request has none.
+	AccountName string
 }
 
 func requestFromWire(m *meshpb.RelayRequest, now time.Time) *RelayedRequest {
-	in := &RelayedRequest{RouteName: m.GetRoute()}
+	in := &RelayedRequest{RouteName: m.GetRoute(), AccountName: m.GetAccount()}
 	in.Message = relay.Message{
 		ID: domain.RequestID(m.GetRequestId()), Method: m.GetMethod(), Host: string(m.GetHost()),
 		RequestTarget: string(m.GetTarget()), Header: headerFromWire(m.GetHeader()), Body: m.GetBody(),
