Let urgent requests pass less urgent ones in the estimate of the wait for a slot

Engines admit more urgent requests first and interrupt less urgent ones for them.

An upstream where a request would interrupt another one costs 100 ms more than one with a free slot, for the pause and the second prefill of the interrupted request.

--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -39,6 +39,7 @@
 	tokens        int
 	prompt        uint64
 	shared        bool
+	priority      int
 	answerStarted bool
 	// connectedAt is when the request got its connection.
 	connectedAt time.Time
@@ -81,7 +82,8 @@
 	u := p.upstreams[d.Index]
 	t := &Ticket{Instance: u.Instance, connectedAt: now, Expected: d.Delay, Cold: u.cold(now), pool: p, upstream: u,
 		SentAt: now, queued: d.SlotWait > 0, tokens: d.Tokens, prompt: key, shared: shared,
-		sharedCached: !shared || d.Tokens+sharedTokens <= q.PromptTokens}
+		sharedCached: !shared || d.Tokens+sharedTokens <= q.PromptTokens, priority: clampPriority(q.Priority)}
+	p.urgency.record(q.Priority, q.OutputTokens)
 	p.reserve(now, t)
 	return d, t
 }
@@ -111,6 +113,7 @@
 		u.lastByteAt = now
 	}
 	u.inFlight++
+	u.inFlightByPriority[t.priority]++
 	t.pendingBefore = u.backlog.estimate(now, p.prefillRate.tokensPerMS)
 	t.backlogMark = u.backlog.add(now, p.prefillRate.tokensPerMS, t.tokens)
 	if t.shared {
@@ -128,6 +131,9 @@
 	connections, meanOthers := p.connections(), p.meanOtherRequests(now)
 	for _, u := range p.upstreams {
 		c := p.candidate(now, u, q.Model, meanOthers)
+		if p.config.Engine != nil {
+			c.LessUrgent = u.lessUrgent(q.Priority) + c.OthersInFlight*(1-p.urgency.shareUpTo(q.Priority))
+		}
 		c.Usable = c.Usable && u.inFlight < connections
 		if c.Usable {
 			usable++
@@ -262,6 +268,7 @@
 		u.lastByteAt = lastByteAt
 	}
 	u.inFlight--
+	u.inFlightByPriority[t.priority]--
 	if t.endsSilence {
 		u.silence.answered(now, o != Shed)
 	}
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -39,6 +39,7 @@
 	maxEventGap time.Duration
 	prefillRate prefillRate
 	failureRate float64
+	urgency     urgencyMix
 	candidates  []placement.Candidate
 	// removed holds the records of upstreams that were removed in the last removedRetention.
 	removed map[domain.UpstreamID]removedUpstream
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -50,8 +50,9 @@
 	// healthCheckedAt is when this node last sent a health request.
 	healthCheckedAt time.Time
 
-	inFlight int
-	backlog  backlog
+	inFlight           int
+	inFlightByPriority [priorities]int
+	backlog            backlog
 	// otherRequests is the estimated number of other nodes' requests at
 	// loadReportedAt.
 	otherRequests  float64
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -15,6 +15,9 @@
 	InFlight int
 	// OthersInFlight is the estimated number of requests of other nodes at the upstream.
 	OthersInFlight float64
+	// LessUrgent is the estimated number of requests at the upstream, own and others', that
+	// it interrupts or lets wait in favour of this one.
+	LessUrgent float64
 	// PendingTokens is the estimated number of prompt tokens that were sent to the
 	// upstream and are not yet prefilled.
 	PendingTokens float64
@@ -56,12 +59,18 @@
 		d += time.Duration((c.PendingTokens + float64(tokens)) / s.PrefillRate * float64(time.Millisecond))
 	}
 	slots := max(1, c.Slots)
-	if excess := c.load() + 1 - float64(slots); excess > 0 {
+	if excess := c.load() - c.LessUrgent + 1 - float64(slots); excess > 0 {
 		slotWait = time.Duration(excess / float64(slots) * float64(s.MeanSlotTime) * max(1, c.LatencyRatio))
 	}
 	return time.Duration(float64(d)*max(1, c.LatencyRatio)) + slotWait, slotWait
 }
 
+// interrupts reports whether the upstream has no free slot for the request, which takes
+// that of a less urgent one.
+func (c *Candidate) interrupts() bool {
+	return c.LessUrgent > 0 && c.load()+1 > float64(max(1, c.Slots))
+}
+
 // minPrefillToDelay is the number of tokens to prefill below which a request is
 // never delayed, because it hardly increases the backlog.
 const minPrefillToDelay = 2000 // tokens
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -37,6 +37,9 @@
 	// InFlightCost is added for each request at an upstream, because each one slows
 	// the token generation of the others.
 	InFlightCost time.Duration
+	// InterruptionCost is added for an upstream where the request interrupts a less urgent
+	// one, whose stream pauses and whose prompt is read again.
+	InterruptionCost time.Duration
 }
 
 // DefaultPolicy returns a policy for objectives of half a second to a second. The
@@ -52,6 +55,7 @@
 		PrefillWeight:            1.5,
 		MaxBacklogWaitRatio:      0.4,
 		InFlightCost:             2 * time.Millisecond,
+		InterruptionCost:         100 * time.Millisecond,
 	}
 }
 
@@ -182,6 +186,9 @@
 		if !c.SameDomain {
 			cost += p.CrossDomainCost
 		}
+		if c.interrupts() {
+			cost += p.InterruptionCost
+		}
 		wait := c.backlogWait(s, tokens)
 		cost += wait
 		if best.Choice == Refuse || cost < best.Cost {
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -27,6 +27,8 @@
 	Elapsed time.Duration
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
+	// Priority is the request's priority at model engines; 0 is the highest.
+	Priority int
 	// Urgent is set for requests that tolerate a longer wait for a slot; see
 	// Policy.UrgentMaxSlotWaitRatio.
 	Urgent bool
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -231,7 +231,7 @@
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.InputTokens, OutputTokens: r.Prompt.OutputTokens,
 			Objective: r.Route.Objective, Elapsed: now.Sub(a.objectiveFrom), Remaining: r.Deadline.Sub(now) - r.Reserve,
-			Urgent: r.Route.Priority == 0, Excluded: a.tried, Random: rand.Uint32(),
+			Priority: r.Route.Priority, Urgent: r.Route.Priority == 0, Excluded: a.tried, Random: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
 		LocalAllowed: r.Route.Allows(a.Self.Region),
