Follow the current speed that upstreams state

Upstreams that share their machines take 2.5 times as long for 600 ms at a time, and nodes noticed by late answers only. The fourth figure of X-Server-Load is now kept with its age, told to the nodes of the region, and used in every estimate; requests are spread over upstreams of similar cost where speeds vary.

Without the figure all decisions are the same as before.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -54,6 +54,7 @@
 	msg.Heartbeats = n.members.CompactHeartbeats(now)
 	msg.RateLimits = n.catalog.RateLimits(now)
 	msg.Statements = n.catalog.Statements(now)
+	msg.Speeds = n.catalog.Speeds(now)
 	msg.Views = n.regions.Views(now, maxViews)
 	localLimit := localSample
 	if now.Sub(n.startedAt) < startupPeriod {
@@ -110,6 +111,8 @@
 		n.regions.MergeViews(now, msg.Views)
 		n.catalog.ApplyRateLimits(now, msg.RateLimits)
 		n.catalog.ApplyStatements(now, msg.Statements)
+		n.catalog.ApplySpeeds(now, msg.Speeds)
+		n.metrics.Count("mesh.speeds_heard", int64(len(msg.Speeds)))
 	}
 	n.synchronize(now, msg)
 }
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -17,8 +17,9 @@
 
 // Factors of the fixed-point numbers in the protocol.
 const (
-	milli  = 1000
-	tenths = 10
+	milli   = 1000
+	tenths  = 10
+	percent = 100
 	// maxMilliRate is the highest rate limit that a message can hold.
 	maxMilliRate = math.MaxUint32
 )
@@ -104,6 +105,8 @@
 	RateLimits []instances.RateLimit
 	// Statements holds what upstreams of the region said of themselves.
 	Statements []instances.Statement
+	// Speeds holds slowdowns that upstreams of the region stated.
+	Speeds []instances.Speed
 }
 
 // Position describes how far a node has replicated a part of the store.
@@ -145,6 +148,10 @@
 		m.Statements = append(m.Statements, &meshpb.UpstreamStatement{Service: s.Service, Instance: string(s.Instance), Started: s.Started,
 			ColdMs: uint32(s.ColdFor.Milliseconds()), Leaving: s.Leaving})
 	}
+	for _, s := range msg.Speeds {
+		m.Speeds = append(m.Speeds, &meshpb.UpstreamSpeed{Service: s.Service, Instance: string(s.Instance),
+			SlowdownPercent: slowdownToWire(s.Slowdown), AgeMs: uint32(math.Ceil(float64(s.Age) / float64(time.Millisecond)))})
+	}
 	m.Loads = loadsToWire(msg.Loads)
 	for _, v := range msg.Views {
 		m.Views = append(m.Views, &meshpb.RegionView{Region: string(v.Region), AgeMs: uint32(v.Age.Milliseconds()), Loads: loadsToWire(v.Loads)})
@@ -193,6 +200,10 @@
 		msg.Statements = append(msg.Statements, instances.Statement{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()), Started: s.GetStarted(),
 			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond, Leaving: s.GetLeaving()})
 	}
+	for _, s := range m.GetSpeeds() {
+		msg.Speeds = append(msg.Speeds, instances.Speed{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()),
+			Slowdown: float64(s.GetSlowdownPercent()) / percent, Age: time.Duration(s.GetAgeMs()) * time.Millisecond})
+	}
 	msg.Loads = loadsFromWire(m.GetLoads())
 	for _, v := range m.GetViews() {
 		msg.Views = append(msg.Views, peers.View{Region: domain.Region(v.GetRegion()), Age: time.Duration(v.GetAgeMs()) * time.Millisecond, Loads: loadsFromWire(v.GetLoads())})
@@ -259,10 +270,13 @@
 	return &relay.RemoteError{Failure: e, SendCount: int(end.GetSent())}
 }
 
+func slowdownToWire(slowdown float64) uint32 { return uint32(math.Round(slowdown * percent)) }
+
 func noticesToWire(notices []instances.Notice) []*meshpb.PromptNotice {
 	wire := make([]*meshpb.PromptNotice, 0, len(notices))
 	for _, n := range notices {
-		wire = append(wire, &meshpb.PromptNotice{Service: n.Service, Instance: string(n.Instance), Tokens: uint32(n.Tokens), Shared: n.Shared})
+		wire = append(wire, &meshpb.PromptNotice{Service: n.Service, Instance: string(n.Instance), Tokens: uint32(n.Tokens), Shared: n.Shared,
+			SlowdownPercent: slowdownToWire(n.Slowdown)})
 	}
 	return wire
 }
@@ -272,6 +286,7 @@
 	for _, n := range wire {
 		notices = append(notices, instances.Notice{
 			Service: n.GetService(), Instance: domain.UpstreamID(n.GetInstance()), Tokens: int(n.GetTokens()), Shared: n.GetShared(),
+			Slowdown: float64(n.GetSlowdownPercent()) / percent,
 		})
 	}
 	return notices
--- a/core/instances/instance.go
+++ b/core/instances/instance.go
@@ -34,6 +34,9 @@
 // requests.
 type ReportedLoad struct {
 	Running, Waiting, Slots int
+	// Slowdown is the duration of work at this moment relative to the usual one; zero if the
+	// upstream does not state it.
+	Slowdown float64
 	// RateLimit is the number of requests per second that the upstream accepts from all
 	// nodes together; zero if it names none.
 	RateLimit float64
--- a/core/instances/load.go
+++ b/core/instances/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocusspread/crocusspread/core/placement"
 	"github.com/crocusspread/crocusspread/core/sharedbounds"
 )
 
@@ -25,12 +26,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := Load{Service: p.service, MeanSlotTime: p.meanSlotTime}
+	var c placement.Candidate
 	performance, meanOthers := p.performance(), p.meanOtherRequests(now)
 	for _, u := range p.upstreams {
 		if !p.accepts(now, u, "") || p.isSuspect(now, u) || u.cold(now) {
 			continue
 		}
-		c := p.candidate(now, u, "", meanOthers)
+		p.fillCandidate(now, &c, u, "", meanOthers)
 		freeSlots, delay := c.FreeCapacity(performance)
 		if u.limit.perSecond > 0 {
 			slots := sharedbounds.UsableRate(u.limit.perSecond) * p.meanSlotTime.Seconds()
--- a/core/instances/notice.go
+++ b/core/instances/notice.go
@@ -16,6 +16,8 @@
 	Tokens int
 	// Shared identifies the shared parts of the prompt; zero if there are none.
 	Shared uint64
+	// Slowdown is what the engine has just stated; zero if it has not.
+	Slowdown float64
 }
 
 // minNoticeTokens is the smallest prompt without shared parts that is announced to
@@ -36,12 +38,26 @@
 	if u == nil {
 		return // the entry has not been received yet or was removed
 	}
-	u.backlog.add(now, p.prefillRate.tokensPerMS, n.Tokens)
+	p.recordSlowdown(u, n.Slowdown, now)
+	u.backlog.add(now, p.prefillRateAt(now, u), n.Tokens)
 	if n.Shared != 0 {
 		p.prompts.record(now, n.Shared, u.ID)
 	}
 }
 
+// minSlowdownNews is the difference between a stated and the expected slowdown from which the other
+// nodes of the region are told at once: an upstream is slow for no longer than two exchanges.
+const minSlowdownNews = 0.5
+
+// tellSlowdown informs the other nodes of a slowdown that the upstream has just stated, if it differs
+// from what they expect.
+func (p *Pool) tellSlowdown(u *upstream, expected float64) {
+	if p.options.SendNotice == nil || u.slowdown.ratio-expected < minSlowdownNews {
+		return
+	}
+	p.options.SendNotice(Notice{Service: p.service, Instance: u.ID, Slowdown: u.slowdown.ratio})
+}
+
 func (p *Pool) sendNotice(t *Ticket) {
 	if p.options.SendNotice == nil || t.tokens < minNoticeTokens && !t.shared {
 		return
--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -36,14 +36,21 @@
 const minExpectedDelay = 20 * time.Millisecond
 
 func (p *Pool) updateLatencyRatio(t *Ticket, now time.Time) {
-	took := now.Sub(t.SentAt)
-	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.SentAt, t.upstream)))
+	took := t.atUsualSpeed(now.Sub(t.SentAt))
+	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.SentAt, t.upstream)/t.expectedSlowdown))
 	ratio := min(10, max(0.1, float64(took)/float64(expected)))
 	t.upstream.latencyMeasuredAt = now
 	t.upstream.latencyRatio += latencyRatioGain * (ratio - t.upstream.latencyRatio)
 	p.latencyRatio += poolGain * (ratio - p.latencyRatio)
 }
 
+// atUsualSpeed returns how long something that took the given time would have taken without the
+// upstream's slowdown. Learned values are those at the usual speed, as estimates multiply them by the
+// slowdown at their time.
+func (t *Ticket) atUsualSpeed(took time.Duration) time.Duration {
+	return time.Duration(float64(took) / t.slowdown)
+}
+
 // updateMeanSlotTime updates the average time for which a request occupies a slot,
 // excluding the time in the upstream's queue. An engine's answer begins once the
 // queueing time is over.
@@ -54,7 +61,7 @@
 	} else if t.queued {
 		return
 	}
-	p.meanSlotTime += time.Duration(poolGain * float64(took-p.meanSlotTime))
+	p.meanSlotTime += time.Duration(poolGain * float64(t.atUsualSpeed(took)-p.meanSlotTime))
 }
 
 // recordOutcome updates the failure rates and marks the upstream suspect if they
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -53,6 +53,9 @@
 	// sharedCached is set if the upstream was expected to have all shared parts of the
 	// prompt cached, or if there are none.
 	sharedCached bool
+	// expectedSlowdown is the slowdown of the upstream that was expected when the slot was
+	// reserved, slowdown the one that the answer stated, if it did.
+	expectedSlowdown, slowdown float64
 }
 
 // Place selects where a request runs and reserves a slot if that is in the local
@@ -82,6 +85,8 @@
 	t := &Ticket{Instance: u.Instance, connectedAt: now, Expected: d.Delay, Cold: u.cold(now), pool: p, upstream: u,
 		SentAt: now, queued: d.SlotWait > 0, tokens: d.Tokens, prompt: key, shared: shared,
 		sharedCached: !shared || d.Tokens+sharedTokens <= q.PromptTokens}
+	t.expectedSlowdown = u.slowdown.at(now)
+	t.slowdown = t.expectedSlowdown
 	p.reserve(now, t)
 	return d, t
 }
@@ -111,15 +116,17 @@
 		u.lastByteAt = now
 	}
 	u.inFlight++
-	t.pendingBefore = u.backlog.estimate(now, p.prefillRate.tokensPerMS)
-	t.backlogMark = u.backlog.add(now, p.prefillRate.tokensPerMS, t.tokens)
+	rate := p.prefillRateAt(now, u)
+	t.pendingBefore = u.backlog.estimate(now, rate)
+	t.backlogMark = u.backlog.add(now, rate, t.tokens)
 	if t.shared {
 		p.prompts.record(now, t.prompt, u.ID)
 	}
 	p.sendNotice(t)
 }
 
-// listCandidates returns a candidate for each upstream, at the same index. Suspect
+// listCandidates returns a candidate for each upstream, at the same index; those of other
+// regions are not usable. Suspect
 // upstreams are excluded only while at least half of the usable ones are not
 // suspect.
 func (p *Pool) listCandidates(now time.Time, q *Query) []placement.Candidate {
@@ -127,7 +134,12 @@
 	healthy, usable := 0, 0
 	connections, meanOthers := p.connections(), p.meanOtherRequests(now)
 	for _, u := range p.upstreams {
-		c := p.candidate(now, u, q.Model, meanOthers)
+		p.candidates = append(p.candidates, placement.Candidate{})
+		if u.Place.Region != p.options.Self.Region {
+			continue
+		}
+		c := &p.candidates[len(p.candidates)-1]
+		p.fillCandidate(now, c, u, q.Model, meanOthers)
 		c.Usable = c.Usable && u.inFlight < connections
 		if c.Usable {
 			usable++
@@ -135,7 +147,6 @@
 				healthy++
 			}
 		}
-		p.candidates = append(p.candidates, c)
 	}
 	if 2*healthy >= usable {
 		for i, u := range p.upstreams {
@@ -154,15 +165,21 @@
 	return p.options.ConnectionShare(p.config.MaxConnections)
 }
 
-func (p *Pool) candidate(now time.Time, u *upstream, model string, meanOthers float64) placement.Candidate {
-	return placement.Candidate{
+// fillCandidate sets a zero candidate to the state of an upstream.
+func (p *Pool) fillCandidate(now time.Time, c *placement.Candidate, u *upstream, model string, meanOthers float64) {
+	slowdown := u.slowdown.at(now)
+	*c = placement.Candidate{
 		ID: u.ID, Place: u.Place, Slots: u.Slots, InFlight: u.inFlight,
 		OthersInFlight: u.otherRequestsAt(now, meanOthers),
-		PendingTokens:  u.backlog.estimate(now, p.prefillRate.tokensPerMS),
+		PendingTokens:  u.backlog.estimate(now, p.prefillRate.tokensPerMS/slowdown),
+		Slowdown:       slowdown,
 		LatencyRatio:   p.relativeLatency(now, u),
 		SameDomain:     u.Place == p.options.Self,
 		Usable:         p.usable(now, u, model),
 	}
+	if slowdown != 1 {
+		c.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS, slowdown)
+	}
 }
 
 // markCached sets the cached tokens of the candidates and regions that are expected
@@ -214,6 +231,12 @@
 	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.Slowdown > 0 {
+		expected := t.upstream.slowdown.at(now)
+		p.recordSlowdown(t.upstream, r.Slowdown, now)
+		t.slowdown = t.upstream.slowdown.ratio
+		p.tellSlowdown(t.upstream, expected)
+	}
 	if worked {
 		p.measurePrefill(t, now.Sub(t.SentAt))
 	}
@@ -232,7 +255,7 @@
 		return
 	}
 	t.answerStarted, t.firstByteAt = true, now
-	t.upstream.backlog.markPrefilled(now, t.pool.prefillRate.tokensPerMS, t.backlogMark)
+	t.upstream.backlog.markPrefilled(now, t.pool.prefillRateAt(now, t.upstream), t.backlogMark)
 }
 
 // Progress records the arrival of further bytes of the answer.
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -38,8 +38,10 @@
 	// means no limit.
 	maxEventGap time.Duration
 	prefillRate prefillRate
-	failureRate float64
-	candidates  []placement.Candidate
+	// speedsStated is set once an upstream has stated another speed than the usual one.
+	speedsStated bool
+	failureRate  float64
+	candidates   []placement.Candidate
 	// removed holds the records of upstreams that were removed in the last removedRetention.
 	removed map[domain.UpstreamID]removedUpstream
 	// tickedAt is when it was last known that this node is not suspended.
@@ -70,8 +72,8 @@
 
 // maxPendingTokens returns the backlog above which streams pause for longer than
 // maxGap between events; zero if they never do. rate is the engine's prefill rate in
-// tokens per millisecond.
-func maxPendingTokens(e *routes.Engine, maxGap time.Duration, rate float64) float64 {
+// tokens per millisecond at its usual speed.
+func maxPendingTokens(e *routes.Engine, maxGap time.Duration, rate, slowdown float64) float64 {
 	if e == nil || maxGap <= 0 || e.TokensPerEvent <= 0 {
 		return 0
 	}
@@ -80,7 +82,8 @@
 	if mixedStep <= decodeStep {
 		return 0
 	}
-	chunks := float64(time.Duration(backlogGapShare*float64(maxGap))-steps*decodeStep) / float64(mixedStep-decodeStep)
+	gap := time.Duration(backlogGapShare * float64(maxGap) / slowdown)
+	chunks := float64(gap-steps*decodeStep) / float64(mixedStep-decodeStep)
 	if chunks >= float64(e.TokensPerEvent) {
 		return 0
 	}
@@ -174,10 +177,10 @@
 }
 
 func (p *Pool) performance() placement.ServicePerformance {
-	s := placement.ServicePerformance{MeanSlotTime: p.meanSlotTime, IdleTTFB: defaultIdleTTFB}
+	s := placement.ServicePerformance{MeanSlotTime: p.meanSlotTime, IdleTTFB: defaultIdleTTFB, SpeedsVary: p.speedsStated}
 	if p.config.Engine != nil {
 		s.PrefillRate = p.prefillRate.tokensPerMS
-		s.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS)
+		s.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS, 1)
 	}
 	return s
 }
--- a/core/instances/prefillrate.go
+++ b/core/instances/prefillrate.go
@@ -59,5 +59,6 @@
 	if p.config.Engine == nil || t.answerStarted || t.queued || t.Cold || t.tokens < minRateSampleTokens || !t.sharedCached || t.pendingBefore > float64(t.tokens) {
 		return
 	}
-	p.prefillRate.record(t.pendingBefore+float64(t.tokens), took)
+	// The speed may have changed in the meantime; too low a correction only lowers the sample.
+	p.prefillRate.record(t.pendingBefore+float64(t.tokens), time.Duration(float64(took)/min(t.expectedSlowdown, t.slowdown)))
 }
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -52,6 +52,7 @@
 
 	inFlight int
 	backlog  backlog
+	slowdown slowdown
 	// otherRequests is the estimated number of other nodes' requests at
 	// loadReportedAt.
 	otherRequests  float64
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -24,11 +24,19 @@
 	// LatencyRatio is the ratio of the upstream's response time to that of its peers;
 	// 1 is normal.
 	LatencyRatio float64
+	// Slowdown is the expected duration of work relative to the usual one, from what the
+	// upstream stated; 1 is normal, zero counts as 1.
+	Slowdown float64
+	// MaxPendingTokens replaces ServicePerformance.MaxPendingTokens if it is not zero.
+	MaxPendingTokens float64
 	// SameDomain is set if the upstream is in the node's failure domain.
 	SameDomain bool
 	// Usable is false for upstreams that are leaving, suspect, evacuated or
 	// cold without a permit.
 	Usable bool
+
+	// option is the result of the evaluation of the candidate in a decision.
+	option option
 }
 
 // ServicePerformance holds the learned performance estimates of a service.
@@ -43,23 +51,34 @@
 	MaxPendingTokens float64
 	// IdleTTFB is the time to first byte at an idle upstream, without prefill.
 	IdleTTFB time.Duration
+	// SpeedsVary is set if upstreams state their slowdown. Requests are then spread over
+	// upstreams of similar cost; see Policy.SpreadCost.
+	SpeedsVary bool
 }
 
 // load returns the expected number of requests at the upstream.
 func (c *Candidate) load() float64 { return float64(c.InFlight) + c.OthersInFlight }
 
+// slowdown returns Slowdown, or 1 if it is not set.
+func (c *Candidate) slowdown() float64 {
+	if c.Slowdown <= 0 {
+		return 1
+	}
+	return c.Slowdown
+}
+
 // delay estimates the time to first byte of a request with the given number of
 // tokens to prefill, and the part of it that is spent waiting for a free slot.
-func (c *Candidate) delay(s ServicePerformance, tokens int) (total, slotWait time.Duration) {
+func (c *Candidate) delay(s *ServicePerformance, tokens int) (total, slotWait time.Duration) {
 	d := s.IdleTTFB
 	if s.PrefillRate > 0 {
 		d += time.Duration((c.PendingTokens + float64(tokens)) / s.PrefillRate * float64(time.Millisecond))
 	}
 	slots := max(1, c.Slots)
 	if excess := c.load() + 1 - float64(slots); excess > 0 {
-		slotWait = time.Duration(excess / float64(slots) * float64(s.MeanSlotTime) * max(1, c.LatencyRatio))
+		slotWait = time.Duration(excess / float64(slots) * float64(s.MeanSlotTime) * max(1, c.LatencyRatio) * c.slowdown())
 	}
-	return time.Duration(float64(d)*max(1, c.LatencyRatio)) + slotWait, slotWait
+	return time.Duration(float64(d)*max(1, c.LatencyRatio)*c.slowdown()) + slotWait, slotWait
 }
 
 // minPrefillToDelay is the number of tokens to prefill below which a request is
@@ -69,15 +88,19 @@
 // backlogWait returns how long a request with the given number of tokens to
 // prefill should wait so that the backlog stays within MaxPendingTokens. A prompt
 // that exceeds the limit by itself waits until the backlog is empty.
-func (c *Candidate) backlogWait(s ServicePerformance, tokens int) time.Duration {
-	if s.MaxPendingTokens <= 0 || tokens < minPrefillToDelay {
+func (c *Candidate) backlogWait(s *ServicePerformance, tokens int) time.Duration {
+	limit := s.MaxPendingTokens
+	if c.MaxPendingTokens > 0 {
+		limit = c.MaxPendingTokens
+	}
+	if limit <= 0 || tokens < minPrefillToDelay {
 		return 0
 	}
-	excess := c.PendingTokens + min(float64(tokens), s.MaxPendingTokens) - s.MaxPendingTokens
+	excess := c.PendingTokens + min(float64(tokens), limit) - limit
 	if excess <= 0 {
 		return 0
 	}
-	return time.Duration(excess / s.PrefillRate * float64(time.Millisecond))
+	return time.Duration(excess / s.PrefillRate * float64(time.Millisecond) * c.slowdown())
 }
 
 // maxBacklogForRemote is the prefill backlog, in milliseconds, from which an
@@ -90,9 +113,9 @@
 func (c *Candidate) FreeCapacity(s ServicePerformance) (float64, time.Duration) {
 	capacity := float64(c.Slots) - c.load()
 	if s.PrefillRate > 0 && capacity > 0 {
-		pending := c.PendingTokens / s.PrefillRate
+		pending := c.PendingTokens / s.PrefillRate * c.slowdown()
 		capacity *= max(0, 1-pending/maxBacklogForRemote)
 	}
-	delay, _ := c.delay(s, 0)
-	return capacity / max(1, c.LatencyRatio), delay
+	delay, _ := c.delay(&s, 0)
+	return capacity / max(1, c.LatencyRatio) / c.slowdown(), delay
 }
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -37,6 +37,12 @@
 	// InFlightCost is added for each request at an upstream, because each one slows
 	// the token generation of the others.
 	InFlightCost time.Duration
+	// SpreadRatio is the difference in cost up to which upstreams whose speed varies count as
+	// similar, as a fraction of the time for which a request occupies a slot; MaxSpreadCost is
+	// its limit. Of two random ones among them the better is chosen, so that not all nodes
+	// choose the one that has just become fast.
+	SpreadRatio   float64
+	MaxSpreadCost time.Duration
 }
 
 // DefaultPolicy returns a policy for objectives of half a second to a second. The
@@ -52,6 +58,8 @@
 		PrefillWeight:            1.5,
 		MaxBacklogWaitRatio:      0.4,
 		InFlightCost:             2 * time.Millisecond,
+		SpreadRatio:              0.15,
+		MaxSpreadCost:            60 * time.Millisecond,
 	}
 }
 
@@ -111,6 +119,8 @@
 	BacklogWait time.Duration
 	// Tokens is the number of prompt tokens to prefill.
 	Tokens int
+	// Slowdown is the expected slowdown of the upstream of a Local decision.
+	Slowdown float64
 	// Usable is the number of usable candidates.
 	Usable int
 	// Silence is set if the request is refused because all upstreams of the region want no requests:
@@ -122,7 +132,7 @@
 // of the request's service in the local region, or none if the request may not run
 // there; others are the other regions in which it may run.
 func (p Policy) Choose(r *Request, s ServicePerformance, candidates []Candidate, others []RegionLoad) Decision {
-	local := p.bestLocal(r, s, candidates)
+	local := p.bestLocal(r, &s, candidates)
 	remote, found := p.bestRemote(r, s, others)
 	limit := p.limit(r)
 	localInTime := local.Choice == Local && r.Elapsed+local.Delay <= limit && local.SlotWait <= p.maxSlotWait(r)
@@ -162,35 +172,88 @@
 	return time.Duration(p.MaxSlotWaitRatio * float64(r.Objective))
 }
 
+// option is the expected effect of sending a request to a candidate.
+type option struct {
+	usable                             bool
+	tokens                             int
+	delay, slotWait, backlogWait, cost time.Duration
+}
+
+// evaluate sets the option of sending the request to a candidate.
+func (p *Policy) evaluate(r *Request, s *ServicePerformance, c *Candidate) {
+	o := &c.option
+	o.usable, o.tokens = true, max(0, r.PromptTokens-c.CachedTokens)
+	o.delay, o.slotWait = c.delay(s, o.tokens)
+	o.cost = o.delay + time.Duration(c.load()*float64(p.InFlightCost)*c.slowdown())
+	if s.PrefillRate > 0 {
+		o.cost += time.Duration(p.PrefillWeight * float64(o.tokens) / s.PrefillRate * float64(time.Millisecond) * c.slowdown())
+	}
+	if !c.SameDomain {
+		o.cost += p.CrossDomainCost
+	}
+	o.backlogWait = c.backlogWait(s, o.tokens)
+	o.cost += o.backlogWait
+}
+
 // bestLocal returns the usable candidate with the lowest cost, or Refuse if there
 // is none. Request.Random selects among equal ones.
-func (p Policy) bestLocal(r *Request, s ServicePerformance, candidates []Candidate) Decision {
-	best := Decision{Choice: Refuse}
+func (p Policy) bestLocal(r *Request, s *ServicePerformance, candidates []Candidate) Decision {
+	best, usable := -1, 0
+	first := 0
+	if len(candidates) > 0 {
+		first = int(r.Random % uint32(len(candidates)))
+	}
 	for n := range candidates {
-		i := (n + int(r.Random%uint32(len(candidates)))) % len(candidates)
+		i := first + n
+		if i >= len(candidates) {
+			i -= len(candidates)
+		}
 		c := &candidates[i]
 		if !c.Usable || slices.Contains(r.Excluded, c.ID) {
+			c.option.usable = false
 			continue
 		}
-		best.Usable++
-		tokens := max(0, r.PromptTokens-c.CachedTokens)
-		delay, slotWait := c.delay(s, tokens)
-		cost := delay + time.Duration(c.load()*float64(p.InFlightCost))
-		if s.PrefillRate > 0 {
-			cost += time.Duration(p.PrefillWeight * float64(tokens) / s.PrefillRate * float64(time.Millisecond))
+		p.evaluate(r, s, c)
+		usable++
+		if best < 0 || c.option.cost < candidates[best].option.cost {
+			best = i
 		}
-		if !c.SameDomain {
-			cost += p.CrossDomainCost
+	}
+	if best < 0 {
+		return Decision{Choice: Refuse}
+	}
+	if s.SpeedsVary {
+		best = spread(r, candidates, candidates[best].option.cost+min(p.MaxSpreadCost, time.Duration(p.SpreadRatio*float64(s.MeanSlotTime))))
+	}
+	o := &candidates[best].option
+	return Decision{Choice: Local, Index: best, Delay: o.delay, SlotWait: o.slotWait, Cost: o.cost, BacklogWait: o.backlogWait, Tokens: o.tokens, Slowdown: candidates[best].slowdown(), Usable: usable}
+}
+
+// spread returns the better of two random candidates whose cost is at most maxCost.
+func spread(r *Request, candidates []Candidate, maxCost time.Duration) int {
+	similar := 0
+	for i := range candidates {
+		if candidates[i].option.within(maxCost) {
+			similar++
 		}
-		wait := c.backlogWait(s, tokens)
-		cost += wait
-		if best.Choice == Refuse || cost < best.Cost {
-			best.Choice, best.Index, best.Delay, best.Tokens, best.BacklogWait, best.Cost, best.SlotWait = Local, i, delay, tokens, wait, cost, slotWait
+	}
+	first := int(r.Random>>16) % similar
+	second := int(r.Random&0xffff) % similar
+	chosen := -1
+	for i, n := 0, 0; i < len(candidates); i++ {
+		if !candidates[i].option.within(maxCost) {
+			continue
 		}
+		if (n == first || n == second) && (chosen < 0 || candidates[i].option.cost < candidates[chosen].option.cost) {
+			chosen = i
+		}
+		n++
 	}
-	return best
+	return chosen
 }
 
+func (o *option) within(maxCost time.Duration) bool { return o.usable && o.cost <= maxCost }
+
 // bestRemote returns the region with the lowest cost among those with free
 // capacity; false if there is none.
 func (p Policy) bestRemote(r *Request, s ServicePerformance, others []RegionLoad) (Decision, bool) {
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -59,6 +59,9 @@
 	case placement.Local:
 		if n := len(a.tried); n > 0 {
 			fields = append(fields, event.F("instance", a.tried[n-1]), event.F("cold", a.ticket != nil && a.ticket.Cold))
+			if a.decision.Slowdown != 1 {
+				fields = append(fields, event.F("slowdown", a.decision.Slowdown))
+			}
 		}
 	case placement.Remote:
 		fields = append(fields, event.F("region", a.decision.Region), event.F("view_age_ms", a.Regions.Age(now, a.decision.Region).Milliseconds()))
