--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -53,6 +53,7 @@
 	inFlight           int
 	inFlightByPriority [priorities]int
 	backlog            backlog
+	slowdown           slowdown
 	// otherRequests is the estimated number of other nodes' requests at
 	// loadReportedAt.
 	otherRequests  float64
