Add a broker that grants the places of a small service

A service of six upstreams used by 130 nodes rejected half of its arrivals: each node decided alone on load figures that it read late. Package places grants permits from one pool per region: an order of waiting, limits that follow what upstreams report, refusals with a spread Retry-After, and loans between regions.

--- /dev/null
+++ b/core/places/broker.go
@@ -0,0 +1,601 @@
+package places
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/instances"
+)
+
+const (
+	// reserve is the number of requests in an upstream's own queue that keep its slots busy
+	// while permits and answers are on their way. The limit of an upstream follows its
+	// reports, so that its queue stays between minQueued and reserve.
+	reserve   = 2
+	minQueued = 1
+	// limitGain is the change of a limit for each report. About ten reports arrive within the
+	// time that a change takes to show.
+	limitGain = 0.1
+	// rejectedLimitFactor is what a rejection leaves of the limit.
+	rejectedLimitFactor = 0.75
+	// maxLimitFactor bounds the limit as a multiple of the slots: permits of a node that was
+	// killed lapse after seconds, and messages may take longer than the work.
+	maxLimitFactor = 3
+	// maxConnectionShare is the part of the connections that an upstream accepts that permits
+	// may use; the others are idle connections of many nodes.
+	maxConnectionShare = 0.5
+	// holdGain is the weight of one release in the mean time for which a permit is held.
+	holdGain = 0.05
+	// maxWaitRatio and maxUrgentWaitRatio are the longest expected waits that are admitted, as
+	// parts of the objective; see placement.Policy.MaxSlotWaitRatio.
+	maxWaitRatio       = 0.5
+	maxUrgentWaitRatio = 0.6
+	// minServiceRatio is the part of the mean time for which permits are held that a request
+	// must have left to meet its objective: many take less time than the mean.
+	minServiceRatio = 0.8
+	// minSpareRatio is the part of the capacity that must be idle for requests to wait that
+	// can no longer meet their objective.
+	minSpareRatio = 0.1
+	// maxWaiting bounds the requests that wait at a broker, maxLate those of them that cannot
+	// meet their objective.
+	maxWaiting = 512
+	maxLate    = 128
+	// lendFor is how long lent places are kept for the borrower.
+	lendFor = time.Second
+	// minLoanKept is the part of a loan that a renewal keeps at least, if it is wanted.
+	minLoanKept = 0.5
+	// minLoanLeft is the remaining time below which a borrowed place is not used.
+	minLoanLeft = 50 * time.Millisecond
+	// maxPermitsPerPlace bounds the permits for one lent place, because slot times are
+	// estimates.
+	maxPermitsPerPlace = 4
+	// usualLoad is the part of the capacity beyond which places are borrowed, loanMargin the
+	// factor by which more are borrowed than the excess needs on average.
+	usualLoad  = 0.85
+	loanMargin = 1.2
+	// maxRefused bounds the refused requests that are remembered, each until it may be back
+	// for returnDelay.
+	maxRefused  = 4096
+	returnDelay = 500 * time.Millisecond
+	// minReturn is the shortest Retry-After. It is shorter than the objectives, so that what
+	// comes back may still meet its objective, which counts from the first attempt.
+	minReturn = 120 * time.Millisecond
+	// maxReturnShare is the part of the time left that callers wait at most.
+	maxReturnShare = 0.32
+	// returnSpread is the part of the longest wait over which returns are spread if no
+	// capacity is foreseen to be free before.
+	returnSpread = 0.6
+	// returnJitter is the width of the jitter of other returns.
+	returnJitter = 0.5
+)
+
+// Upstream is an upstream that the broker may grant places of.
+type Upstream struct {
+	ID      domain.UpstreamID
+	Started int64
+	Place   domain.Place
+	Slots   int
+	// Others is the number of requests there that the broker did not grant places for, as
+	// far as known when the upstream is added.
+	Others int
+	// MaxConnections is the number of connections that it accepts; zero if it is not known.
+	MaxConnections int
+}
+
+// Request describes a request for a place.
+type Request struct {
+	Account  string
+	Priority int
+	// Objective is the time within which the answer should begin; ObjectiveLeft and Left are
+	// what is left of it and of the time until the deadline.
+	Objective, ObjectiveLeft, Left time.Duration
+	// Domain is the failure domain of the node that asks.
+	Domain domain.FailureDomain
+	// Regions are the regions in which the request may run; empty allows all.
+	Regions []domain.Region
+	// Excluded lists the upstreams that the request was sent to before.
+	Excluded []domain.UpstreamID
+	// Random is uniformly distributed in [0, 1).
+	Random float64
+	// Key identifies the request when it comes back after a refusal; zero if it is not known.
+	Key uint64
+}
+
+// Waiter is a request at a broker.
+type Waiter struct {
+	Request
+	// Decision is valid once the waiter is among those that Broker.Decided returns.
+	Decision Decision
+	// Value belongs to the caller of the broker.
+	Value any
+
+	arrivedAt, objectiveAt, deadlineAt time.Time
+	// late is set once the request can no longer meet its objective.
+	late bool
+}
+
+// Decision is the answer to a request for a place.
+type Decision struct {
+	// ID identifies the permit; zero if the request is refused.
+	ID       uint64
+	Upstream Upstream
+	// Kind and RetryAfter describe a refusal.
+	Kind       errkind.Kind
+	RetryAfter time.Duration
+	// Waited is the time until the decision, Expected the expected wait of a refused request.
+	Waited, Expected time.Duration
+}
+
+// Granted reports whether there is a permit.
+func (d *Decision) Granted() bool { return d.ID != 0 }
+
+// Release returns a permit.
+type Release struct {
+	ID uint64
+	// Used is the time for which the node held the permit.
+	Used    time.Duration
+	Outcome instances.Outcome
+	// Load is what the upstream reported, if Load.Slots is not zero.
+	Load instances.ReportedLoad
+}
+
+type upstream struct {
+	Upstream
+	limit       float64
+	outstanding int
+	// lent is the number of places that are lent to other regions.
+	lent float64
+	// until is when a borrowed place lapses; zero for those of the own region.
+	until  time.Time
+	trip   time.Duration
+	listed bool
+}
+
+func (u *upstream) borrowed() bool { return !u.until.IsZero() }
+
+func (u *upstream) free(now time.Time) bool {
+	if u.borrowed() {
+		return now.Add(minLoanLeft).Before(u.until) && float64(u.outstanding)+1 <= u.limit
+	}
+	return u.listed && float64(u.outstanding)+u.lent+1 <= u.limit
+}
+
+func (u *upstream) maxLimit() float64 {
+	highest := float64(maxLimitFactor * u.Slots)
+	if u.MaxConnections > 0 {
+		highest = min(highest, maxConnectionShare*float64(u.MaxConnections))
+	}
+	return max(1, highest)
+}
+
+type permit struct {
+	u         *upstream
+	grantedAt time.Time
+	expiresAt time.Time
+}
+
+// refusal is what the broker remembers of a refused request. It may come back, and its
+// objective counts from its first attempt then.
+type refusal struct {
+	objectiveAt, until time.Time
+}
+
+// loan is what is lent to another region.
+type loan struct {
+	to      domain.Region
+	permits int
+	until   time.Time
+	// lenders are the upstreams, places what is lent of each.
+	lenders []*upstream
+	places  []float64
+}
+
+// Broker grants the places of one service in one region.
+type Broker struct {
+	region    domain.Region
+	upstreams []*upstream
+	permits   map[uint64]permit
+	lastID    uint64
+	order     Order
+	loans     []loan
+	// hold is the mean time for which a permit of this region is outstanding.
+	hold     time.Duration
+	released int
+	// work is the part of it for which an upstream's slot is busy.
+	work time.Duration
+	// returnAt is when the latest refused request is expected back.
+	returnAt time.Time
+	// refused holds when the objective and the memory of refused requests end.
+	refused map[uint64]refusal
+	// expiryCheckedAt is when permits were last checked for their expiry.
+	expiryCheckedAt time.Time
+	decided         []*Waiter
+}
+
+// NewBroker returns a broker without upstreams. firstID distinguishes its permits from those
+// of other brokers; hold is the expected time for which a place is used.
+func NewBroker(region domain.Region, firstID uint64, hold time.Duration) *Broker {
+	return &Broker{region: region, lastID: firstID, hold: hold, work: hold, permits: make(map[uint64]permit), refused: make(map[uint64]refusal)}
+}
+
+// SetUpstreams sets the upstreams of the region that may be used now.
+func (b *Broker) SetUpstreams(now time.Time, list []Upstream) {
+	for _, u := range b.upstreams {
+		if !u.borrowed() {
+			u.listed = false
+		}
+	}
+	for _, in := range list {
+		u := b.own(in.ID)
+		if u == nil || u.Started != in.Started {
+			u = &upstream{}
+			b.upstreams = append(b.upstreams, u)
+			u.Upstream = in
+			u.limit = min(u.maxLimit(), max(1, float64(in.Slots+reserve-in.Others)))
+		}
+		if u.Slots != in.Slots {
+			u.limit = max(1, u.limit+float64(in.Slots-u.Slots))
+		}
+		u.Upstream, u.listed = in, true
+	}
+	b.upstreams = slices.DeleteFunc(b.upstreams, func(u *upstream) bool {
+		return !u.borrowed() && !u.listed && u.outstanding == 0
+	})
+	b.dispatch(now)
+}
+
+// own returns the present record of an upstream of the region.
+func (b *Broker) own(id domain.UpstreamID) *upstream {
+	for i := len(b.upstreams) - 1; i >= 0; i-- {
+		if u := b.upstreams[i]; u.ID == id && !u.borrowed() {
+			return u
+		}
+	}
+	return nil
+}
+
+// Usable reports whether the broker has any upstream of its region.
+func (b *Broker) Usable() bool {
+	return slices.ContainsFunc(b.upstreams, func(u *upstream) bool { return !u.borrowed() && u.listed })
+}
+
+// Idle reports whether nothing waits and no permit is outstanding.
+func (b *Broker) Idle() bool { return len(b.order.waiting) == 0 && len(b.permits) == 0 }
+
+// Waiting returns the number of requests that wait.
+func (b *Broker) Waiting() int { return len(b.order.waiting) }
+
+// Outstanding returns the number of permits.
+func (b *Broker) Outstanding() int { return len(b.permits) }
+
+// capacity returns the number of permits per second that the region's places allow. It
+// follows from the limits and from the time for which permits are outstanding.
+func (b *Broker) capacity() float64 {
+	sum := 0.0
+	for _, u := range b.upstreams {
+		if !u.borrowed() && u.listed {
+			sum += max(0, u.limit-u.lent)
+		}
+	}
+	return sum / max(time.Millisecond, b.hold).Seconds()
+}
+
+// Acquire decides on a request or lets it wait. Decided returns it once there is a decision.
+func (b *Broker) Acquire(now time.Time, w *Waiter) {
+	w.arrivedAt, w.objectiveAt, w.deadlineAt = now, now.Add(w.ObjectiveLeft), now.Add(w.Left)
+	if r, returned := b.refused[w.Key]; returned {
+		delete(b.refused, w.Key)
+		w.objectiveAt = r.objectiveAt
+	}
+	w.late = w.objectiveAt.Sub(now) < b.minService()
+	if !w.late {
+		b.order.Arrive(now, w.Priority)
+	}
+	if w.Left < b.minService() {
+		b.refuse(now, w, errkind.DeadlineUnreachable, 0)
+		return
+	}
+	if !b.Usable() {
+		b.refuse(now, w, errkind.NoCapacity, 0)
+		return
+	}
+	b.order.Add(w)
+	b.dispatch(now)
+	if w.Decision.Granted() || w.Decision.Kind != "" {
+		return
+	}
+	expected := b.expectedWait(now, w)
+	if b.cross(now, w, expected) {
+		return
+	}
+	if inTime, _ := b.order.Len(); inTime > maxWaiting || !b.admits(now, w, expected) {
+		b.order.Remove(w)
+		b.refuse(now, w, errkind.Overloaded, expected)
+	}
+}
+
+func (b *Broker) minService() time.Duration {
+	return time.Duration(minServiceRatio * float64(b.hold))
+}
+
+// expectedWait returns the expected wait of a waiting request.
+func (b *Broker) expectedWait(now time.Time, w *Waiter) time.Duration {
+	capacity := b.capacity()
+	ahead, share := b.order.Ahead(now, w, capacity)
+	if capacity <= 0 || share <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(min(float64(time.Hour), float64(ahead)/(share*capacity)*float64(time.Second)))
+}
+
+// admits reports whether a request may wait.
+func (b *Broker) admits(now time.Time, w *Waiter, expected time.Duration) bool {
+	if w.late {
+		return b.mayBeServedLate(now, w)
+	}
+	ratio := maxWaitRatio
+	if w.Priority == 0 {
+		ratio = maxUrgentWaitRatio
+	}
+	return expected <= time.Duration(ratio*float64(w.Objective)) && expected <= w.objectiveAt.Sub(now)-b.minService()
+}
+
+// mayBeServedLate reports whether places are expected to be idle before the deadline of a
+// request that cannot meet its objective.
+func (b *Broker) mayBeServedLate(now time.Time, w *Waiter) bool {
+	capacity := b.capacity()
+	for _, u := range b.upstreams {
+		if u.borrowed() && u.free(now) {
+			capacity += u.limit / (u.trip + b.hold).Seconds()
+		}
+	}
+	spare := capacity - b.order.Rate(now, math.MaxInt)
+	inTime, late := b.order.Len()
+	if spare < minSpareRatio*capacity || late > maxLate {
+		return false
+	}
+	wait := time.Duration(float64(inTime+late) / spare * float64(time.Second))
+	return wait <= w.deadlineAt.Sub(now)-b.hold
+}
+
+// cross grants a borrowed place to a waiting request if the trip takes less time than the
+// expected wait.
+func (b *Broker) cross(now time.Time, w *Waiter, expected time.Duration) bool {
+	if w.late {
+		return false
+	}
+	u := b.choose(now, w, true)
+	if u == nil || u.trip >= expected || now.Add(u.trip+b.minService()).After(w.objectiveAt) {
+		return false
+	}
+	b.order.Remove(w)
+	b.grant(now, w, u)
+	return true
+}
+
+// choose returns the upstream with a free place that is best for a request; nil if there is
+// none.
+func (b *Broker) choose(now time.Time, w *Waiter, borrowed bool) *upstream {
+	var best *upstream
+	bestLoad := 0.0
+	for _, u := range b.upstreams {
+		if u.borrowed() != borrowed || !u.free(now) || !w.mayUse(u) {
+			continue
+		}
+		load := (float64(u.outstanding) + u.lent) / u.limit
+		if !borrowed && u.Place.FailureDomain == w.Domain && u.outstanding < u.Slots {
+			load-- // traffic between failure domains is billed
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = u, load
+		}
+	}
+	return best
+}
+
+func (w *Waiter) mayUse(u *upstream) bool {
+	if u.borrowed() && len(w.Regions) > 0 && !slices.Contains(w.Regions, u.Place.Region) {
+		return false
+	}
+	return !slices.Contains(w.Excluded, u.ID)
+}
+
+func (b *Broker) grant(now time.Time, w *Waiter, u *upstream) {
+	b.lastID++
+	u.outstanding++
+	b.permits[b.lastID] = permit{u: u, grantedAt: now, expiresAt: w.deadlineAt}
+	b.order.Served(now, w)
+	w.Decision = Decision{ID: b.lastID, Upstream: u.Upstream, Waited: now.Sub(w.arrivedAt)}
+	b.decided = append(b.decided, w)
+}
+
+func (b *Broker) refuse(now time.Time, w *Waiter, kind errkind.Kind, expected time.Duration) {
+	w.Decision = Decision{Kind: kind, RetryAfter: b.retryAfter(now, w), Waited: now.Sub(w.arrivedAt), Expected: expected}
+	b.decided = append(b.decided, w)
+	if w.Key != 0 && len(b.refused) < maxRefused {
+		b.refused[w.Key] = refusal{w.objectiveAt, now.Add(w.Decision.RetryAfter + returnDelay)}
+	}
+}
+
+// retryAfter returns when a refused request should come back. Returns are spread over the
+// capacity that is expected to be free.
+func (b *Broker) retryAfter(now time.Time, w *Waiter) time.Duration {
+	capacity := b.capacity()
+	spare := max(minSpareRatio*capacity, capacity-b.order.Rate(now, math.MaxInt), 1)
+	next := b.returnAt
+	if earliest := now.Add(minReturn); next.Before(earliest) {
+		next = earliest
+	}
+	next = next.Add(time.Duration(float64(time.Second) / spare))
+	longest := time.Duration(maxReturnShare * float64(w.deadlineAt.Sub(now)))
+	wait := time.Duration(float64(next.Sub(now)) * (1 - returnJitter/2 + returnJitter*w.Random))
+	if wait > longest && longest > minReturn {
+		// Nothing is foreseen to be free before; peaks move within seconds.
+		return time.Duration((1 - returnSpread*w.Random) * float64(longest))
+	}
+	b.returnAt = next
+	return wait
+}
+
+// dispatch grants free places to waiting requests and refuses those that cannot be served in
+// time any more.
+func (b *Broker) dispatch(now time.Time) {
+	if len(b.order.waiting) == 0 {
+		return
+	}
+	b.refuseHopeless(now)
+	for {
+		w := b.order.Next(func(w *Waiter) bool { return b.choose(now, w, false) != nil })
+		if w == nil {
+			break
+		}
+		b.order.Remove(w)
+		b.grant(now, w, b.choose(now, w, false))
+	}
+	b.dispatchBorrowed(now)
+}
+
+// dispatchBorrowed lets the requests cross that wait the longest.
+func (b *Broker) dispatchBorrowed(now time.Time) {
+	for slices.ContainsFunc(b.upstreams, func(u *upstream) bool { return u.borrowed() && u.free(now) }) {
+		var last *Waiter
+		for _, w := range b.order.waiting {
+			if !w.late && (last == nil || w.Priority > last.Priority || w.Priority == last.Priority && w.objectiveAt.After(last.objectiveAt)) &&
+				b.choose(now, w, true) != nil {
+				last = w
+			}
+		}
+		if last == nil || !b.cross(now, last, b.expectedWait(now, last)) {
+			return
+		}
+	}
+}
+
+func (b *Broker) refuseHopeless(now time.Time) {
+	usable := b.Usable()
+	for i := 0; i < len(b.order.waiting); {
+		w := b.order.waiting[i]
+		kind := errkind.Kind("")
+		switch {
+		case !usable:
+			kind = errkind.NoCapacity
+		case now.Add(b.minService()).After(w.deadlineAt):
+			kind = errkind.DeadlineUnreachable
+		case !w.late && now.Add(b.minService()).After(w.objectiveAt):
+			b.order.Remove(w)
+			w.late = true
+			if b.mayBeServedLate(now, w) {
+				b.order.Add(w)
+				continue
+			}
+			b.refuse(now, w, errkind.Overloaded, 0)
+			continue
+		case w.late && !b.mayBeServedLate(now, w):
+			kind = errkind.Overloaded
+		}
+		if kind == "" {
+			i++
+			continue
+		}
+		b.order.Remove(w)
+		b.refuse(now, w, kind, 0)
+	}
+}
+
+// Cancel ends the wait of a request whose node no longer wants a place; it returns a permit
+// that was granted meanwhile.
+func (b *Broker) Cancel(now time.Time, w *Waiter) {
+	if !b.order.Remove(w) && w.Decision.Granted() {
+		b.Release(now, Release{ID: w.Decision.ID, Outcome: instances.Canceled})
+	}
+}
+
+// Release returns a permit. It reports the upstream, or false if the permit is not known.
+func (b *Broker) Release(now time.Time, r Release) (domain.UpstreamID, bool) {
+	p, known := b.permits[r.ID]
+	if !known {
+		return "", false
+	}
+	delete(b.permits, r.ID)
+	u := p.u
+	u.outstanding--
+	if u.borrowed() {
+		if r.Outcome == instances.Shed {
+			u.limit = 0 // until the next loan
+		}
+	} else {
+		if r.Outcome == instances.Answered {
+			b.measureHold(now.Sub(p.grantedAt), u, r)
+		}
+		b.adjust(u, r)
+	}
+	b.dispatch(now)
+	return u.ID, true
+}
+
+func (b *Broker) measureHold(held time.Duration, u *upstream, r Release) {
+	b.released++
+	gain := max(holdGain, 1/float64(b.released))
+	b.hold += time.Duration(gain * float64(held-b.hold))
+	// A request that shared the upstream with more requests than it has slots spent a part of
+	// its time in the upstream's queue.
+	inQueue := max(1, float64(r.Load.Running+r.Load.Waiting+1)/float64(max(1, u.Slots)))
+	b.work += time.Duration(gain * (float64(min(held, r.Used))/inQueue - float64(b.work)))
+}
+
+// adjust changes the limit of an upstream by what it reported.
+func (b *Broker) adjust(u *upstream, r Release) {
+	switch {
+	case r.Outcome == instances.Shed:
+		u.limit = max(1, min(u.limit, float64(u.outstanding+1))*rejectedLimitFactor)
+	case r.Load.Slots == 0:
+	case r.Load.Waiting > reserve:
+		u.limit = max(1, u.limit-limitGain*min(float64(u.Slots), float64(r.Load.Waiting-reserve)))
+	case r.Load.Waiting < minQueued:
+		inTime, _ := b.order.Len()
+		saturated := inTime > 0 && float64(u.outstanding)+u.lent+2 > u.limit
+		if saturated || u.limit < float64(u.Slots+reserve) {
+			u.limit = min(u.maxLimit(), u.limit+limitGain)
+		}
+	}
+}
+
+const (
+	// expiryInterval is the time between two checks for expired permits.
+	expiryInterval = 100 * time.Millisecond
+	// permitGrace is how long after the deadline of its request a permit is kept for its
+	// release.
+	permitGrace = 250 * time.Millisecond
+)
+
+// Tick must be called every few milliseconds while requests wait, and from time to time
+// otherwise.
+func (b *Broker) Tick(now time.Time) {
+	if now.Sub(b.expiryCheckedAt) >= expiryInterval {
+		b.expiryCheckedAt = now
+		for id, p := range b.permits {
+			if now.Sub(p.expiresAt) > permitGrace {
+				p.u.outstanding--
+				delete(b.permits, id)
+			}
+		}
+		maps.DeleteFunc(b.refused, func(_ uint64, r refusal) bool { return now.After(r.until) })
+		b.endLoans(func(l *loan) bool { return !now.Before(l.until) })
+		b.upstreams = slices.DeleteFunc(b.upstreams, func(u *upstream) bool {
+			return u.borrowed() && u.outstanding == 0 && !now.Before(u.until)
+		})
+	}
+	b.dispatch(now)
+}
+
+// Decided returns the waiters that were decided since the last call; the slice is valid
+// until the next call of any method.
+func (b *Broker) Decided() []*Waiter {
+	list := b.decided
+	b.decided = b.decided[:0]
+	return list
+}
--- /dev/null
+++ b/core/places/load_test.go
@@ -0,0 +1,471 @@
+package places_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/places"
+)
+
+// The load: 130 nodes in three regions share two upstreams a region.
+const (
+	ms             = time.Millisecond
+	nodesPerRegion = 43
+	perRegion      = 2
+	slots          = 6
+	queueSize      = 24
+	regionTrip     = 110 * ms
+	lendInterval   = 200 * ms
+	viewInterval   = 400 * ms
+	releaseBatch   = 3 * ms
+	simulated      = 40 * time.Second
+	warmUp         = 5 * time.Second
+)
+
+var (
+	start   = time.Unix(1000, 0)
+	regions = []domain.Region{"r0", "r1", "r2"}
+	// kinds are the objectives, deadlines and priorities of the two kinds of requests.
+	kinds = []places.Request{
+		{Priority: 1, Objective: 300 * ms, Left: 3 * time.Second},
+		{Priority: 2, Objective: 500 * ms, Left: 8 * time.Second},
+	}
+	accounts = []string{"a", "a", "a", "a", "a", "b", "b", "c"}
+)
+
+type action struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// load is the demand of all callers, in requests per second, and the work of a request.
+type load struct {
+	name string
+	rate float64
+	work time.Duration
+	// least is the part of what the places can do that must be served.
+	least float64
+}
+
+// simulation plays callers, nodes and upstreams in virtual time.
+type simulation struct {
+	load
+	rng       *rand.Rand
+	at        time.Duration
+	seq       int
+	pending   actions
+	upstreams map[domain.UpstreamID]*simUpstream
+	nodes     []*simNode
+	brokers   []*places.Broker
+	brokered  bool
+	nextLoan  [3]time.Duration
+	figures
+}
+
+// figures are what callers and upstreams get. Indexes are kinds.
+type figures struct {
+	arrived, inTime, answered, refused [2]int
+	byAccount, servedByAccount         map[string]int
+	sent, rejected, crossed, ran       int
+
+	worth          float64
+	longestRefusal time.Duration
+}
+
+type simUpstream struct {
+	instances.Instance
+	running int
+	queue   []func()
+}
+
+type simNode struct {
+	region int
+	place  domain.Place
+	pool   *instances.Pool
+	views  *peers.Regions
+}
+
+// call is a request of a caller.
+type call struct {
+	kind     int
+	account  string
+	node     *simNode
+	first    time.Duration // when the caller sent it first
+	arrived  time.Duration // when the node received this attempt
+	returned bool
+	counted  bool
+	tried    []domain.UpstreamID
+	key      uint64
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.pending, action{s.at + max(0, d), s.seq, do})
+}
+
+func (s *simulation) now() time.Time { return start.Add(s.at) }
+
+func (s *simulation) every(d time.Duration, do func()) { s.after(d, func() { do(); s.every(d, do) }) }
+
+func failureDomain(region, i int) domain.FailureDomain {
+	return domain.FailureDomain(fmt.Sprintf("r%d-%c", region, 'a'+i%2))
+}
+
+func newSimulation(seed uint64, l load, brokered bool) *simulation {
+	s := &simulation{load: l, rng: rand.New(rand.NewPCG(seed, 1)), upstreams: make(map[domain.UpstreamID]*simUpstream), brokered: brokered}
+	s.byAccount, s.servedByAccount = make(map[string]int), make(map[string]int)
+	for r := range regions {
+		for i := range perRegion {
+			in := instances.Instance{ID: domain.UpstreamID(fmt.Sprintf("u%d%d", r, i)), Service: "app", Slots: slots, Started: 1,
+				Place: domain.Place{Region: regions[r], FailureDomain: failureDomain(r, i)}}
+			s.upstreams[in.ID] = &simUpstream{Instance: in}
+		}
+	}
+	for r := range regions {
+		s.brokers = append(s.brokers, s.newBroker(r, 1))
+		for i := range nodesPerRegion {
+			n := &simNode{region: r, place: domain.Place{Region: regions[r], FailureDomain: failureDomain(r, i)}, views: peers.NewRegions(event.Discard{})}
+			catalog := instances.NewCatalog(instances.Options{Self: n.place})
+			for i := range len(regions) * perRegion {
+				catalog.Put(start, s.upstreams[domain.UpstreamID(fmt.Sprintf("u%d%d", i/perRegion, i%perRegion))].Instance)
+			}
+			n.pool = catalog.Pool("app")
+			s.nodes = append(s.nodes, n)
+			if !brokered {
+				s.after(time.Duration(s.rng.Int64N(int64(viewInterval))), func() { s.every(viewInterval, func() { s.exchangeViews(n) }) })
+			}
+		}
+		s.every(5*ms, func() { s.brokers[r].Tick(s.now()); s.decide(r) })
+		s.every(20*ms, func() { s.borrow(r) })
+		s.arrive(r)
+	}
+	return s
+}
+
+func (s *simulation) newBroker(r int, firstID uint64) *places.Broker {
+	b := places.NewBroker(regions[r], firstID<<32, 300*ms)
+	var list []places.Upstream
+	for i := range perRegion {
+		u := s.upstreams[domain.UpstreamID(fmt.Sprintf("u%d%d", r, i))]
+		list = append(list, places.Upstream{ID: u.ID, Started: 1, Place: u.Place, Slots: slots})
+	}
+	b.SetUpstreams(s.now(), list)
+	return b
+}
+
+// trip is the one-way latency between two places of a region.
+func trip(a, b domain.FailureDomain) time.Duration {
+	if a == b {
+		return 500 * time.Microsecond
+	}
+	return 4900 * time.Microsecond
+}
+
+// exchangeViews gives a node the load of the other regions as another node knows it.
+func (s *simulation) exchangeViews(n *simNode) {
+	for r, region := range regions {
+		if r != n.region {
+			l := s.nodes[r*nodesPerRegion+s.rng.IntN(nodesPerRegion)].pool.Load(s.now())
+			s.after(regionTrip/2, func() { n.views.SetLoads(s.now(), region, []instances.Load{l}, regionTrip) })
+		}
+	}
+}
+
+// factor is the load of a region relative to the mean: the peak moves every ten seconds.
+func (s *simulation) factor(r int) float64 {
+	if int(s.at/(10*time.Second))%len(regions) == r {
+		return 2.5
+	}
+	return 0.23
+}
+
+func (s *simulation) arrive(r int) {
+	rate := s.rate / float64(len(regions)) * s.factor(r)
+	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		c := &call{kind: s.rng.IntN(len(kinds)), account: accounts[s.rng.IntN(len(accounts))], node: s.nodes[r*nodesPerRegion+s.rng.IntN(nodesPerRegion)],
+			first: s.at, arrived: s.at, key: s.rng.Uint64(), counted: s.at >= warmUp && s.at < simulated-10*time.Second}
+		if c.counted {
+			s.arrived[c.kind]++
+			s.byAccount[c.account]++
+		}
+		s.receive(c)
+		s.arrive(r)
+	})
+}
+
+func (s *simulation) receive(c *call) {
+	if s.brokered {
+		s.ask(c)
+	} else {
+		s.place(c)
+	}
+}
+
+func (c *call) left(s *simulation) time.Duration { return kinds[c.kind].Left - (s.at - c.first) }
+
+func (s *simulation) refuse(c *call, retryAfter time.Duration) {
+	if c.counted {
+		s.longestRefusal = max(s.longestRefusal, s.at-c.arrived)
+	}
+	if !c.returned && retryAfter <= c.left(s)/3 {
+		c.returned = true
+		s.after(retryAfter, func() { c.arrived, c.tried = s.at, nil; s.receive(c) })
+		return
+	}
+	if c.counted {
+		s.refused[c.kind]++
+	}
+}
+
+func (s *simulation) answer(c *call) {
+	took := s.at - c.first
+	switch {
+	case !c.counted || took > kinds[c.kind].Left:
+		return
+	case took <= kinds[c.kind].Objective:
+		s.inTime[c.kind]++
+		s.worth++
+	default:
+		s.worth += 1. / 3
+	}
+	s.answered[c.kind]++
+	s.servedByAccount[c.account]++
+}
+
+// send sends a request to an upstream at a one-way latency; done gets its outcome.
+func (s *simulation) send(id domain.UpstreamID, latency time.Duration, done func(instances.Outcome, instances.ReportedLoad)) {
+	u := s.upstreams[id]
+	s.after(latency, func() {
+		s.sent++
+		end := func(o instances.Outcome) {
+			load := instances.ReportedLoad{Running: u.running, Waiting: len(u.queue), Slots: slots}
+			s.after(latency, func() { done(o, load) })
+		}
+		run := func() {
+			u.running++
+			if s.at >= warmUp && s.at < simulated-10*time.Second {
+				s.ran++
+			}
+			s.after(time.Duration((0.7+0.6*s.rng.Float64())*float64(s.work)), func() {
+				u.running--
+				if len(u.queue) > 0 {
+					next := u.queue[0]
+					u.queue = u.queue[1:]
+					next()
+				}
+				end(instances.Answered)
+			})
+		}
+		switch {
+		case u.running < slots:
+			run()
+		case len(u.queue) < queueSize:
+			u.queue = append(u.queue, run)
+		default:
+			s.rejected++
+			end(instances.Shed)
+		}
+	})
+}
+
+// ask gets a place from the broker.
+func (s *simulation) ask(c *call) {
+	b := s.brokers[c.node.region]
+	toBroker := trip(c.node.place.FailureDomain, failureDomain(c.node.region, 0))
+	s.after(toBroker, func() {
+		r := kinds[c.kind]
+		r.ObjectiveLeft = r.Objective - (s.at - c.arrived) // a node does not know of the first attempt
+		r.Left, r.Account, r.Domain, r.Random, r.Excluded, r.Key = c.left(s), c.account, c.node.place.FailureDomain, s.rng.Float64(), c.tried, c.key
+		b.Acquire(s.now(), &places.Waiter{Request: r, Value: func(d places.Decision) {
+			s.after(toBroker, func() { s.use(c, b, d, toBroker) })
+		}})
+		s.decide(c.node.region)
+	})
+}
+
+func (s *simulation) use(c *call, b *places.Broker, d places.Decision, toBroker time.Duration) {
+	if !d.Granted() {
+		s.refuse(c, d.RetryAfter)
+		return
+	}
+	latency := trip(c.node.place.FailureDomain, d.Upstream.Place.FailureDomain)
+	if d.Upstream.Place.Region != c.node.place.Region {
+		latency = regionTrip / 2
+		s.crossed++
+	}
+	from := s.at
+	s.send(d.Upstream.ID, latency, func(o instances.Outcome, l instances.ReportedLoad) {
+		used := s.at - from
+		s.after(releaseBatch/2+toBroker, func() {
+			b.Release(s.now(), places.Release{ID: d.ID, Used: used, Outcome: o, Load: l})
+			s.decide(c.node.region)
+		})
+		s.finish(c, o, d.Upstream.ID, 300*ms)
+	})
+}
+
+// finish answers the caller or, after a rejection, tries once more.
+func (s *simulation) finish(c *call, o instances.Outcome, id domain.UpstreamID, retryAfter time.Duration) {
+	switch c.tried = append(c.tried, id); {
+	case o == instances.Answered:
+		s.answer(c)
+	case len(c.tried) < 2:
+		s.receive(c)
+	default:
+		s.refuse(c, retryAfter)
+	}
+}
+
+func (s *simulation) decide(r int) {
+	for _, w := range s.brokers[r].Decided() {
+		w.Value.(func(places.Decision))(w.Decision)
+	}
+}
+
+func (s *simulation) borrow(r int) {
+	b := s.brokers[r]
+	wanted := b.Wanted(s.now(), regionTrip)
+	if lent, _ := b.Borrowed(s.now()); !s.brokered || wanted == 0 && lent == 0 || s.at < s.nextLoan[r] {
+		return
+	}
+	s.nextLoan[r] = s.at + lendInterval
+	for other := range regions {
+		if other != r {
+			s.after(regionTrip/2, func() {
+				lent, validFor := s.brokers[other].Lend(s.now(), regions[r], (wanted+1)/2, regionTrip)
+				s.after(regionTrip/2, func() {
+					b.Borrow(s.now(), regions[other], lent, regionTrip, validFor-regionTrip)
+					s.decide(r)
+				})
+			})
+		}
+	}
+}
+
+// place is the way without a broker: each node decides alone.
+func (s *simulation) place(c *call) {
+	r := kinds[c.kind]
+	q := instances.Query{LocalAllowed: true, Request: placement.Request{Objective: r.Objective, Elapsed: s.at - c.arrived, Remaining: c.left(s), Random: s.rng.Uint32(), Excluded: c.tried}}
+	q.OtherRegions = c.node.views.Loads(s.now(), "app", nodesPerRegion, func(domain.Region) bool { return true })
+	d, ticket := c.node.pool.Place(s.now(), placement.DefaultPolicy(), &q)
+	retryAfter := placement.RetryAfter(d.Delay, r.Objective, s.rng.Float64())
+	switch d.Choice {
+	case placement.Local:
+		s.sendTicket(c, c.node, ticket, retryAfter)
+	case placement.Remote:
+		s.crossed++
+		done := c.node.views.TrackRequest(d.Region, "app")
+		other := s.nodes[int(d.Region[1]-'0')*nodesPerRegion+s.rng.IntN(nodesPerRegion)]
+		s.after(regionTrip/2, func() {
+			q.OtherRegions, q.Elapsed = nil, s.at-c.arrived
+			if _, t := other.pool.Place(s.now(), placement.DefaultPolicy(), &q); t != nil {
+				s.after(regionTrip/2, done)
+				s.sendTicket(c, other, t, retryAfter)
+				return
+			}
+			s.after(regionTrip/2, func() { done(); c.node.views.MarkFull(d.Region, "app"); s.refuse(c, retryAfter) })
+		})
+	default:
+		s.refuse(c, retryAfter)
+	}
+}
+
+func (s *simulation) sendTicket(c *call, at *simNode, t *instances.Ticket, retryAfter time.Duration) {
+	s.send(t.ID, trip(at.place.FailureDomain, t.Place.FailureDomain), func(o instances.Outcome, l instances.ReportedLoad) {
+		t.FirstByte(s.now(), l, o == instances.Answered)
+		t.Done(s.now(), o)
+		back := time.Duration(0)
+		if at != c.node {
+			back = regionTrip / 2
+		}
+		s.after(back, func() { s.finish(c, o, t.ID, retryAfter) })
+	})
+}
+
+func (s *simulation) run() {
+	for len(s.pending) > 0 && s.at < simulated {
+		a := heap.Pop(&s.pending).(action)
+		s.at = a.at
+		a.do()
+	}
+}
+
+func (f *figures) total() (arrived, answered, refused, inTime int) {
+	return f.arrived[0] + f.arrived[1], f.answered[0] + f.answered[1], f.refused[0] + f.refused[1], f.inTime[0] + f.inTime[1]
+}
+
+func (f *figures) String() string {
+	arrived, answered, refused, inTime := f.total()
+	return fmt.Sprintf("arrived %d, answered %d, in time %d, refused %d, worth %.3f; by kind %.2f/%.2f in time; ran %d, rejected by upstreams %d of %d, crossed %d; longest refusal %v",
+		arrived, answered, inTime, refused, f.worth/float64(arrived),
+		float64(f.inTime[0])/float64(f.arrived[0]), float64(f.inTime[1])/float64(f.arrived[1]), f.ran, f.rejected, f.sent, f.crossed, f.longestRefusal)
+}
+
+// Many nodes that share few places must not lose them to late views: a service of six
+// upstreams served 0.3 and 0.55 of its worth, and upstreams rejected half of what arrived.
+func TestFewPlacesServeManyNodes(t *testing.T) {
+	for _, l := range []load{
+		{"peaks that move", 340, 60 * ms, 0.95},
+		// After a move of the peak, messages take a third of a second to bring requests to the
+		// other regions.
+		{"more than all can serve", 1000, 60 * ms, 0.9},
+		{"work shorter than messages take", 1360, 15 * ms, 0.9},
+	} {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			capacity := float64(len(regions)*perRegion*slots) / l.work.Seconds()
+			before := newSimulation(1, l, false)
+			before.run()
+			t.Logf("without broker: %v", &before.figures)
+			s := newSimulation(1, l, true)
+			s.after(13*time.Second, func() { s.brokers[1] = s.newBroker(1, 2) }) // another node is the broker
+			s.run()
+			t.Logf("with brokers: %v", &s.figures)
+			arrived, answered, _, _ := s.total()
+			mean := float64(answered) / float64(arrived)
+			if s.rejected*100 >= 2*s.sent {
+				t.Errorf("upstreams rejected %d of %d requests, want less than 2 in 100", s.rejected, s.sent)
+			}
+			possible := min(float64(arrived), capacity*(simulated-10*time.Second-warmUp).Seconds())
+			if float64(s.ran) < l.least*possible {
+				t.Errorf("%d requests ran, want %v of the %.0f that the places can do", s.ran, l.least, possible)
+			}
+			for k := range kinds {
+				if got := float64(s.answered[k]) / float64(s.arrived[k]); got < mean/2 {
+					t.Errorf("%.2f of kind %d were answered, want half of the mean of %.2f", got, k, mean)
+				}
+			}
+			for a, n := range s.byAccount {
+				if got := float64(s.servedByAccount[a]) / float64(n); got < mean/2 {
+					t.Errorf("%.2f of the requests of account %s were answered, want half of the mean of %.2f", got, a, mean)
+				}
+			}
+			if s.worth <= before.worth {
+				t.Errorf("got a worth of %.0f, and %.0f without broker", s.worth, before.worth)
+			}
+		})
+	}
+}
