Let a broker grant the places of small services to all nodes of a region

Where a service without engines has fewer places in a region than the region has nodes, a node asks the region's broker, chosen by rendezvous among the nodes of the largest capacity, before it sends a request. Granted places of other regions travel with the relayed request. Other services are placed as before, without calls.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -156,7 +156,9 @@
 		if peer, found := n.localPeer(); found {
 			n.exchange(ctx, peer)
 		}
-		n.mesh.CloseUnknown(n.members.Known())
+		known := n.members.Known()
+		n.mesh.CloseUnknown(known)
+		n.places.forgetUnknown(known)
 		n.catalog.RemoveExpired(time.Now())
 		n.regions.ExpireViews(time.Now())
 		sleep(ctx, jitter(localInterval))
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,12 @@
 	partsChanged chan struct{}
 	// statementsChanged receives a token when an upstream says something new of itself.
 	statementsChanged chan struct{}
+	// places gets places of brokered services, brokers grants them; brokersActive receives a token
+	// when a broker has work.
+	places        *placeClient
+	brokersMu     sync.Mutex
+	brokers       map[string]*placeBroker
+	brokersActive chan struct{}
 	// relayed is the number of requests in flight that other nodes relayed here.
 	relayed atomic.Int64
 	// fetchingEntries and fetchingOperator limit fetches to one of each kind at a
@@ -99,7 +106,9 @@
 
 // New returns a node; Run starts it.
 func New(s *Settings, deps Dependencies, log event.Logger, m *telemetry.Metrics) *Node {
-	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1)}
+	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1),
+		brokers: make(map[string]*placeBroker), brokersActive: make(chan struct{}, 1)}
+	n.places = &placeClient{node: n, brokers: make(map[string]*brokerPath)}
 	n.seeds.Store(&s.Seeds)
 	n.requests, n.endRequests = context.WithCancelCause(context.Background())
 	n.members = peers.NewMembers(peers.Member{
@@ -121,8 +130,9 @@
 		Self: s.Place, Catalog: n.catalog, Members: n.members, Regions: n.regions,
 		Upstreams: n.upstreams, Nodes: n.mesh,
 		Budget:     sharedbounds.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
-		Quarantine: n.parts, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
+		Quarantine: n.parts, Places: n.places, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
+	n.observePlaces()
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
@@ -257,6 +267,7 @@
 	loop(n.tickCatalog)
 	loop(n.checkHealth)
 	loop(n.propagateStatements)
+	loop(n.runBrokers)
 }
 
 const (
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -209,6 +209,9 @@
 		ResumeAfter: []byte(c.ResumeAfter), Model: c.Prompt.Model,
 		InputTokens: uint32(c.Prompt.InputTokens), OutputTokens: uint32(c.Prompt.OutputTokens),
 	}
+	if p := c.Place; p != nil {
+		m.Place = &meshpb.PlacePermit{Service: c.Service, Instance: string(p.Instance), Started: p.Started, Region: string(p.Region)}
+	}
 	for _, p := range c.Prompt.Parts {
 		m.Parts = append(m.Parts, &meshpb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
 	}
@@ -234,6 +237,9 @@
 		in.Prompt.Parts = append(in.Prompt.Parts, placement.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
 	}
 	in.Service = m.GetService()
+	if p := m.GetPlace(); p != nil {
+		in.Place = &relay.Place{Instance: domain.UpstreamID(p.GetInstance()), Started: p.GetStarted(), Region: domain.Region(p.GetRegion())}
+	}
 	in.TableVersion = m.GetTableVersion()
 	in.Arrived = now.Add(-time.Duration(m.GetElapsedMs()) * time.Millisecond)
 	// The relaying node ends the request at its own deadline.
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -30,6 +30,7 @@
 	// FetchOperator and FetchEntries return the documents that this node has.
 	FetchOperator(tableNewerThan uint64) OperatorDocuments
 	FetchEntries() UpstreamEntries
+	PlaceBroker
 }
 
 // NewServer returns a gRPC server that passes calls to a handler.
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -91,7 +91,7 @@
 	}}
 	req := r.request(httptrace.WithClientTrace(context.WithValue(ctx, placedAtKey{}, c.PlacedAt), trace), to, c)
 	transport := r.pooled
-	if c.Route.Kind == routes.AtMostOnce {
+	if c.Route.Kind == routes.AtMostOnce || c.SingleUse {
 		transport = r.unpooled
 	}
 	resp, err := transport.RoundTrip(req)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -42,6 +42,11 @@
 	PartHeld          = Event{308, "part_held", "Requests with a part of a prompt, or one request that comes again, are refused because they crash upstreams; the fields contain the kind, the part or the request's fingerprint, and the evidence. Compare shared_parts and fingerprint of attempt_failed."}
 	PartReleased      = Event{309, "part_released", "Requests with a part of a prompt, or one request, are no longer refused; the field why contains the reason."}
 	PartTried         = Event{310, "part_tried", "One request that is held, or has a held part, was sent to an upstream, to find out whether it still crashes it."}
+	BrokerStarted     = Event{350, "broker_started", "This node began to grant the places of a service with few of them, because another node asked it to or by its own view."}
+	BrokerLost        = Event{351, "broker_lost", "The broker of a service did not answer in time; until it does, this node places requests by itself."}
+	BrokerFound       = Event{352, "broker_found", "A broker that had not answered answers again."}
+	PlaceRefused      = Event{353, "place_refused", "As a broker, this node refused a request a place; the fields contain the expected wait, what was left of the objective and the length of the queue."}
+	PlacesBorrowed    = Event{354, "places_borrowed", "As a broker, this node began or ceased to have places of another region, for requests whose wait is longer than the trip there."}
 	UpstreamChanged   = Event{401, "upstream_changed", "An upstream changed its life cycle state."}
 	InstanceChanged   = Event{402, "instance_changed", "An upstream registered itself or changed its entry; it gets requests unless it is leaving."}
 	InstanceGone      = Event{403, "instance_gone", "An upstream's entry was removed; it gets no more requests."}
@@ -75,6 +80,7 @@
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
+		BrokerStarted, BrokerLost, BrokerFound, PlaceRefused, PlacesBorrowed,
 		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -59,6 +59,14 @@
 	return c.pool(service)
 }
 
+// Known reports whether the routing table or an instance names a service.
+func (c *Catalog) Known(service string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	_, configured := c.services[service]
+	return configured || c.pools[service] != nil
+}
+
 func (c *Catalog) pool(service string) *Pool {
 	p := c.pools[service]
 	if p == nil {
--- /dev/null
+++ b/core/instances/granted.go
@@ -0,0 +1,97 @@
+package instances
+
+import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+)
+
+// This file serves services whose places a broker grants; see package places.
+
+// Slots returns the number of slots of the region's registered upstreams, and whether the
+// service has engines, whose placement depends on prompts.
+func (p *Pool) Slots() (slots int, engine bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.upstreams {
+		if u.Place.Region == p.options.Self.Region {
+			slots += u.Slots
+		}
+	}
+	return slots, p.config.Engine != nil
+}
+
+// Offer is an upstream that any node of the region may use.
+type Offer struct {
+	Instance
+	// OthersInFlight is the estimated number of requests of other nodes.
+	OthersInFlight int
+	// MaxConnections is the number of connections that the upstream accepts; zero means no limit.
+	MaxConnections int
+}
+
+// Offers returns the upstreams of the region whose places may be granted to any node. Cold and
+// limited upstreams are not among them: each node has its own share of their rate.
+func (p *Pool) Offers(now time.Time) []Offer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	meanOthers, spareSuspects := p.meanOtherRequests(now), p.sparesSuspects(now)
+	var list []Offer
+	for _, u := range p.upstreams {
+		a, _ := p.availability(now, u)
+		if a == Available || a == Suspect && !spareSuspects && !p.paced(now, u) {
+			list = append(list, Offer{Instance: u.Instance, OthersInFlight: int(u.otherRequestsAt(now, meanOthers)), MaxConnections: p.config.MaxConnections})
+		}
+	}
+	return list
+}
+
+// paced reports whether the rate of requests to an upstream is bounded.
+func (p *Pool) paced(now time.Time, u *upstream) bool {
+	_, bounded := p.ownRate(now, u)
+	return bounded
+}
+
+// sparesSuspects reports whether at least half of the upstreams that accept requests are not
+// suspect, so that the others get none.
+func (p *Pool) sparesSuspects(now time.Time) bool {
+	healthy, accepting := 0, 0
+	for _, u := range p.upstreams {
+		if p.accepts(now, u, "") {
+			accepting++
+			if !p.isSuspect(now, u) {
+				healthy++
+			}
+		}
+	}
+	return 2*healthy >= accepting
+}
+
+// Reserve reserves a slot at an upstream that a broker named. It returns nil if this node must not use
+// it. The slot may exceed this node's share of connections, as the broker bounds those of all nodes.
+func (p *Pool) Reserve(now time.Time, id domain.UpstreamID, q *Query) *Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.tickedAt.IsZero() {
+		p.tick(now)
+	}
+	u := p.find(id)
+	if u == nil || !p.usable(now, u, q.Model) || p.isSuspect(now, u) && p.sparesSuspects(now) {
+		return nil
+	}
+	c := p.candidate(now, u, q.Model, p.meanOtherRequests(now))
+	_, expected := c.FreeCapacity(p.performance())
+	t := &Ticket{Instance: u.Instance, connectedAt: now, Expected: expected, Cold: u.cold(now), pool: p, upstream: u, SentAt: now,
+		BeyondShare: u.inFlight >= p.connections(), sharedCached: true}
+	p.reserve(now, t)
+	return t
+}
+
+// RecordOutcome records the outcome of another node's request to an upstream.
+func (p *Pool) RecordOutcome(now time.Time, id domain.UpstreamID, o Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.find(id); u != nil && o != Shed {
+		p.recordOutcome(now, u, o)
+	}
+}
--- a/core/instances/instance.go
+++ b/core/instances/instance.go
@@ -65,6 +65,14 @@
 	Canceled
 )
 
+// OutcomeFromNumber returns the outcome with a number; Canceled, which is no evidence, if there is none.
+func OutcomeFromNumber(n uint32) Outcome {
+	if n > uint32(Canceled) {
+		return Canceled
+	}
+	return Outcome(n)
+}
+
 // String returns the name of the outcome as it appears in logs.
 func (o Outcome) String() string {
 	return [...]string{"answered", "server_error", "shed", "misdirected", "unreachable", "broken", "abandoned"}[o]
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -16,6 +16,8 @@
 	Model string
 	// LocalAllowed is false if the request must not run in the local region.
 	LocalAllowed bool
+	// PacedOnly is set if only upstreams may be chosen whose rate of requests is bounded.
+	PacedOnly bool
 	// OtherRegions lists the other regions in which the request may run.
 	OtherRegions []placement.RegionLoad
 }
@@ -29,6 +31,10 @@
 	// Cold is set if the upstream was cold when the slot was reserved.
 	Cold bool
 
+	// BeyondShare is set if the request needs a connection beyond this node's share. It must be
+	// closed after the answer, so that idle connections stay within the shares.
+	BeyondShare bool
+
 	// SentAt is when the slot was reserved.
 	SentAt time.Time
 
@@ -128,7 +134,7 @@
 	connections, meanOthers := p.connections(), p.meanOtherRequests(now)
 	for _, u := range p.upstreams {
 		c := p.candidate(now, u, q.Model, meanOthers)
-		c.Usable = c.Usable && u.inFlight < connections
+		c.Usable = c.Usable && u.inFlight < connections && (!q.PacedOnly || p.paced(now, u))
 		if c.Usable {
 			usable++
 			if !p.isSuspect(now, u) {
--- a/core/peers/preferred.go
+++ b/core/peers/preferred.go
@@ -51,8 +51,12 @@
 // ranking first is its share of the total capacity.
 func (m *Members) preference(to *Member) float64 {
 	sender := placement.RendezvousWeight(0, domain.UpstreamID(m.self.ID))
-	uniform := (float64(placement.RendezvousWeight(sender, domain.UpstreamID(to.ID))>>11) + 0.5) / (1 << 53)
-	capacity := to.Capacity
+	return weighted(placement.RendezvousWeight(sender, domain.UpstreamID(to.ID)), to.Capacity)
+}
+
+// weighted returns the weighted rendezvous hashing score of a hash.
+func weighted(hash uint64, capacity float64) float64 {
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
 	if capacity <= 0 {
 		capacity = defaultCapacity
 	}
--- a/core/places/broker.go
+++ b/core/places/broker.go
@@ -37,6 +37,8 @@
 	// minServiceRatio is the part of the mean time for which permits are held that a request
 	// must have left to meet its objective: many take less time than the mean.
 	minServiceRatio = 0.8
+	// maxServiceRatio bounds that time as a part of the objective.
+	maxServiceRatio = 0.5
 	// minSpareRatio is the part of the capacity that must be idle for requests to wait that
 	// can no longer meet their objective.
 	minSpareRatio = 0.1
@@ -291,11 +293,11 @@
 		delete(b.refused, w.Key)
 		w.objectiveAt = r.objectiveAt
 	}
-	w.late = w.objectiveAt.Sub(now) < b.minService()
+	w.late = w.objectiveAt.Sub(now) < b.minService(w)
 	if !w.late {
 		b.order.Arrive(now, w.Priority)
 	}
-	if w.Left < b.minService() {
+	if w.Left < b.minService(w) {
 		b.refuse(now, w, errkind.DeadlineUnreachable, 0)
 		return
 	}
@@ -318,8 +320,10 @@
 	}
 }
 
-func (b *Broker) minService() time.Duration {
-	return time.Duration(minServiceRatio * float64(b.hold))
+// minService returns the time that a request must have left when it is granted a place. Where
+// permits are held for longer than objectives, as for streams, answers begin before the end.
+func (b *Broker) minService(w *Waiter) time.Duration {
+	return time.Duration(min(minServiceRatio*float64(b.hold), maxServiceRatio*float64(w.Objective)))
 }
 
 // expectedWait returns the expected wait of a waiting request.
@@ -341,7 +345,7 @@
 	if w.Priority == 0 {
 		ratio = maxUrgentWaitRatio
 	}
-	return expected <= time.Duration(ratio*float64(w.Objective)) && expected <= w.objectiveAt.Sub(now)-b.minService()
+	return expected <= time.Duration(ratio*float64(w.Objective)) && expected <= w.objectiveAt.Sub(now)-b.minService(w)
 }
 
 // mayBeServedLate reports whether places are expected to be idle before the deadline of a
@@ -369,7 +373,7 @@
 		return false
 	}
 	u := b.choose(now, w, true)
-	if u == nil || u.trip >= expected || now.Add(u.trip+b.minService()).After(w.objectiveAt) {
+	if u == nil || u.trip >= expected || now.Add(u.trip+b.minService(w)).After(w.objectiveAt) {
 		return false
 	}
 	b.order.Remove(w)
@@ -483,9 +487,9 @@
 		switch {
 		case !usable:
 			kind = errkind.NoCapacity
-		case now.Add(b.minService()).After(w.deadlineAt):
+		case now.Add(b.minService(w)).After(w.deadlineAt):
 			kind = errkind.DeadlineUnreachable
-		case !w.late && now.Add(b.minService()).After(w.objectiveAt):
+		case !w.late && now.Add(b.minService(w)).After(w.objectiveAt):
 			b.order.Remove(w)
 			w.late = true
 			if b.mayBeServedLate(now, w) {
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -28,7 +28,9 @@
 	Budget    *sharedbounds.RetryBudget
 	// Quarantine holds back requests that crash upstreams.
 	Quarantine *quarantine.Table
-	Policy     placement.Policy
+	// Places grants the places of services with few of them; nil if there are none.
+	Places Places
+	Policy placement.Policy
 	// StatementsChanged is called when an upstream says something of itself that other nodes should
 	// know at once; it must not block.
 	StatementsChanged func()
@@ -116,6 +118,14 @@
 	crashes int
 	// ticket is the slot of the current attempt in this region; nil if it is in another.
 	ticket *instances.Ticket
+	// permit is the granted place of the current attempt; nil if the node placed it by itself.
+	permit Permit
+	// granted is set if the current attempt has or had such a place.
+	granted bool
+	// refusal is the reason why a broker refused the request.
+	refusal *errkind.Error
+	// reported is the load that the upstream of the current attempt reported.
+	reported instances.ReportedLoad
 	// events counts the events of the current attempt's answer.
 	events eventCounter
 	// bodyBytes is the number of bytes of the body that the current attempt received, and
@@ -146,8 +156,9 @@
 		}
 		a.placements++
 		a.bodyBytes, a.framing, a.events = 0, "", eventCounter{}
-		decision, ticket := a.place()
+		decision, ticket := a.choose(ctx)
 		a.decision, a.ticket = decision, ticket
+		chosenAt := a.Now()
 		var res result
 		switch decision.Choice {
 		case placement.Refuse:
@@ -166,6 +177,7 @@
 			res = a.sendRemote(ctx, decision.Region)
 		}
 		a.last = res
+		a.releasePlace(chosenAt, res)
 		if res.delivered {
 			return nil
 		}
@@ -223,8 +235,9 @@
 // budgetNodes returns the number of nodes that share the budget's slack.
 func (a *attempts) budgetNodes() int { return max(minBudgetNodes, a.Members.Count()) }
 
-// place chooses where to send the request; see package placement.
-func (a *attempts) place() (placement.Decision, *instances.Ticket) {
+// place chooses where to send the request; see package placement. pacedOnly restricts the choice to
+// upstreams of this region whose rate of requests is bounded.
+func (a *attempts) place(pacedOnly bool) (placement.Decision, *instances.Ticket) {
 	now := a.Now()
 	r := a.r
 	q := instances.Query{
@@ -236,7 +249,8 @@
 		Model:        r.Prompt.Model,
 		LocalAllowed: r.Route.Allows(a.Self.Region),
 	}
-	if !r.Relayed {
+	q.PacedOnly = pacedOnly
+	if !r.Relayed && !pacedOnly {
 		senders := a.Members.RegionSize(now)
 		q.OtherRegions = a.Regions.Loads(now, r.Service, senders, func(region domain.Region) bool {
 			return region != a.Self.Region && r.Route.Allows(region) && a.Members.HasTarget(now, region)
@@ -250,6 +264,10 @@
 	if a.placements > 1 {
 		return a.fail(ctx)
 	}
+	if a.refusal != nil {
+		a.last = result{err: a.refusal, ran: domain.RunNo}
+		return a.fail(ctx)
+	}
 	if a.decision.Silence > 0 {
 		err := errkind.New(errkind.NoCapacity, "all upstreams of service %q want no requests for at least %v", a.r.Service, a.decision.Silence)
 		a.last = result{err: err.WithRetryAfter(placement.AfterSilence(a.decision.Silence, rand.Float64())), ran: domain.RunNo}
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -45,7 +45,7 @@
 		a.Budget.RecordFirstSend(a.Now(), a.r.Service)
 	}
 	call := a.newCall()
-	call.PlacedAt = t.SentAt
+	call.PlacedAt, call.SingleUse = t.SentAt, t.BeyondShare
 	sentAt := a.Now()
 	stop := a.watchSilence(t, cancel)
 	answer, err := a.Upstreams.Send(ctx, &t.Instance, call)
@@ -58,6 +58,7 @@
 		h := answer.Head()
 		a.framing = h.Framing
 		t.ConnectedAt(h.ConnectedAt)
+		a.reported = answer.ReportedLoad()
 		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected && h.answers(a.r.ID))
 		if !h.Misdirected && h.answers(a.r.ID) { // otherwise another instance answered, or another request
 			if t.RecordReport(now, answer.ReportedLoad()) {
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -49,7 +49,7 @@
 	fields := []event.Field{
 		event.F("request", a.r.ID), event.F("route", a.r.Route.Name), event.F("service", a.r.Service),
 		event.F("table", a.r.TableVersion), event.F("choice", choiceName(a.decision.Choice)),
-		event.F("expected_ms", a.decision.Delay.Milliseconds()), event.F("usable", a.decision.Usable),
+		event.F("expected_ms", a.decision.Delay.Milliseconds()), event.F("usable", a.decision.Usable), event.F("granted", a.granted),
 		event.F("sent", a.r.SendCount), event.F("took_ms", took.Milliseconds()),
 	}
 	if a.r.Relayed {
--- a/core/relay/ports.go
+++ b/core/relay/ports.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
 )
@@ -51,6 +54,38 @@
 func (e connectionClosed) Is(target error) bool { return target == ErrConnectionClosed }
 func (e connectionClosed) Unwrap() error        { return e.error }
 
+// Place is a place at an upstream that a broker granted; see package places.
+type Place struct {
+	Instance domain.UpstreamID
+	// Started is the start of the upstream's process.
+	Started int64
+	Region  domain.Region
+}
+
+// PlaceReport is what became of a place.
+type PlaceReport struct {
+	// Used is the time for which it was used.
+	Used    time.Duration
+	Outcome instances.Outcome
+	// Load is the load that the upstream reported; zero if it reported none.
+	Load instances.ReportedLoad
+}
+
+// Permit is a granted place.
+type Permit interface {
+	Place() Place
+	// Release returns the place; it must be called once.
+	Release(PlaceReport)
+}
+
+// Places grants the places of services with few of them.
+type Places interface {
+	// Acquire waits for a place. Without a permit and an error the node places the request by
+	// itself. An error means that the request is to be refused. objectiveFrom is when the time
+	// that counts against the objective begins.
+	Acquire(ctx context.Context, r *Request, objectiveFrom time.Time, excluded []domain.UpstreamID) (Permit, *errkind.Error)
+}
+
 // Nodes sends requests to nodes of other regions.
 type Nodes interface {
 	// Relay returns when the head of the answer has arrived. Errors are of package
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -62,6 +62,9 @@
 	Relayed bool
 	// From is the node that relayed it.
 	From domain.NodeID
+	// Place is the place that a broker granted for the next attempt in another region: set by the
+	// node that relays the request, and used by the one that receives it.
+	Place *Place
 	// SendCount is the number of upstreams to which the request was sent, including those of
 	// other nodes.
 	SendCount int
@@ -79,6 +82,8 @@
 	ResumeAfter string
 	// PlacedAt is when the upstream was chosen; zero if that is not known.
 	PlacedAt time.Time
+	// SingleUse is set if the connection must be closed after the answer.
+	SingleUse bool
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
 	// Priority is the request's priority at model engines; 0 is the highest.
