Refuse requests of which it is certain that they reached no upstream

Requests whose time ended while the connection to their upstream was being established were reported as 504, which promises nothing, and so were those for which no stream to another node could be opened. A failure whose verdict is not run keeps that promise in its status too, whatever its kind.

--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -232,8 +232,15 @@
 		return nil, errkind.New(errkind.PeerUnreachable, "connection to node %s is in state %v", target.ID, s)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stream, err := meshpb.NewMeshClient(connection).Relay(ctx, requestToWire(c.self, call, c.now()))
+	// The node runs nothing before it has received the message, which a stream that was not
+	// established has not carried.
+	clientStream, err := connection.NewStream(ctx, &meshpb.Mesh_ServiceDesc.Streams[0], meshpb.Mesh_Relay_FullMethodName)
 	if err != nil {
+		cancel()
+		return nil, errkind.New(errkind.PeerUnreachable, "no stream to node %s: %w", target.ID, err)
+	}
+	stream := &grpc.GenericClientStream[meshpb.RelayRequest, meshpb.RelayFrame]{ClientStream: clientStream}
+	if err := sendOnly(clientStream, requestToWire(c.self, call, c.now())); err != nil {
 		cancel()
 		return nil, streamError(target, err)
 	}
@@ -256,6 +263,14 @@
 	}}, nil
 }
 
+// sendOnly sends the only message of a stream.
+func sendOnly(stream grpc.ClientStream, message any) error {
+	if err := stream.SendMsg(message); err != nil {
+		return err
+	}
+	return stream.CloseSend()
+}
+
 // streamError returns the error for a failed relay to a node.
 func streamError(target *peers.Member, err error) error {
 	if status.Code(err) == codes.Unimplemented {
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -96,7 +96,7 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		unreachable := connectedAt.Load() == nil && ctx.Err() == nil
+		unreachable := connectedAt.Load() == nil // also if the request's time ended before
 		cancel()
 		if unreachable && errors.Is(err, relay.ErrOutdated) {
 			return nil, err
--- a/core/relay/attempts_test.go
+++ b/core/relay/attempts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,6 +163,121 @@
 	}
 }
 
+// TestRequestThatWasNeverSentIsRefused guards against answers of 502 or 504, which promise nothing, to
+// requests of which it is certain that they reached no upstream.
+func TestRequestThatWasNeverSentIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		local int
+		reply reply
+	}{
+		"deadline before the connection": {1, reply{err: errkind.New(errkind.PeerUnreachable, "connect"), delay: 310 * time.Millisecond}},
+		"no stream to the other node":    {0, reply{err: errkind.New(errkind.PeerUnreachable, "no stream"), delay: 310 * time.Millisecond}},
+		"the other node did not send it": {0, reply{err: &relay.RemoteError{Failure: errkind.New(errkind.UpstreamFailed, "x").WithRun(domain.RunNo)}}},
+	} {
+		r := newFixture(t, c.local)
+		if c.local == 0 {
+			r.addEastNode()
+		}
+		r.upstreams.replies, r.nodes.replies = []reply{c.reply}, []reply{c.reply}
+		req := newRequest(routes.AtMostOnce, 1)
+		req.Deadline = req.Arrived.Add(300 * time.Millisecond)
+		f := r.Serve(context.Background(), req, &recordingSink{})
+		if f == nil || errkind.Lookup(f.Kind).Status != 503 || f.Verdict() != domain.RunNo || f.RetryDelay() <= 0 {
+			t.Errorf("%s: got %+v, want a refusal with a retry delay", name, f)
+		}
+		if len(r.upstreams.calls)+len(r.nodes.calls) != 1 {
+			t.Errorf("%s: got attempts at %v and %v, want one", name, r.upstreams.to, r.nodes.to)
+		}
+	}
+}
+
+// fakePlaces grants places in order and records what became of them.
+type fakePlaces struct {
+	grants   []relay.Place
+	refusal  *errkind.Error
+	excluded [][]domain.UpstreamID
+	reports  []relay.PlaceReport
+}
+
+type fakePermit struct {
+	p     *fakePlaces
+	place relay.Place
+}
+
+func (f *fakePermit) Place() relay.Place          { return f.place }
+func (f *fakePermit) Release(r relay.PlaceReport) { f.p.reports = append(f.p.reports, r) }
+
+func (p *fakePlaces) Acquire(_ context.Context, _ *relay.Request, _ time.Time, excluded []domain.UpstreamID) (relay.Permit, *errkind.Error) {
+	p.excluded = append(p.excluded, excluded)
+	if len(p.grants) == 0 {
+		return nil, p.refusal
+	}
+	place := p.grants[0]
+	p.grants = p.grants[1:]
+	return &fakePermit{p, place}, nil
+}
+
+// TestAttemptsUseGrantedPlaces guards against places that are not returned, and against attempts
+// elsewhere than at the place that was granted.
+func TestAttemptsUseGrantedPlaces(t *testing.T) {
+	u1, u2, east := relay.Place{Instance: "u1", Region: "west"}, relay.Place{Instance: "u2", Region: "west"}, relay.Place{Instance: "v", Region: "east"}
+	unknown := relay.Place{Instance: "u9", Region: "west"}
+	refusal := errkind.New(errkind.Overloaded, "full").WithRetryAfter(time.Second)
+	shed := reply{head: relay.Head{Status: 503, NotRun: true, RequestID: "r1"}}
+	for name, c := range map[string]struct {
+		places   fakePlaces
+		replies  []reply
+		remote   bool
+		sentTo   string
+		outcomes []instances.Outcome
+		refused  bool
+	}{
+		"place of the region":            {places: fakePlaces{grants: []relay.Place{u2}}, replies: []reply{success}, sentTo: "u2", outcomes: []instances.Outcome{instances.Answered}},
+		"place that the node cannot use": {places: fakePlaces{grants: []relay.Place{unknown, u1}}, replies: []reply{success}, sentTo: "u1", outcomes: []instances.Outcome{instances.Canceled, instances.Answered}},
+		"rejected by the upstream":       {places: fakePlaces{grants: []relay.Place{u1, u2}}, replies: []reply{shed, success}, sentTo: "u2", outcomes: []instances.Outcome{instances.Shed, instances.Answered}},
+		"place of another region":        {places: fakePlaces{grants: []relay.Place{east}}, replies: []reply{success}, remote: true, sentTo: "e1", outcomes: []instances.Outcome{instances.Answered}},
+		"refused by the broker":          {places: fakePlaces{refusal: refusal}, refused: true},
+	} {
+		r := newFixture(t, 2)
+		r.addEastNode()
+		r.Places = &c.places
+		target := r.upstreams
+		if c.remote {
+			target = r.nodes
+		}
+		target.replies = c.replies
+		f := r.Serve(context.Background(), newRequest(routes.AtMostOnce, 2), &recordingSink{})
+		switch {
+		case c.refused && (f == nil || f.Kind != errkind.Overloaded || f.RetryDelay() != time.Second || len(r.upstreams.calls)+len(r.nodes.calls) > 0):
+			t.Errorf("%s: got %+v, want the broker's refusal", name, f)
+		case !c.refused && (f != nil || target.to[len(target.to)-1] != c.sentTo):
+			t.Errorf("%s: got failure %+v and attempts at %v, want an answer of %s", name, f, target.to, c.sentTo)
+		}
+		var outcomes []instances.Outcome
+		for _, report := range c.places.reports {
+			outcomes = append(outcomes, report.Outcome)
+		}
+		if !slices.Equal(outcomes, c.outcomes) {
+			t.Errorf("%s: got places returned with outcomes %v, want %v", name, outcomes, c.outcomes)
+		}
+		if n := len(c.places.excluded); n > 1 && len(c.places.excluded[n-1]) != n-1 {
+			t.Errorf("%s: the last place was asked for without %v, want without those used before", name, c.places.excluded[n-1])
+		}
+	}
+}
+
+// TestGrantedPlaceIsHonoured: the node of the other region runs the request there without asking again.
+func TestGrantedPlaceIsHonoured(t *testing.T) {
+	r := newFixture(t, 3)
+	r.Places = &fakePlaces{refusal: errkind.New(errkind.Overloaded, "full")}
+	r.upstreams.replies = []reply{success}
+	req := newRequest(routes.AtMostOnce, 1)
+	req.Relayed, req.Place = true, &relay.Place{Instance: "u3", Region: "west"}
+	if f := r.Serve(context.Background(), req, &recordingSink{}); f != nil || r.upstreams.to[0] != "u3" {
+		t.Errorf("got failure %+v and attempts at %v, want an answer of u3", f, r.upstreams.to)
+	}
+}
+
 func TestCanceledRequestIsNotRetried(t *testing.T) {
 	r := newFixture(t, 2)
 	r.upstreams.replies = []reply{{hang: true}, success}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -311,7 +311,16 @@
 	case !a.mayHaveRun && err.Verdict() == domain.RunNo && err.RetryAfter == 0 && !refusedAsHeld(err):
 		err = a.withRetryAfter(err)
 	}
-	return &Failure{Error: err, Broken: a.delivery.started}
+	return &Failure{Error: notRunError(err), Broken: a.delivery.started}
+}
+
+// notRunError returns an error of a kind whose status promises that the request has not run, if that is
+// certain.
+func notRunError(err *errkind.Error) *errkind.Error {
+	if err.Verdict() == domain.RunNo && errkind.Lookup(err.Kind).Run != domain.RunNo {
+		return errkind.New(errkind.NoCapacity, "not run: %w", err).WithRetryAfter(err.RetryDelay())
+	}
+	return err
 }
 
 // deliverErrorAnswer delivers the upstream's own error answer.
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -131,6 +131,9 @@
 	switch {
 	case errors.Is(err, ErrOutdated):
 		return result{err: errkind.New(errkind.NoCapacity, "not sent: %w", err), ran: domain.RunNo, upstreamOutcome: instances.Canceled}
+	case kind.Kind == errkind.PeerUnreachable && ctx.Err() != nil: // the connection may have been established later
+		canceled := errors.Is(context.Cause(ctx), context.Canceled)
+		return result{err: errkind.New(errkind.NoCapacity, "upstream not reached in time: %w", err), ran: domain.RunNo, upstreamOutcome: instances.Canceled, callerDisconnected: canceled}
 	case kind.Kind == errkind.PeerUnreachable:
 		return failedResult(errkind.NoCapacity, domain.RunNo, instances.Unreachable, "upstream not reached: %w", err)
 	case errors.Is(context.Cause(ctx), errSilent):
