--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -45,7 +45,7 @@
 		a.Budget.RecordFirstSend(a.Now(), a.r.Service)
 	}
 	call := a.newCall()
-	call.PlacedAt = t.SentAt
+	call.PlacedAt, call.SingleUse = t.SentAt, t.BeyondShare
 	sentAt := a.Now()
 	stop := a.watchSilence(t, cancel)
 	answer, err := a.Upstreams.Send(ctx, &t.Instance, call)
@@ -58,6 +58,7 @@
 		h := answer.Head()
 		a.framing = h.Framing
 		t.ConnectedAt(h.ConnectedAt)
+		a.reported = answer.ReportedLoad()
 		t.FirstByte(now, answer.ReportedLoad(), !h.NotRun && !h.Misdirected && h.answers(a.r.ID))
 		if !h.Misdirected && h.answers(a.r.ID) { // otherwise another instance answered, or another request
 			if t.RecordReport(now, answer.ReportedLoad()) {
@@ -130,6 +131,9 @@
 	switch {
 	case errors.Is(err, ErrOutdated):
 		return result{err: errkind.New(errkind.NoCapacity, "not sent: %w", err), ran: domain.RunNo, upstreamOutcome: instances.Canceled}
+	case kind.Kind == errkind.PeerUnreachable && ctx.Err() != nil: // the connection may have been established later
+		canceled := errors.Is(context.Cause(ctx), context.Canceled)
+		return result{err: errkind.New(errkind.NoCapacity, "upstream not reached in time: %w", err), ran: domain.RunNo, upstreamOutcome: instances.Canceled, callerDisconnected: canceled}
 	case kind.Kind == errkind.PeerUnreachable:
 		return failedResult(errkind.NoCapacity, domain.RunNo, instances.Unreachable, "upstream not reached: %w", err)
 	case errors.Is(context.Cause(ctx), errSilent):
