--- a/adapters/edgenode/placebroker.go
+++ b/adapters/edgenode/placebroker.go
@@ -46,8 +46,7 @@
 
 // brokered reports whether the places of a service are granted by a broker in this region.
 func (n *Node) brokered(now time.Time, service string) bool {
-	slots, engine := n.catalog.Pool(service).Slots()
-	return !engine && slots > 0 && float64(slots) < maxPlacesPerNode*float64(n.members.RegionSize(now))
+	return n.catalog.Pool(service).HasFewerSlots(func() float64 { return maxPlacesPerNode * float64(n.members.RegionSize(now)) })
 }
 
 // placeBroker returns this node's broker of a service.
--- a/core/instances/granted.go
+++ b/core/instances/granted.go
@@ -8,17 +8,24 @@
 
 // This file serves services whose places a broker grants; see package places.
 
-// Slots returns the number of slots of the region's registered upstreams, and whether the
-// service has engines, whose placement depends on prompts.
-func (p *Pool) Slots() (slots int, engine bool) {
+// HasFewerSlots reports whether the region's registered upstreams have fewer slots than limit returns,
+// but some. It is false for services with engines, whose placement depends on prompts; limit is not
+// called for these.
+func (p *Pool) HasFewerSlots(limit func() float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.config.Engine != nil {
+		return false
+	}
+	slots, most := 0, limit()
 	for _, u := range p.upstreams {
 		if u.Place.Region == p.options.Self.Region {
-			slots += u.Slots
+			if slots += u.Slots; float64(slots) >= most {
+				return false
+			}
 		}
 	}
-	return slots, p.config.Engine != nil
+	return slots > 0
 }
 
 // Offer is an upstream that any node of the region may use.
