Bound idle connections after granted places and follow demand faster

Idle connections of many nodes could exceed what a small service's upstreams accept: nodes now close a connection after a granted place if their share of half of the upstream's connections is used up. An upstream that one node cannot reach is no longer suspect at the broker at once.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -116,7 +116,7 @@
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.CPUCores,
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
-	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, SendNotice: n.enqueueNotice})
+	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, IdleConnectionShare: n.idleConnectionShare, SendNotice: n.enqueueNotice})
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.era = newStoreEra(log, n.state.markRestored)
@@ -171,6 +171,16 @@
 	return max(minConnections, int((1-connectionReserve)*float64(total)/float64(nodes)))
 }
 
+// idleConnectionRatio is the part of an upstream's connections that nodes may keep open after requests
+// with granted places. The other part is left to the requests in flight.
+const idleConnectionRatio = 0.5
+
+// idleConnectionShare returns this node's share of that part; zero if there are too many nodes for one
+// each.
+func (n *Node) idleConnectionShare(total int) int {
+	return int(idleConnectionRatio * float64(total) / float64(n.members.RegionSize(time.Now())))
+}
+
 // inFlight returns the number of requests in flight, from callers and other nodes.
 func (n *Node) inFlight() int64 { return n.handler.InFlight() + n.relayed.Load() }
 
--- a/core/instances/granted.go
+++ b/core/instances/granted.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -89,16 +90,31 @@
 	c := p.candidate(now, u, q.Model, p.meanOtherRequests(now))
 	_, expected := c.FreeCapacity(p.performance())
 	t := &Ticket{Instance: u.Instance, connectedAt: now, Expected: expected, Cold: u.cold(now), pool: p, upstream: u, SentAt: now,
-		BeyondShare: u.inFlight >= p.connections(), sharedCached: true}
+		BeyondShare: u.inFlight >= p.idleConnections(), sharedCached: true}
 	p.reserve(now, t)
 	return t
 }
 
-// RecordOutcome records the outcome of another node's request to an upstream.
+// idleConnections returns how many connections to one upstream this node may keep open after
+// requests with granted places.
+func (p *Pool) idleConnections() int {
+	if p.config.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return p.options.IdleConnectionShare(p.config.MaxConnections)
+}
+
+// RecordOutcome records the outcome of another node's request to an upstream. An upstream that one node
+// cannot reach is not suspect at once, as others may reach it.
 func (p *Pool) RecordOutcome(now time.Time, id domain.UpstreamID, o Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u := p.find(id); u != nil && o != Shed {
-		p.recordOutcome(now, u, o)
+	u := p.find(id)
+	if u == nil || o == Shed {
+		return
+	}
+	if o == Unreachable {
+		o = Broken
 	}
+	p.recordOutcome(now, u, o)
 }
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -26,6 +26,9 @@
 	// ConnectionShare returns how many of an upstream's maximum connections this
 	// node may use.
 	ConnectionShare func(all int) int
+	// IdleConnectionShare returns how many of an upstream's maximum connections this node may
+	// keep open after requests whose places a broker granted; zero lets it close each of them.
+	IdleConnectionShare func(all int) int
 	// SendNotice sends a notice to the other nodes of the region; it must not block.
 	// If it is nil, no notices are sent.
 	SendNotice func(Notice)
@@ -66,5 +69,8 @@
 	if o.ConnectionShare == nil {
 		o.ConnectionShare = func(all int) int { return all }
 	}
+	if o.IdleConnectionShare == nil {
+		o.IdleConnectionShare = func(all int) int { return all }
+	}
 	return o
 }
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -31,8 +31,9 @@
 	// Cold is set if the upstream was cold when the slot was reserved.
 	Cold bool
 
-	// BeyondShare is set if the request needs a connection beyond this node's share. It must be
-	// closed after the answer, so that idle connections stay within the shares.
+	// BeyondShare is set if the request needs a connection beyond those that this node may keep
+	// open. It must be closed after the answer: many nodes have a place at an upstream in turn, and
+	// their idle connections together could exceed what it accepts.
 	BeyondShare bool
 
 	// SentAt is when the slot was reserved.
--- a/core/places/broker.go
+++ b/core/places/broker.go
@@ -53,8 +53,8 @@
 	// minLoanLeft is the remaining time below which a borrowed place is not used.
 	minLoanLeft = 50 * time.Millisecond
 	// maxPermitsPerPlace bounds the permits for one lent place, because slot times are
-	// estimates.
-	maxPermitsPerPlace = 4
+	// estimates: a place of 15 ms needs eight over a round trip of 110 ms.
+	maxPermitsPerPlace = 10
 	// usualLoad is the part of the capacity beyond which places are borrowed, loanMargin the
 	// factor by which more are borrowed than the excess needs on average.
 	usualLoad  = 0.85
--- a/core/places/loans.go
+++ b/core/places/loans.go
@@ -18,7 +18,7 @@
 // included; trip is the round trip to them.
 func (b *Broker) Wanted(now time.Time, trip time.Duration) int {
 	capacity := b.capacity()
-	excess := b.order.Rate(now, math.MaxInt) - usualLoad*capacity
+	excess := max(b.order.Rate(now, math.MaxInt), b.order.RecentRate(now)) - usualLoad*capacity
 	inTime, _ := b.order.Len()
 	backlog := float64(inTime) - capacity*trip.Seconds()
 	if excess <= 0 && backlog <= 0 {
--- a/core/places/order.go
+++ b/core/places/order.go
@@ -1,6 +1,7 @@
 package places
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -15,6 +16,9 @@
 	maxCredit = 2.0
 	// rateWindow is the time constant of arrival rates. Peaks build up within seconds.
 	rateWindow = 400 * time.Millisecond
+	// recentWindow is the time constant of the rate that loans follow: what arrives before a
+	// loan is refused.
+	recentWindow = 100 * time.Millisecond
 )
 
 // Order is the order of waiting: higher priority first, but each priority gets at least
@@ -28,6 +32,7 @@
 type Order struct {
 	waiting []*Waiter
 	classes []*class
+	recent  rate
 	late    int
 }
 
@@ -43,22 +48,25 @@
 	turns map[string]float64
 }
 
-// rate is an exponentially weighted rate of events.
+// rate is an exponentially weighted rate of events; its window is rateWindow if it is zero.
 type rate struct {
+	window time.Duration
 	weight float64
 	at     time.Time
 }
 
+func (r *rate) timeConstant() time.Duration { return cmp.Or(r.window, rateWindow) }
+
 func (r *rate) add(now time.Time) {
 	r.weight = r.decayed(now) + 1
 	r.at = now
 }
 
 func (r *rate) decayed(now time.Time) float64 {
-	return r.weight * math.Exp(-float64(max(0, now.Sub(r.at)))/float64(rateWindow))
+	return r.weight * math.Exp(-float64(max(0, now.Sub(r.at)))/float64(r.timeConstant()))
 }
 
-func (r *rate) perSecond(now time.Time) float64 { return r.decayed(now) / rateWindow.Seconds() }
+func (r *rate) perSecond(now time.Time) float64 { return r.decayed(now) / r.timeConstant().Seconds() }
 
 func (o *Order) class(priority int) *class {
 	i, found := slices.BinarySearchFunc(o.classes, priority, func(c *class, p int) int { return c.priority - p })
@@ -69,7 +77,14 @@
 }
 
 // Arrive records the arrival of a request, whether it waits or not.
-func (o *Order) Arrive(now time.Time, priority int) { o.class(priority).arrivals.add(now) }
+func (o *Order) Arrive(now time.Time, priority int) {
+	o.class(priority).arrivals.add(now)
+	o.recent.window = recentWindow
+	o.recent.add(now)
+}
+
+// RecentRate returns the arrivals per second of the last tenth of a second.
+func (o *Order) RecentRate(now time.Time) float64 { return o.recent.perSecond(now) }
 
 // Rate returns the arrivals per second at a priority and all higher ones.
 func (o *Order) Rate(now time.Time, priority int) float64 {
