--- a/adapters/mesh/places_test.go
+++ b/adapters/mesh/places_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"reflect"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 	return n, err
 }
 
-func startBroker(t *testing.T, b *fakeBroker) (c *Client, address string, bytes *atomic.Int64) {
+func startBroker(t testing.TB, b *fakeBroker) (c *Client, address string, bytes *atomic.Int64) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -125,3 +126,29 @@
 		t.Errorf("got %.0f bytes sent a second and node, want at most %.0f", got, budget)
 	}
 }
+
+// BenchmarkPlace measures a request for a place and its return over a connection, with the CPU time of both
+// ends together.
+func BenchmarkPlace(b *testing.B) {
+	broker := &fakeBroker{decision: places.Decision{ID: 1 << 60, Upstream: places.Upstream{ID: "small-west-a-1", Started: 1796550000, Place: domain.Place{Region: "west"}}}}
+	c, address, _ := startBroker(b, broker)
+	r := places.Request{Priority: 1, Objective: 500 * time.Millisecond, ObjectiveLeft: 480 * time.Millisecond, Left: 4 * time.Second, Key: 1 << 60}
+	cpu := func() time.Duration {
+		var u syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+			b.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	before := cpu()
+	for b.Loop() {
+		if _, err := c.AcquirePlace(context.Background(), address, "small", r); err != nil {
+			b.Fatal(err)
+		}
+		if err := c.ReleasePlaces(context.Background(), address, []PlaceRelease{{"small", "small-west-a-1", places.Release{ID: 1 << 60}}}); err != nil {
+			b.Fatal(err)
+		}
+		broker.released = broker.released[:0]
+	}
+	b.ReportMetric(float64((cpu()-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
