--- a/core/instances/granted.go
+++ b/core/instances/granted.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -9,17 +10,24 @@
 
 // This file serves services whose places a broker grants; see package places.
 
-// Slots returns the number of slots of the region's registered upstreams, and whether the
-// service has engines, whose placement depends on prompts.
-func (p *Pool) Slots() (slots int, engine bool) {
+// HasFewerSlots reports whether the region's registered upstreams have fewer slots than limit returns,
+// but some. It is false for services with engines, whose placement depends on prompts; limit is not
+// called for these.
+func (p *Pool) HasFewerSlots(limit func() float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.config.Engine != nil {
+		return false
+	}
+	slots, most := 0, limit()
 	for _, u := range p.upstreams {
 		if u.Place.Region == p.options.Self.Region {
-			slots += u.Slots
+			if slots += u.Slots; float64(slots) >= most {
+				return false
+			}
 		}
 	}
-	return slots, p.config.Engine != nil
+	return slots > 0
 }
 
 // Offer is an upstream that any node of the region may use.
@@ -84,18 +92,33 @@
 	p.fillCandidate(now, &c, u, q.Model, p.meanOtherRequests(now))
 	_, expected := c.FreeCapacity(p.performance())
 	t := &Ticket{Instance: u.Instance, connectedAt: now, Expected: expected, Cold: u.cold(now), pool: p, upstream: u, SentAt: now,
-		BeyondShare: u.inFlight >= p.connections(), sharedCached: true, priority: clampPriority(q.Priority)}
+		BeyondShare: u.inFlight >= p.idleConnections(), sharedCached: true, priority: clampPriority(q.Priority)}
 	t.expectedSlowdown = u.slowdown.at(now)
 	t.slowdown = t.expectedSlowdown
 	p.reserve(now, t)
 	return t
 }
 
-// RecordOutcome records the outcome of another node's request to an upstream.
+// idleConnections returns how many connections to one upstream this node may keep open after
+// requests with granted places.
+func (p *Pool) idleConnections() int {
+	if p.config.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return p.options.IdleConnectionShare(p.config.MaxConnections)
+}
+
+// RecordOutcome records the outcome of another node's request to an upstream. An upstream that one node
+// cannot reach is not suspect at once, as others may reach it.
 func (p *Pool) RecordOutcome(now time.Time, id domain.UpstreamID, o Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u := p.find(id); u != nil && o != Shed {
-		p.recordOutcome(now, u, o)
+	u := p.find(id)
+	if u == nil || o == Shed {
+		return
+	}
+	if o == Unreachable {
+		o = Broken
 	}
+	p.recordOutcome(now, u, o)
 }
