Admit requests to engines by the memory that they need

Engines preempt running requests when prompts and outputs exceed their memory, and nodes counted slots only. Each node now reserves a request's prompt and most output until its end, learns of other nodes' reservations from notices, counts shared parts once, and holds, relays or refuses what does not fit. Where requests differ in urgency, engines that may be full cost the expected loss of a preempted one.

--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -275,8 +275,12 @@
 func noticesToWire(notices []instances.Notice) []*meshpb.PromptNotice {
 	wire := make([]*meshpb.PromptNotice, 0, len(notices))
 	for _, n := range notices {
-		wire = append(wire, &meshpb.PromptNotice{Service: n.Service, Instance: string(n.Instance), Tokens: uint32(n.Tokens), Shared: n.Shared,
-			SlowdownPercent: slowdownToWire(n.Slowdown)})
+		w := &meshpb.PromptNotice{Service: n.Service, Instance: string(n.Instance), Tokens: uint32(n.Tokens), Shared: n.Shared,
+			SlowdownPercent: slowdownToWire(n.Slowdown), ReservedTokens: uint32(n.ReservedTokens), DurationMs: uint32(n.Duration.Milliseconds())}
+		for _, p := range n.Parts {
+			w.Parts = append(w.Parts, &meshpb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
+		}
+		wire = append(wire, w)
 	}
 	return wire
 }
@@ -284,10 +288,15 @@
 func noticesFromWire(wire []*meshpb.PromptNotice) []instances.Notice {
 	notices := make([]instances.Notice, 0, len(wire))
 	for _, n := range wire {
-		notices = append(notices, instances.Notice{
+		notice := instances.Notice{
 			Service: n.GetService(), Instance: domain.UpstreamID(n.GetInstance()), Tokens: int(n.GetTokens()), Shared: n.GetShared(),
-			Slowdown: float64(n.GetSlowdownPercent()) / percent,
-		})
+			Slowdown: float64(n.GetSlowdownPercent()) / percent, ReservedTokens: int(n.GetReservedTokens()),
+			Duration: time.Duration(n.GetDurationMs()) * time.Millisecond,
+		}
+		for _, p := range n.GetParts() {
+			notice.Parts = append(notice.Parts, placement.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
+		}
+		notices = append(notices, notice)
 	}
 	return notices
 }
--- /dev/null
+++ b/core/instances/enginesim_test.go
@@ -0,0 +1,561 @@
+package instances_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/routes"
+)
+
+// Rules of the simulated engines. A step prefills at most a chunk and generates one token of each
+// stream; events have engineStride tokens.
+const (
+	engineStep   = 6 * time.Millisecond
+	engineChunk  = 4096
+	engineStride = 8
+	engineRate   = 75 // prompt tokens per millisecond
+	// rereadWindow is the time since the last use of a part within which reading it again counts.
+	rereadWindow = 10 * time.Second
+)
+
+// memoryRequest is a request to a simulated engine.
+type memoryRequest struct {
+	kind          *requestKind
+	arrived       time.Time
+	parts         []placement.Part // the last one is not shared
+	prompt        int
+	output        int
+	done          func(now time.Time)
+	firstByte     func(now time.Time)
+	toPrefill     int
+	emitted       int
+	startedAt     time.Time
+	firstAt       time.Time
+	lastEventAt   time.Time
+	maxGap        time.Duration
+	preempted     int
+	privateTokens int
+	hidden        []placement.Part // the parts as the nodes see them
+}
+
+type cachedPart struct {
+	tokens, pins int
+	filled       bool
+	usedAt       time.Time
+	order        int // position in its prompt: later parts are evicted first
+}
+
+// memoryEngine is an engine whose memory is shared by running requests and cached parts. If it runs
+// out, the least recently used parts are evicted, then the newest of the least urgent running requests
+// is preempted.
+type memoryEngine struct {
+	sim          *memorySim
+	slots        int
+	memory, used int
+	running      []*memoryRequest // in order of their start
+	waiting      []*memoryRequest // by priority, then in order of arrival
+	cache        map[uint64]*cachedPart
+	stepping     bool
+	preemptions  int
+}
+
+func (e *memoryEngine) load() int { return len(e.running) + len(e.waiting) }
+
+func (e *memoryEngine) enqueue(now time.Time, r *memoryRequest, first bool) {
+	at := len(e.waiting)
+	for i, w := range e.waiting {
+		if w.kind.priority > r.kind.priority || first && w.kind.priority == r.kind.priority {
+			at = i
+			break
+		}
+	}
+	e.waiting = slices.Insert(e.waiting, at, r)
+	e.step(now)
+}
+
+// heldTokens returns the number of leading tokens of the prompt that are in memory and prefilled.
+func (e *memoryEngine) heldTokens(r *memoryRequest) int {
+	held := 0
+	for _, p := range r.parts {
+		c := e.cache[p.ID]
+		if c == nil || !c.filled {
+			break
+		}
+		held += p.Tokens
+	}
+	return held
+}
+
+// reclaim evicts unused parts until the given number of tokens is free; false if it cannot.
+func (e *memoryEngine) reclaim(tokens int) bool {
+	for e.memory-e.used < tokens {
+		var oldest uint64
+		var found *cachedPart
+		for id, c := range e.cache {
+			if c.pins > 0 {
+				continue
+			}
+			if found == nil || c.usedAt.Before(found.usedAt) || c.usedAt.Equal(found.usedAt) && (c.order > found.order || c.order == found.order && id < oldest) {
+				oldest, found = id, c
+			}
+		}
+		if found == nil {
+			return false
+		}
+		e.used -= found.tokens
+		delete(e.cache, oldest)
+	}
+	return true
+}
+
+func (e *memoryEngine) startRequest(now time.Time, r *memoryRequest) bool {
+	held := e.heldTokens(r)
+	need := r.emitted
+	for _, p := range r.parts {
+		c := e.cache[p.ID]
+		if c == nil {
+			need += p.Tokens
+		} else {
+			c.pins++
+		}
+	}
+	fits := e.reclaim(need)
+	for _, p := range r.parts {
+		if c := e.cache[p.ID]; c != nil {
+			c.pins--
+		}
+	}
+	if !fits {
+		return false
+	}
+	for i, p := range r.parts {
+		c := e.cache[p.ID]
+		if c == nil {
+			c = &cachedPart{tokens: p.Tokens, order: i}
+			e.cache[p.ID] = c
+		}
+		c.pins++
+		c.usedAt = now
+		e.sim.use(now, p, held > 0 && c.filled)
+		held -= p.Tokens
+	}
+	e.used += need
+	r.privateTokens = r.emitted
+	r.toPrefill = r.prompt + r.emitted - e.heldTokens(r)
+	r.startedAt = now
+	e.running = append(e.running, r)
+	return true
+}
+
+func (e *memoryEngine) release(now time.Time, r *memoryRequest, keep bool) {
+	for i, p := range r.parts {
+		c := e.cache[p.ID]
+		c.pins--
+		c.usedAt = now
+		if c.pins == 0 && (!c.filled || !keep && i == len(r.parts)-1) {
+			e.used -= c.tokens
+			delete(e.cache, p.ID)
+		}
+	}
+	e.used -= r.privateTokens
+	e.running = slices.DeleteFunc(e.running, func(o *memoryRequest) bool { return o == r })
+}
+
+// preempt preempts the newest of the least urgent running requests that are less urgent than
+// priority; false if there is none.
+func (e *memoryEngine) preempt(now time.Time, priority int) bool {
+	var victim *memoryRequest
+	for _, r := range e.running {
+		if r.kind.priority > priority && (victim == nil || r.kind.priority >= victim.kind.priority) {
+			victim = r
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	e.preemptions++
+	victim.preempted++
+	e.release(now, victim, false)
+	at := 0
+	for at < len(e.waiting) && e.waiting[at].kind.priority < victim.kind.priority {
+		at++
+	}
+	e.waiting = slices.Insert(e.waiting, at, victim)
+	return true
+}
+
+func (e *memoryEngine) admit(now time.Time) {
+	for len(e.waiting) > 0 {
+		r := e.waiting[0]
+		if len(e.running) >= e.slots && !e.preempt(now, r.kind.priority) {
+			return
+		}
+		e.waiting = slices.DeleteFunc(e.waiting, func(o *memoryRequest) bool { return o == r })
+		if !e.startRequest(now, r) {
+			e.waiting = slices.Insert(e.waiting, 0, r)
+			return
+		}
+	}
+}
+
+// step starts a step unless one is being made.
+func (e *memoryEngine) step(now time.Time) {
+	if e.stepping {
+		return
+	}
+	e.admit(now)
+	if len(e.running) == 0 {
+		return
+	}
+	e.stepping = true
+	budget := engineChunk
+	var filled, decoding []*memoryRequest
+	for _, r := range e.running {
+		if r.toPrefill > 0 {
+			n := min(budget, r.toPrefill)
+			r.toPrefill -= n
+			budget -= n
+			if r.toPrefill > 0 || n == 0 {
+				continue
+			}
+			filled = append(filled, r)
+		}
+		decoding = append(decoding, r)
+	}
+	took := max(engineStep, time.Duration(float64(engineChunk-budget)/engineRate*1e6))
+	e.sim.schedule(now.Add(took), func(now time.Time) {
+		for _, r := range filled {
+			for _, p := range r.parts {
+				if c := e.cache[p.ID]; c != nil {
+					c.filled = true
+				}
+			}
+		}
+		for _, r := range decoding {
+			if !slices.Contains(e.running, r) {
+				continue // preempted for another one's memory
+			}
+			for !e.reclaim(1) && e.preempt(now, -1) {
+				continue
+			}
+			if !slices.Contains(e.running, r) {
+				continue
+			}
+			r.emitted++
+			r.privateTokens++
+			e.used++
+			e.sim.emit(now, e, r)
+		}
+		e.stepping = false
+		e.step(now)
+	})
+}
+
+// requestKind is a kind of request with its own objective.
+type requestKind struct {
+	name      string
+	priority  int
+	objective time.Duration
+	gapAim    time.Duration
+	perSecond float64
+	// next returns the parts and the output of a request.
+	next func(rng *rand.Rand, at time.Duration) ([]placement.Part, int)
+	// results
+	total, inTime, late, refused, pauses int
+	largeTotal, largeInTime              int
+	cost                                 time.Duration
+}
+
+// memoryLoad is a load on engines of one region.
+type memoryLoad struct {
+	nodes, engines, slots, capacity int
+	kinds                           func() []*requestKind
+	duration                        time.Duration
+	// capacityKnown is set if the nodes know the engines' memory.
+	capacityKnown bool
+	// prefixesKnown is set if the nodes know which parts prompts share.
+	prefixesKnown bool
+	oracle        bool
+	policy        placement.Policy
+}
+
+type memorySim struct {
+	*memoryLoad
+	events  eventQueue
+	now     time.Time
+	rng     *rand.Rand
+	engines map[domain.UpstreamID]*memoryEngine
+	ids     []domain.UpstreamID
+	pools   []*instances.Pool
+	kinds   []*requestKind
+	usedAt  map[uint64]time.Time
+	// readTokens and rereadTokens are the tokens of parts that were prefilled, and those of them that were
+	// used within rereadWindow before.
+	readTokens, rereadTokens, preemptions int
+	notices                               int
+}
+
+func (s *memorySim) schedule(t time.Time, run func(time.Time)) { heap.Push(&s.events, event{t, run}) }
+
+// use counts the use of a part and whether it must be read.
+func (s *memorySim) use(now time.Time, p placement.Part, held bool) {
+	if !held {
+		s.readTokens += p.Tokens
+		if last, used := s.usedAt[p.ID]; used && now.Sub(last) < rereadWindow {
+			s.rereadTokens += p.Tokens
+		}
+	}
+	s.usedAt[p.ID] = now
+}
+
+// emit records a token of a request.
+func (s *memorySim) emit(now time.Time, e *memoryEngine, r *memoryRequest) {
+	const network = 3 * time.Millisecond
+	if r.firstAt.IsZero() {
+		r.firstAt, r.lastEventAt = now, now
+		if r.firstByte != nil {
+			r.firstByte(now.Add(network))
+		}
+	} else if r.emitted%engineStride == 0 {
+		r.maxGap = max(r.maxGap, now.Sub(r.lastEventAt))
+		r.lastEventAt = now
+	}
+	if r.emitted < r.output {
+		return
+	}
+	e.release(now, r, true)
+	took := r.firstAt.Sub(r.arrived)
+	k := r.kind
+	pause := max(0, r.maxGap-k.gapAim)
+	k.cost += took + pause
+	ok := took <= k.objective && pause == 0
+	switch {
+	case ok:
+		k.inTime++
+	case pause > 0:
+		k.pauses++
+	default:
+		k.late++
+	}
+	if k.large(r.prompt) {
+		k.largeTotal++
+		if ok {
+			k.largeInTime++
+		}
+	}
+	if r.done != nil {
+		r.done(now.Add(network))
+	}
+}
+
+// large reports whether a prompt is among the largest of its kind.
+func (k *requestKind) large(tokens int) bool { return tokens >= 40_000 }
+
+func playMemoryLoad(t testing.TB, l memoryLoad, seed uint64) *memorySim {
+	t.Helper()
+	s := &memorySim{memoryLoad: &l, rng: rand.New(rand.NewPCG(seed, 23)), engines: make(map[domain.UpstreamID]*memoryEngine), usedAt: make(map[uint64]time.Time), kinds: l.kinds(), now: start}
+	e := &routes.Engine{Slots: l.slots, TokensPerEvent: engineStride}
+	if l.capacityKnown {
+		e.CacheTokens = l.capacity
+	}
+	var list []routes.Route
+	for _, k := range s.kinds {
+		list = append(list, routes.Route{Name: k.name, Host: k.name + ".example", PathPrefix: "/", Kind: routes.Streaming, MaxEventGap: k.gapAim, Timeout: 6 * time.Second, MaxAttempts: 2, Objective: k.objective, Priority: k.priority, Split: []routes.WeightedService{{Service: "model", Weight: 1}}})
+	}
+	table, err := routes.New(1, list, []routes.Service{{Name: "model", Engine: e}}, routes.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range l.engines {
+		id := domain.UpstreamID(fmt.Sprint("engine-", i))
+		s.ids = append(s.ids, id)
+		s.engines[id] = &memoryEngine{sim: s, slots: l.slots, memory: l.capacity, cache: make(map[uint64]*cachedPart)}
+	}
+	catalogs := make([]*instances.Catalog, l.nodes)
+	for i := range catalogs {
+		catalogs[i] = instances.NewCatalog(instances.Options{Self: localPlace, SendNotice: func(n instances.Notice) {
+			s.notices++
+			s.schedule(s.now.Add(8*time.Millisecond), func(at time.Time) {
+				for j, other := range catalogs {
+					if j != i {
+						other.ApplyNotices(at, []instances.Notice{n})
+					}
+				}
+			})
+		}})
+		catalogs[i].Configure(table)
+		for _, id := range s.ids {
+			catalogs[i].Put(start, instances.Instance{ID: id, Service: "model", Slots: l.slots, Place: localPlace})
+		}
+		s.pools = append(s.pools, catalogs[i].Pool("model"))
+	}
+	for i, k := range s.kinds {
+		// The arrivals do not depend on the decisions.
+		arrivals := rand.New(rand.NewPCG(seed, uint64(100+i)))
+		var arrive func(now time.Time)
+		arrive = func(now time.Time) {
+			if next := now.Add(time.Duration(arrivals.ExpFloat64() / k.perSecond * 1e9)); next.Before(start.Add(l.duration)) {
+				s.schedule(next, arrive)
+			}
+			r := &memoryRequest{kind: k, arrived: now}
+			r.parts, r.output = k.next(arrivals, now.Sub(start))
+			for _, p := range r.parts {
+				r.prompt += p.Tokens
+			}
+			r.hidden = r.parts
+			if !l.prefixesKnown {
+				r.hidden = []placement.Part{{ID: s.rng.Uint64(), Tokens: r.prompt}}
+			}
+			k.total++
+			s.place(now, r, s.rng.IntN(l.nodes))
+		}
+		s.schedule(start.Add(time.Duration(arrivals.ExpFloat64()/k.perSecond*1e9)), arrive)
+	}
+	for len(s.events) > 0 {
+		ev := heap.Pop(&s.events).(event)
+		s.now = ev.at
+		ev.run(ev.at)
+	}
+	for _, e := range s.engines {
+		s.preemptions += e.preemptions
+	}
+	return s
+}
+
+func (s *memorySim) place(now time.Time, r *memoryRequest, node int) {
+	const network = 3 * time.Millisecond
+	if s.oracle {
+		if id, ok := s.best(r); ok {
+			s.engines[id].enqueue(now.Add(network), r, false)
+		} else {
+			s.refuse(r)
+		}
+		return
+	}
+	q := instances.Query{LocalAllowed: true, Request: placement.Request{Prompt: r.hidden, PromptTokens: r.prompt, OutputTokens: r.output,
+		Objective: r.kind.objective, Elapsed: now.Sub(r.arrived), Remaining: 6 * time.Second, Urgent: r.kind.priority == 0, Random: s.rng.Uint32()}}
+	d, ticket := s.pools[node].Place(now, s.policy, &q)
+	switch d.Choice {
+	case placement.Wait:
+		s.schedule(now.Add(max(5*time.Millisecond, d.BacklogWait)), func(now time.Time) { s.place(now, r, node) })
+		return
+	case placement.Refuse:
+		s.refuse(r)
+		return
+	}
+	e := s.engines[ticket.ID]
+	r.firstByte = func(at time.Time) {
+		load := instances.ReportedLoad{Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots}
+		s.schedule(at, func(now time.Time) { ticket.FirstByte(now, load, true) })
+	}
+	r.done = func(at time.Time) {
+		s.schedule(at, func(now time.Time) { ticket.Done(now, instances.Answered) })
+	}
+	s.schedule(now.Add(network), func(now time.Time) { e.enqueue(now, r, false) })
+}
+
+func (s *memorySim) refuse(r *memoryRequest) {
+	r.kind.refused++
+	r.kind.cost += 2 * r.kind.objective
+	if r.kind.large(r.prompt) {
+		r.kind.largeTotal++
+	}
+}
+
+// best returns the engine at which the request costs callers least, with all that engines know.
+func (s *memorySim) best(r *memoryRequest) (best domain.UpstreamID, ok bool) {
+	lowest := math.Inf(1)
+	for _, i := range s.rng.Perm(len(s.ids)) {
+		e := s.engines[s.ids[i]]
+		pending, streams := 0, 0
+		for _, o := range e.running {
+			pending += o.toPrefill
+			if o.toPrefill == 0 {
+				streams++
+			}
+		}
+		for _, o := range e.waiting {
+			pending += o.prompt - e.heldTokens(o)
+		}
+		tokens := r.prompt - e.heldTokens(r)
+		delay := float64(pending+tokens)/engineRate + 10
+		if excess := e.load() + 1 - e.slots; excess > 0 {
+			delay += float64(excess) / float64(e.slots) * 500
+			if r.kind.priority == 0 {
+				delay += 200
+			}
+		}
+		cost := delay + float64(tokens)/engineRate*(0.5+0.1*float64(streams)) + float64(e.load())*2
+		if delay < float64(r.kind.objective.Milliseconds()) && cost < lowest {
+			lowest, best, ok = cost, s.ids[i], true
+		}
+	}
+	return best, ok
+}
+
+// meanCost returns the mean cost of a request in milliseconds: the time to first byte, the pauses beyond
+// the aim, and twice the objective if it was refused.
+func (s *memorySim) meanCost() float64 {
+	total, cost := 0, time.Duration(0)
+	for _, k := range s.kinds {
+		total += k.total
+		cost += k.cost
+	}
+	return cost.Seconds() * 1000 / float64(total)
+}
+
+func (s *memorySim) String() string {
+	text := fmt.Sprintf("cost %.1f ms, preempted %d, read %.1f M, again %.1f M, notices %d;", s.meanCost(), s.preemptions, float64(s.readTokens)/1e6, float64(s.rereadTokens)/1e6, s.notices)
+	for _, k := range s.kinds {
+		text += fmt.Sprintf(" %s: %d, %.3f in time, %d late, %d refused, %d paused, largest %.3f, cost %.0f;", k.name, k.total, float64(k.inTime)/float64(k.total), k.late, k.refused, k.pauses,
+			float64(k.largeInTime)/float64(max(1, k.largeTotal)), k.cost.Seconds()*1000/float64(k.total))
+	}
+	return text
+}
+
+// documents generates prompts of a common part, a document of a size that depends on its number, and an
+// own part.
+type documents struct {
+	// output is the least output of a request in tokens.
+	output int
+	// pick returns the number of a document.
+	pick func(rng *rand.Rand, at time.Duration) int
+}
+
+func (d documents) next(rng *rand.Rand, at time.Duration) ([]placement.Part, int) {
+	doc := d.pick(rng, at)
+	size := 12_000
+	switch doc % 10 { // the largest tenth has prompts of up to 93,000 tokens
+	case 0:
+		size = 40_000 + doc*7919%48_000
+	case 1, 2:
+		size = 20_000
+	}
+	return []placement.Part{{ID: uint64(1 + doc%8), Tokens: 1300}, {ID: uint64(1000 + doc), Tokens: size}, {ID: rng.Uint64() | 1<<63, Tokens: 3000 + rng.IntN(1400)}}, d.output + rng.IntN(60)
+}
+
+func question(rng *rand.Rand, _ time.Duration) ([]placement.Part, int) {
+	return []placement.Part{{ID: rng.Uint64() | 1<<63, Tokens: 200 + rng.IntN(400)}}, 60 + rng.IntN(120)
+}
+
+func zipf(number int, s float64) func(*rand.Rand, time.Duration) int {
+	cumulative := make([]float64, number)
+	sum := 0.0
+	for i := range cumulative {
+		sum += 1 / math.Pow(float64(i+1), s)
+		cumulative[i] = sum
+	}
+	return func(rng *rand.Rand, _ time.Duration) int {
+		i, _ := slices.BinarySearchFunc(cumulative, rng.Float64()*sum, cmp.Compare[float64])
+		return min(i, number-1) * 37 % number
+	}
+}
--- a/core/instances/load.go
+++ b/core/instances/load.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		p.fillCandidate(now, &c, u, "", meanOthers)
+		if p.tracksMemory() {
+			p.setMemory(now, &c, u, reservation{})
+		}
 		freeSlots, delay := c.FreeCapacity(performance)
 		if u.limit.perSecond > 0 {
 			slots := sharedbounds.UsableRate(u.limit.perSecond) * p.meanSlotTime.Seconds()
--- a/core/instances/notice.go
+++ b/core/instances/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/placement"
 )
 
 // Notice informs the other nodes of the region about a prompt that this node sent
@@ -18,6 +19,11 @@
 	Shared uint64
 	// Slowdown is what the engine has just stated; zero if it has not.
 	Slowdown float64
+	// ReservedTokens is the engine's memory that the request takes until its end, without the shared
+	// parts, and Duration the expected time until then. Parts are the shared parts in order.
+	ReservedTokens int
+	Duration       time.Duration
+	Parts          []placement.Part
 }
 
 // minNoticeTokens is the smallest prompt without shared parts that is announced to
@@ -40,6 +46,12 @@
 	}
 	p.recordSlowdown(u, n.Slowdown, now)
 	u.backlog.add(now, p.prefillRateAt(now, u), n.Tokens)
+	if p.tracksMemory() && n.Duration > 0 {
+		d := min(maxReservation, time.Duration(remoteMargin*float64(n.Duration)))
+		r := reservation{private: n.ReservedTokens, shared: n.Parts, duration: d, until: now.Add(d)}
+		u.reserved.addRemote(now, r)
+		p.sizes.recordLarge(r.all())
+	}
 	if n.Shared != 0 {
 		p.prompts.record(now, n.Shared, u.ID)
 	}
@@ -58,13 +70,23 @@
 	p.options.SendNotice(Notice{Service: p.service, Instance: u.ID, Slowdown: u.slowdown.ratio})
 }
 
-func (p *Pool) sendNotice(t *Ticket) {
-	if p.options.SendNotice == nil || t.tokens < minNoticeTokens && !t.shared {
-		return
+// sendNotice tells the other nodes of a request that is sent to an engine. It returns false if the
+// request is too small.
+func (p *Pool) sendNotice(now time.Time, t *Ticket) bool {
+	if t.tokens < minNoticeTokens && !t.shared {
+		return false
+	}
+	if p.options.SendNotice == nil {
+		return true
 	}
 	n := Notice{Service: p.service, Instance: t.upstream.ID, Tokens: t.tokens}
 	if t.shared {
 		n.Shared = t.prompt
 	}
+	if t.reserved {
+		n.ReservedTokens, n.Parts = t.reservation.private, t.reservation.shared
+		n.Duration = t.reservation.duration
+	}
 	p.options.SendNotice(n)
+	return true
 }
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -56,6 +56,11 @@
 	// expectedSlowdown is the slowdown of the upstream that was expected when the slot was
 	// reserved, slowdown the one that the answer stated, if it did.
 	expectedSlowdown, slowdown float64
+	// reserved is set if reservation counts: the engine's memory that the request takes.
+	// outputTokens is its most output.
+	reserved     bool
+	reservation  reservation
+	outputTokens int
 }
 
 // Place selects where a request runs and reserves a slot if that is in the local
@@ -87,6 +92,11 @@
 		sharedCached: !shared || d.Tokens+sharedTokens <= q.PromptTokens}
 	t.expectedSlowdown = u.slowdown.at(now)
 	t.slowdown = t.expectedSlowdown
+	if p.tracksMemory() {
+		p.preemption.record(q.Urgent, d.Tokens)
+		t.reserved, t.reservation, t.outputTokens = true, newReservation(&q.Request), q.OutputTokens
+		t.reservation.duration = p.sizes.duration(t.Expected, t.outputTokens)
+	}
 	p.reserve(now, t)
 	return d, t
 }
@@ -122,7 +132,14 @@
 	if t.shared {
 		p.prompts.record(now, t.prompt, u.ID)
 	}
-	p.sendNotice(t)
+	if t.reserved {
+		u.reserved.add(t.reservation)
+	}
+	told := p.sendNotice(now, t)
+	p.sizes.record(t.reservation.private, told)
+	if told {
+		p.sizes.recordLarge(t.reservation.all())
+	}
 }
 
 // listCandidates returns a candidate for each upstream, at the same index; those of other
@@ -133,6 +150,7 @@
 	p.candidates = p.candidates[:0]
 	healthy, usable := 0, 0
 	connections, meanOthers := p.connections(), p.meanOtherRequests(now)
+	need, tracksMemory := newReservation(&q.Request), p.tracksMemory()
 	for _, u := range p.upstreams {
 		p.candidates = append(p.candidates, placement.Candidate{})
 		if u.Place.Region != p.options.Self.Region {
@@ -141,6 +159,9 @@
 		c := &p.candidates[len(p.candidates)-1]
 		p.fillCandidate(now, c, u, q.Model, meanOthers)
 		c.Usable = c.Usable && u.inFlight < connections
+		if tracksMemory {
+			p.setMemory(now, c, u, need)
+		}
 		if c.Usable {
 			usable++
 			if !p.isSuspect(now, u) {
@@ -285,11 +306,15 @@
 		u.lastByteAt = lastByteAt
 	}
 	u.inFlight--
+	if t.reserved {
+		u.reserved.release(t.reservation)
+	}
 	if t.endsSilence {
 		u.silence.answered(now, o != Shed)
 	}
 	if o == Answered {
 		p.updateMeanSlotTime(t, now)
+		p.sizes.recordDuration(t.outputTokens, t.atUsualSpeed(now.Sub(t.firstByteAt)))
 	}
 	p.recordOutcome(now, u, o)
 }
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -38,6 +38,8 @@
 	// means no limit.
 	maxEventGap time.Duration
 	prefillRate prefillRate
+	preemption  preemption
+	sizes       requestSizes
 	// speedsStated is set once an upstream has stated another speed than the usual one.
 	speedsStated bool
 	failureRate  float64
@@ -50,7 +52,7 @@
 
 func newPool(service string, o *Options) *Pool {
 	return &Pool{service: service, options: o, prompts: make(prompts), removed: make(map[domain.UpstreamID]removedUpstream), meanSlotTime: defaultSlotTime, latencyRatio: 1,
-		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}}
+		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}, sizes: requestSizes{tokenTime: decodeStep}}
 }
 
 func (p *Pool) configure(s routes.Service, maxEventGap time.Duration) {
@@ -182,5 +184,9 @@
 		s.PrefillRate = p.prefillRate.tokensPerMS
 		s.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS, 1)
 	}
+	if p.tracksMemory() {
+		s.PreemptionCost = p.preemption.cost(p.prefillRate.tokensPerMS, p.meanSlotTime, p.config.Engine.Slots)
+		s.MeanNeedTokens = p.sizes.private
+	}
 	return s
 }
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -53,6 +53,7 @@
 	inFlight int
 	backlog  backlog
 	slowdown slowdown
+	reserved reservedMemory
 	// otherRequests is the estimated number of other nodes' requests at
 	// loadReportedAt.
 	otherRequests  float64
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -29,6 +29,15 @@
 	Slowdown float64
 	// MaxPendingTokens replaces ServicePerformance.MaxPendingTokens if it is not zero.
 	MaxPendingTokens float64
+	// MemoryTokens is the memory of the engine, shared by running requests and cached parts;
+	// zero if it is not known. ReservedTokens is the part of it that running requests may
+	// need until their end, NeedTokens what the request would need.
+	MemoryTokens, ReservedTokens, NeedTokens float64
+	// SpareTokens is the memory that the request leaves to larger ones of its kind.
+	SpareTokens float64
+	// ReleaseRate is the rate at which running requests release memory, in tokens per
+	// millisecond.
+	ReleaseRate float64
 	// SameDomain is set if the upstream is in the node's failure domain.
 	SameDomain bool
 	// Usable is false for upstreams that are leaving, suspect, evacuated or
@@ -51,6 +60,11 @@
 	MaxPendingTokens float64
 	// IdleTTFB is the time to first byte at an idle upstream, without prefill.
 	IdleTTFB time.Duration
+	// PreemptionCost is the expected loss of a running request that a more urgent one
+	// preempts; zero if requests of the service have the same urgency.
+	PreemptionCost time.Duration
+	// MeanNeedTokens is the mean memory that a request needs beside shared parts.
+	MeanNeedTokens float64
 	// SpeedsVary is set if upstreams state their slowdown. Requests are then spread over
 	// upstreams of similar cost; see Policy.SpreadCost.
 	SpeedsVary bool
@@ -81,6 +95,36 @@
 	return time.Duration(float64(d)*max(1, c.LatencyRatio)*c.slowdown()) + slotWait, slotWait
 }
 
+// slotMargin is the number of slots below the last one from which an engine may be full when the request
+// arrives or while it runs: the number of other nodes' requests is an estimate.
+const slotMargin = 2
+
+// preemptionRisk returns the probability that the request preempts another one or is preempted.
+func (c *Candidate) preemptionRisk() float64 {
+	return min(1, max(0, (c.load()+1+slotMargin-float64(max(1, c.Slots)))/slotMargin))
+}
+
+// fits reports whether the engine has the memory that the request needs until its end. Without it, a
+// running request would be preempted.
+func (c *Candidate) fits() bool {
+	return c.MemoryTokens <= 0 || c.ReservedTokens+c.NeedTokens+c.SpareTokens <= c.MemoryTokens
+}
+
+// everFits reports whether the engine could run the request if it had no others.
+func (c *Candidate) everFits() bool { return c.MemoryTokens <= 0 || c.NeedTokens <= c.MemoryTokens }
+
+// minReleaseRate bounds the expected wait for memory, in tokens per millisecond.
+const minReleaseRate = 0.1
+
+// memoryWait returns the expected time until the engine has the memory that the request needs.
+func (c *Candidate) memoryWait() time.Duration {
+	if c.fits() {
+		return 0
+	}
+	excess := c.ReservedTokens + c.NeedTokens + c.SpareTokens - c.MemoryTokens
+	return time.Duration(excess / max(minReleaseRate, c.ReleaseRate) * float64(time.Millisecond) * c.slowdown())
+}
+
 // minPrefillToDelay is the number of tokens to prefill below which a request is
 // never delayed, because it hardly increases the backlog.
 const minPrefillToDelay = 2000 // tokens
@@ -116,6 +160,9 @@
 		pending := c.PendingTokens / s.PrefillRate * c.slowdown()
 		capacity *= max(0, 1-pending/maxBacklogForRemote)
 	}
+	if c.MemoryTokens > 0 && s.MeanNeedTokens > 0 {
+		capacity = min(capacity, (c.MemoryTokens-c.ReservedTokens)/s.MeanNeedTokens)
+	}
 	delay, _ := c.delay(&s, 0)
 	return capacity / max(1, c.LatencyRatio) / c.slowdown(), delay
 }
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -174,11 +174,20 @@
 
 // option is the expected effect of sending a request to a candidate.
 type option struct {
-	usable                             bool
+	usable, fits                       bool
 	tokens                             int
 	delay, slotWait, backlogWait, cost time.Duration
 }
 
+// better reports whether the option is preferred to another one: it fits the engine's memory, or costs
+// less.
+func (o *option) better(other *option) bool {
+	if o.fits != other.fits {
+		return o.fits
+	}
+	return o.cost < other.cost
+}
+
 // evaluate sets the option of sending the request to a candidate.
 func (p *Policy) evaluate(r *Request, s *ServicePerformance, c *Candidate) {
 	o := &c.option
@@ -188,10 +197,18 @@
 	if s.PrefillRate > 0 {
 		o.cost += time.Duration(p.PrefillWeight * float64(o.tokens) / s.PrefillRate * float64(time.Millisecond) * c.slowdown())
 	}
+	if s.PreemptionCost > 0 {
+		o.cost += time.Duration(c.preemptionRisk() * float64(s.PreemptionCost))
+	}
 	if !c.SameDomain {
 		o.cost += p.CrossDomainCost
 	}
 	o.backlogWait = c.backlogWait(s, o.tokens)
+	if wait := c.memoryWait(); wait > 0 {
+		o.delay += wait
+		o.slotWait = max(o.slotWait, wait)
+		o.backlogWait = max(o.backlogWait, wait)
+	}
 	o.cost += o.backlogWait
 }
 
@@ -209,13 +226,14 @@
 			i -= len(candidates)
 		}
 		c := &candidates[i]
-		if !c.Usable || slices.Contains(r.Excluded, c.ID) {
+		if !c.Usable || !c.everFits() || slices.Contains(r.Excluded, c.ID) {
 			c.option.usable = false
 			continue
 		}
 		p.evaluate(r, s, c)
+		c.option.fits = c.fits()
 		usable++
-		if best < 0 || c.option.cost < candidates[best].option.cost {
+		if best < 0 || c.option.better(&candidates[best].option) {
 			best = i
 		}
 	}
@@ -223,17 +241,18 @@
 		return Decision{Choice: Refuse}
 	}
 	if s.SpeedsVary {
-		best = spread(r, candidates, candidates[best].option.cost+min(p.MaxSpreadCost, time.Duration(p.SpreadRatio*float64(s.MeanSlotTime))))
+		best = spread(r, candidates, &candidates[best].option, candidates[best].option.cost+min(p.MaxSpreadCost, time.Duration(p.SpreadRatio*float64(s.MeanSlotTime))))
 	}
 	o := &candidates[best].option
 	return Decision{Choice: Local, Index: best, Delay: o.delay, SlotWait: o.slotWait, Cost: o.cost, BacklogWait: o.backlogWait, Tokens: o.tokens, Slowdown: candidates[best].slowdown(), Usable: usable}
 }
 
-// spread returns the better of two random candidates whose cost is at most maxCost.
-func spread(r *Request, candidates []Candidate, maxCost time.Duration) int {
+// spread returns the better of two random candidates whose cost is at most maxCost, and
+// which fit like the best one.
+func spread(r *Request, candidates []Candidate, best *option, maxCost time.Duration) int {
 	similar := 0
 	for i := range candidates {
-		if candidates[i].option.within(maxCost) {
+		if candidates[i].option.similar(best, maxCost) {
 			similar++
 		}
 	}
@@ -241,7 +260,7 @@
 	second := int(r.Random&0xffff) % similar
 	chosen := -1
 	for i, n := 0, 0; i < len(candidates); i++ {
-		if !candidates[i].option.within(maxCost) {
+		if !candidates[i].option.similar(best, maxCost) {
 			continue
 		}
 		if (n == first || n == second) && (chosen < 0 || candidates[i].option.cost < candidates[chosen].option.cost) {
@@ -252,7 +271,9 @@
 	return chosen
 }
 
-func (o *option) within(maxCost time.Duration) bool { return o.usable && o.cost <= maxCost }
+func (o *option) similar(best *option, maxCost time.Duration) bool {
+	return o.usable && o.fits == best.fits && o.cost <= maxCost
+}
 
 // bestRemote returns the region with the lowest cost among those with free
 // capacity; false if there is none.
--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -108,3 +108,37 @@
 		t.Errorf("got %+v, want choice Local for a short prompt", got)
 	}
 }
+
+// A request must not be sent to an engine whose memory running requests need, while another one or
+// another region has room.
+func TestRequestIsSentWhereItsMemoryFits(t *testing.T) {
+	full := func(release float64) func(*placement.Candidate) {
+		return func(c *placement.Candidate) {
+			c.MemoryTokens, c.ReservedTokens, c.NeedTokens, c.ReleaseRate, c.CachedTokens = 100_000, 95_000, 20_000, release, 13_000
+		}
+	}
+	roomy := engine("b", func(c *placement.Candidate) {
+		c.MemoryTokens, c.ReservedTokens, c.NeedTokens, c.InFlight = 100_000, 20_000, 20_000, 20
+	})
+	others := []placement.RegionLoad{{Region: "east", Delay: 40 * ms, RoundTrip: 110 * ms, FreeCapacity: 20}}
+	tooLarge := engine("a", func(c *placement.Candidate) { c.MemoryTokens, c.NeedTokens = 100_000, 100_001 })
+	for _, c := range []struct {
+		name       string
+		candidates []placement.Candidate
+		others     []placement.RegionLoad
+		want       placement.Choice
+		index      int
+	}{
+		{"another engine fits", []placement.Candidate{engine("a", full(100)), roomy}, nil, placement.Local, 1},
+		{"memory is free soon", []placement.Candidate{engine("a", full(100))}, nil, placement.Wait, 0},
+		{"memory is free late, another region has room", []placement.Candidate{engine("a", full(10))}, others, placement.Remote, 0},
+		{"memory is free late", []placement.Candidate{engine("a", full(10))}, nil, placement.Refuse, 0},
+		{"nothing releases memory", []placement.Candidate{engine("a", full(0))}, nil, placement.Refuse, 0},
+		{"larger than the memory", []placement.Candidate{tooLarge}, nil, placement.Refuse, 0},
+	} {
+		r := longPromptRequest()
+		if got := placement.DefaultPolicy().Choose(&r, engineSpeeds(), c.candidates, c.others); got.Choice != c.want || got.Choice == placement.Local && got.Index != c.index {
+			t.Errorf("%s: got %+v, want choice %v index %d", c.name, got, c.want, c.index)
+		}
+	}
+}
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -40,6 +40,9 @@
 // randomFraction returns Random as a number in [0, 1).
 func (r *Request) randomFraction() float64 { return float64(r.Random) / (1 << 32) }
 
+// SharedParts returns the parts that other prompts may have too: all but the last.
+func (r *Request) SharedParts() []Part { return r.Prompt[:max(0, len(r.Prompt)-1)] }
+
 // minAffinityTokens is the minimum size of a shared prompt for which requests are
 // sent to the same upstream. The prefill of a shorter one takes less than 14
 // milliseconds at the default prefill rate of package instances.
@@ -48,7 +51,7 @@
 // SharedPrompt returns the key and size of the prompt's shared parts; ok is false
 // if they are smaller than minAffinityTokens.
 func (r *Request) SharedPrompt() (key uint64, tokens int, ok bool) {
-	for _, p := range r.Prompt[:max(0, len(r.Prompt)-1)] {
+	for _, p := range r.SharedParts() {
 		tokens += p.Tokens
 		key = p.ID
 	}
