--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -39,6 +39,8 @@
 	maxEventGap time.Duration
 	prefillRate prefillRate
 	idleTTFB    idleTTFB
+	preemption  preemption
+	sizes       requestSizes
 	// speedsStated is set once an upstream has stated another speed than the usual one.
 	speedsStated bool
 	failureRate  float64
@@ -52,7 +54,7 @@
 
 func newPool(service string, o *Options) *Pool {
 	return &Pool{service: service, options: o, prompts: make(prompts), removed: make(map[domain.UpstreamID]removedUpstream), meanSlotTime: defaultSlotTime, latencyRatio: 1,
-		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}, idleTTFB: idleTTFB{value: defaultIdleTTFB}}
+		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}, idleTTFB: idleTTFB{value: defaultIdleTTFB}, sizes: requestSizes{tokenTime: decodeStep}}
 }
 
 func (p *Pool) configure(s routes.Service, maxEventGap time.Duration) {
@@ -184,5 +186,9 @@
 		s.PrefillRate = p.prefillRate.tokensPerMS
 		s.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS, 1)
 	}
+	if p.tracksMemory() {
+		s.PreemptionCost = p.preemption.cost(p.prefillRate.tokensPerMS, p.meanSlotTime, p.config.Engine.Slots)
+		s.MeanNeedTokens = p.sizes.private
+	}
 	return s
 }
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -54,6 +54,7 @@
 	inFlightByPriority [priorities]int
 	backlog            backlog
 	slowdown           slowdown
+	reserved           reservedMemory
 	// otherRequests is the estimated number of other nodes' requests at
 	// loadReportedAt.
 	otherRequests  float64
