Honour keys only while the routing table is proved current

Cause: a node that is cut off, frozen or suspended kept honouring keys that the operator had removed.

Change: with strict revocation and accounts, a key counts only with a proof that is younger than the bound, less 100 ms. core/currency decides, on CLOCK_BOOTTIME. Answered reads of the operator's documents prove from their sending. Replies to exchanges that this node began prove from the sending less the other node's age (Position.proof_age_ms), if version and digest are equal. After the store came back from an older copy, its reads count only once it has the version in force again. Readers hold watches for an eighth of the bound, 625 ms; nodes whose proof ages beyond 0.4 of it ask other nodes, beyond 0.6 to 0.75 the store. Without a proof the answer is 503 lists_outdated. Settings bounds.strict_revoke and bounds.revoke_ms, events 320 and 321, metrics accounts.*.

--- a/adapters/edgenode/accounts.go
+++ b/adapters/edgenode/accounts.go
@@ -3,13 +3,20 @@
 import (
 	"net/http"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh"
+	"github.com/crocusspread/crocusspread/core/currency"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/routes"
 )
 
+// unknownKeyRetryAfter is when a request with an unknown key can be decided on: until then the
+// node has read the store.
+const unknownKeyRetryAfter = 500 * time.Millisecond
+
 // authorize returns the client account of a request from a caller. It returns nil if the
 // routing table has no accounts, or if the route is public and the request has no known key.
 func (n *Node) authorize(h http.Header, route *routes.Route, t *routes.Table) (*routes.Account, *errkind.Error) {
@@ -17,20 +24,90 @@
 		return nil, nil
 	}
 	key, found := n.deps.Edge.AccountKey(h)
-	account := t.AccountByKey(key)
-	switch {
-	case account == nil && route.Public:
+	account, verdict := (*routes.Account)(nil), currency.Reject
+	if found {
+		account, verdict = n.accountByKey(key, t)
+	}
+	if route.Public && publicWithoutAccount(account, verdict) {
 		return nil, nil
+	}
+	switch {
 	case !found:
+		n.metrics.Count("accounts.refused.no_key", 1)
 		return nil, errkind.New(errkind.Unauthenticated, "route %q needs the key of a client account", route.Name)
-	case account == nil:
+	case verdict == currency.Reject:
+		n.metrics.Count("accounts.refused.unknown_key", 1)
 		return nil, errkind.New(errkind.Unauthenticated, "no client account has the key of the request")
+	case verdict == currency.Outdated && account == nil:
+		n.keys.refresher.WantFresh()
+		n.metrics.Count("accounts.refused.key_may_be_new", 1)
+		return nil, errkind.New(errkind.ListsOutdated, "the key of the request is unknown, but may be new: the node's routing table was proved current %d ms ago", n.proofAgeMS()).WithRetryAfter(unknownKeyRetryAfter)
+	case verdict == currency.Outdated:
+		n.countAccount("refused_unproved", account)
+		return nil, errkind.New(errkind.ListsOutdated, "the node cannot prove that its routing table is current; the last proof is %d ms old", n.proofAgeMS())
 	case !someRegionAllows(route, account):
+		n.countAccount("refused_region", account)
 		return nil, errkind.New(errkind.RegionForbidden, "no region allows both route %q and client account %q", route.Name, account.Name)
 	}
+	n.countAccount("admitted", account)
 	return account, nil
 }
 
+// accountByKey looks up the account with a key, nil if there is none, and decides whether that
+// counts.
+func (n *Node) accountByKey(key string, t *routes.Table) (*routes.Account, currency.Verdict) {
+	if !n.settings.StrictRevocation {
+		if account := t.AccountByKey(key); account != nil {
+			return account, currency.Honour
+		}
+		return nil, currency.Reject
+	}
+	// The proof may be of a later version than t, which was read before. The version in force is
+	// never older than that of the proof. The clock is read last.
+	proof := n.keys.Proof()
+	t = n.state.table.Load()
+	account := t.AccountByKey(key)
+	return account, n.keys.policy.Decide(proof, t.Version, account != nil, n.keys.now())
+}
+
+// publicWithoutAccount reports whether a request on a public route is served without an account.
+// One with a key that does not count at present is, unless the key's account restricts where the
+// request may run.
+func publicWithoutAccount(account *routes.Account, verdict currency.Verdict) bool {
+	return account == nil || verdict == currency.Outdated && len(account.Regions) == 0
+}
+
+// maxAccountMetrics is the maximum number of accounts with metrics of their own; all others are
+// counted together.
+const maxAccountMetrics = 64
+
+// countAccount counts a decision on a request of an account.
+func (n *Node) countAccount(decision string, account *routes.Account) {
+	n.metrics.Count("accounts."+decision+"."+n.accountLabels.label(account.Name), 1)
+}
+
+// accountLabels holds the names of the accounts that have metrics of their own.
+type accountLabels struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// label returns the name of an account in metrics.
+func (l *accountLabels) label(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.names[name] {
+		if len(l.names) >= maxAccountMetrics {
+			return "others"
+		}
+		if l.names == nil {
+			l.names = make(map[string]bool)
+		}
+		l.names[name] = true
+	}
+	return name
+}
+
 // someRegionAllows reports whether any region of the fleet may process the requests of an
 // account on a route.
 func someRegionAllows(route *routes.Route, account *routes.Account) bool {
--- a/adapters/edgenode/accounts_test.go
+++ b/adapters/edgenode/accounts_test.go
@@ -1,6 +1,7 @@
 package edgenode
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -72,3 +73,29 @@
 		}
 	}
 }
+
+// Deployments without accounts must not pay for them.
+func TestRequestsWithoutAccountsAllocateNothing(t *testing.T) {
+	n := &Node{settings: &Settings{StrictRevocation: true}, deps: Dependencies{Edge: keyDialect{}}}
+	table := accountTable(t, 1)
+	header := http.Header{"Key": {"k"}}
+	if allocs := testing.AllocsPerRun(100, func() {
+		if account, err := n.authorize(header, &table.Routes[0], table); account != nil || err != nil {
+			t.Fatalf("got account %v and error %v, want neither", account, err)
+		}
+	}); allocs > 0 {
+		t.Errorf("%v allocations for a request, want none", allocs)
+	}
+}
+
+// Names of accounts come from the operator, but a large fleet has thousands of them.
+func TestMetricsOfAccountsAreBounded(t *testing.T) {
+	var labels accountLabels
+	seen := make(map[string]bool)
+	for i := range 10 * maxAccountMetrics {
+		seen[labels.label(fmt.Sprint("account-", i))] = true
+	}
+	if len(seen) != maxAccountMetrics+1 || !seen["others"] || labels.label("account-1") != "account-1" {
+		t.Errorf("%d labels, want %d and one for all others", len(seen), maxAccountMetrics)
+	}
+}
--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -54,12 +54,14 @@
 func (n *Node) exchangeWithAddress(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sentAt := n.proofSentAt()
 	reply, roundTrip, err := n.mesh.Exchange(ctx, address, n.newMessage(""))
 	if err != nil {
 		n.metrics.Count("mesh.exchange_failed", 1)
 		return
 	}
 	n.receive(reply, roundTrip)
+	n.proveByReply(sentAt, &reply)
 }
 
 // fetchTimeout limits one fetch. It allows for a compressed routing table of
@@ -98,6 +100,9 @@
 		n.state.applyTable(table, address)
 	}
 	n.state.adoptPeerOperator(time.Now(), d)
+	if n.strictKeys() && !n.keys.policy.Honours(n.keys.Proof(), n.keys.now()) {
+		n.exchangeWithAddress(context.Background(), address) // the first table with accounts has no proof yet
+	}
 }
 
 // recordFetchFailure counts and logs a failed fetch.
--- a/adapters/edgenode/dependencies.go
+++ b/adapters/edgenode/dependencies.go
@@ -1,6 +1,9 @@
 package edgenode
 
 import (
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/boottime"
 	"github.com/crocusspread/crocusspread/adapters/edge"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -40,4 +43,14 @@
 	// DropStoreConnections closes idle connections to the store, so that the next
 	// call dials a new one.
 	DropStoreConnections func()
+	// BootTime reads a clock that goes on while the machine is suspended; nil means that of
+	// the machine.
+	BootTime func() time.Duration
+}
+
+func (d *Dependencies) bootTime() func() time.Duration {
+	if d.BootTime != nil {
+		return d.BootTime
+	}
+	return boottime.Now
 }
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -42,9 +42,12 @@
 // node's region get the heartbeats of its members.
 func (n *Node) newMessage(region domain.Region) mesh.ExchangeMessage {
 	now := time.Now()
+	// The proof is read before the version: it holds for every later one.
+	proofAge, proved := n.sentProofAge()
 	msg := mesh.ExchangeMessage{Sender: n.members.Self(), TableVersion: n.state.version()}
 	operator, entries := n.state.positions()
 	msg.Operator, msg.Entries = operator.position(now), entries.position(now)
+	msg.Operator.ProofAge, msg.Operator.Proved = proofAge, proved
 	msg.Parts = n.parts.Message(now)
 	if region != n.settings.Place.Region {
 		msg.Loads = n.loads(now)
@@ -236,6 +239,7 @@
 func (n *Node) exchange(ctx context.Context, peer peers.Member) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sentAt := n.proofSentAt()
 	reply, roundTrip, err := n.mesh.Exchange(ctx, peer.PeerAddress, n.newMessage(peer.Place.Region))
 	if err != nil {
 		n.members.MarkUnreachable(peer.ID)
@@ -243,6 +247,7 @@
 		return
 	}
 	n.receive(reply, roundTrip)
+	n.proveByReply(sentAt, &reply)
 }
 
 // jitter returns a random duration within 15 % of d.
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -41,6 +41,9 @@
 	state   *state
 	health  *storeHealth
 	era     *storeEra
+	keys    *keyCurrency
+	// accountLabels holds the names of client accounts in metrics.
+	accountLabels accountLabels
 	// entryRevision is the revision of this node's entry in the store; zero if there is none.
 	entryRevision atomic.Uint64
 	engine        *relay.Engine
@@ -111,6 +114,7 @@
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.era = newStoreEra(log, n.state.markRestored)
+	n.keys = newKeyCurrency(s, deps.bootTime())
 	n.health = &storeHealth{log: log, catalog: n.catalog, dropConnections: deps.DropStoreConnections}
 	n.upstreams = upstream.NewRouted(upstream.Options{
 		DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout,
@@ -236,11 +240,14 @@
 	loop := func(f func(context.Context)) {
 		group.Go(func() error { f(ctx); return nil })
 	}
-	operator := &watcher{store: n.deps.Store, prefix: n.deps.Documents.OperatorPrefix(), wait: operatorWatchWait, interval: operatorInterval,
+	operator := &watcher{store: n.deps.Store, prefix: n.deps.Documents.OperatorPrefix(), wait: n.operatorWait, interval: operatorInterval,
 		replace: n.state.replaceOperator, change: n.state.changeOperator, confirm: n.state.confirmOperator, health: n.health, era: n.era, shouldRead: n.shouldReadOperator}
-	entries := &watcher{store: n.deps.Store, prefix: n.deps.Documents.InstancePrefix(), wait: entriesWatchWait, interval: entriesInterval,
+	if n.settings.StrictRevocation {
+		operator.prove, operator.bootTime, operator.resume = n.proveByStore, n.keys.now, n.resumeOperator
+	}
+	entries := &watcher{store: n.deps.Store, prefix: n.deps.Documents.InstancePrefix(), wait: constant(entriesWatchWait), interval: entriesInterval,
 		replace: n.state.replaceEntries, change: n.state.changeEntries, confirm: n.state.confirmEntries, health: n.health, era: n.era, shouldRead: n.shouldReadEntries}
-	nodes := &watcher{store: n.deps.Store, prefix: n.deps.Documents.NodePrefix(), wait: nodesWatchWait, interval: nodesInterval,
+	nodes := &watcher{store: n.deps.Store, prefix: n.deps.Documents.NodePrefix(), wait: constant(nodesWatchWait), interval: nodesInterval,
 		replace: n.replaceNodes, change: n.applyNodes, health: n.health, era: n.era, shouldRead: n.isReader}
 	loop(operator.run)
 	loop(entries.run)
@@ -257,8 +264,12 @@
 	loop(n.tickCatalog)
 	loop(n.checkHealth)
 	loop(n.propagateStatements)
+	loop(n.keepCurrent)
 }
 
+// constant returns a function that returns d.
+func constant(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 const (
 	// operatorWatchWait limits how long a watch that no longer delivers changes
 	// remains undetected: an evacuation must take effect within five seconds.
--- a/adapters/edgenode/readers.go
+++ b/adapters/edgenode/readers.go
@@ -75,7 +75,7 @@
 // shouldReadOperator reports whether this node reads the operator's documents from
 // the store.
 func (n *Node) shouldReadOperator() bool {
-	return n.isReader() || n.state.operatorAge() > maxOperatorAge
+	return n.isReader() || n.state.operatorAge() > maxOperatorAge || n.strictKeys() && n.keys.refresher.ReadStore(n.keys.now(), n.keys.Proof())
 }
 
 // shouldReadEntries reports whether this node reads the entries of upstreams from
--- a/adapters/edgenode/settings.go
+++ b/adapters/edgenode/settings.go
@@ -43,6 +43,10 @@
 	RetryWindow time.Duration
 	// MaxDirectoryTTL limits how long callers may cache a directory response.
 	MaxDirectoryTTL time.Duration
+	// StrictRevocation is set if no request may run that a client sent with a key later than
+	// RevocationBound after the store acknowledged a routing table without it.
+	StrictRevocation bool
+	RevocationBound  time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
 }
@@ -78,5 +82,12 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindow <= 0 {
 		errs = append(errs, errors.New("the retry budget is invalid: the ratio and the slack must not be negative and the window must be positive"))
 	}
+	if s.StrictRevocation && s.RevocationBound < minRevocationBound {
+		errs = append(errs, fmt.Errorf("the bound of strict revocation is %v, at least %v is needed", s.RevocationBound, minRevocationBound))
+	}
 	return errors.Join(errs...)
 }
+
+// minRevocationBound is the shortest bound of strict revocation with which nodes get proofs in time
+// at all: some round trips between regions. Nodes that don't read the store need several times as much.
+const minRevocationBound = 500 * time.Millisecond
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -51,6 +51,11 @@
 	// recorded; notifiedDigest is the digest of the entries at the last token.
 	operatorPending bool
 	notifiedDigest  uint64
+	// storeVersion is the version of the routing table last read from the store itself.
+	// provedEra is the era of the store in which it was at least the version in force; nil if
+	// there was none.
+	storeVersion uint64
+	provedEra    *uint64
 	// completedClosed is set once completed is closed.
 	completedClosed bool
 }
@@ -69,28 +74,29 @@
 	return 0
 }
 
-// applyTable puts a routing table into use if it is valid and newer.
-func (s *state) applyTable(value []byte, from string) {
+// applyTable puts a routing table into use if it is valid and newer. It returns the version of
+// the table, zero if it is invalid.
+func (s *state) applyTable(value []byte, from string) uint64 {
 	defer s.updateCompleted()
 	t, err := s.documents.DecodeTable(value)
 	if err != nil {
 		s.log.Log(event.ListsRefused, event.F("from", from), event.F("error", err), event.F("in_force", s.version()))
-		return
+		return 0
 	}
 	if t.Version <= s.version() {
-		return
+		return t.Version
 	}
 	if t.HasAccounts() {
 		if value, err = s.documents.WithoutKeys(value); err != nil {
 			s.log.Log(event.ListsRefused, event.F("from", from), event.F("error", err), event.F("in_force", s.version()))
-			return
+			return 0
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.version()
 	if t.Version <= before {
-		return
+		return t.Version
 	}
 	s.catalog.Configure(t)
 	s.table.Store(t)
@@ -98,6 +104,7 @@
 	s.operatorPending = true
 	s.log.Log(event.ListsAdopted, event.F("version", t.Version), event.F("before", before), event.F("from", from),
 		event.F("routes", len(t.Routes)), event.F("services", len(t.Services)))
+	return t.Version
 }
 
 // replaceOperator applies a complete list of the operator's documents.
@@ -105,7 +112,7 @@
 	after := make(map[domain.FailureDomain]bool)
 	for _, i := range items {
 		if s.documents.IsTable(i.Key) {
-			s.applyTable(i.Value, "store")
+			s.recordStoreVersion(s.applyTable(i.Value, "store"))
 		}
 		if fd, ok := s.documents.EvacuatedDomain(i.Key); ok {
 			after[fd] = true
@@ -119,7 +126,7 @@
 	changed := make(map[domain.FailureDomain]bool)
 	for _, i := range items {
 		if s.documents.IsTable(i.Key) && !i.Removed {
-			s.applyTable(i.Value, "store")
+			s.recordStoreVersion(s.applyTable(i.Value, "store"))
 		}
 		if fd, ok := s.documents.EvacuatedDomain(i.Key); ok {
 			changed[fd] = !i.Removed
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -114,17 +114,35 @@
 	Digest uint64
 	// Age is the time since the store confirmed the position to some node.
 	Age time.Duration
+	// ProofAge is the age of the proof that the content was current, if Proved is set.
+	ProofAge time.Duration
+	Proved   bool
+}
+
+// maxProofAge is the maximum age of a proof that is sent.
+const maxProofAge = time.Hour
+
+// proofToWire encodes the age of a proof, rounded up, plus one; zero means that there is none.
+func proofToWire(p Position) uint32 {
+	if !p.Proved || p.ProofAge < 0 || p.ProofAge > maxProofAge {
+		return 0
+	}
+	return uint32((p.ProofAge+time.Millisecond-1)/time.Millisecond) + 1
 }
 
 func positionToWire(p Position) *meshpb.Position {
 	if p.Revision == 0 {
 		return nil
 	}
-	return &meshpb.Position{Era: p.Era, Revision: p.Revision, Digest: p.Digest, AgeMs: uint32(p.Age.Milliseconds())}
+	return &meshpb.Position{Era: p.Era, Revision: p.Revision, Digest: p.Digest, AgeMs: uint32(p.Age.Milliseconds()), ProofAgeMs: proofToWire(p)}
 }
 
 func positionFromWire(m *meshpb.Position) Position {
-	return Position{StorePosition: ports.StorePosition{Era: m.GetEra(), Revision: m.GetRevision()}, Digest: m.GetDigest(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
+	p := Position{StorePosition: ports.StorePosition{Era: m.GetEra(), Revision: m.GetRevision()}, Digest: m.GetDigest(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
+	if ms := m.GetProofAgeMs(); ms > 0 {
+		p.ProofAge, p.Proved = time.Duration(ms-1)*time.Millisecond, true
+	}
+	return p
 }
 
 func messageToWire(msg ExchangeMessage) *meshpb.ExchangeMessage {
