--- a/core/event/event.go
+++ b/core/event/event.go
@@ -42,6 +42,8 @@
 	PartHeld          = Event{308, "part_held", "Requests with a part of a prompt, or one request that comes again, are refused because they crash upstreams; the fields contain the kind, the part or the request's fingerprint, and the evidence. Compare shared_parts and fingerprint of attempt_failed."}
 	PartReleased      = Event{309, "part_released", "Requests with a part of a prompt, or one request, are no longer refused; the field why contains the reason."}
 	PartTried         = Event{310, "part_tried", "One request that is held, or has a held part, was sent to an upstream, to find out whether it still crashes it."}
+	KeysNotHonoured   = Event{320, "keys_not_honoured", "The node can no longer prove that its routing table is current, and refuses requests with keys as lists_outdated. Check its way to the store and to other nodes."}
+	KeysHonoured      = Event{321, "keys_honoured", "The node has proved again that its routing table is current; requests with keys are served."}
 	BrokerStarted     = Event{350, "broker_started", "This node began to grant the places of a service with few of them, because another node asked it to or by its own view."}
 	BrokerLost        = Event{351, "broker_lost", "The broker of a service did not answer in time; until it does, this node places requests by itself."}
 	BrokerFound       = Event{352, "broker_found", "A broker that had not answered answers again."}
@@ -79,7 +81,7 @@
 		NodeStarted, NodeServing, NodeDraining, NodeStopped, SettingsReloaded, SettingsRefused, SettingsKept, SignalReceived, RequestsEnded,
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
-		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
+		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried, KeysNotHonoured, KeysHonoured,
 		BrokerStarted, BrokerLost, BrokerFound, PlaceRefused, PlacesBorrowed,
 		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
 		MemberChanged, DomainChanged, DirectoryEmpty,
