Charge requests to the quotas of their accounts

The hook of the caller's handler takes the tokens of a request from the node's balance, draws them from the region's holder if there are too few, and refuses with 429, or with 503 if nobody answers and the node's emergency share is used up. A request that was not run returns its tokens. Nothing runs unless the settings have the bounds and an account in force has a quota. New in the protocol: the size of the largest request of a demand, and the age of the authority's lease.

--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -41,6 +41,8 @@
 	// Charge charges a request to the quota of its account before its body is read. It is
 	// nil if accounts have no quotas.
 	Charge func(ctx context.Context, r *relay.Request) *errkind.Error
+	// Refund returns what was charged for a request that was not run. It is set if Charge is.
+	Refund func(r *relay.Request)
 	// CloseConnections reports whether connections are closed after their response.
 	CloseConnections func() bool
 	Log              event.Logger
@@ -91,6 +93,9 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(req.Deadline.Add(writeSlack))
 	sink := &responseSink{w: w, closing: h.CloseConnections()}
 	f := h.Engine.Serve(r.Context(), req, sink)
+	if f != nil && f.Verdict() == domain.RunNo {
+		h.refund(req)
+	}
 	switch {
 	case f == nil:
 	case f.Broken || f.CallerDisconnected:
@@ -143,6 +148,7 @@
 		failure = errkind.New(errkind.Draining, "the body did not arrive before the end of the node")
 	}
 	if failure != nil {
+		h.refund(req)
 		return nil, 0, failure
 	}
 	header := upstream.EndToEnd(r.Header)
@@ -151,6 +157,13 @@
 	return req, size, nil
 }
 
+// refund returns what was charged for a request that was not run.
+func (h *Handler) refund(r *relay.Request) {
+	if r.Charge.Tokens > 0 {
+		h.Refund(r)
+	}
+}
+
 // timeout returns the time that a request may take: the lower of the limits of its
 // caller and its route.
 func timeout(info RequestInfo, r *routes.Route) time.Duration {
--- a/adapters/edgenode/dependencies.go
+++ b/adapters/edgenode/dependencies.go
@@ -17,6 +17,8 @@
 	InstancePrefix() string
 	// NodePrefix returns the key prefix of the entries of nodes.
 	NodePrefix() string
+	// QuotaAuthorityKey returns the key of the node that grants the quotas of client accounts.
+	QuotaAuthorityKey() string
 	// IsTable reports whether a key holds the routing table.
 	IsTable(key string) bool
 	// EvacuatedDomain returns the failure domain whose evacuation a key requests; false
--- a/adapters/edgenode/era.go
+++ b/adapters/edgenode/era.go
@@ -40,3 +40,10 @@
 	e.known, e.current = true, era
 	return true
 }
+
+// latest returns the highest era known.
+func (e *storeEra) latest() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -46,6 +46,7 @@
 	operator, entries := n.state.positions()
 	msg.Operator, msg.Entries = operator.position(now), entries.position(now)
 	msg.Parts = n.parts.Message(now)
+	msg.QuotaAuthority = n.quotas.announcement()
 	if region != n.settings.Place.Region {
 		msg.Loads = n.loads(now)
 		msg.Members = n.sample(now, n.settings.Place.Region, remoteSample)
@@ -103,6 +104,7 @@
 	n.members.Merge(now, &msg.Sender, msg.Members)
 	n.members.ApplyHeartbeats(now, msg.Heartbeats)
 	n.parts.Merge(now, msg.Parts)
+	n.quotas.mergeAuthority(msg.QuotaAuthority)
 	if msg.Sender.Place.Region != n.settings.Place.Region {
 		n.regions.SetLoads(now, msg.Sender.Place.Region, msg.Loads, roundTrip)
 	} else {
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -47,6 +47,7 @@
 	handler       *edge.Handler
 	mesh          *mesh.Client
 	upstreams     *upstream.Routed
+	quotas        *quotas // nil if quotas are not enforced
 
 	startedAt time.Time
 	// knowsNodes is set once the node has read the entries of all nodes, exchanged once it has made
@@ -123,12 +124,16 @@
 		Budget:     sharedbounds.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		Quarantine: n.parts, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
+	n.quotas = newQuotas(n)
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
 		MaxRequests:       s.MemoryBytes / 2 / bytesPerRequest,
 		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)),
 	})
+	if n.quotas != nil {
+		n.handler.Charge, n.handler.Refund = n.chargeQuota, n.refundQuota
+	}
 	return n
 }
 
@@ -257,6 +262,9 @@
 	loop(n.tickCatalog)
 	loop(n.checkHealth)
 	loop(n.propagateStatements)
+	if n.quotas != nil {
+		loop(n.quotas.runElection)
+	}
 }
 
 const (
--- a/adapters/edgenode/settings.go
+++ b/adapters/edgenode/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/quota"
 )
 
 // Settings holds the configuration of a node.
@@ -41,6 +42,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Quota is the limit that the quotas of client accounts define; its window is zero if
+	// quotas are not enforced.
+	Quota quota.Bounds
 	// MaxDirectoryTTL limits how long callers may cache a directory response.
 	MaxDirectoryTTL time.Duration
 	// MinLease is the shortest lease that the store grants.
@@ -78,5 +82,8 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindow <= 0 {
 		errs = append(errs, errors.New("the retry budget is invalid: the ratio and the slack must not be negative and the window must be positive"))
 	}
+	if s.Quota.Window < 0 || s.Quota.Over < 0 || s.Quota.Slack < 0 {
+		errs = append(errs, errors.New("the bounds of quotas are invalid: none may be negative"))
+	}
 	return errors.Join(errs...)
 }
--- a/adapters/edgenode/shutdown.go
+++ b/adapters/edgenode/shutdown.go
@@ -47,6 +47,7 @@
 	n.log.Log(event.NodeDraining, event.F("node", n.settings.Node), event.F("in_flight", n.inFlight()), event.F("grace_ms", n.settings.GracePeriod.Milliseconds()))
 	n.exchangeWithAll(ctx)
 	go n.unregister()
+	go n.quotas.resign(ctx)
 	sleep(ctx, min(peers.DrainAcceptPeriod, time.Until(deadline)))
 	n.awaitIdle(ctx, drain.LastAnswersAt())
 	n.rejecting.Store(true)
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -12,6 +12,7 @@
 	"github.com/crocusspread/crocusspread/core/placement"
 	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/quarantine"
+	"github.com/crocusspread/crocusspread/core/quota"
 	"github.com/crocusspread/crocusspread/core/relay"
 )
 
@@ -104,6 +105,8 @@
 	RateLimits []instances.RateLimit
 	// Statements holds what upstreams of the region said of themselves.
 	Statements []instances.Statement
+	// QuotaAuthority is the node that grants quotas; its term is zero if none is known.
+	QuotaAuthority quota.Announcement
 }
 
 // Position describes how far a node has replicated a part of the store.
@@ -129,7 +132,7 @@
 
 func messageToWire(msg ExchangeMessage) *meshpb.ExchangeMessage {
 	m := &meshpb.ExchangeMessage{Sender: memberToWire(msg.Sender), TableVersion: msg.TableVersion,
-		Operator: positionToWire(msg.Operator), Entries: positionToWire(msg.Entries)}
+		Operator: positionToWire(msg.Operator), Entries: positionToWire(msg.Entries), QuotaAuthority: authorityToWire(msg.QuotaAuthority)}
 	for _, other := range msg.Members {
 		m.Members = append(m.Members, memberToWire(other))
 	}
@@ -177,7 +180,7 @@
 
 func messageFromWire(m *meshpb.ExchangeMessage) ExchangeMessage {
 	msg := ExchangeMessage{Sender: memberFromWire(m.GetSender()), TableVersion: m.GetTableVersion(),
-		Operator: positionFromWire(m.GetOperator()), Entries: positionFromWire(m.GetEntries())}
+		Operator: positionFromWire(m.GetOperator()), Entries: positionFromWire(m.GetEntries()), QuotaAuthority: authorityFromWire(m.GetQuotaAuthority())}
 	for _, other := range m.GetMembers() {
 		msg.Members = append(msg.Members, memberFromWire(other))
 	}
--- /dev/null
+++ b/adapters/mesh/quota.go
@@ -0,0 +1,79 @@
+package mesh
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/crocusspread/crocusspread/adapters/mesh/meshpb"
+	"github.com/crocusspread/crocusspread/core/domain"
+	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/quota"
+)
+
+// DrawQuota draws tokens from the authority, or from the holder of the region, at an address. It
+// returns false if the node is not the authority, or the holder reaches none.
+func (c *Client) DrawQuota(ctx context.Context, address string, authority bool, demands []quota.Demand) (grants []quota.Grant, available bool, err error) {
+	connection, err := c.conn(address)
+	if err != nil {
+		return nil, false, err
+	}
+	reply, err := meshpb.NewMeshClient(connection).DrawQuota(ctx, &meshpb.QuotaRequest{Authority: authority, From: string(c.self), Demands: demandsToWire(demands)})
+	if err != nil {
+		return nil, false, errkind.New(errkind.PeerUnreachable, "draw from %s: %w", address, err)
+	}
+	return grantsFromWire(reply.GetGrants()), !reply.GetUnavailable(), nil
+}
+
+func demandsToWire(demands []quota.Demand) []*meshpb.QuotaDemand {
+	wire := make([]*meshpb.QuotaDemand, 0, len(demands))
+	for _, d := range demands {
+		m := &meshpb.QuotaDemand{Account: d.Account, Needed: uint64(math.Ceil(d.Needed)), Expected: uint64(d.Expected)}
+		if d.Largest < d.Needed { // omitted for a single request
+			m.Largest = uint64(math.Ceil(d.Largest))
+		}
+		wire = append(wire, m)
+	}
+	return wire
+}
+
+func demandsFromWire(wire []*meshpb.QuotaDemand) []quota.Demand {
+	demands := make([]quota.Demand, 0, len(wire))
+	for _, m := range wire {
+		d := quota.Demand{Account: m.GetAccount(), Needed: float64(m.GetNeeded()), Largest: float64(m.GetLargest()), Expected: float64(m.GetExpected())}
+		if d.Largest == 0 || d.Largest > d.Needed {
+			d.Largest = d.Needed
+		}
+		demands = append(demands, d)
+	}
+	return demands
+}
+
+func grantsToWire(grants []quota.Grant) []*meshpb.QuotaGrant {
+	wire := make([]*meshpb.QuotaGrant, 0, len(grants))
+	for _, g := range grants {
+		wire = append(wire, &meshpb.QuotaGrant{Account: g.Account, Tokens: uint64(g.Tokens), ValidMs: uint32(g.Validity.Milliseconds()),
+			RetryAfterMs: uint32((g.RetryAfter + time.Millisecond - 1).Milliseconds())})
+	}
+	return wire
+}
+
+func grantsFromWire(wire []*meshpb.QuotaGrant) []quota.Grant {
+	grants := make([]quota.Grant, 0, len(wire))
+	for _, m := range wire {
+		grants = append(grants, quota.Grant{Account: m.GetAccount(), Tokens: float64(m.GetTokens()),
+			Validity: time.Duration(m.GetValidMs()) * time.Millisecond, RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond})
+	}
+	return grants
+}
+
+func authorityToWire(a quota.Announcement) *meshpb.QuotaAuthority {
+	if a.Term == 0 {
+		return nil
+	}
+	return &meshpb.QuotaAuthority{Node: string(a.Node), PeerAddress: a.Address, Term: a.Term, Era: a.Era, AgeMs: uint32(a.Age.Milliseconds())}
+}
+
+func authorityFromWire(m *meshpb.QuotaAuthority) quota.Announcement {
+	return quota.Announcement{Node: domain.NodeID(m.GetNode()), Address: m.GetPeerAddress(), Term: m.GetTerm(), Era: m.GetEra(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
+}
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -9,7 +9,9 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh/meshpb"
+	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/quota"
 	"github.com/crocusspread/crocusspread/core/relay"
 )
 
@@ -30,6 +32,9 @@
 	// FetchOperator and FetchEntries return the documents that this node has.
 	FetchOperator(tableNewerThan uint64) OperatorDocuments
 	FetchEntries() UpstreamEntries
+	// DrawQuota grants tokens of client accounts, as the authority or as the holder of
+	// the region. It returns false if this node cannot tell at present.
+	DrawQuota(ctx context.Context, authority bool, from domain.NodeID, demands []quota.Demand) ([]quota.Grant, bool)
 }
 
 // NewServer returns a gRPC server that passes calls to a handler.
@@ -73,6 +78,11 @@
 	return reply, nil
 }
 
+func (s *server) DrawQuota(ctx context.Context, m *meshpb.QuotaRequest) (*meshpb.QuotaReply, error) {
+	grants, available := s.handler.DrawQuota(ctx, m.GetAuthority(), domain.NodeID(m.GetFrom()), demandsFromWire(m.GetDemands()))
+	return &meshpb.QuotaReply{Grants: grantsToWire(grants), Unavailable: !available}, nil
+}
+
 func (s *server) Relay(m *meshpb.RelayRequest, stream grpc.ServerStreamingServer[meshpb.RelayFrame]) error {
 	in := requestFromWire(m, s.now())
 	f, sent := s.handler.Relay(stream.Context(), in, &frameSink{stream: stream, request: &in.Request, sentElsewhere: in.SendCount})
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -42,6 +42,9 @@
 	PartHeld          = Event{308, "part_held", "Requests with a part of a prompt, or one request that comes again, are refused because they crash upstreams; the fields contain the kind, the part or the request's fingerprint, and the evidence. Compare shared_parts and fingerprint of attempt_failed."}
 	PartReleased      = Event{309, "part_released", "Requests with a part of a prompt, or one request, are no longer refused; the field why contains the reason."}
 	PartTried         = Event{310, "part_tried", "One request that is held, or has a held part, was sent to an upstream, to find out whether it still crashes it."}
+	QuotaAuthority    = Event{330, "quota_authority", "This node became, or ceased to be, the node that grants the quotas of client accounts."}
+	QuotaExceeded     = Event{331, "quota_exceeded", "Requests of a client account are refused because they exceed its quota; logged at most once a second and account."}
+	QuotaUnanswered   = Event{332, "quota_unanswered", "No node answers draws from quotas, or one does again; meanwhile requests use the node's emergency share, then get 503."}
 	UpstreamChanged   = Event{401, "upstream_changed", "An upstream changed its life cycle state."}
 	InstanceChanged   = Event{402, "instance_changed", "An upstream registered itself or changed its entry; it gets requests unless it is leaving."}
 	InstanceGone      = Event{403, "instance_gone", "An upstream's entry was removed; it gets no more requests."}
@@ -75,6 +78,7 @@
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
+		QuotaAuthority, QuotaExceeded, QuotaUnanswered,
 		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
--- a/core/quota/balance.go
+++ b/core/quota/balance.go
@@ -19,7 +19,7 @@
 	// expected ones; those of rarer requests would mostly lapse.
 	minFrequency = 2.0
 	// denialPeriod is how long after a denied draw requests of the same size or larger are
-	// denied without another one.
+	// denied without another one, and how long none is made after one without an answer.
 	denialPeriod = 100 * time.Millisecond
 	// idleRetention is how long the state of an account without requests is kept.
 	idleRetention = time.Minute
@@ -52,13 +52,18 @@
 	Missing
 	// Denied means that a draw for as many tokens was denied a moment ago.
 	Denied
+	// Unanswered means that a draw had no answer a moment ago.
+	Unanswered
 )
 
 // Balance holds the tokens of a node, or of a region's holder.
 type Balance struct {
 	horizon time.Duration
+	// notify is called when a draw is needed that was not needed before, or is more urgent.
+	notify func()
 
 	mu       sync.Mutex
+	unnoted  bool // notify is to be called
 	accounts map[string]*balance
 	// pending are the accounts that need a draw.
 	pending []*balance
@@ -80,6 +85,8 @@
 	deniedUntil, deniedAt time.Duration
 	deniedCost            float64
 	retryAfter            time.Duration
+	// unansweredUntil is until when no draw is made after one without an answer.
+	unansweredUntil time.Duration
 	// pending is set while the account is in Balance.pending, drawing while a draw for
 	// expected requests is under way.
 	pending, drawing bool
@@ -87,9 +94,20 @@
 	emergency        slidingSum
 }
 
-// NewBalance returns an empty balance that covers the expected demand of the time horizon.
-func NewBalance(horizon time.Duration) *Balance {
-	return &Balance{horizon: horizon, accounts: make(map[string]*balance)}
+// NewBalance returns an empty balance that covers the expected demand of the time horizon. notify
+// is called when a draw is needed; it may be nil.
+func NewBalance(horizon time.Duration, notify func()) *Balance {
+	return &Balance{horizon: horizon, notify: notify, accounts: make(map[string]*balance)}
+}
+
+// unlock unlocks the balance, and calls notify if a draw has become necessary.
+func (b *Balance) unlock() {
+	notify := b.unnoted && b.notify != nil
+	b.unnoted = false
+	b.mu.Unlock()
+	if notify {
+		b.notify()
+	}
 }
 
 // state returns the state of an account, under the given terms.
@@ -139,7 +157,7 @@
 
 // markLow marks the account for a draw if its tokens do not cover the expected demand.
 func (b *Balance) markLow(now time.Duration, s *balance) {
-	if s.drawing || s.pending || now < s.deniedUntil {
+	if s.drawing || s.pending || now < s.deniedUntil || now < s.unansweredUntil {
 		return
 	}
 	if target := s.target(now, b.horizon); target > 0 && s.stock.total() < refillFraction*target {
@@ -149,7 +167,7 @@
 
 func (b *Balance) mark(s *balance) {
 	if !s.pending {
-		s.pending = true
+		s.pending, b.unnoted = true, true
 		b.pending = append(b.pending, s)
 	}
 }
@@ -158,7 +176,7 @@
 // they are expected to be there.
 func (b *Balance) Take(now time.Duration, account string, t *Terms, cost float64) (c Charge, o Outcome, retryAfter time.Duration) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	defer b.unlock()
 	s := b.state(now, account, t)
 	s.observe(now, cost, cost)
 	s.stock.expire(now)
@@ -170,6 +188,9 @@
 	if now < s.deniedUntil && cost >= s.deniedCost {
 		return Charge{}, Denied, max(time.Millisecond, s.retryAfter-(now-s.deniedAt))
 	}
+	if now < s.unansweredUntil {
+		return Charge{}, Unanswered, 0
+	}
 	return Charge{}, Missing, 0
 }
 
@@ -207,7 +228,7 @@
 // Wait adds a waiter for tokens that Take did not find.
 func (b *Balance) Wait(now time.Duration, account string, t *Terms, cost float64) *Waiter {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	defer b.unlock()
 	return b.wait(b.state(now, account, t), cost, cost)
 }
 
@@ -215,6 +236,7 @@
 	w := &Waiter{need: need, largest: largest, balance: s, owner: b, done: make(chan struct{})}
 	s.waiters = append(s.waiters, w)
 	b.waiters++
+	b.unnoted = true
 	b.mark(s)
 	return w
 }
@@ -325,6 +347,9 @@
 	if now >= until && tokens > 0 {
 		g, tokens = nil, 0 // the answer came too late
 	}
+	if g == nil && len(p.waiters) > 0 {
+		s.unansweredUntil = now + denialPeriod
+	}
 	for _, w := range p.waiters {
 		switch {
 		case w.abandoned:
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -212,6 +212,13 @@
 
 func (a *Authority) active(now time.Duration) bool { return now >= a.start && now < a.end }
 
+// Ended reports whether the term has ended.
+func (a *Authority) Ended(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now >= a.end
+}
+
 // Grant answers a demand. It returns false if the node is not the authority, or does not grant
 // tokens of the account yet.
 func (a *Authority) Grant(now time.Duration, t *Terms, d *Demand) (Grant, bool) {
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -5,14 +5,15 @@
 // Holder hands out the tokens of a region to its nodes.
 type Holder struct{ *Balance }
 
-// NewHolder returns a holder without tokens.
-func NewHolder() *Holder { return &Holder{Balance: NewBalance(HolderHorizon)} }
+// NewHolder returns a holder without tokens; for notify, see NewBalance.
+func NewHolder(notify func()) *Holder { return &Holder{Balance: NewBalance(HolderHorizon, notify)} }
 
 // Serve answers the demand of a node as far as the stock suffices. If it does not cover what
-// the node needs, it returns a waiter for that, and the answer follows from Answer.
+// the node needs, it returns a waiter for that, and the answer follows from Answer. A grant
+// without an account means that there is no answer at present.
 func (h *Holder) Serve(now time.Duration, t *Terms, d *Demand) (Grant, *Waiter) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
+	defer h.unlock()
 	s := h.state(now, d.Account, t)
 	s.observe(now, d.Needed+d.Expected, d.Largest)
 	s.stock.expire(now + handOutMargin)
@@ -31,6 +32,9 @@
 		g.RetryAfter = max(time.Millisecond, s.retryAfter-(now-s.deniedAt))
 		return g, nil
 	}
+	if now < s.unansweredUntil {
+		return Grant{}, nil
+	}
 	return g, h.wait(s, d.Needed, d.Largest)
 }
 
--- a/core/quota/terms.go
+++ b/core/quota/terms.go
@@ -40,7 +40,7 @@
 	largestRequest = 100000
 	largeBurst     = 4
 	// extendedDebtTime is the time of the account's rate by which an account may exceed the
-	// range of the bucket that has used less than its rate and burst grant in the window. A new authority does not know the debt
+	// range of the bucket that has used about its quota or less in the window. A new authority does not know the debt
 	// and waits for that time, so that it costs as much after each change of the authority.
 	extendedDebtTime = 2 * time.Second
 	// debtRequests is the number of largest requests that may be granted in addition to
@@ -62,8 +62,8 @@
 	// Depth is the maximum level of the authority's bucket, Swing the maximum difference
 	// of its levels; below zero, the bucket is in debt.
 	Depth, Swing float64
-	// Extended is by how much an account may exceed the swing that has used less than its
-	// rate and burst grant in the window.
+	// Extended is by how much an account may exceed the swing that has used less than Regular
+	// in the window.
 	Extended float64
 	// Emergency is what all nodes together may use in a window without a grant.
 	Emergency float64
@@ -74,7 +74,8 @@
 	// bounds, MaxGranted what may be granted in it.
 	Window     time.Duration
 	MaxGranted float64
-	// Regular is what the account's rate and burst grant in that time.
+	// Regular is what may be granted in that time with an extended debt: the mean of what
+	// rate and burst grant and of MaxGranted.
 	Regular float64
 }
 
@@ -97,7 +98,7 @@
 	t.Emergency = emergencyFraction * left
 	t.Delay = seconds(delayFraction * left / rate)
 	t.Window = b.Window + t.Validity + t.Delay
-	t.Regular = rate*t.Window.Seconds() + burst
+	t.Regular = (rate*t.Window.Seconds() + burst + limit - t.Emergency) / 2
 	t.MaxGranted = limit - t.Emergency
 	return t
 }
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/placement"
+	"github.com/crocusspread/crocusspread/core/quota"
 	"github.com/crocusspread/crocusspread/core/routes"
 )
 
@@ -47,6 +48,8 @@
 	Service string
 	// Account is the caller's client account; nil if the request has none.
 	Account *routes.Account
+	// Charge is what was taken from the quota of the account for the request.
+	Charge quota.Charge
 	// TableVersion is the version of the routing table that selected the route.
 	TableVersion uint64
 	Arrived      time.Time
--- a/core/routes/account.go
+++ b/core/routes/account.go
@@ -69,6 +69,7 @@
 			errs = append(errs, fmt.Errorf("account %q is listed twice", a.Name))
 		}
 		t.accounts[a.Name] = a
+		t.hasQuotas = t.hasQuotas || a.Quota.PerSecond > 0
 		for _, key := range a.Keys {
 			hash := hashKey(key)
 			if other := t.accountsByKey[hash]; other != nil && other != a {
@@ -98,6 +99,9 @@
 // HasAccounts reports whether requests need the key of a client account.
 func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
 
+// HasQuotas reports whether any account has a quota.
+func (t *Table) HasQuotas() bool { return t.hasQuotas }
+
 // AccountByKey returns the account with the bearer key, or nil if there is none.
 func (t *Table) AccountByKey(key string) *Account {
 	if key == "" {
--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -116,4 +116,6 @@
 	// accounts and accountsByKey are empty if requests need no key.
 	accounts      map[string]*Account // by name
 	accountsByKey map[keyHash]*Account
+	// hasQuotas is set if any account has a quota.
+	hasQuotas bool
 }
