--- a/adapters/edgenode/currency.go
+++ b/adapters/edgenode/currency.go
@@ -61,7 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version = s.version()
-	if version == 0 || s.storeInvalid { // the operator's table is another one than that in force
+	if version == 0 {
 		return 0, false
 	}
 	if s.provedEra == nil || *s.provedEra != era {
@@ -78,7 +78,7 @@
 func (s *state) recordStoreVersion(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeVersion, s.storeInvalid = version, version == 0
+	s.storeVersion = version
 }
 
 // sentProofAge returns the age of the proof for a message; ok is false if it has none.
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -51,6 +51,7 @@
 	handler       *edge.Handler
 	mesh          *mesh.Client
 	upstreams     *upstream.Routed
+	quotas        *quotas // nil if quotas are not enforced
 
 	startedAt time.Time
 	// knowsNodes is set once the node has read the entries of all nodes, exchanged once it has made
@@ -137,12 +138,16 @@
 		Quarantine: n.parts, Places: n.places, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.observePlaces()
+	n.quotas = newQuotas(n)
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, Authorize: n.authorize, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
 		MaxRequests:       s.MemoryBytes / 2 / bytesPerRequest,
 		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)),
 	})
+	if n.quotas != nil {
+		n.handler.Charge, n.handler.Refund = n.chargeQuota, n.refundQuota
+	}
 	return n
 }
 
@@ -286,6 +291,9 @@
 	loop(n.propagateStatements)
 	loop(n.runBrokers)
 	loop(n.keepCurrent)
+	if n.quotas != nil {
+		loop(n.quotas.runElection)
+	}
 }
 
 // constant returns a function that returns d.
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -56,8 +56,6 @@
 	// there was none.
 	storeVersion uint64
 	provedEra    *uint64
-	// storeInvalid is set while the routing table last read from the store is invalid.
-	storeInvalid bool
 	// completedClosed is set once completed is closed.
 	completedClosed bool
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -44,6 +44,9 @@
 	PartTried         = Event{310, "part_tried", "One request that is held, or has a held part, was sent to an upstream, to find out whether it still crashes it."}
 	KeysNotHonoured   = Event{320, "keys_not_honoured", "The node can no longer prove that its routing table is current, and refuses requests with keys as lists_outdated. Check its way to the store and to other nodes."}
 	KeysHonoured      = Event{321, "keys_honoured", "The node has proved again that its routing table is current; requests with keys are served."}
+	QuotaAuthority    = Event{330, "quota_authority", "This node became, or ceased to be, the node that grants the quotas of client accounts."}
+	QuotaExceeded     = Event{331, "quota_exceeded", "Requests of a client account are refused because they exceed its quota; logged at most once a second and account."}
+	QuotaUnanswered   = Event{332, "quota_unanswered", "No node answers draws from quotas, or one does again; meanwhile requests use the node's emergency share, then get 503."}
 	BrokerStarted     = Event{350, "broker_started", "This node began to grant the places of a service with few of them, because another node asked it to or by its own view."}
 	BrokerLost        = Event{351, "broker_lost", "The broker of a service did not answer in time; until it does, this node places requests by itself."}
 	BrokerFound       = Event{352, "broker_found", "A broker that had not answered answers again."}
@@ -82,6 +85,7 @@
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried, KeysNotHonoured, KeysHonoured,
+		QuotaAuthority, QuotaExceeded, QuotaUnanswered,
 		BrokerStarted, BrokerLost, BrokerFound, PlaceRefused, PlacesBorrowed,
 		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
 		MemberChanged, DomainChanged, DirectoryEmpty,
