--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -90,14 +90,14 @@
 // room returns the number of tokens that may be granted for requests of a size.
 func (b *Bucket) room(now time.Duration, t *Terms, largest float64) float64 {
 	room := b.level - b.low
-	if largest < b.reserve && now < b.reserveUntil {
-		room -= b.reserve
-	}
 	granted := b.granted.total(now, t.Window)
-	// An account that has used less than its rate and burst grant goes further into debt.
+	// An account that has used about its quota or less goes further into debt.
 	if extended := b.level - (t.Depth - t.Swing - t.Extended); largest > 0 && t.Extended > 0 {
 		room = max(room, min(extended, t.Regular-granted))
 	}
+	if largest < b.reserve && now < b.reserveUntil {
+		room -= b.reserve
+	}
 	return math.Floor(max(0, min(room, t.MaxGranted-granted)))
 }
 
