Let a restarted node continue its term as the authority of quotas

After all processes were killed at once, the entry of the authority stayed under its lease for up to 3 s, and candidates waited for 2 s more: nobody granted tokens meanwhile, and requests beyond the emergency share got 503. The node that wrote the entry now replaces it as soon as it serves again, since its former process cannot grant any more.

--- a/adapters/edgenode/quota_authority.go
+++ b/adapters/edgenode/quota_authority.go
@@ -43,8 +43,9 @@
 
 // authorityEntry is the entry of the authority in the store.
 type authorityEntry struct {
-	Node    domain.NodeID `json:"node"`
-	Address string        `json:"address"`
+	Node        domain.NodeID      `json:"node"`
+	Incarnation domain.Incarnation `json:"incarnation"`
+	Address     string             `json:"address"`
 	// Era is the era of the store in which the entry was written.
 	Era uint64 `json:"era"`
 }
@@ -59,6 +60,10 @@
 	// renewAt is when the lease is to be renewed, attemptAt when the node tries to become the
 	// authority; zero if that is not decided.
 	renewAt, attemptAt time.Duration
+	// reclaimed is set once the node has looked for an entry of its former process, whose term
+	// it continues without waiting for the end of the lease: after all processes were killed at
+	// once no other node can begin one sooner.
+	reclaimed bool
 }
 
 // runElection makes this node the authority when none acts and it is a candidate, and renews its
@@ -92,6 +97,11 @@
 		}
 		return
 	}
+	if !e.reclaimed && q.node.members.State() == domain.NodeServing {
+		e.reclaimed = true
+		q.attempt(ctx, true)
+		return
+	}
 	since, lost := q.view.Lost(now)
 	if !lost {
 		e.attemptAt = 0
@@ -106,7 +116,7 @@
 	}
 	if now >= e.attemptAt {
 		e.attemptAt = now + time.Duration(rand.Float64()*float64(electionRetryDelay)) + electionRetryDelay
-		q.attempt(ctx)
+		q.attempt(ctx, false)
 	}
 }
 
@@ -129,8 +139,9 @@
 	return list
 }
 
-// attempt makes this node the authority unless another one is.
-func (q *quotas) attempt(ctx context.Context) {
+// attempt makes this node the authority unless another one is; with onlyReclaim, only if its
+// former process was.
+func (q *quotas) attempt(ctx context.Context, onlyReclaim bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	n := q.node
@@ -141,7 +152,8 @@
 	if err != nil {
 		return
 	}
-	if item.Revision != 0 && !q.isOfEarlierEra(&item) {
+	replaceable, ended := q.replaceable(&item)
+	if !replaceable || onlyReclaim && (item.Revision == 0 || !ended) {
 		return
 	}
 	sentAt := boottime.Now()
@@ -151,7 +163,7 @@
 		return
 	}
 	self := quota.Announcement{Node: n.settings.Node, Address: n.settings.PeerAddress, Era: lease.Era}
-	text, err := json.Marshal(authorityEntry{Node: self.Node, Address: self.Address, Era: self.Era})
+	text, err := json.Marshal(authorityEntry{Node: self.Node, Incarnation: n.members.Incarnation(), Address: self.Address, Era: self.Era})
 	if err == nil {
 		self.Term, err = n.deps.Store.Put(ctx, key, text, lease, item.Revision)
 	}
@@ -163,7 +175,7 @@
 		return // if it was written, the entry ends with its lease, which nobody renews
 	}
 	start := boottime.Now()
-	if known, _ := q.view.Announcement(start); item.Revision != 0 || known.Term != 0 && known.Era < lease.Era {
+	if known, _ := q.view.Announcement(start); !ended || known.Term != 0 && known.Era < lease.Era {
 		start += lease.TTL // the store lost the lease of the node before, which may not know it yet
 	}
 	e := &q.election
@@ -175,19 +187,27 @@
 	q.announce()
 }
 
-// isOfEarlierEra reports whether an entry is of an earlier era of the store, in which case nobody
-// renews its lease. Otherwise it applies the entry.
-func (q *quotas) isOfEarlierEra(item *ports.Item) bool {
+// replaceable reports whether this node may replace an entry: if there is none, if it is of an
+// earlier era of the store, in which case nobody renews its lease, or if this node's former
+// process wrote it. ended is set if the process that wrote it is certain to grant nothing any
+// more. Any other entry is applied.
+func (q *quotas) replaceable(item *ports.Item) (replaceable, ended bool) {
+	if item.Revision == 0 {
+		return true, true
+	}
 	var entry authorityEntry
 	if err := json.Unmarshal(item.Value, &entry); err != nil {
 		q.node.log.Log(event.InstanceRefused, event.F("key", item.Key), event.F("error", err))
-		return false
+		return false, false
 	}
-	if entry.Era < q.node.era.latest() {
-		return true
+	switch {
+	case entry.Node == q.node.settings.Node && entry.Incarnation < q.node.members.Incarnation():
+		return true, true
+	case entry.Era < q.node.era.latest():
+		return true, false
 	}
 	q.view.Merge(boottime.Now(), quota.Announcement{Node: entry.Node, Address: entry.Address, Era: entry.Era, Term: item.Revision, Age: assumedLeaseAge})
-	return false
+	return false, false
 }
 
 // renew renews the lease.
--- a/adapters/edgenode/quota_test.go
+++ b/adapters/edgenode/quota_test.go
@@ -492,3 +492,26 @@
 		n.refundQuota(r)
 	}
 }
+
+// TestRestartedAuthorityContinuesItsTerm guards against refusing the requests of all accounts for
+// the rest of a lease after all processes were killed at once: the node that was the authority
+// may begin again at once, and no other one.
+func TestRestartedAuthorityContinuesItsTerm(t *testing.T) {
+	t.Parallel()
+	f := newQuotaFleet(t, tokenAccount("a", 47000))
+	f.store.items[testQuotaKey] = ports.Item{Key: testQuotaKey, Value: []byte(`{"node": "west-a0", "incarnation": 1, "address": "127.0.0.1:1"}`), Revision: 2}
+	n := f.start("west-a0", "west-a", 0.8) // the entry has no lease and would never lapse
+	f.eventually("the node is the authority", func() bool { return len(f.authorities()) == 1 })
+	f.awaitCharges([]*quotaNode{n})
+	for entry, want := range map[string]bool{
+		`{"node": "west-a0", "incarnation": 1}`:              true,
+		`{"node": "west-a0", "incarnation": 99999999999999}`: false, // of this process, or written after the time of day was set back
+		`{"node": "west-a1", "incarnation": 1}`:              false,
+		`no entry`:                                           false,
+	} {
+		replaceable, ended := n.quotas.replaceable(&ports.Item{Key: testQuotaKey, Value: []byte(entry), Revision: 7})
+		if replaceable != want || ended != want {
+			t.Errorf("entry %s: replaceable %v, ended %v, want %v", entry, replaceable, ended, want)
+		}
+	}
+}
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// Incarnation returns the incarnation of the local node.
+func (m *Members) Incarnation() domain.Incarnation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self.Incarnation
+}
+
 // State returns the state of the local node.
 func (m *Members) State() domain.NodeState {
 	m.mu.Lock()
