--- a/cmd/faulttest/deployment_test.go
+++ b/cmd/faulttest/deployment_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -72,7 +73,14 @@
 
 // nodeOptions holds the settings that differ between tests; heartbeat is a duration
 // as in the settings file.
-type nodeOptions struct{ heartbeat string }
+type nodeOptions struct {
+	heartbeat string
+	// extra is appended to the settings.
+	extra string
+	// wrapper is a command that runs the node's binary and its arguments, which follow;
+	// empty if the binary is run itself.
+	wrapper []string
+}
 
 // deployment is a platform, upstreams and nodes, each a process of its own.
 type deployment struct {
@@ -232,10 +240,11 @@
 	text := fmt.Sprintf(nodeSettings, n.id, place.Region, place.FailureDomain, ports[0], ports[1], ports[2],
 		n.peerProxy.address(), n.platformProxy.address(), progress, n.options.heartbeat)
 	path := filepath.Join(d.t.TempDir(), n.id+".yaml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text+n.options.extra), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	n.process = start(d.t, n.id, nodeBinary, "--settings", path)
+	command := append(slices.Clone(n.options.wrapper), nodeBinary, "--settings", path)
+	n.process = start(d.t, n.id, command[0], command[1:]...)
 	listening := false
 	waitFor(d.t, n.id+" to listen", func() bool {
 		_, err := d.tryStatus(n)
