--- a/core/event/event.go
+++ b/core/event/event.go
@@ -42,6 +42,8 @@
 	PartHeld          = Event{308, "part_held", "Requests with a part of a prompt, or one request that comes again, are refused because they crash upstreams; the fields contain the kind, the part or the request's fingerprint, and the evidence. Compare shared_parts and fingerprint of attempt_failed."}
 	PartReleased      = Event{309, "part_released", "Requests with a part of a prompt, or one request, are no longer refused; the field why contains the reason."}
 	PartTried         = Event{310, "part_tried", "One request that is held, or has a held part, was sent to an upstream, to find out whether it still crashes it."}
+	ClientsCut        = Event{340, "clients_cut", "Connections or requests of clients were closed because they exceeded a limit; the fields contain the listener, the reason and how many since the last line."}
+	ClientsRefused    = Event{341, "clients_refused", "New connections were closed at once because the listener has as many as it may have; the fields contain the listener and how many since the last line."}
 	UpstreamChanged   = Event{401, "upstream_changed", "An upstream changed its life cycle state."}
 	InstanceChanged   = Event{402, "instance_changed", "An upstream registered itself or changed its entry; it gets requests unless it is leaving."}
 	InstanceGone      = Event{403, "instance_gone", "An upstream's entry was removed; it gets no more requests."}
@@ -74,7 +76,7 @@
 		NodeStarted, NodeServing, NodeDraining, NodeStopped, SettingsReloaded, SettingsRefused, SettingsKept, SignalReceived, RequestsEnded,
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
-		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried,
+		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried, ClientsCut, ClientsRefused,
 		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
