Bound what clients outside the limits take of a node

On the users' platform each listener has its part of the descriptors and the memory, taken from limits.max_fds and limits.memory_mb, so that a crowd at one address takes nothing from another one, from the store or from upstreams. Callers' bodies and those that other nodes relay share a fifth of the memory; a relayed request that finds no room is refused as not run, before its body arrives if its sender states the size. Bodies without progress are refused while room is short.

--- a/adapters/edge/body.go
+++ b/adapters/edge/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/core/errkind"
 )
 
@@ -35,8 +36,13 @@
 	// Without support for deadlines, errors are ignored and the body has none.
 	connection := http.NewResponseController(w)
 	_ = connection.SetReadDeadline(deadline)
+	received := &connlimit.Body{Reader: reader, Set: h.Receives, Cancel: func() { _ = connection.SetReadDeadline(time.Now()) }}
+	if h.Receives != nil {
+		reader = received
+	}
 	body, reserved, err := h.readReserved(reader, r.ContentLength)
-	if err == nil {
+	canceled := received.End()
+	if err == nil && !canceled {
 		// While the request is served, the connection is read to detect that it closes.
 		_ = connection.SetReadDeadline(time.Time{})
 		return body, reserved, nil
@@ -48,6 +54,8 @@
 		return nil, 0, errkind.New(errkind.BodyTooLarge, "body is larger than %d bytes", limit)
 	case errors.Is(err, errBodiesTooLarge):
 		return nil, 0, errkind.New(errkind.Overloaded, "request bodies in flight take %d bytes", h.bodyBytes.Load())
+	case canceled:
+		return nil, 0, errkind.New(errkind.Overloaded, "the body arrived too slowly while there was no room for others")
 	}
 	return nil, 0, errkind.New(errkind.BadRequest, "read body: %w", err)
 }
@@ -61,7 +69,7 @@
 		if length >= 0 {
 			size = min(size, length)
 		}
-		if h.bodyBytes.Add(size-reserved) > h.MaxTotalBodyBytes {
+		if h.bodyBytes.Add(size-reserved)+h.otherBodyBytes() > h.MaxTotalBodyBytes {
 			return nil, size, errBodiesTooLarge
 		}
 		reserved = size
@@ -83,3 +91,10 @@
 		size *= 2
 	}
 }
+
+func (h *Handler) otherBodyBytes() int64 {
+	if h.OtherBodyBytes == nil {
+		return 0
+	}
+	return h.OtherBodyBytes()
+}
--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/abort"
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
@@ -49,6 +50,11 @@
 	MaxRequests int64
 	// MaxTotalBodyBytes is the maximum total size of their bodies in bytes.
 	MaxTotalBodyBytes int64
+	// OtherBodyBytes returns the size of other bodies that count towards it; nil if there are
+	// none.
+	OtherBodyBytes func() int64
+	// Receives holds the bodies that are arriving; nil if none is ever canceled.
+	Receives *connlimit.Receives
 }
 
 // Handler handles the requests of callers.
@@ -64,6 +70,9 @@
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.requestsInFlight.Load() }
 
+// BodyBytes returns the total size of the bodies of requests in flight.
+func (h *Handler) BodyBytes() int64 { return h.bodyBytes.Load() }
+
 // writeSlack is how long after the deadline of a request its response may still be
 // written, to a caller that reads slowly.
 const writeSlack = 5 * time.Second
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/adapters/edge"
 	"github.com/crocusspread/crocusspread/adapters/mesh"
 	"github.com/crocusspread/crocusspread/adapters/telemetry"
@@ -59,6 +60,11 @@
 	statementsChanged chan struct{}
 	// relayed is the number of requests in flight that other nodes relayed here.
 	relayed atomic.Int64
+	// relayedBytes is the size of their bodies.
+	relayedBytes atomic.Int64
+	// guard enforces limits on clients, which are derived from the settings.
+	guard  *connlimit.Guard
+	limits connlimit.Shares
 	// fetchingEntries and fetchingOperator limit fetches to one of each kind at a
 	// time; entries do not wait for a large routing table.
 	fetchingEntries, fetchingOperator atomic.Bool
@@ -123,11 +129,14 @@
 		Budget:     sharedbounds.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		Quarantine: n.parts, StatementsChanged: func() { signal(n.statementsChanged) }, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
+	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, bytesPerRequest)
+	n.guard = connlimit.New(n.limits.HeadBytes, log, m)
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
-		MaxRequests:       s.MemoryBytes / 2 / bytesPerRequest,
-		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)),
+		MaxRequests:       int64(n.limits.Requests),
+		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
+		Receives: connlimit.NewReceives(n.guard, "entry", connlimit.BodyStalled, 0, n.bodiesShort),
 	})
 	return n
 }
@@ -257,6 +266,7 @@
 	loop(n.tickCatalog)
 	loop(n.checkHealth)
 	loop(n.propagateStatements)
+	loop(n.guard.Run)
 }
 
 const (
@@ -320,16 +330,18 @@
 )
 
 // serve starts the servers in group.
-func (n *Node) serve(group *errgroup.Group, l *listeners) *servers {
+func (n *Node) serve(group *errgroup.Group, opened *listeners) *servers {
+	l := n.guardListeners(opened)
 	directory := &edge.Directory{Dialect: n.deps.Edge, Entries: n.entries, TTL: n.directoryTTL(), Log: n.log}
 	s := &servers{
 		entry:     newHTTPServer(n.handler),
 		ready:     newHTTPServer(edge.ReadyHandler(n.deps.Edge, n.ready.Load)),
 		directory: newHTTPServer(directory.Handler()),
-		peer:      mesh.NewServer(insecure.NewCredentials(), n, time.Now),
+		peer:      mesh.NewServer(insecure.NewCredentials(), n, n.meshLimits(), time.Now),
 	}
 	s.entry.BaseContext = func(net.Listener) context.Context { return n.requests }
-	start := func(server *http.Server, listener net.Listener) {
+	start := func(server *http.Server, listener *connlimit.Listener) {
+		server.ConnState = listener.ConnState
 		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	}
 	start(s.entry, l.entry)
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -232,7 +232,7 @@
 		return nil, errkind.New(errkind.PeerUnreachable, "connection to node %s is in state %v", target.ID, s)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stream, err := meshpb.NewMeshClient(connection).Relay(ctx, requestToWire(c.self, call, c.now()))
+	stream, err := meshpb.NewMeshClient(connection).Relay(declareBody(ctx, call.Body), requestToWire(c.self, call, c.now()))
 	if err != nil {
 		cancel()
 		return nil, streamError(target, err)
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -32,10 +32,10 @@
 	FetchEntries() UpstreamEntries
 }
 
-// NewServer returns a gRPC server that passes calls to a handler.
-func NewServer(creds credentials.TransportCredentials, h Handler, now func() time.Time) *grpc.Server {
-	s := grpc.NewServer(grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
-		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(connectionWindow))
+// NewServer returns a gRPC server that passes calls to a handler, within limits.
+func NewServer(creds credentials.TransportCredentials, h Handler, limits *Limits, now func() time.Time) *grpc.Server {
+	s := grpc.NewServer(append(limits.Calls.Options(maxStreams), grpc.StreamInterceptor(limits.stream), grpc.Creds(creds), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.InitialWindowSize(streamWindow), grpc.InitialConnWindowSize(connectionWindow))...)
 	meshpb.RegisterMeshServer(s, &server{handler: h, now: now})
 	return s
 }
