--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/adapters/edge"
 	"github.com/crocusspread/crocusspread/adapters/mesh"
 	"github.com/crocusspread/crocusspread/adapters/telemetry"
@@ -70,6 +71,11 @@
 	brokersActive chan struct{}
 	// relayed is the number of requests in flight that other nodes relayed here.
 	relayed atomic.Int64
+	// relayedBytes is the size of their bodies.
+	relayedBytes atomic.Int64
+	// guard enforces limits on clients, which are derived from the settings.
+	guard  *connlimit.Guard
+	limits connlimit.Shares
 	// fetchingEntries and fetchingOperator limit fetches to one of each kind at a
 	// time; entries do not wait for a large routing table.
 	fetchingEntries, fetchingOperator atomic.Bool
@@ -139,11 +145,14 @@
 	}
 	n.observePlaces()
 	n.quotas = newQuotas(n)
+	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, bytesPerRequest)
+	n.guard = connlimit.New(n.limits.HeadBytes, log, m)
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, Authorize: n.authorize, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
-		MaxRequests:       s.MemoryBytes / 2 / bytesPerRequest,
-		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)),
+		MaxRequests:       int64(n.limits.Requests),
+		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
+		Receives: connlimit.NewReceives(n.guard, "entry", connlimit.BodyStalled, 0, n.bodiesShort),
 	})
 	if n.quotas != nil {
 		n.handler.Charge, n.handler.Refund = n.chargeQuota, n.refundQuota
@@ -294,6 +303,7 @@
 	if n.quotas != nil {
 		loop(n.quotas.runElection)
 	}
+	loop(n.guard.Run)
 }
 
 // constant returns a function that returns d.
@@ -360,16 +370,18 @@
 )
 
 // serve starts the servers in group.
-func (n *Node) serve(group *errgroup.Group, l *listeners) *servers {
+func (n *Node) serve(group *errgroup.Group, opened *listeners) *servers {
+	l := n.guardListeners(opened)
 	directory := &edge.Directory{Dialect: n.deps.Edge, Entries: n.entries, TTL: n.directoryTTL(), Log: n.log}
 	s := &servers{
 		entry:     newHTTPServer(n.handler),
 		ready:     newHTTPServer(edge.ReadyHandler(n.deps.Edge, n.ready.Load)),
 		directory: newHTTPServer(directory.Handler()),
-		peer:      mesh.NewServer(insecure.NewCredentials(), n, time.Now),
+		peer:      mesh.NewServer(insecure.NewCredentials(), n, n.meshLimits(), time.Now),
 	}
 	s.entry.BaseContext = func(net.Listener) context.Context { return n.requests }
-	start := func(server *http.Server, listener net.Listener) {
+	start := func(server *http.Server, listener *connlimit.Listener) {
+		server.ConnState = listener.ConnState
 		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	}
 	start(s.entry, l.entry)
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -234,7 +234,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	// The node runs nothing before it has received the message, which a stream that was not
 	// established has not carried.
-	clientStream, err := connection.NewStream(ctx, &meshpb.Mesh_ServiceDesc.Streams[0], meshpb.Mesh_Relay_FullMethodName)
+	clientStream, err := connection.NewStream(declareBody(ctx, call.Body), &meshpb.Mesh_ServiceDesc.Streams[0], meshpb.Mesh_Relay_FullMethodName)
 	if err != nil {
 		cancel()
 		return nil, errkind.New(errkind.PeerUnreachable, "no stream to node %s: %w", target.ID, err)
--- a/adapters/mesh/places_test.go
+++ b/adapters/mesh/places_test.go
@@ -11,8 +11,12 @@
 
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/crocusspread/crocusspread/adapters/calllimit"
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
+	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/places"
 )
@@ -59,7 +63,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(insecure.NewCredentials(), b, time.Now)
+	guard := connlimit.New(1<<20, event.Discard{}, telemetry.NewMetrics(domain.Place{}))
+	limits := &Limits{Calls: calllimit.New(guard, "peer", 256<<20, nil), ReserveBody: func(int64) *errkind.Error { return nil }, ReleaseBody: func(int64) {}}
+	s := NewServer(insecure.NewCredentials(), b, limits, time.Now)
 	go func() { _ = s.Serve(l) }() // it returns once the server stops
 	t.Cleanup(s.Stop)
 	bytes = new(atomic.Int64)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -47,6 +47,8 @@
 	QuotaAuthority    = Event{330, "quota_authority", "This node became, or ceased to be, the node that grants the quotas of client accounts."}
 	QuotaExceeded     = Event{331, "quota_exceeded", "Requests of a client account are refused because they exceed its quota; logged at most once a second and account."}
 	QuotaUnanswered   = Event{332, "quota_unanswered", "No node answers draws from quotas, or one does again; meanwhile requests use the node's emergency share, then get 503."}
+	ClientsCut        = Event{340, "clients_cut", "Connections or requests of clients were closed because they exceeded a limit; the fields contain the listener, the reason and how many since the last line."}
+	ClientsRefused    = Event{341, "clients_refused", "New connections were closed at once because the listener has as many as it may have; the fields contain the listener and how many since the last line."}
 	BrokerStarted     = Event{350, "broker_started", "This node began to grant the places of a service with few of them, because another node asked it to or by its own view."}
 	BrokerLost        = Event{351, "broker_lost", "The broker of a service did not answer in time; until it does, this node places requests by itself."}
 	BrokerFound       = Event{352, "broker_found", "A broker that had not answered answers again."}
@@ -86,6 +88,7 @@
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
 		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried, KeysNotHonoured, KeysHonoured,
 		QuotaAuthority, QuotaExceeded, QuotaUnanswered,
+		ClientsCut, ClientsRefused,
 		BrokerStarted, BrokerLost, BrokerFound, PlaceRefused, PlacesBorrowed,
 		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
 		MemberChanged, DomainChanged, DirectoryEmpty,
