Free places whose permits were lost with the path to a node

A broker whose path to the nodes was cut for a second kept the places of lost permits until the deadlines of their requests, for up to 3 s after the path was back, and took late returns for long work. A permit held for six times the mean is now presumed lost, returns are repeated until the broker answers, and a late return counts as the time for which the place was used. Failed connections to a broker are established again at once.

--- a/adapters/edgenode/placebroker.go
+++ b/adapters/edgenode/placebroker.go
@@ -251,8 +251,9 @@
 // release returns a place. What it shows about the upstream is recorded if another node had the place:
 // this node has recorded its own requests.
 func (s *placeBroker) release(r mesh.PlaceRelease, fromOther bool) {
-	s.do(func(now time.Time, b *places.Broker) { b.Release(now, r.Release) })
-	if fromOther && r.Outcome != instances.Canceled {
+	known := false
+	s.do(func(now time.Time, b *places.Broker) { _, known = b.Release(now, r.Release) })
+	if fromOther && known && r.Outcome != instances.Canceled {
 		s.node.catalog.Pool(s.service).RecordOutcome(time.Now(), r.Instance, r.Outcome)
 	}
 }
--- a/adapters/edgenode/places.go
+++ b/adapters/edgenode/places.go
@@ -25,13 +25,14 @@
 	brokerProbeAfter = 70 * time.Millisecond
 	// brokerRetryInterval is the time between two calls to a broker that did not answer.
 	brokerRetryInterval = 300 * time.Millisecond
-	// releaseDelay is how long a returned place waits for others to the same broker, maxReleases
-	// the maximum number of them in one message.
+	// releaseDelay is how long a returned place waits for others to the same broker.
 	releaseDelay = 2 * time.Millisecond
-	maxReleases  = 64
-	// releaseTimeout limits the return of places. One that fails is repeated once; beyond that the
-	// permits lapse at their deadlines.
-	releaseTimeout = 400 * time.Millisecond
+	// releaseTimeout limits the return of places. While a broker does not answer, at most
+	// maxKeptReleases are kept until it does, for maxReleaseAttempts; their permits have lapsed
+	// after that.
+	releaseTimeout     = 400 * time.Millisecond
+	maxKeptReleases    = 256
+	maxReleaseAttempts = 20
 	// accountPriorityStep makes the priority of the account come before that of the route.
 	accountPriorityStep = 100
 )
@@ -55,6 +56,8 @@
 	probedAt time.Time
 	probing  bool
 	releases []mesh.PlaceRelease
+	// releaseFailures is the number of consecutive failures to return places.
+	releaseFailures int
 }
 
 // path returns the path to an address. Paths to nodes that are no members any more are forgotten.
@@ -248,12 +251,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.node.requests, brokerTimeout)
 		defer cancel()
-		err := c.node.mesh.ReleasePlaces(ctx, p.address, nil)
+		err := c.node.mesh.Ping(ctx, p.address)
 		p.mu.Lock()
 		p.probing = false
 		p.mu.Unlock()
 		if err == nil && p.heard(time.Now()) {
 			c.node.log.Log(event.BrokerFound, event.F("address", p.address))
+			c.flush(p)
 		}
 	}()
 }
@@ -290,11 +294,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.releases = append(p.releases, r)
-	switch len(p.releases) {
-	case 1:
+	if len(p.releases) == 1 {
 		time.AfterFunc(releaseDelay, func() { c.flush(p) })
-	case maxReleases:
-		go c.flush(p)
 	}
 }
 
@@ -306,16 +307,27 @@
 	if len(list) == 0 {
 		return
 	}
-	for range 2 {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		err := c.node.mesh.ReleasePlaces(ctx, p.address, list)
-		cancel()
-		if err == nil {
-			p.heard(time.Now())
-			return
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	err := c.node.mesh.ReleasePlaces(ctx, p.address, list)
+	if err == nil {
+		p.heard(time.Now())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.releaseFailures++; err == nil {
+		p.releaseFailures = 0
+		return
+	}
+	if p.releaseFailures > maxReleaseAttempts {
+		list, p.releaseFailures = nil, 0
+	}
+	kept := list[:min(len(list), max(0, maxKeptReleases-len(p.releases)))]
+	p.releases = append(p.releases, kept...)
+	c.node.metrics.Count("places.releases_lost", int64(len(list)-len(kept)))
+	if len(kept) > 0 && len(p.releases) == len(kept) { // otherwise the next return sends them
+		time.AfterFunc(releaseTimeout, func() { c.flush(p) })
 	}
-	c.node.metrics.Count("places.releases_lost", int64(len(list)))
 }
 
 // observePlaces adds the gauges of the brokers.
--- a/adapters/mesh/places.go
+++ b/adapters/mesh/places.go
@@ -50,8 +50,20 @@
 	return decisionFromWire(reply), nil
 }
 
-// ReleasePlaces returns places to the broker at an address; an empty list finds out whether it
-// answers.
+// Ping finds out whether the broker at an address answers. A connection that failed is established
+// again at once, as its backoff may be longer than the path was broken.
+func (c *Client) Ping(ctx context.Context, address string) error {
+	connection, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	if connection.GetState() == connectivity.TransientFailure {
+		connection.ResetConnectBackoff()
+	}
+	return c.ReleasePlaces(ctx, address, nil)
+}
+
+// ReleasePlaces returns places to the broker at an address.
 func (c *Client) ReleasePlaces(ctx context.Context, address string, list []PlaceRelease) error {
 	connection, err := c.conn(address)
 	if err != nil {
--- a/core/places/broker.go
+++ b/core/places/broker.go
@@ -30,6 +30,8 @@
 	maxConnectionShare = 0.5
 	// holdGain is the weight of one release in the mean time for which a permit is held.
 	holdGain = 0.05
+	// maxMessageTime is the longest time that the messages of a permit usually take together.
+	maxMessageTime = 40 * time.Millisecond
 	// maxWaitRatio and maxUrgentWaitRatio are the longest expected waits that are admitted, as
 	// parts of the objective; see placement.Policy.MaxSlotWaitRatio.
 	maxWaitRatio       = 0.5
@@ -178,6 +180,8 @@
 	u         *upstream
 	grantedAt time.Time
 	expiresAt time.Time
+	// presumedLost is set once the place counts as free although the permit was not returned.
+	presumedLost bool
 }
 
 // refusal is what the broker remembers of a refused request. It may come back, and its
@@ -271,7 +275,7 @@
 // Waiting returns the number of requests that wait.
 func (b *Broker) Waiting() int { return len(b.order.waiting) }
 
-// Outstanding returns the number of permits.
+// Outstanding returns the number of permits, those that are presumed lost included.
 func (b *Broker) Outstanding() int { return len(b.permits) }
 
 // capacity returns the number of permits per second that the region's places allow. It
@@ -518,7 +522,8 @@
 	}
 }
 
-// Release returns a permit. It reports the upstream, or false if the permit is not known.
+// Release returns a permit. It reports the upstream, or false if the permit is not known, as when it is
+// returned for a second time.
 func (b *Broker) Release(now time.Time, r Release) (domain.UpstreamID, bool) {
 	p, known := b.permits[r.ID]
 	if !known {
@@ -526,7 +531,9 @@
 	}
 	delete(b.permits, r.ID)
 	u := p.u
-	u.outstanding--
+	if !p.presumedLost {
+		u.outstanding--
+	}
 	if u.borrowed() {
 		if r.Outcome == instances.Shed {
 			u.limit = 0 // until the next loan
@@ -544,6 +551,10 @@
 func (b *Broker) measureHold(held time.Duration, u *upstream, r Release) {
 	b.released++
 	gain := max(holdGain, 1/float64(b.released))
+	if r.Used > 0 {
+		// A return that was late because the path was broken says nothing of the work.
+		held = min(held, r.Used+maxMessageTime)
+	}
 	b.hold += time.Duration(gain * float64(held-b.hold))
 	// A request that shared the upstream with more requests than it has slots spent a part of
 	// its time in the upstream's queue.
@@ -574,6 +585,11 @@
 	// permitGrace is how long after the deadline of its request a permit is kept for its
 	// release.
 	permitGrace = 250 * time.Millisecond
+	// presumedLostFactor is the multiple of the mean time for which permits are held after which
+	// one is presumed lost: its place would be idle until the deadline if the node, or the path to
+	// it, failed. If it is used after all, upstreams report longer queues.
+	presumedLostFactor = 6
+	minPresumedLost    = 300 * time.Millisecond
 )
 
 // Tick must be called every few milliseconds while requests wait, and from time to time
@@ -581,9 +597,15 @@
 func (b *Broker) Tick(now time.Time) {
 	if now.Sub(b.expiryCheckedAt) >= expiryInterval {
 		b.expiryCheckedAt = now
+		longest := max(minPresumedLost, presumedLostFactor*b.hold)
 		for id, p := range b.permits {
-			if now.Sub(p.expiresAt) > permitGrace {
+			expired := now.Sub(p.expiresAt) > permitGrace
+			if !p.presumedLost && (expired || now.Sub(p.grantedAt) > longest+p.u.trip) {
 				p.u.outstanding--
+				p.presumedLost = true
+				b.permits[id] = p
+			}
+			if expired {
 				delete(b.permits, id)
 			}
 		}
