Send fewer bytes for draws from quotas, and count them

Replies repeated the names of the accounts, and each message between nodes told of the authority. Grants are now in the order of the demands, and three exchanges in ten tell of an authority that has not changed a moment ago. Tokens are kept for accounts with a request a second, not two.

--- a/adapters/edgenode/quota.go
+++ b/adapters/edgenode/quota.go
@@ -233,12 +233,20 @@
 	}
 }
 
+// announcedFraction is the fraction of exchanges that tell of the authority, unless it has changed
+// a moment ago: every node makes several exchanges a second.
+const announcedFraction = 0.3
+
 // announcement returns what other nodes are told of the authority.
 func (q *quotas) announcement() quota.Announcement {
 	if q == nil || !q.active() {
 		return quota.Announcement{}
 	}
-	a, _ := q.view.Announcement(bootTime())
+	now := bootTime()
+	a, known := q.view.Announcement(now)
+	if !known || !q.view.Fresh(now) && rand.Float64() > announcedFraction {
+		return quota.Announcement{}
+	}
 	return a
 }
 
--- a/adapters/edgenode/quota_draws.go
+++ b/adapters/edgenode/quota_draws.go
@@ -181,7 +181,7 @@
 }
 
 // DrawQuota implements mesh.Handler.
-func (n *Node) DrawQuota(ctx context.Context, authority bool, _ domain.NodeID, demands []quota.Demand) ([]quota.Grant, bool) {
+func (n *Node) DrawQuota(ctx context.Context, authority bool, demands []quota.Demand) ([]quota.Grant, bool) {
 	switch {
 	case n.quotas == nil:
 		return nil, false
--- a/adapters/mesh/quota.go
+++ b/adapters/mesh/quota.go
@@ -18,11 +18,11 @@
 	if err != nil {
 		return nil, false, err
 	}
-	reply, err := meshpb.NewMeshClient(connection).DrawQuota(ctx, &meshpb.QuotaRequest{Authority: authority, From: string(c.self), Demands: demandsToWire(demands)})
+	reply, err := meshpb.NewMeshClient(connection).DrawQuota(ctx, &meshpb.QuotaRequest{Authority: authority, Demands: demandsToWire(demands)})
 	if err != nil {
 		return nil, false, errkind.New(errkind.PeerUnreachable, "draw from %s: %w", address, err)
 	}
-	return grantsFromWire(reply.GetGrants()), !reply.GetUnavailable(), nil
+	return grantsFromWire(demands, reply.GetGrants()), !reply.GetUnavailable(), nil
 }
 
 func demandsToWire(demands []quota.Demand) []*meshpb.QuotaDemand {
@@ -49,19 +49,31 @@
 	return demands
 }
 
-func grantsToWire(grants []quota.Grant) []*meshpb.QuotaGrant {
-	wire := make([]*meshpb.QuotaGrant, 0, len(grants))
-	for _, g := range grants {
-		wire = append(wire, &meshpb.QuotaGrant{Account: g.Account, Tokens: uint64(g.Tokens), ValidMs: uint32(g.Validity.Milliseconds()),
-			RetryAfterMs: uint32((g.RetryAfter + time.Millisecond - 1).Milliseconds())})
+// grantsToWire encodes the grants for demands, which are in the same order. As they are, they need
+// no names; a demand without a grant gets an empty message.
+func grantsToWire(demands []quota.Demand, grants []quota.Grant) []*meshpb.QuotaGrant {
+	wire := make([]*meshpb.QuotaGrant, 0, len(demands))
+	for i := range demands {
+		m := &meshpb.QuotaGrant{}
+		if len(grants) > 0 && grants[0].Account == demands[i].Account {
+			g := &grants[0]
+			m.Tokens, m.ValidMs = uint64(g.Tokens), uint32(g.Validity.Milliseconds())
+			m.RetryAfterMs = uint32((g.RetryAfter + time.Millisecond - 1).Milliseconds())
+			grants = grants[1:]
+		}
+		wire = append(wire, m)
 	}
 	return wire
 }
 
-func grantsFromWire(wire []*meshpb.QuotaGrant) []quota.Grant {
+// grantsFromWire decodes the grants for demands; it omits those that grant and deny nothing.
+func grantsFromWire(demands []quota.Demand, wire []*meshpb.QuotaGrant) []quota.Grant {
 	grants := make([]quota.Grant, 0, len(wire))
-	for _, m := range wire {
-		grants = append(grants, quota.Grant{Account: m.GetAccount(), Tokens: float64(m.GetTokens()),
+	for i, m := range wire[:min(len(wire), len(demands))] {
+		if m.GetTokens() == 0 && m.GetRetryAfterMs() == 0 {
+			continue
+		}
+		grants = append(grants, quota.Grant{Account: demands[i].Account, Tokens: float64(m.GetTokens()),
 			Validity: time.Duration(m.GetValidMs()) * time.Millisecond, RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond})
 	}
 	return grants
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -9,7 +9,6 @@
 	"google.golang.org/grpc/credentials"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh/meshpb"
-	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/quota"
 	"github.com/crocusspread/crocusspread/core/relay"
@@ -34,7 +33,8 @@
 	FetchEntries() UpstreamEntries
 	// DrawQuota grants tokens of client accounts, as the authority or as the holder of
 	// the region. It returns false if this node cannot tell at present.
-	DrawQuota(ctx context.Context, authority bool, from domain.NodeID, demands []quota.Demand) ([]quota.Grant, bool)
+	// The grants are in the order of the demands; some may have none.
+	DrawQuota(ctx context.Context, authority bool, demands []quota.Demand) ([]quota.Grant, bool)
 }
 
 // NewServer returns a gRPC server that passes calls to a handler.
@@ -79,8 +79,9 @@
 }
 
 func (s *server) DrawQuota(ctx context.Context, m *meshpb.QuotaRequest) (*meshpb.QuotaReply, error) {
-	grants, available := s.handler.DrawQuota(ctx, m.GetAuthority(), domain.NodeID(m.GetFrom()), demandsFromWire(m.GetDemands()))
-	return &meshpb.QuotaReply{Grants: grantsToWire(grants), Unavailable: !available}, nil
+	demands := demandsFromWire(m.GetDemands())
+	grants, available := s.handler.DrawQuota(ctx, m.GetAuthority(), demands)
+	return &meshpb.QuotaReply{Grants: grantsToWire(demands, grants), Unavailable: !available}, nil
 }
 
 func (s *server) Relay(m *meshpb.RelayRequest, stream grpc.ServerStreamingServer[meshpb.RelayFrame]) error {
--- a/core/quota/balance.go
+++ b/core/quota/balance.go
@@ -17,7 +17,7 @@
 	demandTime = time.Second
 	// minFrequency is the number of requests per second from which on tokens are kept for
 	// expected ones; those of rarer requests would mostly lapse.
-	minFrequency = 2.0
+	minFrequency = 1.0
 	// denialPeriod is how long after a denied draw requests of the same size or larger are
 	// denied without another one, and how long none is made after one without an answer.
 	denialPeriod = 100 * time.Millisecond
--- a/core/quota/view.go
+++ b/core/quota/view.go
@@ -27,8 +27,8 @@
 	// forgottenAt is when the node of the term was found not to be the authority; zero if it
 	// was not.
 	forgottenAt time.Duration
-	// lostAt is since when no authority is known.
-	lostAt time.Duration
+	// lostAt is since when no authority is known, changedAt when the last change was learned.
+	lostAt, changedAt time.Duration
 }
 
 // NewView returns the view of a node that knows no authority.
@@ -45,13 +45,13 @@
 	order := cmp.Or(cmp.Compare(a.Era, v.known.Era), cmp.Compare(a.Term, v.known.Term))
 	switch {
 	case order > 0:
-		v.known, v.confirmedAt, v.forgottenAt = a, confirmedAt, 0
+		v.known, v.confirmedAt, v.forgottenAt, v.changedAt = a, confirmedAt, 0, now
 		if a.Node == "" {
 			v.lostAt = now
 		}
 	case order < 0 || v.known.Node == "":
 	case a.Node == "":
-		v.known, v.lostAt = a, now
+		v.known, v.lostAt, v.changedAt = a, now, now
 	case confirmedAt > v.confirmedAt:
 		v.confirmedAt = confirmedAt
 		if confirmedAt > v.forgottenAt {
@@ -85,6 +85,16 @@
 	return a, a.Term != 0 && v.forgottenAt == 0
 }
 
+// freshPeriod is how long after a change of the authority every message tells of it.
+const freshPeriod = 3 * time.Second
+
+// Fresh reports whether the authority has changed a moment ago.
+func (v *View) Fresh(now time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now-v.changedAt < freshPeriod
+}
+
 // staleAfter is the time since the confirmation of the lease after which the authority is
 // supposed to be gone. Its lease has ended by then, unless exchanges are late.
 const staleAfter = LeaseTTL + 500*time.Millisecond
