Don't send a long prompt elsewhere while its engine prefills it

An attempt of a repeatable request was cancelled after 700 ms without a byte from its upstream on any connection of the node, whatever answer time was expected.

Until the first byte the limit is now three times the expected time if that is longer.

TestLongPrefillIsNotTakenForSilence: sent once, twice before.

--- a/core/relay/attempts_test.go
+++ b/core/relay/attempts_test.go
@@ -341,3 +341,26 @@
 		}
 	})
 }
+
+// TestLongPrefillIsNotTakenForSilence guards against sending a long prompt to a second upstream
+// while the first one still prefills it, which doubles the load when it is highest.
+func TestLongPrefillIsNotTakenForSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, err := routes.New(1, nil, []routes.Service{{Name: "app", Engine: &routes.Engine{Slots: 4}}}, routes.Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := newFixture(t, 2)
+		r.Catalog.Configure(table)
+		r.upstreams.replies = []reply{{delay: time.Second, chunks: []string{"id: 1\n\n"}}}
+		req := newRequest(routes.Streaming, 2)
+		req.Route.Resumable, req.Route.Objective = true, 800*time.Millisecond
+		req.Prompt.InputTokens = 40000 // half a second at the assumed rate
+		if f := r.Serve(context.Background(), req, &recordingSink{}); f != nil {
+			t.Errorf("the request failed: %v", f)
+		}
+		if n := len(r.upstreams.calls); n != 1 {
+			t.Errorf("the request was sent %d times, want once", n)
+		}
+	})
+}
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -21,6 +21,10 @@
 	// silenceTimeout is how long an upstream may send nothing to this node, on any
 	// connection, before a repeatable request is sent elsewhere.
 	silenceTimeout = 700 * time.Millisecond
+	// silenceTimeoutFactor replaces silenceTimeout until the first byte of an answer if it is
+	// longer, as a multiple of the expected time. Most upstreams run one request of this node, and
+	// prefill a long prompt, at the speed of the moment, without sending anything.
+	silenceTimeoutFactor = 3
 	// streamSilenceTimeout is the same for an answer that has begun: engines pause a
 	// stream for over a second when they run out of memory, and callers disconnect after
 	// two seconds at the earliest.
@@ -103,7 +107,7 @@
 	timer = time.AfterFunc(silenceTimeout, func() {
 		now := a.Now()
 		waited := now.Sub(start)
-		limit := silenceTimeout
+		limit := max(silenceTimeout, silenceTimeoutFactor*t.Expected)
 		if t.AnswerStarted() {
 			limit = streamSilenceTimeout
 		}
--- a/core/relay/setup_test.go
+++ b/core/relay/setup_test.go
@@ -27,7 +27,7 @@
 	chunks []string
 	// end is the error after the chunks; nil means a complete answer.
 	end error
-	// err is returned instead of an answer, after delay.
+	// err is returned instead of an answer. delay is the time until either.
 	err   error
 	delay time.Duration
 	// hang blocks until the attempt is canceled.
@@ -94,6 +94,11 @@
 		time.Sleep(r.delay)
 		return nil, r.err
 	}
+	select {
+	case <-time.After(r.delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if r.head.Status == 0 {
 		r.head.Status, r.head.Signed = 200, true
 	}
