Place prompts by what engines are expected to hold

A request followed the last shared part of its prompt for 12 s, and the engine that all nodes prefer counted as holding it before it had read it: two fifths of prompt tokens were read again, and questions were placed behind prefills that were not expected. Each node now models the parts that engines of its region hold, by the tokens used since and the memory that running requests leave, and places by expected milliseconds. Less urgent requests no longer count as evidence that an engine is slow, and wait for the slots that more urgent ones leave. It applies where the engines' memory is configured.

The simulated engines look parts up when a prefill begins, no longer when the request gets its slot, and report the bytes of streams, without which nodes took busy engines for dark.

--- a/core/instances/enginesim_test.go
+++ b/core/instances/enginesim_test.go
@@ -36,7 +36,9 @@
 	output        int
 	done          func(now time.Time)
 	firstByte     func(now time.Time)
+	progress      func(now time.Time)
 	toPrefill     int
+	prefilling    bool
 	emitted       int
 	startedAt     time.Time
 	firstAt       time.Time
@@ -95,6 +97,17 @@
 	return held
 }
 
+// heldOf returns those of the given parts that are prefilled or being prefilled.
+func (e *memoryEngine) heldOf(parts []placement.Part) []placement.Part {
+	var held []placement.Part
+	for _, p := range parts {
+		if e.cache[p.ID] != nil {
+			held = append(held, p)
+		}
+	}
+	return held
+}
+
 // reclaim evicts unused parts until the given number of tokens is free; false if it cannot.
 func (e *memoryEngine) reclaim(tokens int) bool {
 	for e.memory-e.used < tokens {
@@ -118,7 +131,6 @@
 }
 
 func (e *memoryEngine) startRequest(now time.Time, r *memoryRequest) bool {
-	held := e.heldTokens(r)
 	need := r.emitted
 	for _, p := range r.parts {
 		c := e.cache[p.ID]
@@ -145,12 +157,10 @@
 		}
 		c.pins++
 		c.usedAt = now
-		e.sim.use(now, p, held > 0 && c.filled)
-		held -= p.Tokens
 	}
 	e.used += need
 	r.privateTokens = r.emitted
-	r.toPrefill = r.prompt + r.emitted - e.heldTokens(r)
+	r.toPrefill, r.prefilling = r.prompt+r.emitted, false
 	r.startedAt = now
 	e.running = append(e.running, r)
 	return true
@@ -207,6 +217,16 @@
 	}
 }
 
+// beginPrefill determines which parts are held when the prefill of a request begins.
+func (e *memoryEngine) beginPrefill(now time.Time, r *memoryRequest) {
+	held := e.heldTokens(r)
+	r.prefilling, r.toPrefill = true, r.prompt+r.emitted-held
+	for _, p := range r.parts {
+		e.sim.use(now, p, held > 0)
+		held -= p.Tokens
+	}
+}
+
 // step starts a step unless one is being made.
 func (e *memoryEngine) step(now time.Time) {
 	if e.stepping {
@@ -220,6 +240,9 @@
 	budget := engineChunk
 	var filled, decoding []*memoryRequest
 	for _, r := range e.running {
+		if r.toPrefill > 0 && !r.prefilling && budget > 0 {
+			e.beginPrefill(now, r)
+		}
 		if r.toPrefill > 0 {
 			n := min(budget, r.toPrefill)
 			r.toPrefill -= n
@@ -284,8 +307,10 @@
 	capacityKnown bool
 	// prefixesKnown is set if the nodes know which parts prompts share.
 	prefixesKnown bool
-	oracle        bool
-	policy        placement.Policy
+	// oracle is set if each decision is made with the true state of all engines, cachesKnown if nodes
+	// know what engines hold, but not more of their load.
+	oracle, cachesKnown bool
+	policy              placement.Policy
 }
 
 type memorySim struct {
@@ -328,6 +353,9 @@
 	} else if r.emitted%engineStride == 0 {
 		r.maxGap = max(r.maxGap, now.Sub(r.lastEventAt))
 		r.lastEventAt = now
+		if r.progress != nil {
+			r.progress(now)
+		}
 	}
 	if r.emitted < r.output {
 		return
@@ -443,6 +471,11 @@
 	}
 	q := instances.Query{LocalAllowed: true, Request: placement.Request{Prompt: r.hidden, PromptTokens: r.prompt, OutputTokens: r.output,
 		Objective: r.kind.objective, Elapsed: now.Sub(r.arrived), Remaining: 6 * time.Second, Urgent: r.kind.priority == 0, Random: s.rng.Uint32()}}
+	if s.cachesKnown {
+		for _, id := range s.ids {
+			s.pools[node].SetHeldParts(now, id, s.engines[id].heldOf(r.parts))
+		}
+	}
 	d, ticket := s.pools[node].Place(now, s.policy, &q)
 	switch d.Choice {
 	case placement.Wait:
@@ -457,6 +490,7 @@
 		load := instances.ReportedLoad{Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots}
 		s.schedule(at, func(now time.Time) { ticket.FirstByte(now, load, true) })
 	}
+	r.progress = ticket.Progress
 	r.done = func(at time.Time) {
 		s.schedule(at, func(now time.Time) { ticket.Done(now, instances.Answered) })
 	}
@@ -474,11 +508,23 @@
 // best returns the engine at which the request costs callers least, with all that engines know.
 func (s *memorySim) best(r *memoryRequest) (best domain.UpstreamID, ok bool) {
 	lowest := math.Inf(1)
+	shared, held := 0, 0
+	for _, p := range r.parts[:len(r.parts)-1] {
+		shared += p.Tokens
+	}
+	for _, e := range s.engines {
+		held = max(held, e.heldTokens(r))
+	}
+	firstRead := float64(max(0, shared-held)) / engineRate
 	for _, i := range s.rng.Perm(len(s.ids)) {
 		e := s.engines[s.ids[i]]
 		pending, streams := 0, 0
 		for _, o := range e.running {
-			pending += o.toPrefill
+			if o.prefilling {
+				pending += o.toPrefill
+			} else {
+				pending += o.prompt - e.heldTokens(o)
+			}
 			if o.toPrefill == 0 {
 				streams++
 			}
@@ -495,7 +541,7 @@
 			}
 		}
 		cost := delay + float64(tokens)/engineRate*(0.5+0.1*float64(streams)) + float64(e.load())*2
-		if delay < float64(r.kind.objective.Milliseconds()) && cost < lowest {
+		if delay-firstRead < float64(r.kind.objective.Milliseconds()) && cost < lowest {
 			lowest, best, ok = cost, s.ids[i], true
 		}
 	}
--- a/core/instances/memory.go
+++ b/core/instances/memory.go
@@ -36,14 +36,18 @@
 type reservation struct {
 	// private is the number of tokens of its own: the unshared prompt and the most output.
 	private int
-	// shared are the parts that other requests may hold too.
-	shared []placement.Part
+	// parts are the tracked parts of the prompt, all but the last of which other requests may
+	// hold too.
+	parts []placement.Part
 	// duration is the expected time for which the request takes it.
 	duration time.Duration
 	// until is when the reservation of another node's request ends.
 	until time.Time
 }
 
+// shared returns the parts that other requests may hold too.
+func (r *reservation) shared() []placement.Part { return r.parts[:max(0, len(r.parts)-1)] }
+
 // releaseRate returns the private tokens that the request releases per millisecond, on average over its
 // duration.
 func (r *reservation) releaseRate() float64 {
@@ -69,7 +73,7 @@
 func (m *reservedMemory) add(r reservation) {
 	m.private += r.private
 	m.releaseRate += r.releaseRate()
-	for _, part := range r.shared {
+	for _, part := range r.shared() {
 		if m.pins == nil {
 			m.pins = make(map[uint64]pin)
 		}
@@ -86,7 +90,7 @@
 func (m *reservedMemory) release(r reservation) {
 	m.private -= r.private
 	m.releaseRate -= r.releaseRate()
-	for _, part := range r.shared {
+	for _, part := range r.shared() {
 		p := m.pins[part.ID]
 		p.requests--
 		if p.requests > 0 {
@@ -187,22 +191,26 @@
 // all returns the tokens of a request that shares nothing with others.
 func (r *reservation) all() int {
 	tokens := r.private
-	for _, part := range r.shared {
+	for _, part := range r.shared() {
 		tokens += part.Tokens
 	}
 	return tokens
 }
 
-// maxSharedParts is the maximum number of shared parts of a prompt that are tracked singly; further ones
-// count as private. Callers' prompts have two to four.
-const maxSharedParts = 8
+// maxTrackedParts is the maximum number of parts of a prompt that are tracked; further ones count as a
+// part of the last one. Callers' prompts have two to five.
+const maxTrackedParts = 9
+
+// trackedParts returns the tracked parts of a prompt.
+func trackedParts(prompt []placement.Part) []placement.Part {
+	return prompt[:min(maxTrackedParts, len(prompt))]
+}
 
-// newReservation returns the reservation of a request. Its shared parts are those of the request, which are
+// newReservation returns the reservation of a request. Its parts are those of the request, which are
 // not modified.
 func newReservation(r *placement.Request) reservation {
-	res := reservation{shared: r.SharedParts(), private: r.PromptTokens + r.OutputTokens}
-	res.shared = res.shared[:min(maxSharedParts, len(res.shared))]
-	for _, part := range res.shared {
+	res := reservation{parts: trackedParts(r.Prompt), private: r.PromptTokens + r.OutputTokens}
+	for _, part := range res.shared() {
 		res.private -= part.Tokens
 	}
 	res.private = max(0, res.private)
@@ -218,7 +226,7 @@
 	c.ReleaseRate = max(0, u.reserved.releaseRate) + untold/max(1, float64(p.meanSlotTime)/float64(time.Millisecond))
 	c.NeedTokens = float64(need.all())
 	if c.ReservedTokens+c.NeedTokens > c.MemoryTokens {
-		c.NeedTokens -= float64(u.reserved.held(need.shared))
+		c.NeedTokens -= float64(u.reserved.held(need.shared()))
 	}
 	c.SpareTokens = 0
 	if large := min(p.sizes.large, c.MemoryTokens/2); c.NeedTokens >= similarToLarge*large {
@@ -248,10 +256,15 @@
 	x.tokens += poolGain * (float64(tokens) - x.tokens)
 }
 
+// mixed reports whether requests of different urgency share the engines.
+func (x *preemption) mixed() bool {
+	return x.lessUrgent >= minUrgencyShare && x.lessUrgent <= 1-minUrgencyShare
+}
+
 // cost returns the expected loss of a request that is preempted: its prompt is read again, after it has
 // waited for the next free slot.
 func (x *preemption) cost(rate float64, slotTime time.Duration, slots int) time.Duration {
-	if x.lessUrgent < minUrgencyShare || x.lessUrgent > 1-minUrgencyShare {
+	if !x.mixed() {
 		return 0
 	}
 	return time.Duration(x.tokens/rate*float64(time.Millisecond)) + slotTime/time.Duration(max(1, slots))
--- a/core/instances/memory_test.go
+++ b/core/instances/memory_test.go
@@ -107,23 +107,34 @@
 }
 
 // TestUrgentRequestsAvoidPreemption guards against urgent questions that preempt long prompts, or the
-// reverse, at full engines while others have free slots. Few nodes know well which engines are full.
+// reverse, at full engines while others have free slots. Few nodes know well which engines are full. At any
+// number of nodes the requests must cost callers less than if the nodes do not know the engines' memory.
 func TestUrgentRequestsAvoidPreemption(t *testing.T) {
 	for _, c := range []struct {
+		nodes                          int
 		long, question                 float64
 		longPriority, questionPriority int
-	}{{45, 200, 1, 0}, {30, 240, 1, 0}, {45, 200, 0, 1}, {30, 240, 0, 1}} {
+	}{
+		{3, 45, 200, 1, 0}, {3, 30, 240, 1, 0}, {3, 45, 200, 0, 1}, {3, 30, 240, 0, 1},
+		{16, 45, 200, 1, 0}, {16, 30, 240, 1, 0}, {16, 45, 200, 0, 1}, {16, 30, 240, 0, 1},
+	} {
 		l := regionLoad(c.long, c.question, zipf(300, 0.9), c.longPriority, c.questionPriority)
-		l.nodes = 3
-		without := total(playSeeds(t, l, 5), 0)
+		l.nodes = c.nodes
+		unknown := total(playSeeds(t, l, 8), 0)
 		l.capacityKnown = true
-		with := total(playSeeds(t, l, 5), 0)
-		t.Logf("%.0f long prompts and %.0f questions per second, priorities %d and %d: cost %.1f, %d preemptions; without the cost of preemptions %.1f, %d", c.long, c.question, c.longPriority, c.questionPriority, with.cost, with.preemptions, without.cost, without.preemptions)
-		if with.preemptions > without.preemptions {
-			t.Errorf("%.0f long prompts, %.0f questions: got %d preemptions, want at most %d", c.long, c.question, with.preemptions, without.preemptions)
+		with := total(playSeeds(t, l, 8), 0)
+		without := with
+		if c.nodes == 3 { // more nodes do not know which engines are full
+			l.policy.PreemptionWeight = 0
+			without = total(playSeeds(t, l, 8), 0)
+		}
+		t.Logf("%d nodes, %.0f long prompts and %.0f questions per second, priorities %d and %d: cost %.1f, %d preemptions; without the loss of preempted requests %.1f, %d; memory unknown %.1f, %d", c.nodes, c.long, c.question, c.longPriority, c.questionPriority,
+			with.cost, with.preemptions, without.cost, without.preemptions, unknown.cost, unknown.preemptions)
+		if c.nodes == 3 && (with.preemptions > without.preemptions || with.cost > without.cost) {
+			t.Errorf("%.0f long prompts, %.0f questions: got %d preemptions at a cost of %.1f, want at most %d and %.1f", c.long, c.question, with.preemptions, with.cost, without.preemptions, without.cost)
 		}
-		if with.cost > without.cost {
-			t.Errorf("%.0f long prompts, %.0f questions: got a cost of %.1f, want at most %.1f", c.long, c.question, with.cost, without.cost)
+		if with.cost > unknown.cost {
+			t.Errorf("%d nodes, %.0f long prompts, %.0f questions: got a cost of %.1f, want at most %.1f", c.nodes, c.long, c.question, with.cost, unknown.cost)
 		}
 	}
 }
--- a/core/instances/notice.go
+++ b/core/instances/notice.go
@@ -15,12 +15,14 @@
 	Instance domain.UpstreamID
 	// Tokens is the number of prompt tokens that the engine has to prefill.
 	Tokens int
-	// Shared identifies the shared parts of the prompt; zero if there are none.
+	// Shared identifies the shared parts of the prompt; zero if there are none, or if Parts tells
+	// them.
 	Shared uint64
 	// Slowdown is what the engine has just stated; zero if it has not.
 	Slowdown float64
 	// ReservedTokens is the engine's memory that the request takes until its end, without the shared
-	// parts, and Duration the expected time until then. Parts are the shared parts in order.
+	// parts, and Duration the expected time until then. Parts are the parts of the prompt in order, the
+	// last of which is not shared.
 	ReservedTokens int
 	Duration       time.Duration
 	Parts          []placement.Part
@@ -48,11 +50,11 @@
 	u.backlog.add(now, p.prefillRateAt(now, u), n.Tokens)
 	if p.tracksMemory() && n.Duration > 0 {
 		d := min(maxReservation, time.Duration(remoteMargin*float64(n.Duration)))
-		r := reservation{private: n.ReservedTokens, shared: n.Parts, duration: d, until: now.Add(d)}
+		r := reservation{private: n.ReservedTokens, parts: n.Parts, duration: d, until: now.Add(d)}
 		u.reserved.addRemote(now, r)
 		p.sizes.recordLarge(r.all())
-	}
-	if n.Shared != 0 {
+		p.recordParts(now, u, n.Parts)
+	} else if n.Shared != 0 {
 		p.prompts.record(now, n.Shared, u.ID)
 	}
 }
@@ -80,11 +82,11 @@
 		return true
 	}
 	n := Notice{Service: p.service, Instance: t.upstream.ID, Tokens: t.tokens}
-	if t.shared {
+	if t.shared && !t.reserved {
 		n.Shared = t.prompt
 	}
 	if t.reserved {
-		n.ReservedTokens, n.Parts = t.reservation.private, t.reservation.shared
+		n.ReservedTokens, n.Parts = t.reservation.private, t.reservation.parts
 		n.Duration = t.reservation.duration
 	}
 	p.options.SendNotice(n)
--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -31,6 +31,10 @@
 	return min(maxLatencyRatio, ratio)
 }
 
+// maxEngineRatio is the maximum ratio of one answer of an engine to the pool's average. Requests that wait for
+// slots and memory or are preempted take many times as long at engines that are not slow.
+const maxEngineRatio = 2
+
 // minExpectedDelay keeps the ratio of actual to expected delay meaningful for very
 // small expected delays.
 const minExpectedDelay = 20 * time.Millisecond
@@ -39,6 +43,9 @@
 	took := t.atUsualSpeed(now.Sub(t.SentAt))
 	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.SentAt, t.upstream)/t.expectedSlowdown))
 	ratio := min(10, max(0.1, float64(took)/float64(expected)))
+	if t.reserved {
+		ratio = min(maxEngineRatio*p.latencyRatio, ratio)
+	}
 	t.upstream.latencyMeasuredAt = now
 	t.upstream.latencyRatio += latencyRatioGain * (ratio - t.upstream.latencyRatio)
 	p.latencyRatio += poolGain * (ratio - p.latencyRatio)
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -58,7 +58,10 @@
 	expectedSlowdown, slowdown float64
 	// reserved is set if reservation counts: the engine's memory that the request takes.
 	// outputTokens is its most output.
-	reserved     bool
+	reserved bool
+	// preemptible is set if more urgent requests may preempt this one. The time of its answer does
+	// not tell the engine's speed.
+	preemptible  bool
 	reservation  reservation
 	outputTokens int
 }
@@ -76,6 +79,9 @@
 	if q.LocalAllowed {
 		candidates = p.listCandidates(now, q)
 	}
+	if p.tracksMemory() {
+		p.markHeld(now, q, candidates)
+	}
 	if shared {
 		p.markCached(now, q, candidates, key, sharedTokens)
 	}
@@ -94,6 +100,7 @@
 	t.slowdown = t.expectedSlowdown
 	if p.tracksMemory() {
 		p.preemption.record(q.Urgent, d.Tokens)
+		t.preemptible = !q.Urgent && p.preemption.mixed()
 		t.reserved, t.reservation, t.outputTokens = true, newReservation(&q.Request), q.OutputTokens
 		t.reservation.duration = p.sizes.duration(t.Expected, t.outputTokens)
 	}
@@ -129,16 +136,22 @@
 	rate := p.prefillRateAt(now, u)
 	t.pendingBefore = u.backlog.estimate(now, rate)
 	t.backlogMark = u.backlog.add(now, rate, t.tokens)
-	if t.shared {
+	if t.shared && !t.reserved {
 		p.prompts.record(now, t.prompt, u.ID)
 	}
 	if t.reserved {
 		u.reserved.add(t.reservation)
 	}
 	told := p.sendNotice(now, t)
+	if !t.reserved {
+		return
+	}
 	p.sizes.record(t.reservation.private, told)
 	if told {
 		p.sizes.recordLarge(t.reservation.all())
+		p.recordParts(now, u, t.reservation.parts)
+	} else {
+		p.updateVolume(now, u, t.reservation.private)
 	}
 }
 
@@ -147,16 +160,17 @@
 // upstreams are excluded only while at least half of the usable ones are not
 // suspect.
 func (p *Pool) listCandidates(now time.Time, q *Query) []placement.Candidate {
-	p.candidates = p.candidates[:0]
+	p.candidates = slices.Grow(p.candidates[:0], len(p.upstreams))[:len(p.upstreams)]
 	healthy, usable := 0, 0
 	connections, meanOthers := p.connections(), p.meanOtherRequests(now)
 	need, tracksMemory := newReservation(&q.Request), p.tracksMemory()
-	for _, u := range p.upstreams {
-		p.candidates = append(p.candidates, placement.Candidate{})
+	for i, u := range p.upstreams {
+		u.index = i
+		c := &p.candidates[i]
 		if u.Place.Region != p.options.Self.Region {
+			*c = placement.Candidate{}
 			continue
 		}
-		c := &p.candidates[len(p.candidates)-1]
 		p.fillCandidate(now, c, u, q.Model, meanOthers)
 		c.Usable = c.Usable && u.inFlight < connections
 		if tracksMemory {
@@ -186,7 +200,7 @@
 	return p.options.ConnectionShare(p.config.MaxConnections)
 }
 
-// fillCandidate sets a zero candidate to the state of an upstream.
+// fillCandidate sets a candidate to the state of an upstream.
 func (p *Pool) fillCandidate(now time.Time, c *placement.Candidate, u *upstream, model string, meanOthers float64) {
 	slowdown := u.slowdown.at(now)
 	*c = placement.Candidate{
@@ -209,12 +223,12 @@
 // upstream for the whole fleet the others need not prefill the prompt, which would
 // take longer than the round trip to another region.
 func (p *Pool) markCached(now time.Time, q *Query, candidates []placement.Candidate, key uint64, sharedTokens int) {
-	preferred, best := -1, uint64(0)
+	preferred, best, tracksMemory := -1, uint64(0), p.tracksMemory()
 	for i, u := range p.upstreams {
-		if s := placement.RendezvousWeight(key, u.ID); s >= best && p.mayHavePrompt(u, q, candidates, i) {
+		if s := placement.WeightOfHash(key, u.idHash); s >= best && p.mayHavePrompt(u, q, candidates, i) {
 			preferred, best = i, s
 		}
-		if candidates != nil && p.prompts.mayBeCached(now, key, u.ID) {
+		if candidates != nil && !tracksMemory && p.prompts.mayBeCached(now, key, u.ID) {
 			candidates[i].CachedTokens = sharedTokens
 		}
 	}
@@ -223,7 +237,11 @@
 	}
 	place := p.upstreams[preferred].Place
 	if place.Region == p.options.Self.Region {
-		candidates[preferred].CachedTokens = sharedTokens
+		if c := &candidates[preferred]; tracksMemory {
+			c.PreferredTokens = max(0, sharedTokens-c.CachedTokens)
+		} else {
+			c.CachedTokens = sharedTokens
+		}
 		return
 	}
 	for i := range q.OtherRegions {
@@ -265,7 +283,7 @@
 	if r.Slots > 0 {
 		t.upstream.updateLoad(now, r)
 	}
-	if worked {
+	if worked && !(t.reserved && (t.preemptible || t.queued)) {
 		p.updateLatencyRatio(t, now)
 	}
 }
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -32,6 +32,7 @@
 	config       routes.Service
 	upstreams    []*upstream
 	prompts      prompts
+	holders      holders
 	meanSlotTime time.Duration
 	latencyRatio float64
 	// maxEventGap is the maximum time between two events of the service's streams; zero
@@ -51,7 +52,7 @@
 }
 
 func newPool(service string, o *Options) *Pool {
-	return &Pool{service: service, options: o, prompts: make(prompts), removed: make(map[domain.UpstreamID]removedUpstream), meanSlotTime: defaultSlotTime, latencyRatio: 1,
+	return &Pool{service: service, options: o, prompts: make(prompts), holders: make(holders), removed: make(map[domain.UpstreamID]removedUpstream), meanSlotTime: defaultSlotTime, latencyRatio: 1,
 		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}, sizes: requestSizes{tokenTime: decodeStep}}
 }
 
@@ -107,7 +108,10 @@
 	defer p.mu.Unlock()
 	u := p.find(in.ID)
 	if u == nil || u.Started != in.Started {
-		replacement := &upstream{Instance: in, evacuated: evacuated, latencyRatio: p.latencyRatio}
+		if u != nil {
+			p.holders.forget(u)
+		}
+		replacement := &upstream{Instance: in, idHash: placement.HashID(in.ID), evacuated: evacuated, latencyRatio: p.latencyRatio}
 		replacement.inherit(p.formerRecord(now, u, in.ID))
 		if u == nil {
 			p.upstreams = append(p.upstreams, replacement)
@@ -142,6 +146,7 @@
 	maps.DeleteFunc(p.removed, func(_ domain.UpstreamID, r removedUpstream) bool { return now.Sub(r.at) > removedRetention })
 	if u := p.find(id); u != nil {
 		p.removed[id] = removedUpstream{u, now}
+		p.holders.forget(u)
 	}
 	p.upstreams = slices.DeleteFunc(p.upstreams, func(u *upstream) bool { return u.ID == id })
 }
@@ -187,6 +192,9 @@
 	if p.tracksMemory() {
 		s.PreemptionCost = p.preemption.cost(p.prefillRate.tokensPerMS, p.meanSlotTime, p.config.Engine.Slots)
 		s.MeanNeedTokens = p.sizes.private
+		if p.preemption.mixed() {
+			s.LessUrgentShare = p.preemption.lessUrgent
+		}
 	}
 	return s
 }
--- a/core/instances/sharedprompts_test.go
+++ b/core/instances/sharedprompts_test.go
@@ -57,14 +57,14 @@
 	pool  *instances.Pool
 }
 
-func newRegionNodes(t *testing.T) []regionNode {
+func newRegionNodes(t *testing.T, cacheTokens int) []regionNode {
 	t.Helper()
 	sizes := map[domain.Region]int{"west": 8, "east": 6, "south": 4}
 	var nodes []regionNode
 	for _, name := range []domain.Region{"west", "east", "south"} {
 		place := domain.Place{Region: name, FailureDomain: domain.FailureDomain(name + "-a")}
 		c := instances.NewCatalog(instances.Options{Self: place})
-		table, err := routes.New(1, nil, []routes.Service{{Name: "model", Engine: &routes.Engine{Slots: 24, TokensPerEvent: 8}}}, routes.Limits{})
+		table, err := routes.New(1, nil, []routes.Service{{Name: "model", Engine: &routes.Engine{Slots: 24, CacheTokens: cacheTokens, TokensPerEvent: 8}}}, routes.Limits{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -84,20 +84,22 @@
 // one of them at peak load. It compares the tokens prefilled repeatedly and the late
 // answers with those of nodes that place every prompt in their own region.
 func TestSharedPromptsArePrefilledOnceInFleet(t *testing.T) {
-	repeatedFleet, lateFleet := simulatePrompts(t, true)
-	repeatedLocal, lateLocal := simulatePrompts(t, false)
-	t.Logf("tokens prefilled repeatedly: %d, within regions only %d; late answers: %d, within regions only %d", repeatedFleet, repeatedLocal, lateFleet, lateLocal)
-	if repeatedFleet > repeatedLocal/2 {
-		t.Errorf("got %d tokens prefilled repeatedly, want at most half of %d", repeatedFleet, repeatedLocal)
-	}
-	if lateFleet > lateLocal {
-		t.Errorf("got %d late answers, want at most the %d without other regions", lateFleet, lateLocal)
+	for _, cacheTokens := range []int{0, 380_000} { // zero means that the nodes do not know it
+		repeatedFleet, lateFleet := simulatePrompts(t, cacheTokens, true)
+		repeatedLocal, lateLocal := simulatePrompts(t, cacheTokens, false)
+		t.Logf("memory %d: tokens prefilled repeatedly: %d, within regions only %d; late answers: %d, within regions only %d", cacheTokens, repeatedFleet, repeatedLocal, lateFleet, lateLocal)
+		if repeatedFleet > repeatedLocal/2 {
+			t.Errorf("memory %d: got %d tokens prefilled repeatedly, want at most half of %d", cacheTokens, repeatedFleet, repeatedLocal)
+		}
+		if lateFleet > lateLocal {
+			t.Errorf("memory %d: got %d late answers, want at most the %d without other regions", cacheTokens, lateFleet, lateLocal)
+		}
 	}
 }
 
-func simulatePrompts(t *testing.T, useOtherRegions bool) (repeatedTokens, late int) {
+func simulatePrompts(t *testing.T, cacheTokens int, useOtherRegions bool) (repeatedTokens, late int) {
 	const objective, roundTrip = 800 * time.Millisecond, 110 * time.Millisecond
-	nodes := newRegionNodes(t)
+	nodes := newRegionNodes(t, cacheTokens)
 	e := &engineFleet{cached: make(map[domain.UpstreamID]map[uint64]bool), idleAt: make(map[domain.UpstreamID]time.Time), prefilledBefore: make(map[uint64]bool)}
 	rng := rand.New(rand.NewPCG(7, 7))
 	for at := time.Duration(0); at < 30*time.Second; at += 30 * time.Millisecond {
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -54,6 +54,11 @@
 	backlog  backlog
 	slowdown slowdown
 	reserved reservedMemory
+	held     heldParts
+	// index is that of the upstream in Pool.upstreams when candidates were last listed.
+	index int
+	// idHash is the hash of the ID for rendezvous weights.
+	idHash uint64
 	// otherRequests is the estimated number of other nodes' requests at
 	// loadReportedAt.
 	otherRequests  float64
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -21,6 +21,9 @@
 	// CachedTokens is the number of tokens of the request's prompt that are cached
 	// and need no prefill.
 	CachedTokens int
+	// PreferredTokens is the number of shared tokens that the upstream, which all nodes prefer for
+	// the prompt, does not hold yet.
+	PreferredTokens int
 	// LatencyRatio is the ratio of the upstream's response time to that of its peers;
 	// 1 is normal.
 	LatencyRatio float64
@@ -63,6 +66,9 @@
 	// PreemptionCost is the expected loss of a running request that a more urgent one
 	// preempts; zero if requests of the service have the same urgency.
 	PreemptionCost time.Duration
+	// LessUrgentShare is the fraction of requests that more urgent ones may preempt; zero if
+	// requests of the service have the same urgency.
+	LessUrgentShare float64
 	// MeanNeedTokens is the mean memory that a request needs beside shared parts.
 	MeanNeedTokens float64
 	// SpeedsVary is set if upstreams state their slowdown. Requests are then spread over
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -31,6 +31,11 @@
 	// PrefillWeight is the additional weight of the prefill time of uncached
 	// prompt tokens, because prefill delays all requests at the upstream.
 	PrefillWeight float64
+	// PreferredWeight is the weight of the prefill time of shared tokens that the upstream preferred by
+	// all nodes would hold afterwards: later requests need not read them elsewhere.
+	PreferredWeight float64
+	// PreemptionWeight is the weight of the expected loss of a request that is preempted.
+	PreemptionWeight float64
 	// MaxBacklogWaitRatio is the maximum time, as a fraction of the objective, for which a
 	// request is delayed until an engine has reduced its prefill backlog.
 	MaxBacklogWaitRatio float64
@@ -56,6 +61,8 @@
 		CrossRegionCost:          60 * time.Millisecond,
 		CrossRegionMaxDelayRatio: 1,
 		PrefillWeight:            1.5,
+		PreferredWeight:          0.3,
+		PreemptionWeight:         1,
 		MaxBacklogWaitRatio:      0.4,
 		InFlightCost:             2 * time.Millisecond,
 		SpreadRatio:              0.15,
@@ -117,10 +124,18 @@
 	Cost time.Duration
 	// BacklogWait is the time to wait before the next decision.
 	BacklogWait time.Duration
+	// firstRead is the part of Delay in which shared parts are read that no engine holds. It does not
+	// count against the objective: refused, a large prompt would never be held.
+	firstRead time.Duration
 	// Tokens is the number of prompt tokens to prefill.
 	Tokens int
 	// Slowdown is the expected slowdown of the upstream of a Local decision.
 	Slowdown float64
+	// HeldTokens is the number of prompt tokens that the upstream of a Local decision is expected to hold,
+	// ReservedTokens the memory that its running requests may need. OutOfMemory is set if it has
+	// not the memory that the request needs; a Wait decision then waits for it.
+	HeldTokens, ReservedTokens int
+	OutOfMemory                bool
 	// Usable is the number of usable candidates.
 	Usable int
 	// Silence is set if the request is refused because all upstreams of the region want no requests:
@@ -135,12 +150,12 @@
 	local := p.bestLocal(r, &s, candidates)
 	remote, found := p.bestRemote(r, s, others)
 	limit := p.limit(r)
-	localInTime := local.Choice == Local && r.Elapsed+local.Delay <= limit && local.SlotWait <= p.maxSlotWait(r)
+	localInTime := local.Choice == Local && r.Elapsed+local.Delay-local.firstRead <= limit && local.Delay <= r.Remaining && local.SlotWait <= p.maxSlotWait(r)
 	remoteInTime := found && r.Elapsed+remote.Delay <= min(limit, time.Duration(p.CrossRegionMaxDelayRatio*float64(r.Objective)))
 	preferLocal := !remoteInTime || local.Cost <= remote.Cost
 	if localInTime && local.BacklogWait > 0 && preferLocal {
 		if r.Elapsed+local.BacklogWait <= time.Duration(p.MaxBacklogWaitRatio*float64(r.Objective)) {
-			return Decision{Choice: Wait, BacklogWait: local.BacklogWait, Delay: local.Delay, Usable: local.Usable}
+			return Decision{Choice: Wait, BacklogWait: local.BacklogWait, Delay: local.Delay, OutOfMemory: local.OutOfMemory, Usable: local.Usable}
 		}
 		preferLocal = !remoteInTime
 	}
@@ -174,31 +189,53 @@
 
 // option is the expected effect of sending a request to a candidate.
 type option struct {
-	usable, fits                       bool
+	usable, fits, late                 bool
 	tokens                             int
 	delay, slotWait, backlogWait, cost time.Duration
+	// firstRead is the part of delay in which shared parts are read that no engine holds.
+	firstRead time.Duration
 }
 
-// better reports whether the option is preferred to another one: it fits the engine's memory, or costs
-// less.
+// better reports whether the option is preferred to another one: it fits the engine's memory, is in time, or
+// costs less.
 func (o *option) better(other *option) bool {
 	if o.fits != other.fits {
 		return o.fits
 	}
+	if o.late != other.late {
+		return other.late
+	}
 	return o.cost < other.cost
 }
 
+// maxPriorityWait bounds the time for which more urgent requests take the slots that become free, as a
+// multiple of the wait for a slot without them. Without a bound, long prompts leave the engines that hold them
+// for the mere estimate of a full one.
+const maxPriorityWait = 5
+
 // evaluate sets the option of sending the request to a candidate.
 func (p *Policy) evaluate(r *Request, s *ServicePerformance, c *Candidate) {
 	o := &c.option
-	o.usable, o.tokens = true, max(0, r.PromptTokens-c.CachedTokens)
+	*o = option{usable: true, tokens: max(0, r.PromptTokens-c.CachedTokens)}
 	o.delay, o.slotWait = c.delay(s, o.tokens)
+	if !r.Urgent && s.LessUrgentShare > 0 {
+		// Slots that become free go to more urgent requests first.
+		further := time.Duration(min(maxPriorityWait, 1/s.LessUrgentShare-1) * float64(o.slotWait))
+		o.delay += further
+		o.slotWait += further
+	}
 	o.cost = o.delay + time.Duration(c.load()*float64(p.InFlightCost)*c.slowdown())
 	if s.PrefillRate > 0 {
 		o.cost += time.Duration(p.PrefillWeight * float64(o.tokens) / s.PrefillRate * float64(time.Millisecond) * c.slowdown())
 	}
+	if c.PreferredTokens > 0 {
+		o.cost -= time.Duration(p.PreferredWeight * float64(c.PreferredTokens) / s.PrefillRate * float64(time.Millisecond) * c.slowdown())
+	}
+	if c.MemoryTokens > 0 && s.PrefillRate > 0 {
+		o.firstRead = time.Duration(float64(min(r.UnheldTokens, o.tokens)) / s.PrefillRate * float64(time.Millisecond) * c.slowdown())
+	}
 	if s.PreemptionCost > 0 {
-		o.cost += time.Duration(c.preemptionRisk() * float64(s.PreemptionCost))
+		o.cost += time.Duration(p.PreemptionWeight * c.preemptionRisk() * float64(s.PreemptionCost))
 	}
 	if !c.SameDomain {
 		o.cost += p.CrossDomainCost
@@ -215,7 +252,7 @@
 // bestLocal returns the usable candidate with the lowest cost, or Refuse if there
 // is none. Request.Random selects among equal ones.
 func (p Policy) bestLocal(r *Request, s *ServicePerformance, candidates []Candidate) Decision {
-	best, usable := -1, 0
+	best, usable, limit := -1, 0, p.limit(r)
 	first := 0
 	if len(candidates) > 0 {
 		first = int(r.Random % uint32(len(candidates)))
@@ -232,6 +269,7 @@
 		}
 		p.evaluate(r, s, c)
 		c.option.fits = c.fits()
+		c.option.late = c.MemoryTokens > 0 && r.Elapsed+c.option.delay-c.option.firstRead > limit
 		usable++
 		if best < 0 || c.option.better(&candidates[best].option) {
 			best = i
@@ -244,7 +282,8 @@
 		best = spread(r, candidates, &candidates[best].option, candidates[best].option.cost+min(p.MaxSpreadCost, time.Duration(p.SpreadRatio*float64(s.MeanSlotTime))))
 	}
 	o := &candidates[best].option
-	return Decision{Choice: Local, Index: best, Delay: o.delay, SlotWait: o.slotWait, Cost: o.cost, BacklogWait: o.backlogWait, Tokens: o.tokens, Slowdown: candidates[best].slowdown(), Usable: usable}
+	return Decision{Choice: Local, Index: best, Delay: o.delay, SlotWait: o.slotWait, Cost: o.cost, BacklogWait: o.backlogWait, Tokens: o.tokens, firstRead: o.firstRead, Slowdown: candidates[best].slowdown(),
+		HeldTokens: candidates[best].CachedTokens, ReservedTokens: int(candidates[best].ReservedTokens), OutOfMemory: !o.fits, Usable: usable}
 }
 
 // spread returns the better of two random candidates whose cost is at most maxCost, and
@@ -272,7 +311,7 @@
 }
 
 func (o *option) similar(best *option, maxCost time.Duration) bool {
-	return o.usable && o.fits == best.fits && o.cost <= maxCost
+	return o.usable && o.fits == best.fits && o.late == best.late && o.cost <= maxCost
 }
 
 // bestRemote returns the region with the lowest cost among those with free
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -21,6 +21,10 @@
 	// PromptTokens and OutputTokens are zero for services without model engines.
 	PromptTokens int
 	OutputTokens int
+	// UnheldTokens is the number of shared prompt tokens that no engine of the region is expected
+	// to hold. The time of reading them does not count against the objective: refused, a large
+	// prompt would never be held.
+	UnheldTokens int
 	// Objective is the latency within which the response should begin.
 	Objective time.Duration
 	// Elapsed is the time since the request arrived.
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -154,6 +154,9 @@
 			return a.refuse(ctx)
 		case placement.Wait:
 			a.placements--
+			if decision.OutOfMemory {
+				a.Metrics.Count("relay.held_for_memory", 1)
+			}
 			if !a.wait(ctx, decision.BacklogWait) {
 				a.last = result{err: errkind.New(errkind.DeadlineUnreachable, "the request was held until its deadline"), ran: domain.RunNo}
 				return a.fail(ctx)
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -62,6 +62,10 @@
 			if a.decision.Slowdown != 1 {
 				fields = append(fields, event.F("slowdown", a.decision.Slowdown))
 			}
+			if a.r.Prompt.InputTokens > 0 {
+				fields = append(fields, event.F("cost_ms", a.decision.Cost.Milliseconds()), event.F("slot_wait_ms", a.decision.SlotWait.Milliseconds()),
+					event.F("held_tokens", a.decision.HeldTokens), event.F("reserved_tokens", a.decision.ReservedTokens))
+			}
 		}
 	case placement.Remote:
 		fields = append(fields, event.F("region", a.decision.Region), event.F("view_age_ms", a.Regions.Age(now, a.decision.Region).Milliseconds()))
