Let a store that came back from an older copy prove nothing for a time

Cause: a node that was cut off when a key was removed, and whose store came back from a copy with that key, honoured it until the operator wrote the removal again. A model of the proof showed that a hold that counts from the sending of the first call is too short: the call may have been sent before the store came back.

--- a/adapters/edgenode/currency.go
+++ b/adapters/edgenode/currency.go
@@ -49,27 +49,42 @@
 // proveByStore records that the store answered a read of the operator's documents, all of which
 // are applied up to the position.
 func (n *Node) proveByStore(at ports.StorePosition, sentAt time.Duration) {
-	if version, ok := n.state.provedVersion(at.Era); ok {
+	if version, ok := n.state.provedVersion(at.Era, sentAt, n.keys.now(), n.keys.policy.EraHold()); ok {
 		n.keys.RecordStore(sentAt, version)
 	}
 }
 
+// provingEra is the era of the store whose reads prove the routing table in force.
+type provingEra struct {
+	known bool
+	era   uint64
+	// next is a later era that does not prove yet, in which the first answer arrived at
+	// nextSince; only valid if hasNext is set.
+	hasNext   bool
+	next      uint64
+	nextSince time.Duration
+}
+
 // provedVersion returns the version of the routing table in force if a read of the store in an
-// era proves it. After the store came back from an older copy it does so only once the store has
-// that version again: a later one may be lost that removed a key.
-func (s *state) provedVersion(era uint64) (version uint64, ok bool) {
+// era, sent at a time and answered now, proves it. The store that came back from an older copy
+// may lack a later version that removed a key. Its reads count only once it has the version in
+// force again, and if they are sent after a hold. That begins with the first answer: the call may
+// have been sent before the store came back.
+func (s *state) provedVersion(era uint64, sentAt, now, hold time.Duration) (version uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version = s.version()
-	if version == 0 {
-		return 0, false
+	e := &s.proving
+	if e.known && e.era == era {
+		return version, version != 0
 	}
-	if s.provedEra == nil || *s.provedEra != era {
-		if s.storeVersion < version {
-			return 0, false
-		}
-		s.provedEra = &era
+	if e.known && (!e.hasNext || e.next != era) {
+		e.hasNext, e.next, e.nextSince = true, era, now
+	}
+	if version == 0 || s.storeVersion < version || e.known && sentAt-e.nextSince < hold {
+		return 0, false
 	}
+	*e = provingEra{known: true, era: era}
 	return version, true
 }
 
@@ -132,7 +147,7 @@
 	n.state.mu.Lock()
 	defer n.state.mu.Unlock()
 	at = n.state.operatorPosition.at
-	return at, n.state.provedEra != nil && *n.state.provedEra == at.Era && !at.IsZero()
+	return at, n.state.proving.known && n.state.proving.era == at.Era && !at.IsZero()
 }
 
 // keepCurrent looks for a more recent proof when that of the node ages.
--- a/adapters/edgenode/currency_test.go
+++ b/adapters/edgenode/currency_test.go
@@ -15,30 +15,36 @@
 	"github.com/crocusspread/crocusspread/core/routes"
 )
 
-// After the store came back from an older copy, a read of it proves the table in force only once
-// the store has that again.
+// After the store came back from an older copy, a read of it proves the table in force only after
+// a hold, and once the store has that table again.
 func TestReadOfAnotherEraProvesOnlyTheTableInForce(t *testing.T) {
+	const hold, answer = 2 * time.Second, time.Second
 	s := newState(nil, instances.NewCatalog(instances.Options{}), event.Discard{})
-	if _, ok := s.provedVersion(1); ok {
+	if _, ok := s.provedVersion(1, 0, 0, hold); ok {
 		t.Error("a version was proved without a table")
 	}
 	s.table.Store(accountTable(t, 7))
 	for _, c := range []struct {
 		name   string
 		era    uint64
+		sentAt time.Duration
 		read   uint64 // version that was read; zero if it was invalid
 		proved bool
 	}{
-		{"first read, of an older version", 1, 6, false},
-		{"the version in force", 1, 7, true},
-		{"an invalid document", 1, 0, true},
-		{"an older version after a restoration", 2, 6, false},
-		{"an invalid document after it", 2, 0, false},
-		{"the version in force after it", 2, 7, true},
-		{"a late answer of the former era", 1, 6, false},
+		{"first read, of an older version", 1, 0, 6, false},
+		{"the version in force", 1, 1, 7, true},
+		{"an invalid document", 1, 2, 0, true},
+		{"an older version after a restoration", 2, time.Minute, 6, false},
+		{"an invalid document after it", 2, time.Minute + 1, 0, false},
+		{"the version in force before the end of the hold", 2, time.Minute + answer + hold - 1, 7, false},
+		{"an older version after the hold", 2, time.Minute + answer + hold, 6, false},
+		{"the version in force after the hold", 2, time.Minute + answer + hold, 7, true},
+		{"another restoration", 3, 2 * time.Minute, 7, false},
+		{"a third one", 4, 2*time.Minute + hold, 7, false},
+		{"the end of its hold", 4, 2*time.Minute + answer + 2*hold, 7, true},
 	} {
 		s.recordStoreVersion(c.read)
-		if version, ok := s.provedVersion(c.era); ok != c.proved || ok && version != 7 {
+		if version, ok := s.provedVersion(c.era, c.sentAt, c.sentAt+answer, hold); ok != c.proved || ok && version != 7 {
 			t.Errorf("%s: version %d was proved: %v, want %v", c.name, version, ok, c.proved)
 		}
 	}
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -52,10 +52,8 @@
 	operatorPending bool
 	notifiedDigest  uint64
 	// storeVersion is the version of the routing table last read from the store itself.
-	// provedEra is the era of the store in which it was at least the version in force; nil if
-	// there was none.
 	storeVersion uint64
-	provedEra    *uint64
+	proving      provingEra
 	// completedClosed is set once completed is closed.
 	completedClosed bool
 }
--- a/core/currency/refresh.go
+++ b/core/currency/refresh.go
@@ -27,6 +27,15 @@
 	freshInterval = time.Second
 )
 
+// eraFraction is the time, as a fraction of the bound, from the first answer of a store that came
+// back from an older copy until reads of it are sent that count as proofs. Meanwhile the operator writes
+// again what the copy lacks, and other nodes pass on a later table. Proofs from before do not lapse
+// if they are as recent as usual, up to askFraction of the bound.
+const eraFraction = 0.4
+
+// EraHold returns how long reads of a store that came back from an older copy prove nothing.
+func (p Policy) EraHold() time.Duration { return p.part(eraFraction) }
+
 // Watch returns how long a reader lets the store hold a read of the documents.
 func (p Policy) Watch() time.Duration { return min(maxWatch, p.part(watchFraction)) }
 
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -98,5 +98,15 @@
 	esac
 done
 
+holds currency
+holds currency -DERA
+breaks currency -DWITNESS
+for guard in $(guards currency); do
+	case $guard in
+	NO_GUARD_ERA_*) breaks currency -DERA "-D$guard" ;;
+	*) breaks currency "-D$guard" ;;
+	esac
+done
+
 [ "$failed" -eq 0 ] || echo "an expectation failed"
 exit "$failed"
