--- a/adapters/adminapi/adminapi.go
+++ b/adapters/adminapi/adminapi.go
@@ -63,6 +63,9 @@
 	// ConfirmedMS is the time since the key-value service or a peer last reported a
 	// version.
 	ConfirmedMS int64 `json:"confirmed_ms"`
+	// ProofMS is the age of the proof that the version is current, -1 without one; nil if keys
+	// need none.
+	ProofMS *int64 `json:"proof_ms,omitempty"`
 	// RejectionReason is the reason why a newer document was rejected; empty if none was.
 	RejectionReason string `json:"refused,omitempty"`
 }
--- a/adapters/edgenode/status.go
+++ b/adapters/edgenode/status.go
@@ -34,6 +34,10 @@
 		Lists:    adminapi.Lists{Version: domain.ListsVersion(n.state.version()), AgeMS: -1, ConfirmedMS: n.state.operatorAge().Milliseconds()},
 		Platform: adminapi.Platform{KVAgeMS: n.state.entriesAge().Milliseconds(), VMListAgeMS: -1},
 	}
+	if n.strictKeys() {
+		age := n.proofAgeMS()
+		st.Lists.ProofMS = &age
+	}
 	alive := make(map[domain.NodeID]bool)
 	for _, m := range n.members.Alive(now) {
 		alive[m.ID] = true
--- a/adapters/operatorcli/status.go
+++ b/adapters/operatorcli/status.go
@@ -68,6 +68,13 @@
 		s.Node, s.Incarnation, formatPlace(s.Place), s.State, formatAge(s.UptimeMS), s.InFlight)
 	fmt.Fprintf(w, "lists version %d, adopted %s ago, confirmed %s ago\n",
 		s.Lists.Version, formatAge(s.Lists.AgeMS), formatAge(s.Lists.ConfirmedMS))
+	switch proof := s.Lists.ProofMS; {
+	case proof == nil:
+	case *proof < 0:
+		fmt.Fprintln(w, "keys of client accounts: lists not proved current")
+	default:
+		fmt.Fprintf(w, "keys of client accounts: lists proved current %s ago\n", formatAge(*proof))
+	}
 	if s.Lists.RejectionReason != "" {
 		fmt.Fprintf(w, "newer lists were rejected: %s\n", s.Lists.RejectionReason)
 	}
--- a/adapters/operatorcli/upstream_state_test.go
+++ b/adapters/operatorcli/upstream_state_test.go
@@ -19,3 +19,19 @@
 		}
 	}
 }
+
+// Operators must see why keys are refused, and nothing of it in deployments without accounts.
+func TestStatusShowsTheAgeOfTheProof(t *testing.T) {
+	for want, ms := range map[string]int64{"proved current 1.25s ago": 1250, "lists not proved current": -1} {
+		var out strings.Builder
+		(&FleetStatus{Nodes: []NodeStatus{{Status: &adminapi.Status{Lists: adminapi.Lists{ProofMS: &ms}}}}}).WriteText(&out)
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the status lacks %q:\n%s", want, out.String())
+		}
+	}
+	var out strings.Builder
+	(&FleetStatus{Nodes: []NodeStatus{{Status: &adminapi.Status{}}}}).WriteText(&out)
+	if strings.Contains(out.String(), "proved") {
+		t.Errorf("the status speaks of a proof without accounts:\n%s", out.String())
+	}
+}
