--- a/adapters/edgenode/accounts.go
+++ b/adapters/edgenode/accounts.go
@@ -23,10 +23,19 @@
 	if !t.HasAccounts() {
 		return nil, nil
 	}
+	var proof currency.Proof
+	if n.settings.StrictRevocation {
+		// The proof may be of a later version than t. The version in force is never older than
+		// that of the proof if it is read after it.
+		proof = n.keys.Proof()
+		if t = n.state.table.Load(); !t.HasAccounts() {
+			return nil, nil
+		}
+	}
 	key, found := n.deps.Edge.AccountKey(h)
 	account, verdict := (*routes.Account)(nil), currency.Reject
 	if found {
-		account, verdict = n.accountByKey(key, t)
+		account, verdict = n.accountByKey(key, t, proof)
 	}
 	if route.Public && publicWithoutAccount(account, verdict) {
 		return nil, nil
@@ -54,20 +63,16 @@
 }
 
 // accountByKey looks up the account with a key, nil if there is none, and decides whether that
-// counts.
-func (n *Node) accountByKey(key string, t *routes.Table) (*routes.Account, currency.Verdict) {
-	if !n.settings.StrictRevocation {
-		if account := t.AccountByKey(key); account != nil {
-			return account, currency.Honour
-		}
+// counts. The clock is read last.
+func (n *Node) accountByKey(key string, t *routes.Table, proof currency.Proof) (*routes.Account, currency.Verdict) {
+	account := t.AccountByKey(key)
+	switch {
+	case n.settings.StrictRevocation:
+		return account, n.keys.policy.Decide(proof, t.Version, account != nil, n.keys.now())
+	case account == nil:
 		return nil, currency.Reject
 	}
-	// The proof may be of a later version than t, which was read before. The version in force is
-	// never older than that of the proof. The clock is read last.
-	proof := n.keys.Proof()
-	t = n.state.table.Load()
-	account := t.AccountByKey(key)
-	return account, n.keys.policy.Decide(proof, t.Version, account != nil, n.keys.now())
+	return account, currency.Honour
 }
 
 // publicWithoutAccount reports whether a request on a public route is served without an account.
--- a/core/currency/fleet_test.go
+++ b/core/currency/fleet_test.go
@@ -145,3 +145,26 @@
 		t.Errorf("%v reads a second, want under a tenth of what the store handles", perSecond)
 	}
 }
+
+// A store that comes back from an older copy proves nothing for a time; proper requests must not
+// be refused meanwhile.
+func TestProofsOutlastAStoreThatComesBack(t *testing.T) {
+	const restoredAt = 30 * time.Second
+	hold := Policy{Bound: 5 * time.Second}.EraHold()
+	for seed := range uint64(20) {
+		heldUntil := make(map[*simNode]time.Duration)
+		highest, _, _, reads := runFleet(seed, func(n *simNode, now time.Duration) bool {
+			if now < restoredAt {
+				return true
+			}
+			if heldUntil[n] == 0 {
+				heldUntil[n] = now + hold
+			}
+			return n.readSent >= heldUntil[n]
+		})
+		t.Logf("seed %d: highest age %v, %d reads of nodes that are not readers", seed, highest, reads)
+		if highest >= 4900*ms {
+			t.Errorf("seed %d: highest age %v, want keys honoured everywhere", seed, highest)
+		}
+	}
+}
