--- a/adapters/edgenode/readers.go
+++ b/adapters/edgenode/readers.go
@@ -64,6 +64,12 @@
 	return slices.Contains(selectReaders(ids), n.settings.Node)
 }
 
+// isFirstReader reports whether this node is the first of the readers of its failure domain.
+func (n *Node) isFirstReader() bool {
+	ids, _ := n.ownDomainNodes()
+	return selectReaders(ids)[0] == n.settings.Node
+}
+
 // otherReaders returns the readers of this node's failure domain other than this
 // node.
 func (n *Node) otherReaders() []peers.Member {
--- a/core/currency/fleet_test.go
+++ b/core/currency/fleet_test.go
@@ -23,7 +23,7 @@
 	Tracker
 	refresher        *Refresher
 	domain           int
-	reader           bool
+	reader, first    bool
 	nextExchange     time.Duration
 	readSent, readBy time.Duration // the current read of the store
 	resting          time.Duration
@@ -38,7 +38,7 @@
 	view := View{Version: 1, Digest: 1}
 	nodes := make([]*simNode, simNodes)
 	for i := range nodes {
-		nodes[i] = &simNode{refresher: NewRefresher(policy, random.Float64()), domain: i % simDomains, reader: i < simReaders*simDomains,
+		nodes[i] = &simNode{refresher: NewRefresher(policy, random.Float64()), domain: i % simDomains, reader: i < simReaders*simDomains, first: i < simDomains,
 			nextExchange: time.Duration(random.Float64() * float64(simExchange))}
 		nodes[i].RecordStore(0, 1)
 	}
@@ -71,7 +71,8 @@
 				}
 			}
 			if n.readBy == 0 && now >= n.resting && (n.reader || n.refresher.ReadStore(now, n.Proof())) {
-				wait := policy.Watch()
+				age, _ := n.Proof().Age(now)
+				wait := policy.Watch(n.first || age > policy.Watch(false))
 				if n.refresher.ReadFresh(now, n.Proof()) {
 					wait = 0
 				}
@@ -145,3 +146,26 @@
 		t.Errorf("%v reads a second, want under a tenth of what the store handles", perSecond)
 	}
 }
+
+// A store that comes back from an older copy proves nothing for a time; proper requests must not
+// be refused meanwhile.
+func TestProofsOutlastAStoreThatComesBack(t *testing.T) {
+	const restoredAt = 30 * time.Second
+	hold := Policy{Bound: 5 * time.Second}.EraHold()
+	for seed := range uint64(20) {
+		heldUntil := make(map[*simNode]time.Duration)
+		highest, _, _, reads := runFleet(seed, func(n *simNode, now time.Duration) bool {
+			if now < restoredAt {
+				return true
+			}
+			if heldUntil[n] == 0 {
+				heldUntil[n] = now + hold
+			}
+			return n.readSent >= heldUntil[n]
+		})
+		t.Logf("seed %d: highest age %v, %d reads of nodes that are not readers", seed, highest, reads)
+		if highest >= 4900*ms {
+			t.Errorf("seed %d: highest age %v, want keys honoured everywhere", seed, highest)
+		}
+	}
+}
--- a/core/currency/refresh.go
+++ b/core/currency/refresh.go
@@ -16,19 +16,37 @@
 	// maxAskInterval while none of them has a recent proof.
 	minAskInterval = 200 * time.Millisecond
 	maxAskInterval = time.Second
-	// maxWatch is the maximum time for which a reader of the store lets it hold a read of the
-	// documents; watchFraction limits it as a fraction of the bound. The proof of a reader is as
-	// old as the read when that ends, and other nodes get it later still.
+	// maxWatch is the maximum time for which the first reader of a failure domain lets the store
+	// hold a read of the documents; watchFraction limits it as a fraction of the bound. The proof of
+	// a reader is as old as the read when that ends, and other nodes get it later still.
 	maxWatch      = time.Second
 	watchFraction = 0.125
+	// standbyFraction is the same for the other readers, whose reads matter only once the first
+	// one is gone. Their proof and its way to the other nodes then still fit the bound.
+	standbyFraction = 0.4
 	// freshAge is the age of the proof above which an unknown key makes a node read the store,
 	// freshInterval the minimum time between two such reads: anyone can send unknown keys.
 	freshAge      = maxRejectAge / 2
 	freshInterval = time.Second
 )
 
-// Watch returns how long a reader lets the store hold a read of the documents.
-func (p Policy) Watch() time.Duration { return min(maxWatch, p.part(watchFraction)) }
+// eraFraction is the time, as a fraction of the bound, from the first answer of a store that came
+// back from an older copy until reads of it are sent that count as proofs. Meanwhile the operator writes
+// again what the copy lacks, and other nodes pass on a later table. Proofs from before do not lapse
+// if they are as recent as usual, up to askFraction of the bound.
+const eraFraction = 0.4
+
+// EraHold returns how long reads of a store that came back from an older copy prove nothing.
+func (p Policy) EraHold() time.Duration { return p.part(eraFraction) }
+
+// Watch returns how long a reader lets the store hold a read of the documents. first is set for
+// the first reader of a failure domain, whose proofs the other nodes get.
+func (p Policy) Watch(first bool) time.Duration {
+	if first {
+		return min(maxWatch, p.part(watchFraction))
+	}
+	return p.part(standbyFraction)
+}
 
 func (p Policy) part(fraction float64) time.Duration {
 	return time.Duration(fraction * float64(p.Bound))
--- a/core/currency/refresh_test.go
+++ b/core/currency/refresh_test.go
@@ -83,10 +83,10 @@
 	}
 }
 
-func TestReadersHoldReadsForAtMostASecond(t *testing.T) {
-	for bound, want := range map[time.Duration]time.Duration{5 * time.Second: 625 * ms, time.Minute: time.Second, 2 * time.Second: 250 * ms} {
-		if got := (Policy{Bound: bound}).Watch(); got != want {
-			t.Errorf("bound %v: reads are held for %v, want %v", bound, got, want)
+func TestFirstReadersHoldReadsForAtMostASecond(t *testing.T) {
+	for bound, want := range map[time.Duration][2]time.Duration{5 * time.Second: {625 * ms, 2 * time.Second}, time.Minute: {time.Second, 24 * time.Second}, 2 * time.Second: {250 * ms, 800 * ms}} {
+		if got := [2]time.Duration{(Policy{Bound: bound}).Watch(true), (Policy{Bound: bound}).Watch(false)}; got != want {
+			t.Errorf("bound %v: the first and other readers hold reads for %v, want %v", bound, got, want)
 		}
 	}
 }
