Count a body as arriving from its first read

A body of which no byte arrives, but chunk extensions without end, was not among those that can be canceled, as it counted from its second read on.

--- a/adapters/connlimit/body.go
+++ b/adapters/connlimit/body.go
@@ -33,8 +33,7 @@
 // Short reports whether more than a part of the memory is reserved.
 func (b *Bodies) Short(part float64) bool { return float64(b.used.Load()) > part*float64(b.max) }
 
-// Body reads the body of a request. From its second read on, so that a body which arrives at once
-// costs nothing, it is canceled if it arrives too slowly.
+// Body reads the body of a request. It is canceled if it arrives too slowly.
 type Body struct {
 	io.Reader
 	// Set holds the bodies that are arriving, nil if none is canceled; Cancel makes a pending read
@@ -47,16 +46,14 @@
 	Factor int64
 
 	receive  *Receive
-	begun    bool
 	reserved int64
 }
 
 // Read implements io.Reader. It fails with ErrNoRoom if there is no memory for what it has read.
 func (b *Body) Read(p []byte) (int, error) {
-	if b.begun && b.receive == nil && b.Set != nil {
+	if b.receive == nil && b.Set != nil {
 		b.receive = b.Set.Begin(b.Cancel)
 	}
-	b.begun = true
 	n, err := b.Reader.Read(p)
 	if b.receive != nil {
 		b.receive.Add(n)
