Bound what clients outside the limits take on the own interface

New settings limits.memory (1 GiB) and limits.open_files (0, the limit of the operating system) say what the process has; requests in flight, buffered bodies of callers and of other nodes, and the streams of a caller's HTTP/2 connection are bounded by them.

The test's settings now state limits.memory, which the code before refused as unknown; crowd and bounds are unchanged.

--- a/adapters/callerapi/answer.go
+++ b/adapters/callerapi/answer.go
@@ -154,3 +154,6 @@
 	}
 	abort.Response(a.w, a.httpReq)
 }
+
+// Refuse answers a request that is not served at all.
+func Refuse(w http.ResponseWriter, err error) { writeError(w, "", err) }
--- a/adapters/callerapi/handlers.go
+++ b/adapters/callerapi/handlers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/gateway"
@@ -88,7 +89,8 @@
 		return
 	}
 	defer cancel()
-	body, err := s.readBody(w, r)
+	body, release, err := s.readBody(w, r)
+	defer release()
 	if err == nil {
 		err = parseChat(body, req)
 	}
@@ -99,17 +101,35 @@
 	s.serve(ctx, w, r, req)
 }
 
-// readBody reads the whole body into memory, up to the configured maximum.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+// bodyFactor is how much memory a byte of a body takes: its buffer grows by copying.
+const bodyFactor = 2
+
+// readBody reads the whole body into memory, up to the configured maximum. release releases the
+// memory of the body; it is never nil.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (content []byte, release func(), err error) {
+	reader := io.Reader(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	received := &connlimit.Body{Reader: reader, Set: s.cfg.Receives, Memory: s.cfg.Bodies, Factor: bodyFactor,
+		// Without support for deadlines, the body is not canceled.
+		Cancel: func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) }}
+	if s.cfg.Receives != nil {
+		reader = received
 	}
-	if err != nil {
-		return nil, errkind.New(errkind.BadRequest, "the body ended early: %w", err)
+	body, err := io.ReadAll(reader)
+	canceled := received.End()
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		err = errkind.New(errkind.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	case errors.Is(err, connlimit.ErrNoRoom):
+		err = errkind.New(errkind.Overloaded, "there is no room for the body")
+	case canceled:
+		err = errkind.New(errkind.Overloaded, "the body arrived too slowly while there was no room for others")
+	case err != nil:
+		err = errkind.New(errkind.BadRequest, "the body ended early: %w", err)
+	default:
+		return body, received.Release, nil
 	}
-	return body, nil
+	return nil, received.Release, err
 }
 
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
@@ -124,7 +144,9 @@
 	req.Header = serviceHeader(r.Header)
 	req.OperationID = domain.OperationID(r.Header.Get(HeaderOperationID))
 	req.IdempotencyKey = r.Header.Get(HeaderIdempotencyKey)
-	if err := s.attachBody(w, r, req); err != nil {
+	release, err := s.attachBody(w, r, req)
+	defer release()
+	if err != nil {
 		writeError(w, req.ID, err)
 		return
 	}
@@ -141,10 +163,11 @@
 }
 
 // attachBody streams the body of a repeatable call and buffers any other body, so that
-// it can be sent to another node after a refusal.
-func (s *Server) attachBody(w http.ResponseWriter, r *http.Request, req *gateway.Request) error {
+// it can be sent to another node after a refusal. release releases the memory of the body.
+func (s *Server) attachBody(w http.ResponseWriter, r *http.Request, req *gateway.Request) (release func(), err error) {
+	none := func() {}
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil
+		return none, nil
 	}
 	snapshot := s.deps.Lists()
 	if snapshot != nil {
@@ -154,12 +177,11 @@
 			// response starts, before the upstream has read it.
 			_ = http.NewResponseController(w).EnableFullDuplex()
 			req.Body = r.Body
-			return nil
+			return none, nil
 		}
 	}
-	body, err := s.readBody(w, r)
-	req.Payload = body
-	return err
+	req.Payload, release, err = s.readBody(w, r)
+	return release, err
 }
 
 func (s *Server) access(w http.ResponseWriter, r *http.Request) (*lists.Access, domain.RequestID, error) {
--- a/adapters/callerapi/server.go
+++ b/adapters/callerapi/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/core/answer"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/gateway"
@@ -74,6 +75,10 @@
 	// RequestTimeout is the maximum duration of a request and the default if the caller
 	// sets no timeout.
 	RequestTimeout time.Duration
+	// Bodies is the memory for buffered bodies and Receives the set of those that are arriving.
+	// Nil means no limit; either both are nil or none.
+	Bodies   *connlimit.Bodies
+	Receives *connlimit.Receives
 }
 
 // Deps are the dependencies of a Server; all fields are required.
--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -77,6 +77,10 @@
 	RequestTimeout time.Duration
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
+	// MemoryBytes and MaxOpenFiles are the limits of the process, from which the limits for clients
+	// are derived; zero for the default and for the limit of the operating system.
+	MemoryBytes  int64
+	MaxOpenFiles int
 	// EntryTTL is how long callers may cache a list of entries; DrainTimeout limits the
 	// duration of a graceful shutdown.
 	EntryTTL     time.Duration
--- a/adapters/node/fromsettings.go
+++ b/adapters/node/fromsettings.go
@@ -26,6 +26,7 @@
 		Profile:        routing.Profile(s.Profile),
 		HeaderTimeout:  s.TimeLimits.Header, RequestTimeout: s.TimeLimits.Request,
 		MaxBodyBytes: int64(s.Sizes.MaxBody), MaxHeaderBytes: int(s.Sizes.MaxHeader),
+		MemoryBytes: int64(s.Limits.Memory), MaxOpenFiles: s.Limits.OpenFiles,
 		EntryTTL: s.Drain.EntryTTL, DrainTimeout: s.Drain.Max,
 		RetainedResponseBytes: int(s.KeptAnswers.MaxBytes), ResponseRetention: s.KeptAnswers.Retention,
 		HeartbeatInterval: s.Heartbeat,
--- a/adapters/node/node.go
+++ b/adapters/node/node.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/crocusspread/crocusspread/adapters/callerapi"
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/adapters/peer"
 	"github.com/crocusspread/crocusspread/adapters/telemetry"
 	"github.com/crocusspread/crocusspread/adapters/upstream"
@@ -81,8 +82,13 @@
 	upstreamStates upstreamStates
 	linkBudgets    map[domain.Region]*routing.LinkBudget
 	linkMu         sync.Mutex
-	killed         chan struct{}
-	killOnce       sync.Once
+	// guard enforces limits on clients, which limits, bodies and receives hold.
+	guard    *connlimit.Guard
+	limits   connlimit.Shares
+	bodies   *connlimit.Bodies
+	receives *connlimit.Receives
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
 // New returns a node; Run opens its sockets.
@@ -110,6 +116,7 @@
 		return nil, err
 	}
 	n.buildAdmission()
+	n.buildClientLimits()
 	n.buildGateway()
 	n.buildOrderer()
 	return n, nil
@@ -186,7 +193,7 @@
 		Accepting: n.lifecycle.AcceptsRequests, Now: time.Now,
 	})
 	n.callers = callerapi.New(
-		callerapi.Config{MaxBodyBytes: n.cfg.MaxBodyBytes, RequestTimeout: n.cfg.RequestTimeout},
+		callerapi.Config{MaxBodyBytes: n.cfg.MaxBodyBytes, RequestTimeout: n.cfg.RequestTimeout, Bodies: n.bodies, Receives: n.receives},
 		callerapi.Deps{
 			Gateway: n.gateway, Operations: n, Entries: n, Lists: n.holder.Current, Accepting: n.lifecycle.AcceptsRequests,
 		},
@@ -288,19 +295,22 @@
 )
 
 // serve starts the servers on the listeners.
-func (n *Node) serve(l Listeners) *servers {
+func (n *Node) serve(opened Listeners) *servers {
+	l := n.guardListeners(opened)
 	s := &servers{
 		caller: &http.Server{
-			Handler: n.work.countHTTP(n.callers), ReadHeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: n.cfg.MaxHeaderBytes, TLSConfig: n.cfg.CallerTLS, Protocols: callerProtocols(),
+			Handler: n.limitRequests(n.work.countHTTP(n.callers)), ReadHeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: n.cfg.MaxHeaderBytes, TLSConfig: n.cfg.CallerTLS, Protocols: callerProtocols(), ConnState: l.caller.ConnState,
+			HTTP2: &http.HTTP2Config{MaxConcurrentStreams: n.callerStreams(), MaxReceiveBufferPerConnection: callerReceiveBuffer},
 		},
-		admin:  &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: n.cfg.HeaderTimeout},
-		peer:   peer.NewServer(&countedHandler{gateway: n.gateway, work: &n.work, metrics: n.metrics}, n, transportCredentials(n.cfg.PeerServerTLS)),
+		admin: &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: idleTimeout, ConnState: l.admin.ConnState},
+		peer: peer.NewLimitedServer(&countedHandler{gateway: n.gateway, work: &n.work, metrics: n.metrics}, n, n.peerLimits(),
+			transportCredentials(n.cfg.PeerServerTLS)),
 		failed: make(chan error, listenerCount),
 	}
-	go func() { s.failed <- serveCallers(s.caller, l.Caller) }()
-	go func() { s.failed <- s.admin.Serve(l.Admin) }()
-	go func() { s.failed <- s.peer.Serve(l.Peer) }()
+	go func() { s.failed <- serveCallers(s.caller, l.caller) }()
+	go func() { s.failed <- s.admin.Serve(l.admin) }()
+	go func() { s.failed <- s.peer.Serve(l.peer) }()
 	return s
 }
 
@@ -340,7 +350,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for _, loop := range []func(context.Context){
 		n.heartbeatLoop, n.listsLoop, n.vmListLoop, n.loadLoop, n.snapshotLoop, n.upkeepLoop, n.directoryLoop,
-		n.orderLoop,
+		n.orderLoop, n.guard.Run,
 	} {
 		g.Go(func() error {
 			loop(ctx)
--- a/adapters/peer/server.go
+++ b/adapters/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"github.com/crocusspread/crocusspread/adapters/connlimit"
 	"github.com/crocusspread/crocusspread/adapters/peer/peerpb"
 	"github.com/crocusspread/crocusspread/core/answer"
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -44,20 +46,26 @@
 	peerpb.UnimplementedPeerServer
 	handler Handler
 	control Control
+	limits  *Limits
 }
 
 // NewServer returns a gRPC server with the protocol between nodes registered.
 func NewServer(h Handler, c Control, creds credentials.TransportCredentials) *grpc.Server {
-	s := grpc.NewServer(
+	return NewLimitedServer(h, c, nil, creds)
+}
+
+// NewLimitedServer returns a gRPC server with the protocol between nodes registered, with limits
+// unless they are nil.
+func NewLimitedServer(h Handler, c Control, limits *Limits, creds credentials.TransportCredentials) *grpc.Server {
+	s := grpc.NewServer(append(limits.options(),
 		grpc.Creds(creds),
 		grpc.InitialWindowSize(streamWindow),
 		grpc.InitialConnWindowSize(connectionWindow),
 		grpc.MaxRecvMsgSize(maxMessage),
-		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: serverMinPing, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepalivePing, Timeout: keepaliveTimeout}),
-	)
-	peerpb.RegisterPeerServer(s, &Server{handler: h, control: c})
+	)...)
+	peerpb.RegisterPeerServer(s, &Server{handler: h, control: c, limits: limits})
 	return s
 }
 
@@ -66,12 +74,12 @@
 type executeFunc func(context.Context, *gateway.ForwardedRequest, answer.Writer) error
 
 // Execute implements peerpb.PeerServer.
-func (s *Server) Execute(stream requestStream) error { return serve(stream, s.handler.Execute) }
+func (s *Server) Execute(stream requestStream) error { return s.serve(stream, s.handler.Execute) }
 
 // Join implements peerpb.PeerServer.
-func (s *Server) Join(stream requestStream) error { return serve(stream, s.handler.Join) }
+func (s *Server) Join(stream requestStream) error { return s.serve(stream, s.handler.Join) }
 
-func serve(stream requestStream, execute executeFunc) error {
+func (s *Server) serve(stream requestStream, execute executeFunc) error {
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -83,10 +91,10 @@
 	w := &frameWriter{stream: stream, requestID: head.GetRequestId()}
 	stop := w.keepAlive()
 	defer stop()
-	return w.end(executeRequest(stream, head, w, execute))
+	return w.end(s.executeRequest(stream, head, w, execute))
 }
 
-func executeRequest(stream requestStream, head *peerpb.RequestHead, w *frameWriter, execute executeFunc) error {
+func (s *Server) executeRequest(stream requestStream, head *peerpb.RequestHead, w *frameWriter, execute executeFunc) error {
 	fwd := requestFromProto(head)
 	ctx := stream.Context()
 	if fwd.Timeout > 0 {
@@ -99,7 +107,12 @@
 		fwd.Body = body
 		return execute(ctx, fwd, w)
 	}
-	payload, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
+	limited := s.limits.body(body)
+	defer limited.Release()
+	payload, err := io.ReadAll(io.LimitReader(limited, maxBufferedBody+1))
+	if errors.Is(err, connlimit.ErrNoRoom) {
+		return errkind.New(errkind.Overloaded, "there is no room for the body")
+	}
 	if err != nil {
 		return errkind.New(errkind.BadRequest, "the request body was truncated: %w", err)
 	}
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -27,6 +27,7 @@
 	TimeLimits  TimeLimits    `yaml:"time_limits" doc:"How long the node waits."`
 	Drain       Drain         `yaml:"drain" doc:"How the node stops as planned."`
 	Sizes       Sizes         `yaml:"sizes" doc:"Bounds for what callers send."`
+	Limits      Limits        `yaml:"limits" doc:"Limits of the process, from which those for clients are derived."`
 	KeptAnswers KeptAnswers   `yaml:"kept_answers" doc:"Answers of calls that may not be repeated, kept in memory for callers that ask again."`
 	Orders      Orders        `yaml:"orders" doc:"Orders to the model engines of the node's failure domain."`
 	Heartbeat   time.Duration `yaml:"heartbeat_interval" doc:"Time between two heartbeats to another node." unit:"duration" validate:"min=100ms,max=10s"`
@@ -104,6 +105,12 @@
 	MaxHeader yamldoc.ByteSize `yaml:"max_header" doc:"Largest header of a request." unit:"size" validate:"min=1024,max=16777216"`
 }
 
+// Limits holds the limits of the process.
+type Limits struct {
+	Memory    yamldoc.ByteSize `yaml:"memory" doc:"Memory that the process may use. The bodies of all requests in flight take at most a fifth of it." unit:"size" validate:"min=67108864,max=1099511627776"`
+	OpenFiles int              `yaml:"open_files" doc:"Open files and connections that the process may have; 0 stands for the limit of the operating system." unit:"files" validate:"min=0,max=1048576"`
+}
+
 // KeptAnswers holds the limits for the responses retained in memory.
 type KeptAnswers struct {
 	MaxBytes  yamldoc.ByteSize `yaml:"max_bytes" doc:"Memory for kept answers; the oldest go first." unit:"size" validate:"min=1024,max=1099511627776"`
@@ -129,6 +136,7 @@
 		TimeLimits:  TimeLimits{Header: 5 * time.Second, Request: 10 * time.Minute, Progress: 20 * time.Second},
 		Drain:       Drain{EntryTTL: 5 * time.Second, Max: 15 * time.Minute},
 		Sizes:       Sizes{MaxBody: 8 * yamldoc.MiB, MaxHeader: 32 * yamldoc.KiB},
+		Limits:      Limits{Memory: 1 * yamldoc.GiB},
 		KeptAnswers: KeptAnswers{MaxBytes: 32 * yamldoc.MiB, Retention: 10 * time.Minute},
 		Orders:      Orders{MaxModelsPerEngine: 4},
 		Heartbeat:   time.Second,
--- a/cmd/crocusspread/main.go
+++ b/cmd/crocusspread/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/jessevdk/go-flags"
 
@@ -15,6 +16,14 @@
 	"github.com/crocusspread/crocusspread/core/event"
 )
 
+const (
+	// memoryFraction is the fraction of the memory limit that the Go runtime may use.
+	memoryFraction = 0.8
+	// programBytes is the memory for what the Go runtime does not count: the pages of the program
+	// itself.
+	programBytes = 32 << 20
+)
+
 // exitUsage is the exit code for invalid arguments.
 const exitUsage = 2
 
@@ -75,6 +84,9 @@
 
 // serve runs the node until it receives a termination signal.
 func serve(opts options, s *settings.Settings) error {
+	// For the process and not for a node, since tests run many nodes in one process.
+	memory := int64(s.Limits.Memory)
+	debug.SetMemoryLimit(min(int64(memoryFraction*float64(memory)), memory-programBytes))
 	logWriter, err := setUpLog(opts, os.Stderr)
 	if err != nil {
 		return err
--- a/cmd/faulttest/crowd_own_test.go
+++ b/cmd/faulttest/crowd_own_test.go
@@ -24,11 +24,12 @@
 // with a service. Callers are served over TLS if secure is set.
 func newOwnCrowdNode(t *testing.T, secure bool) (n *nodeProc, peer string, serves func() bool) {
 	options := nodeOptions{heartbeat: "100ms", wrapper: []string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, crowdMaxFDs)}}
+	options.extra = fmt.Sprintf("limits: {memory: %dMiB}\n", crowdMemoryMB)
 	scheme := "http"
 	if secure {
 		scheme = "https"
 		cert, key := writeCertificate(t)
-		options.extra = fmt.Sprintf("tls: {callers: {cert: %q, key: %q}}\n", cert, key)
+		options.extra += fmt.Sprintf("tls: {callers: {cert: %q, key: %q}}\n", cert, key)
 	}
 	d := deployWith(t, options, site{region: "north", nodes: 1, services: 1})
 	n = d.nodes["north-1"]
