--- a/core/places/load_test.go
+++ b/core/places/load_test.go
@@ -27,6 +27,9 @@
 	offersInterval = 25 * ms
 	viewInterval   = 400 * ms
 	unreachableFor = 3 * time.Second
+	splitRegion    = 2
+	splitFrom      = 26 * time.Second
+	splitFor       = 3 * time.Second
 	releaseBatch   = 3 * ms
 	simulated      = 40 * time.Second
 	warmUp         = 5 * time.Second
@@ -70,6 +73,8 @@
 	work time.Duration
 	// least is the part of what the places can do that must be served.
 	least float64
+	// split is set if the nodes of a region disagree about the broker for some time.
+	split bool
 }
 
 // simulation plays callers, nodes and upstreams in virtual time.
@@ -82,8 +87,11 @@
 	upstreams map[domain.UpstreamID]*simUpstream
 	nodes     []*simNode
 	brokers   []*places.Broker
-	brokered  bool
-	nextLoan  [3]time.Duration
+	// second is a second broker of the region with the peak, which every other node takes for
+	// the broker for some time.
+	second   *places.Broker
+	brokered bool
+	nextLoan [3]time.Duration
 	figures
 }
 
@@ -148,6 +156,7 @@
 			s.upstreams[in.ID] = &simUpstream{Instance: in}
 		}
 	}
+	s.second = s.newBroker(splitRegion, 3)
 	for r := range regions {
 		s.brokers = append(s.brokers, s.newBroker(r, 1))
 		for i := range nodesPerRegion {
@@ -163,7 +172,11 @@
 			}
 		}
 		s.every(offersInterval, func() { s.offer(r) })
-		s.every(5*ms, func() { s.brokers[r].Tick(s.now()); s.decide(r) })
+		s.every(5*ms, func() {
+			s.brokers[r].Tick(s.now())
+			s.second.Tick(s.now())
+			s.decide(r)
+		})
 		s.every(20*ms, func() { s.borrow(r) })
 		s.arrive(r)
 	}
@@ -181,6 +194,9 @@
 		list = append(list, places.Upstream{ID: o.ID, Started: 1, Place: o.Place, Slots: slots})
 	}
 	s.brokers[r].SetUpstreams(s.now(), list)
+	if r == splitRegion {
+		s.second.SetUpstreams(s.now(), list)
+	}
 	s.decide(r)
 }
 
@@ -306,6 +322,9 @@
 // ask gets a place from the broker.
 func (s *simulation) ask(c *call) {
 	b := s.brokers[c.node.region]
+	if split := s.at - splitFrom; s.split && c.node.region == splitRegion && c.node.place.FailureDomain == failureDomain(splitRegion, 1) && split > 0 && split < splitFor {
+		b = s.second
+	}
 	toBroker := trip(c.node.place.FailureDomain, failureDomain(c.node.region, 0))
 	s.after(toBroker, func() {
 		r := kinds[c.kind]
@@ -353,8 +372,10 @@
 }
 
 func (s *simulation) decide(r int) {
-	for _, w := range s.brokers[r].Decided() {
-		w.Value.(func(places.Decision))(w.Decision)
+	for _, b := range []*places.Broker{s.brokers[r], s.second} {
+		for _, w := range b.Decided() {
+			w.Value.(func(places.Decision))(w.Decision)
+		}
 	}
 }
 
@@ -448,11 +469,12 @@
 // upstreams served 0.3 and 0.55 of its worth, and upstreams rejected half of what arrived.
 func TestFewPlacesServeManyNodes(t *testing.T) {
 	for _, l := range []load{
-		{"peaks that move", 340, 60 * ms, 0.95},
+		{"peaks that move", 340, 60 * ms, 0.95, false},
+		{"peaks that move and two brokers at once", 340, 60 * ms, 0.95, true},
 		// After a move of the peak, messages take a third of a second to bring requests to the
 		// other regions.
-		{"more than all can serve", 1000, 60 * ms, 0.9},
-		{"work shorter than messages take", 1360, 15 * ms, 0.9},
+		{"more than all can serve", 1000, 60 * ms, 0.9, false},
+		{"work shorter than messages take", 1360, 15 * ms, 0.9, false},
 	} {
 		t.Run(l.name, func(t *testing.T) {
 			t.Parallel()
