Keep stated speeds from filling engines that hold long prompts

With priorities and sixteen nodes, stated speeds raised the mean cost of a request by up to a third: short questions left slow engines for a gain of milliseconds and filled the others, where long prompts were preempted, and requests were spread over engines without regard to their own. Engines whose memory is known are no longer spread over, their time to first byte without prefill is not multiplied, and the cost of requests in flight never is.

--- a/core/instances/enginesim_test.go
+++ b/core/instances/enginesim_test.go
@@ -68,6 +68,7 @@
 	cache        map[uint64]*cachedPart
 	stepping     bool
 	preemptions  int
+	noise        *noisyUpstream
 }
 
 func (e *memoryEngine) load() int { return len(e.running) + len(e.waiting) }
@@ -255,6 +256,9 @@
 		decoding = append(decoding, r)
 	}
 	took := max(engineStep, time.Duration(float64(engineChunk-budget)/engineRate*1e6))
+	if e.sim.noisy {
+		took = e.noise.end(now, took).Sub(now)
+	}
 	e.sim.schedule(now.Add(took), func(now time.Time) {
 		for _, r := range filled {
 			for _, p := range r.parts {
@@ -310,6 +314,8 @@
 	// oracle is set if each decision is made with the true state of all engines, cachesKnown if nodes
 	// know what engines hold, but not more of their load.
 	oracle, cachesKnown bool
+	// noisy is set if the engines are slow at times, speedsStated if they state it.
+	noisy, speedsStated bool
 	policy              placement.Policy
 }
 
@@ -406,7 +412,7 @@
 	for i := range l.engines {
 		id := domain.UpstreamID(fmt.Sprint("engine-", i))
 		s.ids = append(s.ids, id)
-		s.engines[id] = &memoryEngine{sim: s, slots: l.slots, memory: l.capacity, cache: make(map[uint64]*cachedPart)}
+		s.engines[id] = &memoryEngine{sim: s, slots: l.slots, memory: l.capacity, cache: make(map[uint64]*cachedPart), noise: newNoisyUpstream(rand.New(rand.NewPCG(seed, uint64(1000+i))), l.slots)}
 	}
 	catalogs := make([]*instances.Catalog, l.nodes)
 	for i := range catalogs {
@@ -488,6 +494,9 @@
 	e := s.engines[ticket.ID]
 	r.firstByte = func(at time.Time) {
 		load := instances.ReportedLoad{Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots}
+		if s.noisy && s.speedsStated {
+			load.Slowdown, _ = e.noise.speed(at)
+		}
 		s.schedule(at, func(now time.Time) { ticket.FirstByte(now, load, true) })
 	}
 	r.progress = ticket.Progress
@@ -540,6 +549,10 @@
 				delay += 200
 			}
 		}
+		if s.noisy {
+			slowdown, _ := e.noise.speed(s.now)
+			delay *= slowdown
+		}
 		cost := delay + float64(tokens)/engineRate*(0.5+0.1*float64(streams)) + float64(e.load())*2
 		if delay-firstRead < float64(r.kind.objective.Milliseconds()) && cost < lowest {
 			lowest, best, ok = cost, s.ids[i], true
--- a/core/instances/memory_test.go
+++ b/core/instances/memory_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// TestStatedSpeedsHelpWithLongPrompts guards against the spreading of requests over noisy engines that costs more than
+// it brings where long prompts, questions and priorities meet.
+func TestStatedSpeedsHelpWithLongPrompts(t *testing.T) {
+	for _, c := range []struct {
+		nodes                          int
+		long, question                 float64
+		longPriority, questionPriority int
+	}{{3, 30, 80, 0, 0}, {3, 30, 150, 0, 1}, {16, 30, 80, 0, 0}, {16, 30, 150, 1, 0}, {16, 25, 180, 1, 0}, {16, 30, 150, 0, 1}} {
+		l := regionLoad(c.long, c.question, zipf(300, 0.9), c.longPriority, c.questionPriority)
+		l.nodes, l.capacityKnown, l.noisy = c.nodes, true, true
+		unstated := total(playSeeds(t, l, 4), 0)
+		l.speedsStated = true
+		stated := total(playSeeds(t, l, 4), 0)
+		t.Logf("%d nodes, %.0f long prompts and %.0f questions per second, priorities %d and %d: cost %.1f, %d preemptions; speeds not stated %.1f, %d", c.nodes, c.long, c.question, c.longPriority, c.questionPriority,
+			stated.cost, stated.preemptions, unstated.cost, unstated.preemptions)
+		if stated.cost > unstated.cost {
+			t.Errorf("%d nodes, %.0f long prompts, %.0f questions: got a cost of %.1f ms with stated speeds, want at most the %.1f without", c.nodes, c.long, c.question, stated.cost, unstated.cost)
+		}
+	}
+}
+
 // regionLoad is the load of a region with 24 engines of 12 slots: long prompts that share documents, and
 // short questions.
 func regionLoad(longRate, questionRate float64, pick func(*rand.Rand, time.Duration) int, longPriority, questionPriority int) memoryLoad {
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -184,7 +184,10 @@
 }
 
 func (p *Pool) performance() placement.ServicePerformance {
-	s := placement.ServicePerformance{MeanSlotTime: p.meanSlotTime, IdleTTFB: defaultIdleTTFB, SpeedsVary: p.speedsStated}
+	s := placement.ServicePerformance{MeanSlotTime: p.meanSlotTime, IdleTTFB: defaultIdleTTFB}
+	// Engines whose memory is known are told apart by what they hold; spreading requests over
+	// them fills some while others have slots.
+	s.SpeedsVary = p.speedsStated && !p.tracksMemory()
 	if p.config.Engine != nil {
 		s.PrefillRate = p.prefillRate.tokensPerMS
 		s.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS, 1)
--- a/core/placement/candidate.go
+++ b/core/placement/candidate.go
@@ -98,7 +98,13 @@
 	if excess := c.load() + 1 - float64(slots); excess > 0 {
 		slotWait = time.Duration(excess / float64(slots) * float64(s.MeanSlotTime) * max(1, c.LatencyRatio) * c.slowdown())
 	}
-	return time.Duration(float64(d)*max(1, c.LatencyRatio)*c.slowdown()) + slotWait, slotWait
+	scaled := time.Duration(float64(d) * max(1, c.LatencyRatio) * c.slowdown())
+	if c.MemoryTokens > 0 {
+		// Short questions hardly gain by leaving a slow engine, but they fill the others, on
+		// which requests are then preempted.
+		scaled -= time.Duration(float64(s.IdleTTFB) * max(1, c.LatencyRatio) * (c.slowdown() - 1))
+	}
+	return scaled + slotWait, slotWait
 }
 
 // slotMargin is the number of slots below the last one from which an engine may be full when the request
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -224,7 +224,7 @@
 		o.delay += further
 		o.slotWait += further
 	}
-	o.cost = o.delay + time.Duration(c.load()*float64(p.InFlightCost)*c.slowdown())
+	o.cost = o.delay + time.Duration(c.load()*float64(p.InFlightCost))
 	if s.PrefillRate > 0 {
 		o.cost += time.Duration(p.PrefillWeight * float64(o.tokens) / s.PrefillRate * float64(time.Millisecond) * c.slowdown())
 	}
