--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -186,7 +186,10 @@
 }
 
 func (p *Pool) performance() placement.ServicePerformance {
-	s := placement.ServicePerformance{MeanSlotTime: p.meanSlotTime, IdleTTFB: p.idleTTFB.value, SpeedsVary: p.speedsStated}
+	s := placement.ServicePerformance{MeanSlotTime: p.meanSlotTime, IdleTTFB: p.idleTTFB.value}
+	// Engines whose memory is known are told apart by what they hold; spreading requests over
+	// them fills some while others have slots.
+	s.SpeedsVary = p.speedsStated && !p.tracksMemory()
 	if p.config.Engine != nil {
 		s.PrefillRate = p.prefillRate.tokensPerMS
 		s.MaxPendingTokens = maxPendingTokens(p.config.Engine, p.maxEventGap, p.prefillRate.tokensPerMS, 1)
