Hand over the levels of quotas at a planned stop, and bound the debt across terms

It now waits for the whole debt and gives none in its first window. What it denies only for that is answered with 503, not 429.

An authority that stops hands its levels to the next one, so that accounts need not wait. It also tells that its term has ended, which the view withheld since exchanges told of the authority less often.

--- a/adapters/edgenode/quota_authority.go
+++ b/adapters/edgenode/quota_authority.go
@@ -161,19 +161,41 @@
 	if err != nil {
 		return // if it was written, the entry ends with its lease, which nobody renews
 	}
+	levels := q.lastLevels(ctx, self.Era)
 	start := bootTime()
 	if known, _ := q.view.Announcement(start); item.Revision != 0 || known.Term != 0 && known.Era < lease.Era {
 		start += lease.TTL // the store lost the lease of the node before, which may not know it yet
 	}
 	e := &q.election
 	e.lease, e.revision, e.renewAt, e.attemptAt = lease, self.Term, sentAt+quota.RenewInterval, 0
-	q.authority.Begin(start, sentAt, lease.TTL)
+	q.authority.Begin(start, sentAt, lease.TTL, levels)
 	self.Age = bootTime() - sentAt
 	q.view.Merge(bootTime(), self)
-	n.log.Log(event.QuotaAuthority, event.F("node", n.settings.Node), event.F("term", self.Term), event.F("era", self.Era), event.F("active", true))
+	n.log.Log(event.QuotaAuthority, event.F("node", n.settings.Node), event.F("term", self.Term), event.F("era", self.Era), event.F("active", true), event.F("continued_accounts", len(levels)))
 	q.announce()
 }
 
+// levelsTimeout limits the call to the last authority; the accounts wait for it.
+const levelsTimeout = 300 * time.Millisecond
+
+// lastLevels returns the levels of the last authority if it is known to have resigned.
+func (q *quotas) lastLevels(ctx context.Context, era uint64) []quota.Level {
+	last, _ := q.view.Announcement(bootTime())
+	if last.Node != "" || last.Address == "" || last.Era != era {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, levelsTimeout)
+	defer cancel()
+	if last.Address == q.node.settings.PeerAddress {
+		return q.node.HandOverQuota()
+	}
+	levels, err := q.node.mesh.QuotaLevels(ctx, last.Address)
+	if err != nil {
+		q.node.metrics.Count("quota.levels_failed", 1)
+	}
+	return levels
+}
+
 // isOfEarlierEra reports whether an entry is of an earlier era of the store, in which case nobody
 // renews its lease. Otherwise it applies the entry.
 func (q *quotas) isOfEarlierEra(item *ports.Item) bool {
@@ -211,8 +233,13 @@
 
 // lose ends the term of this node.
 func (q *quotas) lose(why string) {
-	e := &q.election
 	q.authority.End()
+	q.forgetTerm(why)
+}
+
+// forgetTerm records that this node is not the authority any more.
+func (q *quotas) forgetTerm(why string) {
+	e := &q.election
 	q.view.Forget(bootTime(), e.revision)
 	q.node.log.Log(event.QuotaAuthority, event.F("node", q.node.settings.Node), event.F("term", e.revision), event.F("active", false), event.F("why", why))
 	e.lease, e.revision = ports.Lease{}, 0
@@ -235,14 +262,15 @@
 func (q *quotas) resignLocked(ctx context.Context, why string) {
 	e := &q.election
 	era, term := e.lease.Era, e.revision
-	q.lose(why)
+	q.authority.Resign(bootTime())
+	q.forgetTerm(why)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := q.node.deps.Store.Delete(ctx, q.node.deps.Documents.QuotaAuthorityKey(), term); err != nil {
 		q.node.log.Log(event.PlatformFailed, event.F("call", "delete quota authority"), event.F("error", err))
 		return
 	}
-	q.view.Merge(bootTime(), quota.Announcement{Era: era, Term: term})
+	q.view.Merge(bootTime(), quota.Announcement{Address: q.node.settings.PeerAddress, Era: era, Term: term})
 	q.announce()
 }
 
--- a/adapters/edgenode/quota_draws.go
+++ b/adapters/edgenode/quota_draws.go
@@ -191,6 +191,19 @@
 	return n.quotas.serve(ctx, demands)
 }
 
+// HandOverQuota implements mesh.Handler.
+func (n *Node) HandOverQuota() []quota.Level {
+	t := n.state.table.Load()
+	if n.quotas == nil || t == nil {
+		return nil
+	}
+	var accounts []string
+	for _, a := range t.Accounts() {
+		accounts = append(accounts, a.Name)
+	}
+	return n.quotas.authority.HandOver(bootTime(), accounts, n.quotas.terms)
+}
+
 // terms returns the terms of an account's quota, and false if it has none.
 func (q *quotas) terms(account string) (quota.Terms, bool) {
 	t := q.node.state.table.Load()
--- a/adapters/mesh/quota.go
+++ b/adapters/mesh/quota.go
@@ -25,6 +25,31 @@
 	return grantsFromWire(demands, reply.GetGrants()), !reply.GetUnavailable(), nil
 }
 
+// QuotaLevels asks the last authority, which has resigned, for the levels of its buckets.
+func (c *Client) QuotaLevels(ctx context.Context, address string) ([]quota.Level, error) {
+	connection, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := meshpb.NewMeshClient(connection).DrawQuota(ctx, &meshpb.QuotaRequest{HandOver: true})
+	if err != nil {
+		return nil, errkind.New(errkind.PeerUnreachable, "get levels from %s: %w", address, err)
+	}
+	levels := make([]quota.Level, 0, len(reply.GetLevels()))
+	for _, m := range reply.GetLevels() {
+		levels = append(levels, quota.Level{Account: m.GetAccount(), Debt: float64(m.GetDebt()), Granted: float64(m.GetGranted()), Partial: m.GetPartial()})
+	}
+	return levels, nil
+}
+
+func levelsToWire(levels []quota.Level) []*meshpb.QuotaLevel {
+	wire := make([]*meshpb.QuotaLevel, 0, len(levels))
+	for _, l := range levels {
+		wire = append(wire, &meshpb.QuotaLevel{Account: l.Account, Debt: uint64(l.Debt), Granted: uint64(l.Granted), Partial: l.Partial})
+	}
+	return wire
+}
+
 func demandsToWire(demands []quota.Demand) []*meshpb.QuotaDemand {
 	wire := make([]*meshpb.QuotaDemand, 0, len(demands))
 	for _, d := range demands {
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -35,6 +35,9 @@
 	// the region. It returns false if this node cannot tell at present.
 	// The grants are in the order of the demands; some may have none.
 	DrawQuota(ctx context.Context, authority bool, demands []quota.Demand) ([]quota.Grant, bool)
+	// HandOverQuota returns the levels with which the next authority continues, if this node
+	// has resigned a moment ago.
+	HandOverQuota() []quota.Level
 }
 
 // NewServer returns a gRPC server that passes calls to a handler.
@@ -79,6 +82,9 @@
 }
 
 func (s *server) DrawQuota(ctx context.Context, m *meshpb.QuotaRequest) (*meshpb.QuotaReply, error) {
+	if m.GetHandOver() {
+		return &meshpb.QuotaReply{Levels: levelsToWire(s.handler.HandOverQuota())}, nil
+	}
 	demands := demandsFromWire(m.GetDemands())
 	grants, available := s.handler.DrawQuota(ctx, m.GetAuthority(), demands)
 	return &meshpb.QuotaReply{Grants: grantsToWire(demands, grants), Unavailable: !available}, nil
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -53,6 +53,11 @@
 	low float64
 	// granted are the tokens that were granted during the last time.
 	granted slidingSum
+	// completeAt is when granted covers a whole window: what earlier authorities granted is not
+	// known.
+	completeAt time.Duration
+	// used is what was granted beyond the account's rate.
+	used float64
 	// largest is the size of the largest request that was needed lately.
 	largest   float64
 	largestAt time.Duration
@@ -70,7 +75,29 @@
 // which an extended debt is paid off.
 func newBucket(start time.Duration, t *Terms) *Bucket {
 	low := t.Depth - t.Swing
-	return &Bucket{level: low, low: low, at: start + max(0, t.refill(t.Extended)-leaseMargin)}
+	begin := start + t.refill(t.Extended)
+	return &Bucket{level: low, low: low, at: begin, completeAt: begin + t.Window}
+}
+
+// Level is the state of an account's bucket at the end of a term.
+type Level struct {
+	Account string
+	// Debt is how far the level is below the depth.
+	Debt float64
+	// Granted was granted in the window before, as far as is known; Partial is set if that
+	// is not the whole window.
+	Granted float64
+	Partial bool
+}
+
+// continueBucket returns the bucket of a term that began at start and continues another one.
+func continueBucket(start time.Duration, t *Terms, l *Level) *Bucket {
+	b := &Bucket{level: t.Depth - l.Debt, low: t.Depth - t.Swing, at: start}
+	b.granted.add(start, t.Window, l.Granted)
+	if l.Partial {
+		b.completeAt = start + t.Window
+	}
+	return b
 }
 
 // advance fills the bucket and updates the level down to which tokens are granted. An account
@@ -78,7 +105,9 @@
 // to it. After a time of lower levels, that level rises with the bucket's, so that an account
 // that uses as much as its rate is not held up.
 func (b *Bucket) advance(now time.Duration, t *Terms) {
-	b.level = min(t.Depth, b.level+t.Rate*(now-b.at).Seconds())
+	filled := t.Rate * (now - b.at).Seconds()
+	b.level = min(t.Depth, b.level+filled)
+	b.used = max(0, b.used-filled)
 	b.at = now
 	swing := t.Burst
 	if now-b.largestAt < largestRetention {
@@ -92,7 +121,7 @@
 	room := b.level - b.low
 	granted := b.granted.total(now, t.Window)
 	// An account that has used about its quota or less goes further into debt.
-	if extended := b.level - (t.Depth - t.Swing - t.Extended); largest > 0 && t.Extended > 0 {
+	if extended := b.level - (t.Depth - t.Swing - t.Extended); largest > 0 && t.Extended > 0 && now >= b.completeAt {
 		room = max(room, min(extended, t.Regular-granted))
 	}
 	if largest < b.reserve && now < b.reserveUntil {
@@ -135,6 +164,7 @@
 
 func (b *Bucket) take(now time.Duration, t *Terms, tokens float64) {
 	b.level -= tokens
+	b.used += tokens
 	b.granted.add(now, t.Window, tokens)
 }
 
@@ -150,6 +180,12 @@
 	}
 }
 
+// exceeds reports whether the account is known to exceed its quota, after a denial: what was granted
+// in this term and what was denied in the last second is more than its burst and one large request.
+func (b *Bucket) exceeds(now time.Duration, t *Terms) bool {
+	return now >= b.completeAt || b.used+b.denied.at(now, deniedTime) > t.Burst+b.largest
+}
+
 // retryAfter returns the time until denied tokens are expected to be there, after those that
 // were denied before, and records them.
 func (b *Bucket) retryAfter(now time.Duration, t *Terms, denied float64) time.Duration {
@@ -174,15 +210,63 @@
 	// Tokens are granted from start until end.
 	start, end time.Duration
 	buckets    map[string]*Bucket
+	// levels are those with which accounts begin that the last authority handed over.
+	levels map[string]Level
+	// resignedAt is when the term was ended by Resign; zero if it was not, or if its levels
+	// were handed over.
+	resignedAt time.Duration
+}
+
+// Begin begins a term. The lease was granted by a call that was sent at sentAt. levels are what
+// the last authority handed over; the buckets of other accounts begin empty and fill from start
+// on.
+func (a *Authority) Begin(start, sentAt, ttl time.Duration, levels []Level) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.start, a.end, a.resignedAt = start, sentAt+ttl-leaseMargin, 0
+	a.buckets, a.levels = make(map[string]*Bucket), make(map[string]Level, len(levels))
+	for _, l := range levels {
+		a.levels[l.Account] = l
+	}
+}
+
+// Resign ends the term of an authority that grants tokens, so that its levels can be handed over.
+func (a *Authority) Resign(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.active(now) {
+		a.end, a.resignedAt = now, now
+	}
 }
 
-// Begin begins a term with empty buckets, which fill from start on. The lease was granted by a
-// call that was sent at sentAt.
-func (a *Authority) Begin(start, sentAt, ttl time.Duration) {
+// handOverPeriod is how long after its end the levels of a term are handed over. Another term may
+// lie between that and a later one.
+const handOverPeriod = time.Second
+
+// HandOver returns the levels of the given accounts at the end of the term, once: a second node that
+// asks is not the next authority. It returns nothing unless the term was ended by Resign, and for
+// accounts that the authority did not grant tokens of yet.
+func (a *Authority) HandOver(now time.Duration, accounts []string, terms func(account string) (Terms, bool)) []Level {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.start, a.end = start, sentAt+ttl-leaseMargin
-	a.buckets = make(map[string]*Bucket)
+	if a.resignedAt == 0 || now-a.resignedAt > handOverPeriod {
+		return nil
+	}
+	var levels []Level
+	for _, account := range accounts {
+		t, found := terms(account)
+		if !found {
+			continue
+		}
+		b := a.bucket(account, &t)
+		if a.end < b.at {
+			continue
+		}
+		b.advance(a.end, &t)
+		levels = append(levels, Level{Account: account, Debt: math.Ceil(t.Depth - b.level), Granted: math.Ceil(b.granted.total(a.end, t.Window)), Partial: a.end < b.completeAt})
+	}
+	a.resignedAt = 0
+	return levels
 }
 
 // Renew records that the lease was renewed by a call that was sent at sentAt. It has no effect
@@ -200,7 +284,7 @@
 func (a *Authority) End() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.end, a.buckets = 0, nil
+	a.end, a.buckets, a.resignedAt = 0, nil, 0
 }
 
 // Active reports whether tokens are granted now.
@@ -219,8 +303,8 @@
 	return now >= a.end
 }
 
-// Grant answers a demand. It returns false if the node is not the authority, or does not grant
-// tokens of the account yet.
+// Grant answers a demand. It returns false if the node is not the authority, or denies tokens only
+// because it does not know what earlier authorities granted.
 func (a *Authority) Grant(now time.Duration, t *Terms, d *Demand) (Grant, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -228,13 +312,24 @@
 		return Grant{}, false
 	}
 	now = max(now, a.start)
-	b := a.buckets[d.Account]
-	if b == nil {
-		b = newBucket(a.start, t)
-		a.buckets[d.Account] = b
-	}
+	b := a.bucket(d.Account, t)
 	if now < b.at {
 		return Grant{}, false
 	}
-	return b.Grant(now, t, d), true
+	g := b.Grant(now, t, d)
+	return g, g.Tokens > 0 || g.RetryAfter == 0 || b.exceeds(now, t)
+}
+
+// bucket returns the bucket of an account.
+func (a *Authority) bucket(account string, t *Terms) *Bucket {
+	b := a.buckets[account]
+	if b == nil {
+		if l, found := a.levels[account]; found {
+			b = continueBucket(a.start, t, &l)
+		} else {
+			b = newBucket(a.start, t)
+		}
+		a.buckets[account] = b
+	}
+	return b
 }
--- a/core/quota/terms.go
+++ b/core/quota/terms.go
@@ -40,8 +40,8 @@
 	largestRequest = 100000
 	largeBurst     = 4
 	// extendedDebtTime is the time of the account's rate by which an account may exceed the
-	// range of the bucket that has used about its quota or less in the window. A new authority does not know the debt
-	// and waits for that time, so that it costs as much after each change of the authority.
+	// range of the bucket that has used about its quota or less in the window. A new
+	// authority that does not know the debt waits for that time.
 	extendedDebtTime = 2 * time.Second
 	// debtRequests is the number of largest requests that may be granted in addition to
 	// the burst, as far as the limit allows.
--- a/core/quota/view.go
+++ b/core/quota/view.go
@@ -51,7 +51,7 @@
 		}
 	case order < 0 || v.known.Node == "":
 	case a.Node == "":
-		v.known, v.lostAt, v.changedAt = a, now, now
+		v.known, v.lostAt, v.changedAt, v.forgottenAt = a, now, now, 0
 	case confirmedAt > v.confirmedAt:
 		v.confirmedAt = confirmedAt
 		if confirmedAt > v.forgottenAt {
