Ignore prompt parts that are larger than the prompt

Callers state the sizes of parts and of the whole prompt. A part with more tokens than the prompt made an engine seem full for all requests until its own ended.

--- a/core/instances/memory.go
+++ b/core/instances/memory.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// maxTokens bounds the tokens that a caller may state, so that sums do not overflow.
+	maxTokens = 1 << 30
 	// minOutputForTokenTime is the output from which the time per token is measured: the end of a shorter
 	// one is dominated by the network.
 	minOutputForTokenTime = 8
@@ -207,13 +209,23 @@
 }
 
 // newReservation returns the reservation of a request. Its parts are those of the request, which are
-// not modified.
+// not modified. They are ignored if they have more tokens than the prompt: callers state both.
 func newReservation(r *placement.Request) reservation {
-	res := reservation{parts: trackedParts(r.Prompt), private: r.PromptTokens + r.OutputTokens}
+	prompt := min(maxTokens, r.PromptTokens)
+	res := reservation{parts: trackedParts(r.Prompt), private: prompt + min(maxTokens, r.OutputTokens)}
+	left := prompt
+	for _, part := range res.parts {
+		if part.Tokens < 0 || part.Tokens > prompt {
+			return reservation{private: res.private}
+		}
+	}
 	for _, part := range res.shared() {
-		res.private -= part.Tokens
+		left -= part.Tokens
+	}
+	if left < 0 {
+		return reservation{private: res.private}
 	}
-	res.private = max(0, res.private)
+	res.private -= prompt - left
 	return res
 }
 
--- a/core/instances/memory_test.go
+++ b/core/instances/memory_test.go
@@ -1,6 +1,7 @@
 package instances_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -251,3 +252,27 @@
 		t.Errorf("got %+v for 100,500 tokens, want a refusal", d)
 	}
 }
+
+// TestPartsLargerThanPromptAreIgnored guards against callers that state part sizes by which an engine would
+// seem full for everyone.
+func TestPartsLargerThanPromptAreIgnored(t *testing.T) {
+	c := memoryPool(t, instances.Options{}, "e1")
+	for i, parts := range [][]placement.Part{
+		{{ID: 1, Tokens: math.MaxInt}, {ID: 2, Tokens: math.MaxInt}, {ID: 3, Tokens: 100}},
+		{{ID: 1, Tokens: 90_000}, {ID: 2, Tokens: 100}},
+		{{ID: 1, Tokens: 900}, {ID: 2, Tokens: 900}, {ID: 3, Tokens: 100}},
+	} {
+		now := start.Add(time.Duration(i) * time.Second)
+		q := instances.Query{LocalAllowed: true, Request: placement.Request{Prompt: parts, PromptTokens: 1000, OutputTokens: 100, Objective: time.Second, Remaining: 5 * time.Second}}
+		if d, ticket := c.Pool("model").Place(now, placement.DefaultPolicy(), &q); ticket == nil {
+			t.Errorf("request %d: got %+v, want an engine", i, d)
+		}
+	}
+	if d, ticket := placePrompt(c, start.Add(5*time.Second), 100, placement.Part{ID: 9, Tokens: 80_000}); ticket == nil {
+		t.Errorf("got %+v for 80,100 of 100,000 tokens, want an engine: 3,300 are reserved", d)
+	}
+	huge := instances.Query{LocalAllowed: true, Request: placement.Request{PromptTokens: math.MaxInt, OutputTokens: math.MaxInt, Objective: time.Second, Remaining: 5 * time.Second}}
+	if d, ticket := c.Pool("model").Place(start.Add(8*time.Second), placement.DefaultPolicy(), &huge); ticket != nil {
+		t.Errorf("got %+v for a prompt of all tokens, want a refusal", d)
+	}
+}
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -238,7 +238,7 @@
 	place := p.upstreams[preferred].Place
 	if place.Region == p.options.Self.Region {
 		if c := &candidates[preferred]; tracksMemory {
-			c.PreferredTokens = max(0, sharedTokens-c.CachedTokens)
+			c.PreferredTokens = max(0, min(sharedTokens, q.PromptTokens)-c.CachedTokens)
 		} else {
 			c.CachedTokens = sharedTokens
 		}
--- a/core/instances/prefixes.go
+++ b/core/instances/prefixes.go
@@ -154,7 +154,10 @@
 	if candidates == nil || len(q.Prompt) == 0 {
 		return
 	}
-	parts, most := trackedParts(q.Prompt), 0
+	parts, most := newReservation(&q.Request).parts, 0
+	if len(parts) == 0 {
+		return
+	}
 	for _, u := range p.holders[parts[0].ID] {
 		p.updateVolume(now, u, 0)
 		c := &candidates[u.index]
