Let requests use the descriptors that connections leave

A fixed third of the descriptors for requests in flight, and 1 GiB as the default of limits.memory, refused streams that were served before: BenchmarkOpenStreams (10,000 streams, 20,000 descriptors) got 503 from 5,461 on. Requests in flight may now use what accepted connections leave, and the default memory is the machine's.

A body drops what only reading needs before its stream goes on.

--- a/adapters/connlimit/body.go
+++ b/adapters/connlimit/body.go
@@ -67,8 +67,13 @@
 	return n, err
 }
 
-// End ends the reading and reports whether it was canceled.
-func (b *Body) End() (canceled bool) { return b.receive != nil && b.receive.End() }
+// End ends the reading and reports whether it was canceled. It drops what only reading needs, since
+// the memory of the body may be held as long as a stream is open.
+func (b *Body) End() (canceled bool) {
+	canceled = b.receive != nil && b.receive.End()
+	b.Reader, b.Set, b.Cancel, b.receive = nil, nil, nil, nil
+	return canceled
+}
 
 // Release releases the memory of the body.
 func (b *Body) Release() {
--- a/adapters/connlimit/guard.go
+++ b/adapters/connlimit/guard.go
@@ -61,6 +61,11 @@
 	// maxHeadBytes is the maximum size of all unfinished heads together.
 	maxHeadBytes int64
 	headBytes    atomic.Int64
+	// accepted is the number of connections of all listeners. shares and inFlight are set by
+	// ShareSockets.
+	accepted atomic.Int64
+	shares   Shares
+	inFlight func() int64
 	// clock is the time of the latest sweep, in nanoseconds since start.
 	clock atomic.Int64
 	start time.Time
@@ -86,6 +91,37 @@
 	return g
 }
 
+// ShareSockets lets requests in flight use the descriptors that accepted connections leave. It must
+// be called before the first connection is accepted.
+func (g *Guard) ShareSockets(s Shares, inFlight func() int64) { g.shares, g.inFlight = s, inFlight }
+
+// MaxRequests returns the number of requests that may be in flight at the moment.
+func (g *Guard) MaxRequests() int64 {
+	free := int64(g.shares.Sockets) - g.accepted.Load()
+	return min(int64(g.shares.MemoryRequests), max(int64(g.shares.Requests), free))
+}
+
+// full reports whether accepted connections and requests in flight use all descriptors.
+func (g *Guard) full() bool {
+	return g.inFlight != nil && g.accepted.Load()+g.inFlight() >= int64(g.shares.Sockets)
+}
+
+// refusingWindow is how long after it refused a connection a listener counts as refusing.
+const refusingWindow = time.Second
+
+// Refusing reports whether a listener refuses connections, as all that it has show more. Requests that
+// make no progress then keep others out, however few they are.
+func (g *Guard) Refusing(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.listeners {
+		if refused := l.refusedAt.Load(); l.Name == name && refused != 0 && time.Duration(g.clock.Load()-refused) < refusingWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // AddSweeper makes Run call a function at each interval.
 func (g *Guard) AddSweeper(f func(now time.Time)) {
 	g.mu.Lock()
--- a/adapters/connlimit/listener.go
+++ b/adapters/connlimit/listener.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,8 @@
 	net.Listener
 	Limits
 	guard *Guard
+	// refusedAt is the time of the guard's clock at which a connection was last refused.
+	refusedAt atomic.Int64
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -75,6 +78,7 @@
 			return c, nil
 		}
 		c.reset()
+		l.refusedAt.Store(l.guard.clock.Load())
 		l.guard.Count(l.Name, NoRoom, 1)
 	}
 }
@@ -92,9 +96,10 @@
 func (l *Listener) tryAdd(c *conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.MaxConnections || l.byAddress[c.address] >= l.MaxPerAddress {
+	if len(l.conns) >= l.MaxConnections || l.byAddress[c.address] >= l.MaxPerAddress || l.guard.full() {
 		return false
 	}
+	l.guard.accepted.Add(1)
 	l.conns[c] = struct{}{}
 	l.byAddress[c.address]++
 	return true
@@ -107,6 +112,7 @@
 		return
 	}
 	delete(l.conns, c)
+	l.guard.accepted.Add(-1)
 	if l.byAddress[c.address]--; l.byAddress[c.address] == 0 {
 		delete(l.byAddress, c.address)
 	}
--- a/adapters/connlimit/shares.go
+++ b/adapters/connlimit/shares.go
@@ -11,8 +11,8 @@
 	// is enough for connections to 330 nodes.
 	controlFraction = 0.25
 	maxControl      = 512
-	// requestFraction is the part of the remaining descriptors for connections to upstreams, and
-	// so for requests in flight; the rest is for accepted connections.
+	// requestFraction is the part of the remaining descriptors that connections to upstreams, and so
+	// requests in flight, have in any case; the rest is for accepted connections.
 	requestFraction = 1.0 / 3
 	// requestMemory is the part of the memory for requests in flight.
 	requestMemory = 0.5
@@ -26,15 +26,22 @@
 	// headFraction is the part of the memory for the bytes of all unfinished heads; their
 	// decoded form takes a multiple.
 	headFraction = 1.0 / 32
-	// defaultDescriptors is the number of descriptors if the process has no limit.
+	// defaultDescriptors is the number of descriptors if the process has no limit, defaultMemory the
+	// memory if that of the machine is not known.
 	defaultDescriptors = 4096
+	defaultMemory      = 1 << 30 // bytes
 )
 
 // Shares divides the descriptors and the memory of a process.
 type Shares struct {
-	// Accepted is the number of accepted connections, Requests that of requests in flight, each
-	// of which may have a connection to an upstream.
+	// Sockets is the number of accepted connections and requests in flight together; each request
+	// may have a connection to an upstream.
+	Sockets int
+	// Accepted is the maximum number of accepted connections, Requests the number of requests in
+	// flight that there is room for beside them.
 	Accepted, Requests int
+	// MemoryRequests is the number of requests in flight for which there is memory.
+	MemoryRequests int
 	// HeadBytes is the size of all unfinished heads.
 	HeadBytes int64
 }
@@ -48,10 +55,13 @@
 	sockets := max(0, descriptors-fileDescriptors)
 	rest := float64(sockets - min(int(controlFraction*float64(sockets)), maxControl))
 	memory := float64(memoryBytes)
+	byMemory := int(requestMemory*memory) / int(bytesPerRequest)
 	return Shares{
-		Accepted:  min(int((1-requestFraction)*rest), int(connectionMemory*memory)/bytesPerConnection),
-		Requests:  min(int(requestFraction*rest), int(requestMemory*memory)/int(bytesPerRequest)),
-		HeadBytes: int64(headFraction * memory),
+		Sockets:        int(rest),
+		Accepted:       min(int((1-requestFraction)*rest), int(connectionMemory*memory)/bytesPerConnection),
+		Requests:       min(int(requestFraction*rest), byMemory),
+		MemoryRequests: byMemory,
+		HeadBytes:      int64(headFraction * memory),
 	}
 }
 
--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -46,8 +46,8 @@
 	CloseConnections func() bool
 	Log              event.Logger
 	Metrics          relay.Metrics
-	// MaxRequests is the maximum number of requests in flight.
-	MaxRequests int64
+	// MaxRequests returns the maximum number of requests in flight.
+	MaxRequests func() int64
 	// MaxTotalBodyBytes is the maximum total size of their bodies in bytes.
 	MaxTotalBodyBytes int64
 	// OtherBodyBytes returns the size of other bodies that count towards it; nil if there are
@@ -83,9 +83,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if h.requestsInFlight.Add(1) > h.MaxRequests {
+	if limit := h.MaxRequests(); h.requestsInFlight.Add(1) > limit {
 		h.requestsInFlight.Add(-1)
-		h.reject(w, r, "", errkind.New(errkind.Overloaded, "%d requests in flight", h.MaxRequests))
+		h.reject(w, r, "", errkind.New(errkind.Overloaded, "%d requests in flight", limit))
 		return
 	}
 	defer h.requestsInFlight.Add(-1)
--- a/adapters/edgenode/clientlimits.go
+++ b/adapters/edgenode/clientlimits.go
@@ -75,8 +75,8 @@
 // reserveBody reserves memory for the body of a relayed request. It returns an error if there is
 // none, or if as many requests are in flight as may be.
 func (n *Node) reserveBody(bytes int64) *errkind.Error {
-	if n.inFlight() >= int64(n.limits.Requests) {
-		return errkind.New(errkind.Overloaded, "%d requests in flight", n.limits.Requests)
+	if limit := n.guard.MaxRequests(); n.inFlight() >= limit {
+		return errkind.New(errkind.Overloaded, "%d requests in flight", limit)
 	}
 	if total := n.relayedBytes.Add(bytes) + n.handler.BodyBytes(); total > n.handler.MaxTotalBodyBytes {
 		n.relayedBytes.Add(-bytes)
@@ -114,9 +114,10 @@
 	return idleTimeout
 }
 
-// requestsShort reports whether most of the requests that may be in flight are.
+// requestsShort reports whether most of the requests that may be in flight are, or callers are
+// refused.
 func (n *Node) requestsShort() bool {
-	return float64(n.inFlight()) > shortRequests*float64(n.limits.Requests)
+	return float64(n.inFlight()) > shortRequests*float64(n.guard.MaxRequests()) || n.guard.Refusing("entry")
 }
 
 // bodiesShort reports whether clients that send their bodies too slowly are cut off.
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -131,10 +131,11 @@
 	}
 	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, bytesPerRequest)
 	n.guard = connlimit.New(n.limits.HeadBytes, log, m)
+	n.guard.ShareSockets(n.limits, n.inFlight)
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
-		MaxRequests:       int64(n.limits.Requests),
+		MaxRequests:       n.guard.MaxRequests,
 		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
 		Receives: connlimit.NewReceives(n.guard, "entry", connlimit.BodyStalled, 0, n.bodiesShort),
 	})
--- a/adapters/node/clientlimits.go
+++ b/adapters/node/clientlimits.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// defaultMemory is the memory of a process without a setting for it.
-	defaultMemory = 1 << 30 // bytes
 	// bodyFraction is the part of the memory for the bodies of requests in flight.
 	bodyFraction = 0.2
 	// bytesPerRequest is the memory that a request in flight uses for goroutines, buffers and two
@@ -24,7 +22,7 @@
 	callerFraction = 12.0 / 16
 	peerFraction   = 3.0 / 16
 	adminFraction  = 1.0 / 16
-	// streamFraction is the part of the requests in flight that one HTTP/2 connection of a caller may
+	// streamFraction is the part of the requests for which there is memory that one HTTP/2 connection of a caller may
 	// have as streams, and minStreams and maxStreams its bounds; the latter is net/http's own. net/http
 	// holds up to four times as many requests that wait for a stream to end.
 	streamFraction = 1.0 / 8
@@ -51,13 +49,14 @@
 	if n.cfg.MemoryBytes > 0 {
 		return n.cfg.MemoryBytes
 	}
-	return defaultMemory
+	return connlimit.MachineMemory()
 }
 
 func (n *Node) buildClientLimits() {
 	memory := n.memoryBytes()
 	n.limits = connlimit.Divide(n.cfg.MaxOpenFiles, memory, bytesPerRequest)
 	n.guard = connlimit.New(n.limits.HeadBytes, n.log, n.metrics)
+	n.guard.ShareSockets(n.limits, n.work.requests.Load)
 	n.bodies = connlimit.NewBodies(int64(bodyFraction * float64(memory)))
 	n.receives = connlimit.NewReceives(n.guard, "callers", connlimit.BodyStalled, 0, n.bodiesShort)
 }
@@ -91,8 +90,8 @@
 // limitRequests wraps a handler to refuse requests beyond those that may be in flight.
 func (n *Node) limitRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.InFlight() >= n.limits.Requests {
-			callerapi.Refuse(w, errkind.New(errkind.Overloaded, "%d requests in flight", n.limits.Requests))
+		if limit := n.guard.MaxRequests(); n.work.requests.Load() >= limit {
+			callerapi.Refuse(w, errkind.New(errkind.Overloaded, "%d requests in flight", limit))
 			return
 		}
 		h.ServeHTTP(w, r)
@@ -101,12 +100,13 @@
 
 // callerStreams returns the number of streams that an HTTP/2 connection may have.
 func (n *Node) callerStreams() int {
-	return min(max(minStreams, int(streamFraction*float64(n.limits.Requests))), maxStreams)
+	return min(max(minStreams, int(streamFraction*float64(n.limits.MemoryRequests))), maxStreams)
 }
 
-// requestsShort reports whether most of the requests that may be in flight are.
+// requestsShort reports whether most of the requests that may be in flight are, or callers are
+// refused.
 func (n *Node) requestsShort() bool {
-	return float64(n.InFlight()) > shortRequests*float64(n.limits.Requests)
+	return float64(n.InFlight()) > shortRequests*float64(n.guard.MaxRequests()) || n.guard.Refusing("callers")
 }
 
 // bodiesShort reports whether clients that send their bodies too slowly are cut off.
--- a/adapters/node/config.go
+++ b/adapters/node/config.go
@@ -78,7 +78,7 @@
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
 	// MemoryBytes and MaxOpenFiles are the limits of the process, from which the limits for clients
-	// are derived; zero for the default and for the limit of the operating system.
+	// are derived; zero for the memory of the machine and for the limit of the operating system.
 	MemoryBytes  int64
 	MaxOpenFiles int
 	// EntryTTL is how long callers may cache a list of entries; DrainTimeout limits the
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -107,7 +107,7 @@
 
 // Limits holds the limits of the process.
 type Limits struct {
-	Memory    yamldoc.ByteSize `yaml:"memory" doc:"Memory that the process may use. The bodies of all requests in flight take at most a fifth of it." unit:"size" validate:"min=67108864,max=1099511627776"`
+	Memory    yamldoc.ByteSize `yaml:"memory" doc:"Memory that the process may use; 0B stands for that of the machine. The bodies of all requests in flight take at most a fifth of it." unit:"size" validate:"omitempty,min=67108864,max=1099511627776"`
 	OpenFiles int              `yaml:"open_files" doc:"Open files and connections that the process may have; 0 stands for the limit of the operating system." unit:"files" validate:"min=0,max=1048576"`
 }
 
@@ -136,7 +136,6 @@
 		TimeLimits:  TimeLimits{Header: 5 * time.Second, Request: 10 * time.Minute, Progress: 20 * time.Second},
 		Drain:       Drain{EntryTTL: 5 * time.Second, Max: 15 * time.Minute},
 		Sizes:       Sizes{MaxBody: 8 * yamldoc.MiB, MaxHeader: 32 * yamldoc.KiB},
-		Limits:      Limits{Memory: 1 * yamldoc.GiB},
 		KeptAnswers: KeptAnswers{MaxBytes: 32 * yamldoc.MiB, Retention: 10 * time.Minute},
 		Orders:      Orders{MaxModelsPerEngine: 4},
 		Heartbeat:   time.Second,
--- a/cmd/crocusspread/main.go
+++ b/cmd/crocusspread/main.go
@@ -85,8 +85,9 @@
 // serve runs the node until it receives a termination signal.
 func serve(opts options, s *settings.Settings) error {
 	// For the process and not for a node, since tests run many nodes in one process.
-	memory := int64(s.Limits.Memory)
-	debug.SetMemoryLimit(min(int64(memoryFraction*float64(memory)), memory-programBytes))
+	if memory := int64(s.Limits.Memory); memory > 0 {
+		debug.SetMemoryLimit(min(int64(memoryFraction*float64(memory)), memory-programBytes))
+	}
 	logWriter, err := setUpLog(opts, os.Stderr)
 	if err != nil {
 		return err
