Do not exclude upstreams for usual failures at other nodes

A broker learns the outcomes of all nodes of its region. With the weight that a node gives its own outcomes, two or three failures in a row made one of two healthy upstreams suspect, and the broker refused requests as overloaded while half of the places were free. Outcomes of other nodes now weigh 0.08 instead of 0.2.

--- a/core/instances/granted.go
+++ b/core/instances/granted.go
@@ -120,5 +120,5 @@
 	if o == Unreachable {
 		o = Broken
 	}
-	p.recordOutcome(now, u, o)
+	p.recordOutcome(now, u, o, othersFailureGain)
 }
--- a/core/instances/granted_test.go
+++ b/core/instances/granted_test.go
@@ -1,6 +1,7 @@
 package instances_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -65,6 +66,24 @@
 	}
 }
 
+// A broker learns the outcomes of every node of its region. Failures that all upstreams have alike must
+// not exclude one of them, or half of the places of two upstreams are not granted.
+func TestUsualFailuresAtOtherNodesExcludeNoUpstream(t *testing.T) {
+	p := grantedPool()
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 20_000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		o := instances.Answered
+		if random.Float64() < 0.1 {
+			o = instances.ServerError
+		}
+		p.RecordOutcome(now, []domain.UpstreamID{"u1", "u2"}[random.IntN(2)], o)
+		if got := offered(p, now); len(got) != 2 {
+			t.Fatalf("outcome %d: got %v offered, want both upstreams", i, got)
+		}
+	}
+}
+
 // Connections beyond the even share must not stay open: those of all nodes together would exceed what
 // the upstream accepts.
 func TestPlaceBeyondTheShareOfConnectionsIsMarked(t *testing.T) {
--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -73,7 +73,7 @@
 
 // recordOutcome updates the failure rates and marks the upstream suspect if they
 // are too high.
-func (p *Pool) recordOutcome(now time.Time, u *upstream, o Outcome) {
+func (p *Pool) recordOutcome(now time.Time, u *upstream, o Outcome, gain float64) {
 	bad := 0.0
 	switch o {
 	case Canceled:
@@ -89,7 +89,7 @@
 	case ServerError, Broken, Unreachable:
 		bad = 1
 	}
-	u.failureRate += failureGain * (bad - u.failureRate)
+	u.failureRate += gain * (bad - u.failureRate)
 	p.failureRate += poolGain * (bad - p.failureRate)
 	switch {
 	case bad == 0 && u.failureRate < maxFailureRateExcess:
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -349,7 +349,7 @@
 		p.updateMeanSlotTime(t, now)
 		p.sizes.recordDuration(t.outputTokens, t.atUsualSpeed(now.Sub(t.firstByteAt)))
 	}
-	p.recordOutcome(now, u, o)
+	p.recordOutcome(now, u, o, failureGain)
 }
 
 // Registered reports whether the upstream is still registered and accepts requests; one
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -16,6 +16,10 @@
 	// failureGain is the weight of one outcome in an upstream's failure rate: five
 	// consecutive failures raise it to two thirds.
 	failureGain = 0.2
+	// othersFailureGain is the weight of an outcome at another node. A broker learns those of all nodes
+	// of its region: at failureGain, chance makes a healthy upstream that fails one request in ten
+	// suspect every few seconds, and the broker refuses requests although places are free.
+	othersFailureGain = 0.08
 	// minSuspectFor and maxSuspectFor bound how long a failing upstream is excluded;
 	// the duration doubles with each subsequent failure.
 	minSuspectFor = 500 * time.Millisecond
