--- a/adapters/edge/charge_test.go
+++ b/adapters/edge/charge_test.go
@@ -70,7 +70,7 @@
 				return nil
 			},
 			Refund:           func(r *relay.Request) { returned += r.Charge.Tokens },
-			CloseConnections: func() bool { return false }, Log: event.Discard{}, Metrics: noMetrics{}, MaxRequests: 10, MaxTotalBodyBytes: 1000,
+			CloseConnections: func() bool { return false }, Log: event.Discard{}, Metrics: noMetrics{}, MaxRequests: func() int64 { return 10 }, MaxTotalBodyBytes: 1000,
 		})
 		r := httptest.NewRequest(http.MethodPost, "http://h/x", strings.NewReader(c.body))
 		r.RequestURI = "/x"
@@ -100,7 +100,7 @@
 			return errkind.New(errkind.LimitExceeded, "test").WithRun(domain.RunNo)
 		},
 		Refund:           func(*relay.Request) { t.Error("a charge was returned that was not made") },
-		CloseConnections: func() bool { return false }, Log: event.Discard{}, Metrics: noMetrics{}, MaxRequests: 10, MaxTotalBodyBytes: 1000,
+		CloseConnections: func() bool { return false }, Log: event.Discard{}, Metrics: noMetrics{}, MaxRequests: func() int64 { return 10 }, MaxTotalBodyBytes: 1000,
 	})
 	body := readerFunc(func([]byte) (int, error) {
 		t.Error("the body was read")
