Answer requests that no region may process with 503

A route and a client account with regions in common none are both proper, and another version of the table may allow the request; 403 tells the caller that it is wrong.

--- a/adapters/edgenode/accounts.go
+++ b/adapters/edgenode/accounts.go
@@ -56,7 +56,9 @@
 		return nil, errkind.New(errkind.ListsOutdated, "the node cannot prove that its routing table is current; the last proof is %d ms old", n.proofAgeMS())
 	case !someRegionAllows(route, account):
 		n.countAccount("refused_region", account)
-		return nil, errkind.New(errkind.RegionForbidden, "no region allows both route %q and client account %q", route.Name, account.Name)
+		// The request itself is proper, and another version of the table may allow it: a 4xx would
+		// tell the caller to give up.
+		return nil, errkind.New(errkind.NoCapacity, "no region allows both route %q and client account %q", route.Name, account.Name)
 	}
 	n.countAccount("admitted", account)
 	return account, nil
