Set the timer of silent upstreams before it may run

The function of the timer reads the variable that holds it, and may run before that is set: the race detector reported it in TestLongPrefillIsNotTakenForSilence.

--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -104,7 +105,7 @@
 	a.lastEventAt.Store(start.UnixNano())
 	firstByteTimeout := max(minFirstByteTimeout, firstByteTimeoutFactor*t.Expected)
 	var timer *time.Timer
-	timer = time.AfterFunc(silenceTimeout, func() {
+	timer = time.AfterFunc(math.MaxInt64, func() {
 		now := a.Now()
 		waited := now.Sub(start)
 		limit := max(silenceTimeout, silenceTimeoutFactor*t.Expected)
@@ -118,6 +119,7 @@
 		}
 		timer.Reset(silenceTimeout / 3)
 	})
+	timer.Reset(silenceTimeout) // only now, as the function uses timer
 	return func() { timer.Stop() }
 }
 
