Order the actions of three simulations with one queue

core/quota, core/places and core/routing each had the same heap of actions; they now use core/virtualtime.

--- a/core/places/load_test.go
+++ b/core/places/load_test.go
@@ -1,8 +1,8 @@
 package places_test
 
 import (
-	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,6 +13,7 @@
 	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/placement"
 	"github.com/crocusspread/crocusspread/core/places"
+	"github.com/crocusspread/crocusspread/core/virtualtime"
 )
 
 // The load: 130 nodes in three regions share two upstreams a region.
@@ -46,26 +47,6 @@
 	accounts = []string{"a", "a", "a", "a", "a", "b", "b", "c"}
 )
 
-type action struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type actions []action
-
-func (a actions) Len() int { return len(a) }
-func (a actions) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
-func (a *actions) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // load is the demand of all callers, in requests per second, and the work of a request.
 type load struct {
 	name string
@@ -82,8 +63,7 @@
 	load
 	rng       *rand.Rand
 	at        time.Duration
-	seq       int
-	pending   actions
+	pending   virtualtime.Queue
 	upstreams map[domain.UpstreamID]*simUpstream
 	nodes     []*simNode
 	brokers   []*places.Broker
@@ -134,8 +114,7 @@
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.pending, action{s.at + max(0, d), s.seq, do})
+	s.pending.Add(s.at+max(0, d), do)
 }
 
 func (s *simulation) now() time.Time { return start.Add(s.at) }
@@ -440,10 +419,13 @@
 }
 
 func (s *simulation) run() {
-	for len(s.pending) > 0 && s.at < simulated {
-		a := heap.Pop(&s.pending).(action)
-		s.at = a.at
-		a.do()
+	for s.at < simulated {
+		at, do, ok := s.pending.Next(math.MaxInt64)
+		if !ok {
+			return
+		}
+		s.at = at
+		do()
 	}
 }
 
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/routes"
+	"github.com/crocusspread/crocusspread/core/virtualtime"
 )
 
 const (
@@ -31,27 +31,6 @@
 	tightBounds = Bounds{Window: 8 * time.Second, Over: 0.1}
 )
 
-// simEvent is something that happens at a real time.
-type simEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simAccount is an account with its demand.
 type simAccount struct {
 	name        string
@@ -84,8 +63,8 @@
 	bounds   Bounds
 	rnd      *rand.Rand
 	now      time.Duration // real time
-	seq      int
-	queue    simQueue
+	leases   int
+	queue    virtualtime.Queue
 	nodes    []*simNode
 	accounts []*simAccount
 	lease    simLease
@@ -104,8 +83,7 @@
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, simEvent{s.now + d, s.seq, do})
+	s.queue.Add(s.now+d, do)
 }
 
 type simNode struct {
@@ -375,8 +353,8 @@
 			a := Announcement{Node: n.sim.nodes[l.node].id(), Term: l.term, Age: 2 * time.Second}
 			return func() { n.view.Merge(n.clock(), a) }
 		}
-		n.sim.seq++
-		*l = simLease{node: n.index, id: uint64(n.sim.seq), term: l.term + 1, until: n.sim.now + LeaseTTL}
+		n.sim.leases++
+		*l = simLease{node: n.index, id: uint64(n.sim.leases), term: l.term + 1, until: n.sim.now + LeaseTTL}
 		id, term := l.id, l.term
 		return func() {
 			n.lease = id
@@ -623,10 +601,9 @@
 func (s *simulation) advance(length time.Duration) {
 	for end := s.now + length; s.now < end; {
 		next := s.now + simTick
-		for len(s.queue) > 0 && s.queue[0].at <= next {
-			e := heap.Pop(&s.queue).(simEvent)
-			s.now = max(s.now, e.at)
-			e.do()
+		for at, do, ok := s.queue.Next(next); ok; at, do, ok = s.queue.Next(next) {
+			s.now = max(s.now, at)
+			do()
 		}
 		s.now = next
 		for _, n := range s.nodes {
--- a/core/routing/simulation_test.go
+++ b/core/routing/simulation_test.go
@@ -1,7 +1,6 @@
 package routing_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/crocusspread/crocusspread/core/ports"
 	"github.com/crocusspread/crocusspread/core/routing"
 	"github.com/crocusspread/crocusspread/core/upstreams"
+	"github.com/crocusspread/crocusspread/core/virtualtime"
 )
 
 const (
@@ -42,34 +42,12 @@
 	profile            routing.Profile
 }
 
-// event is a scheduled action of the simulation.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simulation is a discrete-event simulation of one deployment with one policy.
 type simulation struct {
 	fleet   fleet
 	variant variant
 	now     time.Duration
-	queue   eventQueue
-	seq     int
+	queue   virtualtime.Queue
 	random  *rand.Rand
 	sites   [3]*site
 	result  result
@@ -122,8 +100,7 @@
 func (sim *simulation) time() time.Time { return startTime.Add(sim.now) }
 
 func (sim *simulation) schedule(d time.Duration, run func()) {
-	sim.seq++
-	heap.Push(&sim.queue, event{at: sim.now + d, seq: sim.seq, run: run})
+	sim.queue.Add(sim.now+d, run)
 }
 
 func (sim *simulation) scheduleEvery(d time.Duration, run func()) {
@@ -132,10 +109,9 @@
 }
 
 func (sim *simulation) run(until time.Duration) {
-	for len(sim.queue) > 0 && sim.queue[0].at <= until {
-		e := heap.Pop(&sim.queue).(event)
-		sim.now = e.at
-		e.run()
+	for at, run, ok := sim.queue.Next(until); ok; at, run, ok = sim.queue.Next(until) {
+		sim.now = at
+		run()
 	}
 }
 
