Estimate quantiles of latest samples in one place

The time to first byte and the prefill rate of engines kept the same ring of samples, and each answer allocated a sorted copy of it. They share latestSamples now, which reuses its buffer.

--- a/core/instances/idlettfb.go
+++ b/core/instances/idlettfb.go
@@ -1,7 +1,6 @@
 package instances
 
 import (
-	"slices"
 	"time"
 )
 
@@ -25,20 +24,13 @@
 // prefill. It is defaultIdleTTFB or, at engines of slower models, more.
 type idleTTFB struct {
 	value   time.Duration
-	samples []time.Duration
-	next    int
+	samples latestSamples[time.Duration]
 }
 
 func (e *idleTTFB) record(took time.Duration) {
-	if len(e.samples) < idleSamples {
-		e.samples = append(e.samples, took)
-	} else {
-		e.samples[e.next] = took
-		e.next = (e.next + 1) % idleSamples
-	}
-	if len(e.samples) >= minIdleSamples {
-		sorted := slices.Sorted(slices.Values(e.samples))
-		e.value = min(maxIdleTTFB, max(defaultIdleTTFB, sorted[int(idleQuantile*float64(len(sorted)))]))
+	e.samples.add(took, idleSamples)
+	if len(e.samples.values) >= minIdleSamples {
+		e.value = min(maxIdleTTFB, max(defaultIdleTTFB, e.samples.quantile(idleQuantile)))
 	}
 }
 
--- a/core/instances/prefillrate.go
+++ b/core/instances/prefillrate.go
@@ -1,7 +1,6 @@
 package instances
 
 import (
-	"slices"
 	"time"
 )
 
@@ -31,10 +30,8 @@
 type prefillRate struct {
 	// tokensPerMS is the estimate in tokens per millisecond.
 	tokensPerMS float64
-	// samples holds the latest rates of single answers, the next one replaces that at
-	// index next.
-	samples []float64
-	next    int
+	// samples are the rates of single answers.
+	samples latestSamples[float64]
 }
 
 // record adds an answer whose first byte arrived after the given time at an engine that
@@ -43,15 +40,9 @@
 	maxOther := max(minTTFB, time.Duration((1-minPrefillShare)*float64(took)))
 	prefillTime := max(time.Millisecond, took-min(maxOther, minTTFB+max(0, idle-defaultIdleTTFB)))
 	sample := tokens / (float64(prefillTime) / float64(time.Millisecond))
-	if len(r.samples) < rateSamples {
-		r.samples = append(r.samples, sample)
-	} else {
-		r.samples[r.next] = sample
-		r.next = (r.next + 1) % rateSamples
-	}
-	if len(r.samples) >= minRateSamples {
-		sorted := slices.Sorted(slices.Values(r.samples))
-		r.tokensPerMS = sorted[int(rateQuantile*float64(len(sorted)))]
+	r.samples.add(sample, rateSamples)
+	if len(r.samples.values) >= minRateSamples {
+		r.tokensPerMS = r.samples.quantile(rateQuantile)
 	}
 }
 
