--- a/adapters/edgenode/clientlimits.go
+++ b/adapters/edgenode/clientlimits.go
@@ -21,18 +21,6 @@
 	// headSlack is the number of bytes of a body that a node may read together with a head, and
 	// what net/http allows over its limit.
 	headSlack = 8 << 10
-	// headTimeSlack allows for the accuracy with which times are enforced.
-	headTimeSlack = time.Second
-	// unreadTime is how long a write to a caller may make no progress; unreadTimeShort applies
-	// while most of the requests that may be in flight are, and peerUnreadTime to other nodes,
-	// which may be suspended.
-	unreadTime      = 10 * time.Second
-	unreadTimeShort = 3 * time.Second
-	peerUnreadTime  = 30 * time.Second
-	// shortRequests and shortBodies are the parts of the requests and of the body bytes from which
-	// on clients that make no progress are cut off.
-	shortRequests = 0.75
-	shortBodies   = 0.5
 	// fetchReplyBytes is the memory that a reply with documents takes: the entries of 600 upstreams
 	// have some 100 KB, and are there twice while the reply is encoded.
 	fetchReplyBytes = 256 << 10
@@ -42,9 +30,9 @@
 func (n *Node) guardListeners(l *listeners) *guarded {
 	httpLimits := func(name string, fraction float64) connlimit.Limits {
 		limits := n.limits.Listener(name, fraction)
-		limits.UnreadTime = unreadTime
+		limits.UnreadTime = connlimit.UnreadTime
 		limits.HeadTime, limits.HeadBytes, limits.IdleTime = n.headTime, n.maxHeadBytes, n.idleTime
-		limits.UnreadTimeShort, limits.Short = unreadTimeShort, n.requestsShort
+		limits.UnreadTimeShort, limits.Short = connlimit.UnreadTimeShort, n.requestsShort
 		return limits
 	}
 	wrap := func(inner net.Listener, limits connlimit.Limits) *connlimit.Listener {
@@ -54,7 +42,7 @@
 		return n.guard.Listen(inner, limits)
 	}
 	peer := n.limits.Listener("peer", peerFraction)
-	peer.UnreadTime, peer.UserTimeout = peerUnreadTime, mesh.UserTimeout
+	peer.UnreadTime, peer.UserTimeout = connlimit.PeerUnreadTime, mesh.UserTimeout
 	return &guarded{
 		entry:     wrap(l.entry, httpLimits("entry", entryFraction)),
 		ready:     wrap(l.ready, httpLimits("ready", statusFraction)),
@@ -93,7 +81,7 @@
 // headTime returns how long a head may take.
 func (n *Node) headTime() time.Duration {
 	if t := n.state.table.Load(); t != nil && t.Limits.HeaderTimeout > 0 {
-		return t.Limits.HeaderTimeout + headTimeSlack
+		return t.Limits.HeaderTimeout + connlimit.HeadTimeSlack
 	}
 	return headerTimeout
 }
@@ -117,10 +105,10 @@
 // requestsShort reports whether most of the requests that may be in flight are, or callers are
 // refused.
 func (n *Node) requestsShort() bool {
-	return float64(n.inFlight()) > shortRequests*float64(n.guard.MaxRequests()) || n.guard.Refusing("entry")
+	return float64(n.inFlight()) > connlimit.ShortRequests*float64(n.guard.MaxRequests()) || n.guard.Refusing("entry")
 }
 
 // bodiesShort reports whether clients that send their bodies too slowly are cut off.
 func (n *Node) bodiesShort() bool {
-	return n.requestsShort() || float64(n.handler.BodyBytes()+n.relayedBytes.Load()) > shortBodies*float64(n.handler.MaxTotalBodyBytes)
+	return n.requestsShort() || float64(n.handler.BodyBytes()+n.relayedBytes.Load()) > connlimit.ShortBodies*float64(n.handler.MaxTotalBodyBytes)
 }
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -103,13 +103,8 @@
 	// maxIdlePerUpstream is the number of idle connections retained for each upstream;
 	// it covers a node's share of an engine's slots.
 	maxIdlePerUpstream = 16
-	// memoryFraction is the fraction of the memory limit that the Go runtime may use,
-	// bodyFraction the fraction that request bodies in flight may use.
+	// memoryFraction is the fraction of the memory limit that the Go runtime may use.
 	memoryFraction = 0.8
-	bodyFraction   = 0.2
-	// bytesPerRequest is the memory that a request in flight uses for goroutines,
-	// buffers and two connections.
-	bytesPerRequest = 96 << 10
 	// gcPercent lets the heap grow by half between garbage collections.
 	gcPercent = 50
 )
@@ -145,14 +140,14 @@
 	}
 	n.observePlaces()
 	n.quotas = newQuotas(n)
-	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, bytesPerRequest)
+	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, connlimit.BytesPerRequest)
 	n.guard = connlimit.New(n.limits.HeadBytes, log, m)
 	n.guard.ShareSockets(n.limits, n.inFlight)
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, Authorize: n.authorize, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
 		MaxRequests:       n.guard.MaxRequests,
-		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
+		MaxTotalBodyBytes: int64(connlimit.BodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
 		Receives: connlimit.NewReceives(n.guard, "entry", connlimit.BodyStalled, 0, n.bodiesShort),
 	})
 	if n.quotas != nil {
--- a/adapters/node/clientlimits.go
+++ b/adapters/node/clientlimits.go
@@ -12,11 +12,6 @@
 )
 
 const (
-	// bodyFraction is the part of the memory for the bodies of requests in flight.
-	bodyFraction = 0.2
-	// bytesPerRequest is the memory that a request in flight uses for goroutines, buffers and two
-	// connections.
-	bytesPerRequest = 96 << 10
 	// callerFraction, peerFraction and adminFraction are the parts of the accepted connections for
 	// each listener.
 	callerFraction = 12.0 / 16
@@ -30,18 +25,6 @@
 	maxStreams     = 250
 	// callerReceiveBuffer is what such a connection buffers of bodies.
 	callerReceiveBuffer = 256 << 10 // bytes
-	// headTimeSlack allows for the accuracy with which times are enforced.
-	headTimeSlack = time.Second
-	// unreadTime is how long a write to a caller may make no progress, unreadTimeShort the same
-	// while most of the requests that may be in flight are, and peerUnreadTime to other nodes,
-	// which may be suspended.
-	unreadTime      = 10 * time.Second
-	unreadTimeShort = 3 * time.Second
-	peerUnreadTime  = 30 * time.Second
-	// shortRequests and shortBodies are the parts of the requests and of the body bytes from which
-	// on clients that make no progress are cut off.
-	shortRequests = 0.75
-	shortBodies   = 0.5
 )
 
 // memoryBytes returns the memory of the process.
@@ -54,10 +37,10 @@
 
 func (n *Node) buildClientLimits() {
 	memory := n.memoryBytes()
-	n.limits = connlimit.Divide(n.cfg.MaxOpenFiles, memory, bytesPerRequest)
+	n.limits = connlimit.Divide(n.cfg.MaxOpenFiles, memory, connlimit.BytesPerRequest)
 	n.guard = connlimit.New(n.limits.HeadBytes, n.log, n.metrics)
 	n.guard.ShareSockets(n.limits, n.work.requests.Load)
-	n.bodies = connlimit.NewBodies(int64(bodyFraction * float64(memory)))
+	n.bodies = connlimit.NewBodies(int64(connlimit.BodyFraction * float64(memory)))
 	n.receives = connlimit.NewReceives(n.guard, "callers", connlimit.BodyStalled, 0, n.bodiesShort)
 }
 
@@ -68,13 +51,13 @@
 func (n *Node) guardListeners(l Listeners) guarded {
 	httpLimits := func(name string, fraction float64) connlimit.Limits {
 		limits := n.limits.Listener(name, fraction)
-		limits.UnreadTime, limits.UnreadTimeShort, limits.Short = unreadTime, unreadTimeShort, n.requestsShort
-		limits.HeadTime = func() time.Duration { return n.cfg.HeaderTimeout + headTimeSlack }
+		limits.UnreadTime, limits.UnreadTimeShort, limits.Short = connlimit.UnreadTime, connlimit.UnreadTimeShort, n.requestsShort
+		limits.HeadTime = func() time.Duration { return n.cfg.HeaderTimeout + connlimit.HeadTimeSlack }
 		limits.IdleTime = func() time.Duration { return idleTimeout }
 		return limits
 	}
 	peers := n.limits.Listener("peer", peerFraction)
-	peers.UnreadTime, peers.UserTimeout = peerUnreadTime, peer.UserTimeout
+	peers.UnreadTime, peers.UserTimeout = connlimit.PeerUnreadTime, peer.UserTimeout
 	return guarded{
 		caller: n.guard.Listen(l.Caller, httpLimits("callers", callerFraction)),
 		admin:  n.guard.Listen(l.Admin, httpLimits("admin", adminFraction)),
@@ -106,8 +89,8 @@
 // requestsShort reports whether most of the requests that may be in flight are, or callers are
 // refused.
 func (n *Node) requestsShort() bool {
-	return float64(n.InFlight()) > shortRequests*float64(n.guard.MaxRequests()) || n.guard.Refusing("callers")
+	return float64(n.InFlight()) > connlimit.ShortRequests*float64(n.guard.MaxRequests()) || n.guard.Refusing("callers")
 }
 
 // bodiesShort reports whether clients that send their bodies too slowly are cut off.
-func (n *Node) bodiesShort() bool { return n.requestsShort() || n.bodies.Short(shortBodies) }
+func (n *Node) bodiesShort() bool { return n.requestsShort() || n.bodies.Short(connlimit.ShortBodies) }
