--- a/adapters/edgenode/quota_draws.go
+++ b/adapters/edgenode/quota_draws.go
@@ -78,7 +78,7 @@
 	d.balance.Complete(boottime.Now(), draw, grants)
 }
 
-// holderChoice is the holder of the region as chosen at a time.
+// holderChoice is the holder of the region at a time.
 type holderChoice struct {
 	member peers.Member
 	at     time.Duration
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -16,7 +16,7 @@
 	Model string
 	// LocalAllowed is false if the request must not run in the local region.
 	LocalAllowed bool
-	// PacedOnly is set if only upstreams may be chosen whose rate of requests is bounded.
+	// PacedOnly restricts the placement to upstreams whose rate of requests is bounded.
 	PacedOnly bool
 	// OtherRegions lists the other regions in which the request may run.
 	OtherRegions []placement.RegionLoad
--- a/core/places/broker.go
+++ b/core/places/broker.go
@@ -2,12 +2,10 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
-	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
 )
 
@@ -77,105 +75,6 @@
 	returnJitter = 0.5
 )
 
-// Upstream is an upstream that the broker may grant places of.
-type Upstream struct {
-	ID      domain.UpstreamID
-	Started int64
-	Place   domain.Place
-	Slots   int
-	// Others is the number of requests there that the broker did not grant places for, as
-	// far as known when the upstream is added.
-	Others int
-	// MaxConnections is the number of connections that it accepts; zero if it is not known.
-	MaxConnections int
-}
-
-// Request describes a request for a place.
-type Request struct {
-	Account  string
-	Priority int
-	// Objective is the time within which the answer should begin; ObjectiveLeft and Left are
-	// what is left of it and of the time until the deadline.
-	Objective, ObjectiveLeft, Left time.Duration
-	// Domain is the failure domain of the node that asks.
-	Domain domain.FailureDomain
-	// Regions are the regions in which the request may run; empty allows all.
-	Regions []domain.Region
-	// Excluded lists the upstreams that the request was sent to before.
-	Excluded []domain.UpstreamID
-	// Random is uniformly distributed in [0, 1).
-	Random float64
-	// Key identifies the request when it comes back after a refusal; zero if it is not known.
-	Key uint64
-}
-
-// Waiter is a request at a broker.
-type Waiter struct {
-	Request
-	// Decision is valid once the waiter is among those that Broker.Decided returns.
-	Decision Decision
-	// Value belongs to the caller of the broker.
-	Value any
-
-	arrivedAt, objectiveAt, deadlineAt time.Time
-	// late is set once the request can no longer meet its objective.
-	late bool
-}
-
-// Decision is the answer to a request for a place.
-type Decision struct {
-	// ID identifies the permit; zero if the request is refused.
-	ID       uint64
-	Upstream Upstream
-	// Kind and RetryAfter describe a refusal.
-	Kind       errkind.Kind
-	RetryAfter time.Duration
-	// Waited is the time until the decision, Expected the expected wait of a refused request.
-	Waited, Expected time.Duration
-}
-
-// Granted reports whether there is a permit.
-func (d *Decision) Granted() bool { return d.ID != 0 }
-
-// Release returns a permit.
-type Release struct {
-	ID uint64
-	// Used is the time for which the node held the permit.
-	Used    time.Duration
-	Outcome instances.Outcome
-	// Load is what the upstream reported, if Load.Slots is not zero.
-	Load instances.ReportedLoad
-}
-
-type upstream struct {
-	Upstream
-	limit       float64
-	outstanding int
-	// lent is the number of places that are lent to other regions.
-	lent float64
-	// until is when a borrowed place lapses; zero for those of the own region.
-	until  time.Time
-	trip   time.Duration
-	listed bool
-}
-
-func (u *upstream) borrowed() bool { return !u.until.IsZero() }
-
-func (u *upstream) free(now time.Time) bool {
-	if u.borrowed() {
-		return now.Add(minLoanLeft).Before(u.until) && float64(u.outstanding)+1 <= u.limit
-	}
-	return u.listed && float64(u.outstanding)+u.lent+1 <= u.limit
-}
-
-func (u *upstream) maxLimit() float64 {
-	highest := float64(maxLimitFactor * u.Slots)
-	if u.MaxConnections > 0 {
-		highest = min(highest, maxConnectionShare*float64(u.MaxConnections))
-	}
-	return max(1, highest)
-}
-
 type permit struct {
 	u         *upstream
 	grantedAt time.Time
@@ -290,86 +189,6 @@
 	return sum / max(time.Millisecond, b.hold).Seconds()
 }
 
-// Acquire decides on a request or lets it wait. Decided returns it once there is a decision.
-func (b *Broker) Acquire(now time.Time, w *Waiter) {
-	w.arrivedAt, w.objectiveAt, w.deadlineAt = now, now.Add(w.ObjectiveLeft), now.Add(w.Left)
-	if r, returned := b.refused[w.Key]; returned {
-		delete(b.refused, w.Key)
-		w.objectiveAt = r.objectiveAt
-	}
-	w.late = w.objectiveAt.Sub(now) < b.minService(w)
-	if !w.late {
-		b.order.Arrive(now, w.Priority)
-	}
-	if w.Left < b.minService(w) {
-		b.refuse(now, w, errkind.DeadlineUnreachable, 0)
-		return
-	}
-	if !b.Usable() {
-		b.refuse(now, w, errkind.NoCapacity, 0)
-		return
-	}
-	b.order.Add(w)
-	b.dispatch(now)
-	if w.Decision.Granted() || w.Decision.Kind != "" {
-		return
-	}
-	expected := b.expectedWait(now, w)
-	if b.cross(now, w, expected) {
-		return
-	}
-	if inTime, _ := b.order.Len(); inTime > maxWaiting || !b.admits(now, w, expected) {
-		b.order.Remove(w)
-		b.refuse(now, w, errkind.Overloaded, expected)
-	}
-}
-
-// minService returns the time that a request must have left when it is granted a place. Where
-// permits are held for longer than objectives, as for streams, answers begin before the end.
-func (b *Broker) minService(w *Waiter) time.Duration {
-	return time.Duration(min(minServiceRatio*float64(b.hold), maxServiceRatio*float64(w.Objective)))
-}
-
-// expectedWait returns the expected wait of a waiting request.
-func (b *Broker) expectedWait(now time.Time, w *Waiter) time.Duration {
-	capacity := b.capacity()
-	ahead, share := b.order.Ahead(now, w, capacity)
-	if capacity <= 0 || share <= 0 {
-		return math.MaxInt64
-	}
-	return time.Duration(min(float64(time.Hour), float64(ahead)/(share*capacity)*float64(time.Second)))
-}
-
-// admits reports whether a request may wait.
-func (b *Broker) admits(now time.Time, w *Waiter, expected time.Duration) bool {
-	if w.late {
-		return b.mayBeServedLate(now, w)
-	}
-	ratio := maxWaitRatio
-	if w.Priority == 0 {
-		ratio = maxUrgentWaitRatio
-	}
-	return expected <= time.Duration(ratio*float64(w.Objective)) && expected <= w.objectiveAt.Sub(now)-b.minService(w)
-}
-
-// mayBeServedLate reports whether places are expected to be idle before the deadline of a
-// request that cannot meet its objective.
-func (b *Broker) mayBeServedLate(now time.Time, w *Waiter) bool {
-	capacity := b.capacity()
-	for _, u := range b.upstreams {
-		if u.borrowed() && u.free(now) {
-			capacity += u.limit / (u.trip + b.hold).Seconds()
-		}
-	}
-	spare := capacity - b.order.Rate(now, math.MaxInt)
-	inTime, late := b.order.Len()
-	if spare < minSpareRatio*capacity || late > maxLate {
-		return false
-	}
-	wait := time.Duration(float64(inTime+late) / spare * float64(time.Second))
-	return wait <= w.deadlineAt.Sub(now)-b.hold
-}
-
 // cross grants a borrowed place to a waiting request if the trip takes less time than the
 // expected wait.
 func (b *Broker) cross(now time.Time, w *Waiter, expected time.Duration) bool {
@@ -421,34 +240,6 @@
 	b.decided = append(b.decided, w)
 }
 
-func (b *Broker) refuse(now time.Time, w *Waiter, kind errkind.Kind, expected time.Duration) {
-	w.Decision = Decision{Kind: kind, RetryAfter: b.retryAfter(now, w), Waited: now.Sub(w.arrivedAt), Expected: expected}
-	b.decided = append(b.decided, w)
-	if w.Key != 0 && len(b.refused) < maxRefused {
-		b.refused[w.Key] = refusal{w.objectiveAt, now.Add(w.Decision.RetryAfter + returnDelay)}
-	}
-}
-
-// retryAfter returns when a refused request should come back. Returns are spread over the
-// capacity that is expected to be free.
-func (b *Broker) retryAfter(now time.Time, w *Waiter) time.Duration {
-	capacity := b.capacity()
-	spare := max(minSpareRatio*capacity, capacity-b.order.Rate(now, math.MaxInt), 1)
-	next := b.returnAt
-	if earliest := now.Add(minReturn); next.Before(earliest) {
-		next = earliest
-	}
-	next = next.Add(time.Duration(float64(time.Second) / spare))
-	longest := time.Duration(maxReturnShare * float64(w.deadlineAt.Sub(now)))
-	wait := time.Duration(float64(next.Sub(now)) * (1 - returnJitter/2 + returnJitter*w.Random))
-	if wait > longest && longest > minReturn {
-		// Nothing is foreseen to be free before; peaks move within seconds.
-		return time.Duration((1 - returnSpread*w.Random) * float64(longest))
-	}
-	b.returnAt = next
-	return wait
-}
-
 // dispatch grants free places to waiting requests and refuses those that cannot be served in
 // time any more.
 func (b *Broker) dispatch(now time.Time) {
@@ -483,37 +274,6 @@
 	}
 }
 
-func (b *Broker) refuseHopeless(now time.Time) {
-	usable := b.Usable()
-	for i := 0; i < len(b.order.waiting); {
-		w := b.order.waiting[i]
-		kind := errkind.Kind("")
-		switch {
-		case !usable:
-			kind = errkind.NoCapacity
-		case now.Add(b.minService(w)).After(w.deadlineAt):
-			kind = errkind.DeadlineUnreachable
-		case !w.late && now.Add(b.minService(w)).After(w.objectiveAt):
-			b.order.Remove(w)
-			w.late = true
-			if b.mayBeServedLate(now, w) {
-				b.order.Add(w)
-				continue
-			}
-			b.refuse(now, w, errkind.Overloaded, 0)
-			continue
-		case w.late && !b.mayBeServedLate(now, w):
-			kind = errkind.Overloaded
-		}
-		if kind == "" {
-			i++
-			continue
-		}
-		b.order.Remove(w)
-		b.refuse(now, w, kind, 0)
-	}
-}
-
 // Cancel ends the wait of a request whose node no longer wants a place; it returns a permit
 // that was granted meanwhile.
 func (b *Broker) Cancel(now time.Time, w *Waiter) {
@@ -562,23 +322,6 @@
 	b.work += time.Duration(gain * (float64(min(held, r.Used))/inQueue - float64(b.work)))
 }
 
-// adjust changes the limit of an upstream by what it reported.
-func (b *Broker) adjust(u *upstream, r Release) {
-	switch {
-	case r.Outcome == instances.Shed:
-		u.limit = max(1, min(u.limit, float64(u.outstanding+1))*rejectedLimitFactor)
-	case r.Load.Slots == 0:
-	case r.Load.Waiting > reserve:
-		u.limit = max(1, u.limit-limitGain*min(float64(u.Slots), float64(r.Load.Waiting-reserve)))
-	case r.Load.Waiting < minQueued:
-		inTime, _ := b.order.Len()
-		saturated := inTime > 0 && float64(u.outstanding)+u.lent+2 > u.limit
-		if saturated || u.limit < float64(u.Slots+reserve) {
-			u.limit = min(u.maxLimit(), u.limit+limitGain)
-		}
-	}
-}
-
 const (
 	// expiryInterval is the time between two checks for expired permits.
 	expiryInterval = 100 * time.Millisecond
--- a/core/places/load_test.go
+++ b/core/places/load_test.go
@@ -11,7 +11,6 @@
 	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
-	"github.com/crocusspread/crocusspread/core/placement"
 	"github.com/crocusspread/crocusspread/core/places"
 	"github.com/crocusspread/crocusspread/core/virtualtime"
 )
@@ -75,24 +74,6 @@
 	figures
 }
 
-// figures are what callers and upstreams get. Indexes are kinds.
-type figures struct {
-	arrived, inTime, answered, refused [2]int
-	byAccount, servedByAccount         map[string]int
-	sent, rejected, crossed, ran       int
-
-	worth          float64
-	longestRefusal time.Duration
-}
-
-type simUpstream struct {
-	instances.Instance
-	running int
-	queue   []func()
-	// unreachable is set while connections to it fail.
-	unreachable bool
-}
-
 type simNode struct {
 	region int
 	place  domain.Place
@@ -258,46 +239,6 @@
 	s.servedByAccount[c.account]++
 }
 
-// send sends a request to an upstream at a one-way latency; done gets its outcome.
-func (s *simulation) send(id domain.UpstreamID, latency time.Duration, done func(instances.Outcome, instances.ReportedLoad)) {
-	u := s.upstreams[id]
-	s.after(latency, func() {
-		s.sent++
-		if u.unreachable {
-			s.after(latency, func() { done(instances.Unreachable, instances.ReportedLoad{}) })
-			return
-		}
-		end := func(o instances.Outcome) {
-			load := instances.ReportedLoad{Running: u.running, Waiting: len(u.queue), Slots: slots}
-			s.after(latency, func() { done(o, load) })
-		}
-		run := func() {
-			u.running++
-			if s.at >= warmUp && s.at < simulated-10*time.Second {
-				s.ran++
-			}
-			s.after(time.Duration((0.7+0.6*s.rng.Float64())*float64(s.work)), func() {
-				u.running--
-				if len(u.queue) > 0 {
-					next := u.queue[0]
-					u.queue = u.queue[1:]
-					next()
-				}
-				end(instances.Answered)
-			})
-		}
-		switch {
-		case u.running < slots:
-			run()
-		case len(u.queue) < queueSize:
-			u.queue = append(u.queue, run)
-		default:
-			s.rejected++
-			end(instances.Shed)
-		}
-	})
-}
-
 // ask gets a place from the broker.
 func (s *simulation) ask(c *call) {
 	b := s.brokers[c.node.region]
@@ -378,46 +319,6 @@
 	}
 }
 
-// place is the way without a broker: each node decides alone.
-func (s *simulation) place(c *call) {
-	r := kinds[c.kind]
-	q := instances.Query{LocalAllowed: true, Request: placement.Request{Objective: r.Objective, Elapsed: s.at - c.arrived, Remaining: c.left(s), Random: s.rng.Uint32(), Excluded: c.tried}}
-	q.OtherRegions = c.node.views.Loads(s.now(), "app", nodesPerRegion, func(domain.Region) bool { return true })
-	d, ticket := c.node.pool.Place(s.now(), placement.DefaultPolicy(), &q)
-	retryAfter := placement.RetryAfter(d.Delay, r.Objective, s.rng.Float64())
-	switch d.Choice {
-	case placement.Local:
-		s.sendTicket(c, c.node, ticket, retryAfter)
-	case placement.Remote:
-		s.crossed++
-		done := c.node.views.TrackRequest(d.Region, "app")
-		other := s.nodes[int(d.Region[1]-'0')*nodesPerRegion+s.rng.IntN(nodesPerRegion)]
-		s.after(regionTrip/2, func() {
-			q.OtherRegions, q.Elapsed = nil, s.at-c.arrived
-			if _, t := other.pool.Place(s.now(), placement.DefaultPolicy(), &q); t != nil {
-				s.after(regionTrip/2, done)
-				s.sendTicket(c, other, t, retryAfter)
-				return
-			}
-			s.after(regionTrip/2, func() { done(); c.node.views.MarkFull(d.Region, "app"); s.refuse(c, retryAfter) })
-		})
-	default:
-		s.refuse(c, retryAfter)
-	}
-}
-
-func (s *simulation) sendTicket(c *call, at *simNode, t *instances.Ticket, retryAfter time.Duration) {
-	s.send(t.ID, trip(at.place.FailureDomain, t.Place.FailureDomain), func(o instances.Outcome, l instances.ReportedLoad) {
-		t.FirstByte(s.now(), l, o == instances.Answered)
-		t.Done(s.now(), o)
-		back := time.Duration(0)
-		if at != c.node {
-			back = regionTrip / 2
-		}
-		s.after(back, func() { s.finish(c, o, t.ID, retryAfter) })
-	})
-}
-
 func (s *simulation) run() {
 	for s.at < simulated {
 		at, do, ok := s.pending.Next(math.MaxInt64)
@@ -429,24 +330,6 @@
 	}
 }
 
-// failUpstream lets an upstream in the region with the peak be unreachable for some time.
-func (s *simulation) failUpstream() {
-	u := s.upstreams["u20"]
-	s.after(22*time.Second, func() { u.unreachable = true })
-	s.after(22*time.Second+unreachableFor, func() { u.unreachable = false })
-}
-
-func (f *figures) total() (arrived, answered, refused, inTime int) {
-	return f.arrived[0] + f.arrived[1], f.answered[0] + f.answered[1], f.refused[0] + f.refused[1], f.inTime[0] + f.inTime[1]
-}
-
-func (f *figures) String() string {
-	arrived, answered, refused, inTime := f.total()
-	return fmt.Sprintf("arrived %d, answered %d, in time %d, refused %d, worth %.3f; by kind %.2f/%.2f in time; ran %d, rejected by upstreams %d of %d, crossed %d; longest refusal %v",
-		arrived, answered, inTime, refused, f.worth/float64(arrived),
-		float64(f.inTime[0])/float64(f.arrived[0]), float64(f.inTime[1])/float64(f.arrived[1]), f.ran, f.rejected, f.sent, f.crossed, f.longestRefusal)
-}
-
 // Many nodes that share few places must not lose them to late views: a service of six
 // upstreams served 0.3 and 0.55 of its worth, and upstreams rejected half of what arrived.
 func TestFewPlacesServeManyNodes(t *testing.T) {
