--- a/adapters/standin/routedsim/cold.go
+++ b/adapters/standin/routedsim/cold.go
@@ -66,12 +66,22 @@
 	instance, cold := s.currentID(), s.coldRemaining(now)
 	s.mu.Unlock()
 	w.Header().Set("X-Instance-Id", instance)
+	if s.statesSlowdown() {
+		w.Header().Set("X-Server-Load", s.loadAt(now))
+	}
 	if cold > 0 {
 		w.Header().Set("X-Cold-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// statesSlowdown reports whether the server states how long work takes.
+func (s *Server) statesSlowdown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slowdown != nil
+}
+
 // HealthRequests returns the number of health requests.
 func (s *Server) HealthRequests() int {
 	s.mu.Lock()
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -115,6 +115,7 @@
 	coldPeriods     []coldPeriod
 	registrationSeq int
 	state           string // as last registered
+	slowdown        func(time.Time) int
 	recording       bool
 	requests        []*Request
 }
@@ -283,6 +284,25 @@
 	s.behaviour = b
 }
 
+// SetSlowdown makes the server state in X-Server-Load how long work takes at a time, in hundredths
+// of the usual duration, and take that long. The function must be safe for concurrent use.
+func (s *Server) SetSlowdown(percent func(time.Time) int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowdown = percent
+}
+
+// loadAt returns the value of X-Server-Load at a time.
+func (s *Server) loadAt(now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := fmt.Sprintf("1,0,%d", s.Slots)
+	if s.slowdown != nil {
+		text += fmt.Sprintf(",%d", s.slowdown(now))
+	}
+	return text
+}
+
 // Request is a request that reached a server.
 type Request struct {
 	At       time.Time
