--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/crocusspread/crocusspread/adapters/connlimit"
@@ -103,13 +100,8 @@
 	// maxIdlePerUpstream is the number of idle connections retained for each upstream;
 	// it covers a node's share of an engine's slots.
 	maxIdlePerUpstream = 16
-	// memoryFraction is the fraction of the memory limit that the Go runtime may use,
-	// bodyFraction the fraction that request bodies in flight may use.
+	// memoryFraction is the fraction of the memory limit that the Go runtime may use.
 	memoryFraction = 0.8
-	bodyFraction   = 0.2
-	// bytesPerRequest is the memory that a request in flight uses for goroutines,
-	// buffers and two connections.
-	bytesPerRequest = 96 << 10
 	// gcPercent lets the heap grow by half between garbage collections.
 	gcPercent = 50
 )
@@ -126,7 +118,7 @@
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.CPUCores,
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
-	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, IdleConnectionShare: n.idleConnectionShare, SendNotice: n.enqueueNotice})
+	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, IdleConnectionShare: n.idleConnectionShare, SendNotice: n.enqueueNotice, MemoryOnDemand: true})
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.era = newStoreEra(log, n.state.markRestored)
@@ -145,13 +137,14 @@
 	}
 	n.observePlaces()
 	n.quotas = newQuotas(n)
-	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, bytesPerRequest)
+	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, connlimit.BytesPerRequest)
 	n.guard = connlimit.New(n.limits.HeadBytes, log, m)
+	n.guard.ShareSockets(n.limits, n.inFlight)
 	n.handler = edge.New(edge.Config{
 		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, Authorize: n.authorize, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
-		MaxRequests:       int64(n.limits.Requests),
-		MaxTotalBodyBytes: int64(bodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
+		MaxRequests:       n.guard.MaxRequests,
+		MaxTotalBodyBytes: int64(connlimit.BodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
 		Receives: connlimit.NewReceives(n.guard, "entry", connlimit.BodyStalled, 0, n.bodiesShort),
 	})
 	if n.quotas != nil {
@@ -327,85 +320,6 @@
 	peerDialTimeout = 1500 * time.Millisecond
 )
 
-// listeners holds the listeners of a node; metrics may be nil.
-type listeners struct {
-	entry, ready, directory, peer, metrics net.Listener
-}
-
-// listen opens the listeners for all configured addresses.
-func (n *Node) listen() (*listeners, error) {
-	var l listeners
-	for _, entry := range []struct {
-		address  string
-		listener *net.Listener
-	}{
-		{n.settings.EntryAddress, &l.entry}, {n.settings.ReadyAddress, &l.ready},
-		{n.settings.DirectoryAddress, &l.directory}, {n.settings.PeerAddress, &l.peer}, {n.settings.MetricsAddress, &l.metrics},
-	} {
-		if entry.address == "" {
-			continue
-		}
-		opened, err := net.Listen("tcp", entry.address)
-		if err != nil {
-			return nil, err
-		}
-		*entry.listener = opened
-	}
-	return &l, nil
-}
-
-// servers holds the servers of a node; metrics may be nil.
-type servers struct {
-	entry, ready, directory, metrics *http.Server
-	peer                             *grpc.Server
-}
-
-const (
-	// headerTimeout and idleTimeout are greater than the limits that routing tables
-	// set for callers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 90 * time.Second
-	// maxHeaderBytes is the maximum size of a request's header in net/http.
-	maxHeaderBytes = 64 << 10
-)
-
-// serve starts the servers in group.
-func (n *Node) serve(group *errgroup.Group, opened *listeners) *servers {
-	l := n.guardListeners(opened)
-	directory := &edge.Directory{Dialect: n.deps.Edge, Entries: n.entries, TTL: n.directoryTTL(), Log: n.log}
-	s := &servers{
-		entry:     newHTTPServer(n.handler),
-		ready:     newHTTPServer(edge.ReadyHandler(n.deps.Edge, n.ready.Load)),
-		directory: newHTTPServer(directory.Handler()),
-		peer:      mesh.NewServer(insecure.NewCredentials(), n, n.meshLimits(), time.Now),
-	}
-	s.entry.BaseContext = func(net.Listener) context.Context { return n.requests }
-	start := func(server *http.Server, listener *connlimit.Listener) {
-		server.ConnState = listener.ConnState
-		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
-	}
-	start(s.entry, l.entry)
-	start(s.ready, l.ready)
-	start(s.directory, l.directory)
-	group.Go(func() error { return s.peer.Serve(l.peer) })
-	if l.metrics != nil {
-		s.metrics = newHTTPServer(n.metricsHandler())
-		start(s.metrics, l.metrics)
-	}
-	return s
-}
-
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: telemetry.DiscardLog()}
-}
-
-func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
-		return nil
-	}
-	return err
-}
-
 // entries returns the entry addresses for callers of a host from a region.
 func (n *Node) entries(host string, region domain.Region) []string {
 	var preferred []domain.Region
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -16,7 +16,7 @@
 	Model string
 	// LocalAllowed is false if the request must not run in the local region.
 	LocalAllowed bool
-	// PacedOnly is set if only upstreams may be chosen whose rate of requests is bounded.
+	// PacedOnly restricts the placement to upstreams whose rate of requests is bounded.
 	PacedOnly bool
 	// OtherRegions lists the other regions in which the request may run.
 	OtherRegions []placement.RegionLoad
@@ -349,7 +349,7 @@
 		p.updateMeanSlotTime(t, now)
 		p.sizes.recordDuration(t.outputTokens, t.atUsualSpeed(now.Sub(t.firstByteAt)))
 	}
-	p.recordOutcome(now, u, o)
+	p.recordOutcome(now, u, o, failureGain)
 }
 
 // Registered reports whether the upstream is still registered and accepts requests; one
