Log when and why an upstream is no longer supposed to have started again

The logs told when a node begins to take an upstream for cold, not when it ceases to; a presumption that ended too early could not be told from one that never began.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -65,6 +65,7 @@
 	InstanceCold      = Event{409, "instance_cold", "The node began to take an upstream for cold; the fields contain the source, for how long, and the node's share of the cold rate in requests per second."}
 	InstanceLeaving   = Event{410, "instance_leaving", "An upstream said in an answer that it leaves; it gets no more requests from this node until it has started again, whatever its entry says."}
 	InstanceSilenced  = Event{411, "instance_silenced", "An upstream answered 503 and asked for no requests for the stated time; it gets none from this node."}
+	InstanceNotCold   = Event{412, "instance_not_cold", "The node ceased to suppose that an upstream has started again and is cold; the field from names the evidence."}
 	MemberChanged     = Event{501, "member_changed", "This node observed a state change of another node of the fleet."}
 	DirectoryEmpty    = Event{503, "directory_empty", "A caller requested the list of entry nodes and no live node was known, or the response could not be written."}
 	DomainChanged     = Event{502, "failure_domain_changed", "A failure domain became reachable or unreachable from this node."}
@@ -90,7 +91,7 @@
 		QuotaAuthority, QuotaExceeded, QuotaUnanswered,
 		ClientsCut, ClientsRefused,
 		BrokerStarted, BrokerLost, BrokerFound, PlaceRefused, PlacesBorrowed,
-		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced,
+		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced, InstanceNotCold,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
 		PlatformFailed, PlatformRestored, StoreHistoryLost, Registered, RegistrationLost, StoreRestored,
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -15,6 +15,12 @@
 	coldFromStatement  = "health response"
 )
 
+// Evidence that an upstream has not started again, as it appears in logs.
+const (
+	sameFromAnswer = "answer on an older connection"
+	sameFromEntry  = "entry"
+)
+
 const (
 	// entryDelay is the maximum time from the write of an entry until it is applied here.
 	entryDelay = 4 * time.Second
@@ -88,25 +94,31 @@
 }
 
 // recordAnswer records that bytes of an answer arrived to a request that got its connection at
-// connectedAt. A connection from before the loss shows that its process still runs.
-func (c *coldness) recordAnswer(now, connectedAt time.Time, coldStart time.Duration) {
+// connectedAt. A connection from before the loss shows that its process still runs; it reports
+// whether the answer ended the presumption in this way.
+func (c *coldness) recordAnswer(now, connectedAt time.Time, coldStart time.Duration) (refuted bool) {
 	c.lastByteAt = now
 	switch {
 	case !c.presumed:
 	case connectedAt.Before(c.firstLossAt):
 		if now.Sub(c.lastLossAt) > lossRefutedAfter {
 			c.presumed = false
+			return true
 		}
 	case connectedAt.After(c.lastLossAt) && c.presumedUntil.IsZero():
 		c.presumedUntil = now.Add(coldStart)
 	}
+	return false
 }
 
-// recordEntry records a new entry of the same process.
-func (c *coldness) recordEntry(now time.Time) {
+// recordEntry records a new entry of the same process. It reports whether the entry ended the
+// presumption that the upstream has started again.
+func (c *coldness) recordEntry(now time.Time) (refuted bool) {
 	if c.presumed && now.Sub(c.lastLossAt) > entryDelay {
 		c.presumed = false
+		return true
 	}
+	return false
 }
 
 func (u *upstream) cold(now time.Time) bool { return u.coldness.cold(now) }
@@ -136,6 +148,17 @@
 		event.F("for_ms", max(0, u.coldness.until.Sub(now).Milliseconds())), event.F("own_rate", rate))
 }
 
+// recordAnswer records that bytes of an answer arrived.
+func (p *Pool) recordAnswer(now time.Time, u *upstream, connectedAt time.Time) {
+	if u.coldness.recordAnswer(now, connectedAt, p.config.ColdStart) {
+		p.logNotCold(u, sameFromAnswer)
+	}
+}
+
+func (p *Pool) logNotCold(u *upstream, from string) {
+	p.options.Log.Log(event.InstanceNotCold, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from))
+}
+
 // ConnectedAt records when the request got its connection; zero means that this is not known.
 func (t *Ticket) ConnectedAt(at time.Time) {
 	t.pool.mu.Lock()
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -316,7 +316,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.upstream.lastByteAt = now
-	t.upstream.coldness.recordAnswer(now, t.connectedAt, t.pool.config.ColdStart)
+	t.pool.recordAnswer(now, t.upstream, t.connectedAt)
 }
 
 // ReceivedWithin reports whether the upstream sent any byte to this node within the
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -130,8 +130,8 @@
 	if in.Leaving != u.Leaving || in.Address != u.Address {
 		defer p.logChange(u, "entry changed")
 	}
-	if in.Sequence > u.Sequence {
-		u.coldness.recordEntry(now)
+	if in.Sequence > u.Sequence && u.coldness.recordEntry(now) {
+		p.logNotCold(u, sameFromEntry)
 	}
 	u.Instance = in
 	if in.ColdRemaining > 0 {
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -97,7 +97,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := t.record()
-	u.coldness.recordAnswer(now, t.connectedAt, p.config.ColdStart)
+	p.recordAnswer(now, u, t.connectedAt)
 	if t.endsSilence && r.Silence == 0 {
 		t.endsSilence = false
 		u.silence.answered(now, true)
