Take the end of an idle connection for a sign that its upstream may have started again

No request fails in that time, and the ends of idle connections, the only sign, were dropped by the transport.

Change: the end of an idle connection that no idle timeout explains, stated or learned, lets the node presume a restart and ask for the upstream's health. What was no restart teaches the idle timeout.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -128,6 +128,7 @@
 	n.upstreams = upstream.NewRouted(upstream.Options{
 		DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout,
 		IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: maxIdlePerUpstream,
+		IdleClosed: func(c upstream.IdleClose) { n.catalog.RecordIdleClosed(time.Now(), c.Address, c.Idle, c.Timeout) },
 	}, deps.Upstream)
 	n.mesh = mesh.NewClient(s.Node, insecure.NewCredentials(), upstream.Dialer(peerDialTimeout, upstreamUserTimeout), time.Now)
 	n.engine = &relay.Engine{
--- /dev/null
+++ b/adapters/upstream/idle.go
@@ -0,0 +1,100 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// IdleClose is the end of an idle connection that its upstream closed.
+type IdleClose struct {
+	Address string
+	// Idle is how long the connection had been idle.
+	Idle time.Duration
+	// Timeout is the idle timeout that the upstream stated, in whole seconds; zero if it stated none.
+	Timeout time.Duration
+}
+
+// watchedConn is a connection whose end is reported while it is idle.
+type watchedConn struct {
+	net.Conn
+	address string
+	closed  func(IdleClose)
+
+	mu sync.Mutex
+	// idleSince is when the connection became idle; zero while a request uses it.
+	idleSince time.Time
+	// timeout is the idle timeout that the upstream stated last.
+	timeout time.Duration
+}
+
+// watchIdle returns a dial function that calls closed for idle connections that the upstream closes.
+func watchIdle(dial dialFunc, closed func(IdleClose)) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &watchedConn{Conn: c, address: address, closed: closed}, nil
+	}
+}
+
+func (c *watchedConn) setIdle(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = since
+}
+
+// Read implements net.Conn. net/http reads from idle connections, too.
+func (c *watchedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.mu.Lock()
+		since, timeout := c.idleSince, c.timeout
+		c.idleSince = time.Time{}
+		c.mu.Unlock()
+		if !since.IsZero() {
+			c.closed(IdleClose{Address: c.address, Idle: time.Since(since), Timeout: timeout})
+		}
+	}
+	return n, err
+}
+
+// connUse is the use of a watched connection by a request.
+type connUse struct{ conn *watchedConn }
+
+// trace returns a trace that tells when the connection is idle.
+func (u *connUse) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if u.conn, _ = info.Conn.(*watchedConn); u.conn != nil {
+				u.conn.setIdle(time.Time{})
+			}
+		},
+		PutIdleConn: func(err error) {
+			if err == nil && u.conn != nil {
+				u.conn.setIdle(time.Now())
+			}
+		},
+	}
+}
+
+// recordTimeout records the idle timeout that a response states.
+func (u *connUse) recordTimeout(h http.Header) {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && seconds > 0 && u.conn != nil {
+			u.conn.mu.Lock()
+			u.conn.timeout = time.Duration(seconds) * time.Second
+			u.conn.mu.Unlock()
+		}
+	}
+}
--- a/adapters/upstream/options.go
+++ b/adapters/upstream/options.go
@@ -33,6 +33,8 @@
 	// MaxIdlePerUpstream is the maximum number of idle pooled connections to one
 	// upstream.
 	MaxIdlePerUpstream int
+	// IdleClosed is called when an upstream closes an idle connection; it must not block.
+	IdleClosed func(IdleClose)
 	// Dial replaces the dialer, for example in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -60,6 +62,9 @@
 	setDefault(&o.UserTimeout, defaultUserTimeout)
 	setDefault(&o.CallTimeout, defaultCallTimeout)
 	setDefault(&o.MaxIdlePerUpstream, defaultMaxIdle)
+	if o.IdleClosed == nil {
+		o.IdleClosed = func(IdleClose) {}
+	}
 	if o.Dial == nil {
 		o.Dial = o.dialer().DialContext
 	}
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -46,7 +46,7 @@
 func NewRouted(o Options, d Dialect) *Routed {
 	o = o.withDefaults()
 	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o)}
-	r.pooled.DialContext, r.unpooled.DialContext = refuseOutdated(o.Dial), refuseOutdated(o.Dial)
+	r.pooled.DialContext, r.unpooled.DialContext = watchIdle(refuseOutdated(o.Dial), o.IdleClosed), refuseOutdated(o.Dial)
 	return r
 }
 
@@ -89,7 +89,9 @@
 		connectedAt.Store(&now)
 		reused.Store(info.Reused)
 	}}
-	req := r.request(httptrace.WithClientTrace(context.WithValue(ctx, placedAtKey{}, c.PlacedAt), trace), to, c)
+	var use connUse
+	traced := httptrace.WithClientTrace(httptrace.WithClientTrace(ctx, use.trace()), trace)
+	req := r.request(context.WithValue(traced, placedAtKey{}, c.PlacedAt), to, c)
 	transport := r.pooled
 	if c.Route.Kind == routes.AtMostOnce || c.SingleUse {
 		transport = r.unpooled
@@ -106,6 +108,7 @@
 		}
 		return nil, errkind.New(errkind.UpstreamFailed, "send to %s: %w", to.Address, markClosed(err))
 	}
+	use.recordTimeout(resp.Header)
 	head, load := r.dialect.DecodeResponse(resp.StatusCode, resp.Header)
 	head.Status = resp.StatusCode
 	head.Header = EndToEnd(resp.Header)
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -110,11 +110,13 @@
 func (p *Pool) recordAnswer(now time.Time, u *upstream, connectedAt time.Time) {
 	u.coldness.lastByteAt = now
 	if u.coldness.restart.recordAnswer(now, connectedAt, p.config.ColdStart) {
-		p.logNotCold(u, sameFromAnswer)
+		p.restartRefuted(now, u, sameFromAnswer)
 	}
 }
 
-func (p *Pool) logNotCold(u *upstream, from string) {
+// restartRefuted records that the upstream has not started again, or is warm.
+func (p *Pool) restartRefuted(now time.Time, u *upstream, from string) {
+	p.idleTimeout.learn(now, u)
 	p.options.Log.Log(event.InstanceNotCold, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from))
 }
 
--- a/core/instances/health.go
+++ b/core/instances/health.go
@@ -36,11 +36,10 @@
 		if !p.accepts(now, u, "") || now.Sub(u.healthCheckedAt) < healthInterval || !p.needsHealthCheck(now, u, entriesOutdated) {
 			continue
 		}
-		rate, _ := p.ownRate(now, u)
-		if !p.mayCheckHealth(now, u, rate, checks) {
+		if !p.mayCheckHealth(now, u, checks) {
 			continue
 		}
-		if u.cold(now) {
+		if rate, bounded := p.ownRate(now, u); bounded {
 			u.pace.Record(now, rate)
 		}
 		u.healthCheckedAt = now
@@ -49,15 +48,11 @@
 	return due
 }
 
-// mayCheckHealth reports whether this node may check the upstream's health. If a restart is presumed, any node may at its share of
-// the cold rate, as it may know of it alone; the one that checks for the region waits until its finding, told to others, is
-// later than the losses that they know of.
-func (p *Pool) mayCheckHealth(now time.Time, u *upstream, ownRate float64, checks func(domain.UpstreamID) bool) bool {
+// mayCheckHealth reports whether this node may check the upstream's health. A node that alone knows of a presumed restart may.
+// The one that checks for the region waits until its finding, told to others, is later than the losses that they know of.
+func (p *Pool) mayCheckHealth(now time.Time, u *upstream, checks func(domain.UpstreamID) bool) bool {
 	r := &u.coldness.restart
-	if !r.presumed() {
-		return checks(u.ID)
-	}
-	return u.pace.Ready(now, ownRate) || now.Sub(r.lost.until) > healthInterval && checks(u.ID)
+	return r.unconfirmed(now) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(u.ID)
 }
 
 // needsHealthCheck reports whether the upstream's health tells more than is known.
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -51,6 +51,8 @@
 	candidates  []placement.Candidate
 	// removed holds the records of upstreams that were removed in the last removedRetention.
 	removed map[domain.UpstreamID]removedUpstream
+	// idleTimeout is the shortest time after which upstreams close idle connections.
+	idleTimeout idleTimeout
 	// tickedAt is when it was last known that this node is not suspended.
 	tickedAt time.Time
 }
@@ -131,7 +133,7 @@
 		defer p.logChange(u, "entry changed")
 	}
 	if in.Sequence > u.Sequence && u.coldness.restart.recordEntry(now) {
-		p.logNotCold(u, sameFromEntry)
+		p.restartRefuted(now, u, sameFromEntry)
 	}
 	u.Instance = in
 	if in.ColdRemaining > 0 {
--- a/core/instances/restart.go
+++ b/core/instances/restart.go
@@ -42,9 +42,6 @@
 // covers reports whether q lies within p.
 func (p period) covers(q period) bool { return p.from.Before(q.from) && p.until.After(q.until) }
 
-// shift returns the period moved by d.
-func (p period) shift(d time.Duration) period { return period{p.from.Add(d), p.until.Add(d)} }
-
 // Ages is a period of the past, told by the ages of its ends.
 type Ages struct{ From, Until time.Duration }
 
@@ -70,6 +67,8 @@
 	lost period
 	// refused is the part of lost in which connections of this node were refused.
 	refused period
+	// told is set if lost includes what another node told of.
+	told bool
 	// coldUntil is when the cold phase of a presumed new process ends; zero until the upstream has answered a
 	// request that was sent after the latest loss.
 	coldUntil time.Time
@@ -118,9 +117,16 @@
 		return false
 	}
 	r.add(told)
+	r.told = true
 	return true
 }
 
+// unconfirmed reports whether this node alone knows of the losses, and for long enough that an answer on an older
+// connection would have refuted them if there were one.
+func (r *restart) unconfirmed(now time.Time) bool {
+	return r.presumed() && !r.told && r.refused.isZero() && now.Sub(r.lost.from) > 2*lossRefutedAfter
+}
+
 func (r *restart) add(losses period) {
 	if !r.presumed() || losses.from.Before(r.lost.from) {
 		r.lost.from = losses.from
@@ -194,7 +200,7 @@
 
 func (r *restart) settle() {
 	r.settledUntil = r.lost.until.Add(repeatTolerance)
-	r.lost, r.refused, r.coldUntil = period{}, period{}, time.Time{}
+	r.lost, r.refused, r.told, r.coldUntil = period{}, period{}, false, time.Time{}
 }
 
 // toldLoss returns the losses that other nodes should know; nil if there are none.
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if s.Settled != nil && u.coldness.restart.recordSettled(s.settledBefore(now)) {
-		p.logNotCold(u, sameFromNode)
+		p.restartRefuted(now, u, sameFromNode)
 	}
 	if wasCold := u.cold(now); s.Lost != nil && u.coldness.restart.recordToldLoss(now, s.Lost.before(now)) {
 		p.startColdPace(now, u, wasCold, coldFromToldLoss)
@@ -126,7 +126,7 @@
 		return
 	}
 	if u.coldness.restart.recordWarm(now, sentAt) {
-		p.logNotCold(u, sameFromHealth)
+		p.restartRefuted(now, u, sameFromHealth)
 	}
 	p.options.StatementsChanged()
 }
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -51,6 +51,9 @@
 	// leavingStated is set once the process has said in an answer that it leaves. It outlasts any
 	// entry of the same process.
 	leavingStated bool
+	// idleClosedAfter is the shortest time after which an idle connection was closed since a restart was presumed; zero if
+	// there was none.
+	idleClosedAfter time.Duration
 	// healthCheckedAt is when this node last sent a health request.
 	healthCheckedAt time.Time
 
