Learn no idle timeout from the end of a process

Cause: a health response that named no cold phase ended the presumed restart, and the idle connection that had ended with the old process was taken for one that timed out, although the new process had been cold in between.

Only an answer on an older connection, or a warm response within the time of a cold phase, shows that the process had not ended.

--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -109,14 +109,19 @@
 // recordAnswer records that bytes of an answer arrived.
 func (p *Pool) recordAnswer(now time.Time, u *upstream, connectedAt time.Time) {
 	u.coldness.lastByteAt = now
+	lostAt := u.coldness.restart.lost.from
 	if u.coldness.restart.recordAnswer(now, connectedAt, p.config.ColdStart) {
-		p.restartRefuted(now, u, sameFromAnswer)
+		p.recordNotCold(now, u, sameFromAnswer, lostAt)
 	}
 }
 
-// restartRefuted records that the upstream has not started again, or is warm.
-func (p *Pool) restartRefuted(now time.Time, u *upstream, from string) {
-	p.idleTimeout.learn(now, u)
+// recordNotCold records that a presumed restart is settled. lostAt is when the first connection was lost.
+func (p *Pool) recordNotCold(now time.Time, u *upstream, from string, lostAt time.Time) {
+	// A new process is still cold that soon, so the old one had closed its connection as an idle one.
+	if from == sameFromAnswer || from == sameFromHealth && now.Sub(lostAt) < p.config.ColdStart {
+		p.idleTimeout.learn(now, u.idleClosedAfter)
+	}
+	u.idleClosedAfter = 0
 	p.options.Log.Log(event.InstanceNotCold, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from))
 }
 
--- a/core/instances/idleclose.go
+++ b/core/instances/idleclose.go
@@ -24,14 +24,10 @@
 	return reaches(stated) || now.Sub(t.learnedAt) < idleTimeoutRetention && reaches(t.shortest)
 }
 
-// learn records that an upstream whose idle connection ended has not started again.
-func (t *idleTimeout) learn(now time.Time, u *upstream) {
-	idle := u.idleClosedAfter
-	u.idleClosedAfter = 0
-	if idle == 0 {
-		return
-	}
-	if now.Sub(t.learnedAt) >= idleTimeoutRetention || idle < t.shortest {
+// learn records that a process that closed an idle connection had not ended. idle is how long the connection had been idle; zero
+// if no idle connection ended.
+func (t *idleTimeout) learn(now time.Time, idle time.Duration) {
+	if idle > 0 && (now.Sub(t.learnedAt) >= idleTimeoutRetention || idle < t.shortest) {
 		t.shortest, t.learnedAt = idle, now
 	}
 }
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -132,8 +132,8 @@
 	if in.Leaving != u.Leaving || in.Address != u.Address {
 		defer p.logChange(u, "entry changed")
 	}
-	if in.Sequence > u.Sequence && u.coldness.restart.recordEntry(now) {
-		p.restartRefuted(now, u, sameFromEntry)
+	if lostAt := u.coldness.restart.lost.from; in.Sequence > u.Sequence && u.coldness.restart.recordEntry(now) {
+		p.recordNotCold(now, u, sameFromEntry, lostAt)
 	}
 	u.Instance = in
 	if in.ColdRemaining > 0 {
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -86,8 +86,9 @@
 	if !p.hasColdPhase() {
 		return
 	}
+	lostAt := u.coldness.restart.lost.from
 	if s.Settled != nil && u.coldness.restart.recordSettled(s.settledBefore(now)) {
-		p.restartRefuted(now, u, sameFromNode)
+		p.recordNotCold(now, u, sameFromNode, lostAt)
 	}
 	if wasCold := u.cold(now); s.Lost != nil && u.coldness.restart.recordToldLoss(now, s.Lost.before(now)) {
 		p.startColdPace(now, u, wasCold, coldFromToldLoss)
@@ -125,8 +126,9 @@
 	if u == nil || u.Started != h.Started || !u.coldness.restart.presumed() {
 		return
 	}
+	lostAt := u.coldness.restart.lost.from
 	if u.coldness.restart.recordWarm(now, sentAt) {
-		p.restartRefuted(now, u, sameFromHealth)
+		p.recordNotCold(now, u, sameFromHealth, lostAt)
 	}
 	p.options.StatementsChanged()
 }
