Decode and log the version of upstreams' software, and which stream a request takes up

Neither the version of an upstream nor the request that began a stream was decoded, so that the logs could not tell how a stream went on at another version: within one answer, or over a caller's tries.

--- a/adapters/edge/dialect.go
+++ b/adapters/edge/dialect.go
@@ -16,6 +16,8 @@
 	Prompt  relay.Prompt
 	// ResumeAfter is the ID of the last stream event that the caller has received.
 	ResumeAfter string
+	// Resumes is the ID of the request that began the stream.
+	Resumes domain.RequestID
 }
 
 // DirectoryQuery is the query of a directory lookup.
--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -142,7 +142,7 @@
 	req := &relay.Request{
 		Message: relay.Message{ID: info.ID, Method: r.Method, Host: r.Host, RequestTarget: r.RequestURI},
 		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(info.ID), Account: account, TableVersion: table.Version,
-		Arrived: arrived, Deadline: limit, ResumeAfter: info.ResumeAfter,
+		Arrived: arrived, Deadline: limit, ResumeAfter: info.ResumeAfter, Resumes: info.Resumes,
 	}
 	if err := h.Accept(req); err != nil {
 		return nil, 0, err
--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -266,7 +266,7 @@
 	}
 	return &remoteResponse{stream: stream, cancel: cancel, target: target, sent: int(head.GetSent()), head: relay.Head{
 		Status: int(head.GetStatus()), Header: headerFromWire(head.GetHeader()), ContentLength: head.GetContentLength(),
-		Framing: relay.FramedByNode, RequestID: call.ID, Signed: true, RanAt: domain.UpstreamID(head.GetRanAt()),
+		Framing: relay.FramedByNode, RequestID: call.ID, Signed: true, RanAt: domain.UpstreamID(head.GetRanAt()), Software: head.GetSoftware(),
 	}}, nil
 }
 
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -110,7 +110,7 @@
 
 func (f *frameSink) Begin(h relay.Head) error {
 	return f.stream.Send(&meshpb.RelayFrame{Frame: &meshpb.RelayFrame_Head{Head: &meshpb.RelayHead{
-		Status: int32(h.Status), Header: headerToWire(h.Header), ContentLength: h.ContentLength, RanAt: string(h.RanAt),
+		Status: int32(h.Status), Header: headerToWire(h.Header), ContentLength: h.ContentLength, RanAt: string(h.RanAt), Software: h.Software,
 		Sent: uint32(f.request.SendCount - f.sentElsewhere + 1),
 	}}})
 }
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -4,6 +4,7 @@
 package routedsim
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -91,6 +92,8 @@
 	Service string
 	Zone    string
 	Slots   int
+	// Software is the version of the software in later entries; empty means "v1".
+	Software string
 
 	store   *storesim.Store
 	address string
@@ -171,7 +174,7 @@
 	cold := max(0, s.coldRemaining(time.Now()))
 	s.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
-		"service": s.Service, "address": s.registeredAddress, "zone": s.Zone, "version": "v1", "slots": s.Slots,
+		"service": s.Service, "address": s.registeredAddress, "zone": s.Zone, "version": cmp.Or(s.Software, "v1"), "slots": s.Slots,
 		"state": state, "cold_remaining_ms": cold.Milliseconds(), "seq": registrationSeq, "born": born,
 	})
 	if err != nil {
--- a/core/instances/instance.go
+++ b/core/instances/instance.go
@@ -24,6 +24,8 @@
 	// Models lists the models that the engine has loaded; empty for services
 	// without an engine.
 	Models []string
+	// Software is the version of its software; empty if it is not known. What two versions write does not fit together.
+	Software string
 	// Started distinguishes processes with the same ID.
 	Started int64
 	// Sequence rises with each entry that the process writes; zero if the entry has none.
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -144,7 +144,7 @@
 func (p *Pool) logChange(u *upstream, why string) {
 	p.options.Log.Log(event.InstanceChanged, event.F("instance", u.ID), event.F("service", p.service),
 		event.F("address", u.Address), event.F("failure_domain", u.Place.FailureDomain),
-		event.F("leaving", u.Leaving), event.F("cold_ms", u.ColdRemaining.Milliseconds()), event.F("why", why))
+		event.F("software", u.Software), event.F("leaving", u.Leaving), event.F("cold_ms", u.ColdRemaining.Milliseconds()), event.F("why", why))
 }
 
 func (p *Pool) remove(now time.Time, id domain.UpstreamID) {
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -129,6 +129,9 @@
 	// framing how their end is indicated.
 	bodyBytes int
 	framing   Framing
+	// software is the version of the software of the upstream that answered the current attempt; empty if none did or
+	// it is not known.
+	software string
 	// lastEventAt is when the attempt was sent or, if later, when the caller was sent a new
 	// event of a resumable stream, in Unix nanoseconds.
 	lastEventAt atomic.Int64
@@ -152,7 +155,7 @@
 			return a.fail(ctx)
 		}
 		a.placements++
-		a.bodyBytes, a.framing, a.events = 0, "", eventCounter{}
+		a.bodyBytes, a.framing, a.software, a.events = 0, "", "", eventCounter{}
 		decision, ticket := a.choose(ctx)
 		a.decision, a.ticket = decision, ticket
 		chosenAt := a.Now()
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -168,13 +168,14 @@
 	case h.Status < 300 && !h.Signed:
 		return failedResult(errkind.UpstreamFailed, domain.RunUnknown, instances.Broken, "success without a signature")
 	}
-	h.RanAt = t.ID
+	h.RanAt, h.Software = t.ID, t.Software
 	return a.receiveBody(ctx, answer, h, t.Progress)
 }
 
 // receiveBody passes the body of an answer on. Only the rest of a stream may follow what the caller has
 // of it already.
 func (a *attempts) receiveBody(ctx context.Context, answer Answer, h Head, progress func(time.Time)) result {
+	a.software = h.Software
 	if a.delivery.started && (h.Status != statusOK || !h.isEventStream(a.r.Route.Kind)) {
 		outcome := instances.Answered
 		if h.Status >= 500 {
--- a/core/relay/log.go
+++ b/core/relay/log.go
@@ -29,7 +29,7 @@
 	a.Log.Log(event.AttemptFailed, event.F("request", a.r.ID), event.F("fingerprint", fingerprint), event.F("to", to),
 		event.F("outcome", res.outcome()), event.F("cold", a.ticket != nil && a.ticket.Cold), event.F("run", res.ran), event.F("judged", res.upstreamOutcome.String()),
 		event.F("took_ms", a.Now().Sub(sentAt).Milliseconds()), event.F("expected_ms", expected.Milliseconds()),
-		event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete), event.F("shared_parts", partList(a.r.Prompt.SharedParts())),
+		event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete), event.F("software", a.software), event.F("shared_parts", partList(a.r.Prompt.SharedParts())),
 		event.F("detail", res.err.Message))
 }
 
@@ -58,6 +58,9 @@
 	if a.r.Relayed {
 		fields = append(fields, event.F("from", a.r.From))
 	}
+	if after := a.delivery.resumeAfter(a.r.ResumeAfter); after != "" && a.r.Route.Resumable {
+		fields = append(fields, event.F("resumes", a.r.Resumes), event.F("resumed_after", a.r.ResumeAfter), event.F("last_event", after))
+	}
 	switch a.decision.Choice {
 	case placement.Local:
 		if n := len(a.tried); n > 0 {
@@ -83,7 +86,7 @@
 		a.Metrics.Observe("relay.first_us", timeToFirstByte)
 		a.Log.Log(event.RequestServed, append(fields, event.F("status", a.last.status), event.F("first_ms", timeToFirstByte.Milliseconds()),
 			event.F("head_ms", a.headAt.Sub(a.r.Arrived).Milliseconds()), event.F("max_gap_ms", a.maxGap.Milliseconds()), event.F("tokens", a.decision.Tokens),
-			event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete))...)
+			event.F("framing", a.framing), event.F("body_bytes", a.bodyBytes), event.F("events", a.events.complete), event.F("software", a.software))...)
 		return
 	}
 	a.Metrics.Count("relay.failed."+string(f.Kind), 1)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -60,6 +60,9 @@
 	Reserve time.Duration
 	// ResumeAfter is the ID of the last event that the caller already has.
 	ResumeAfter string
+	// Resumes is the ID of the request whose answer had the first event of the stream that this one takes up; empty if it
+	// takes up none.
+	Resumes domain.RequestID
 	// Relayed is set if another node sent the request here; it is then run in this
 	// region or refused, never relayed again.
 	Relayed bool
@@ -135,6 +138,8 @@
 	Misdirected bool
 	// RanAt is the upstream's ID, for logs.
 	RanAt domain.UpstreamID
+	// Software is the version of the upstream's software; empty if it is not known.
+	Software string
 }
 
 // answers reports whether the answer belongs to a request. On a reused connection, an upstream in trouble
