Resume a broken stream only at an upstream of the software version that began it

Cause: a node that resumes a stream within an answer placed the rest at any upstream of the service. Neither placement nor the call to another region named a version.

Change: once the caller has events, placement in both regions is restricted to upstreams of the version that wrote them; regions without one are not asked, and a broker, which knows no versions, neither. If none is left, the answer is broken off at once.

--- a/adapters/edgenode/position.go
+++ b/adapters/edgenode/position.go
@@ -50,6 +50,6 @@
 // routing; heartbeats of the upstream don't change it.
 func entryHash(in instances.Instance) uint64 {
 	h := fnv.New64a()
-	_, _ = fmt.Fprintln(h, in.ID, in.Service, in.Address, in.Place.FailureDomain, in.Leaving, in.Started, in.ColdRemaining > 0) // writing to a hash never fails
+	_, _ = fmt.Fprintln(h, in.ID, in.Service, in.Address, in.Place.FailureDomain, in.Leaving, in.Started, in.Software, in.ColdRemaining > 0) // writing to a hash never fails
 	return h.Sum64()
 }
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -252,7 +252,7 @@
 		Header: headerToWire(c.Header), Body: c.Body,
 		Route: c.Route.Name, Service: c.Service, TableVersion: c.TableVersion,
 		LeftMs: uint32(c.TimeLeft.Milliseconds()), ElapsedMs: uint32(now.Sub(c.Arrived).Milliseconds()), Sent: uint32(c.SendCount),
-		ResumeAfter: []byte(c.ResumeAfter), Resumes: string(c.Resumes), Model: c.Prompt.Model,
+		ResumeAfter: []byte(c.ResumeAfter), Resumes: string(c.Resumes), Software: c.Software, Model: c.Prompt.Model,
 		InputTokens: uint32(c.Prompt.InputTokens), OutputTokens: uint32(c.Prompt.OutputTokens),
 	}
 	if c.Account != nil {
@@ -296,7 +296,7 @@
 	// The relaying node ends the request at its own deadline.
 	in.Reserve = relay.AnswerReserve
 	in.Deadline = now.Add(time.Duration(m.GetLeftMs())*time.Millisecond + in.Reserve)
-	in.ResumeAfter, in.Resumes = string(m.GetResumeAfter()), domain.RequestID(m.GetResumes())
+	in.ResumeAfter, in.Resumes, in.Software = string(m.GetResumeAfter()), domain.RequestID(m.GetResumes()), m.GetSoftware()
 	in.Relayed, in.From, in.SendCount = true, domain.NodeID(m.GetFrom()), int(m.GetSent())
 	return in
 }
--- a/core/instances/granted.go
+++ b/core/instances/granted.go
@@ -85,7 +85,7 @@
 		p.tick(now)
 	}
 	u := p.find(id)
-	if u == nil || !p.usable(now, u, q.Model) || p.isSuspect(now, u) && p.sparesSuspects(now) {
+	if u == nil || !q.allowsSoftware(u) || !p.usable(now, u, q.Model) || p.isSuspect(now, u) && p.sparesSuspects(now) {
 		return nil
 	}
 	var c placement.Candidate
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/placement"
 )
 
@@ -14,6 +15,8 @@
 	// Model is the model that the engine must have loaded; empty for services
 	// without an engine.
 	Model string
+	// Software restricts the placement to upstreams whose software has this version; empty means no restriction.
+	Software string
 	// LocalAllowed is false if the request must not run in the local region.
 	LocalAllowed bool
 	// PacedOnly restricts the placement to upstreams whose rate of requests is bounded.
@@ -117,6 +120,17 @@
 	return d, t
 }
 
+func (q *Query) allowsSoftware(u *upstream) bool { return q.Software == "" || u.Software == q.Software }
+
+// HasSoftware reports whether a region has an upstream with a version of the software that may get requests.
+func (p *Pool) HasSoftware(region domain.Region, software string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.upstreams, func(u *upstream) bool {
+		return u.Place.Region == region && u.Software == software && !u.Leaving && !u.leavingStated && !u.evacuated
+	})
+}
+
 // shortestSilence returns the remaining time until the first upstream of the region wants requests
 // again; zero if there is one that does not want to be left alone.
 func (p *Pool) shortestSilence(now time.Time) time.Duration {
@@ -185,7 +199,7 @@
 		if p.config.Engine != nil {
 			c.LessUrgent = u.lessUrgent(q.Priority) + c.OthersInFlight*(1-p.urgency.shareUpTo(q.Priority))
 		}
-		c.Usable = c.Usable && u.inFlight < connections && (!q.PacedOnly || p.paced(now, u))
+		c.Usable = c.Usable && q.allowsSoftware(u) && u.inFlight < connections && (!q.PacedOnly || p.paced(now, u))
 		if tracksMemory {
 			p.setMemory(now, c, u, need)
 		}
--- a/core/relay/delivery.go
+++ b/core/relay/delivery.go
@@ -11,6 +11,8 @@
 	sink    Sink
 	events  *eventSplitter // nil unless the stream may be resumed
 	started bool
+	// written is set once the caller was sent a part of the body.
+	written bool
 }
 
 // callerError marks a failure of the caller's connection.
@@ -40,6 +42,7 @@
 	if len(b) == 0 {
 		return nil
 	}
+	d.written = true
 	if err := d.sink.Write(b); err != nil {
 		return callerError{err}
 	}
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -56,7 +56,7 @@
 func (e *Engine) Serve(ctx context.Context, r *Request, sink Sink) *Failure {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	a := &attempts{Engine: e, r: r, delivery: &delivery{sink: sink}, objectiveFrom: r.Arrived}
+	a := &attempts{Engine: e, r: r, delivery: &delivery{sink: sink}, objectiveFrom: r.Arrived, streamSoftware: r.Software}
 	for _, p := range r.Prompt.SharedParts() {
 		a.subjects = append(a.subjects, quarantine.Subject{ID: p.ID})
 	}
@@ -130,8 +130,8 @@
 	bodyBytes int
 	framing   Framing
 	// software is the version of the software of the upstream that answered the current attempt; empty if none did or
-	// it is not known.
-	software string
+	// it is not known. streamSoftware is the version that wrote the events that the caller has, as Request.Software.
+	software, streamSoftware string
 	// lastEventAt is when the attempt was sent or, if later, when the caller was sent a new
 	// event of a resumable stream, in Unix nanoseconds.
 	lastEventAt atomic.Int64
@@ -252,16 +252,21 @@
 		Model:        r.Prompt.Model,
 		LocalAllowed: r.Allows(a.Self.Region),
 	}
-	q.PacedOnly = pacedOnly
+	q.PacedOnly, q.Software = pacedOnly, a.streamSoftware
 	if !r.Relayed && !pacedOnly {
 		senders := a.Members.RegionSize(now)
 		q.OtherRegions = a.Regions.Loads(now, r.Service, senders, func(region domain.Region) bool {
-			return region != a.Self.Region && r.Allows(region) && a.Members.HasTarget(now, region)
+			return region != a.Self.Region && r.Allows(region) && a.Members.HasTarget(now, region) && a.regionMayGoOn(region)
 		})
 	}
 	return a.Catalog.Pool(r.Service).Place(now, a.Policy, &q)
 }
 
+// regionMayGoOn reports whether a region has an upstream that may write the rest of the stream.
+func (a *attempts) regionMayGoOn(region domain.Region) bool {
+	return a.streamSoftware == "" || a.Catalog.Pool(a.r.Service).HasSoftware(region, a.streamSoftware)
+}
+
 // refuse ends a request that no upstream can serve now.
 func (a *attempts) refuse(ctx context.Context) *Failure {
 	if a.placements > 1 {
--- a/core/relay/granted.go
+++ b/core/relay/granted.go
@@ -25,7 +25,7 @@
 		}
 		return a.place(false)
 	}
-	if a.Places == nil {
+	if a.Places == nil || a.streamSoftware != "" { // brokers know nothing of versions
 		return a.place(false)
 	}
 	excluded := a.tried
@@ -66,7 +66,7 @@
 	if p.Region != a.Self.Region || slices.Contains(a.tried, p.Instance) {
 		return nil
 	}
-	return a.Catalog.Pool(a.r.Service).Reserve(a.Now(), p.Instance, &instances.Query{Model: a.r.Prompt.Model})
+	return a.Catalog.Pool(a.r.Service).Reserve(a.Now(), p.Instance, &instances.Query{Model: a.r.Prompt.Model, Software: a.streamSoftware})
 }
 
 // releasePlace returns the granted place of an attempt, if there is one.
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -87,7 +87,7 @@
 
 func (a *attempts) newCall() *Call {
 	left := a.r.Deadline.Sub(a.Now()) - a.r.Reserve
-	return &Call{Request: a.r, ResumeAfter: a.delivery.resumeAfter(a.r.ResumeAfter), TimeLeft: max(time.Millisecond, left), Priority: a.r.Priority()}
+	return &Call{Request: a.r, ResumeAfter: a.delivery.resumeAfter(a.r.ResumeAfter), Software: a.streamSoftware, TimeLeft: max(time.Millisecond, left), Priority: a.r.Priority()}
 }
 
 // errSilent is the cancellation cause of an attempt whose upstream stopped sending.
@@ -256,6 +256,9 @@
 			if e := a.delivery.write(b); e != nil {
 				return a.interrupted(ctx, e)
 			}
+			if a.delivery.written {
+				a.recordStreamSoftware(h.Software)
+			}
 			if a.delivery.resumeAfter("") != lastID {
 				a.lastEventAt.Store(now.UnixNano())
 			}
@@ -269,6 +272,13 @@
 	}
 }
 
+// recordStreamSoftware records that the caller has events that a version of the software wrote.
+func (a *attempts) recordStreamSoftware(software string) {
+	if a.r.Route.Resumable && a.streamSoftware == "" {
+		a.streamSoftware = software
+	}
+}
+
 // Reasons why a stream whose end was received is not complete.
 var (
 	errInsideEvent = errors.New("the stream ended inside an event")
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -90,7 +90,7 @@
 func (a *attempts) relayError(ctx context.Context, region domain.Region, err error) result {
 	e := errkind.From(err)
 	if e.Verdict() == domain.RunNo {
-		if !refusedAsHeld(e) {
+		if !refusedAsHeld(e) && a.streamSoftware == "" { // it may have lacked this version only
 			a.Regions.MarkFull(region, a.r.Service)
 		}
 		return result{err: e, ran: domain.RunNo, upstreamOutcome: instances.Unreachable, reached: remoteSends(err) > 0}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -63,6 +63,9 @@
 	// Resumes is the ID of the request whose answer had the first event of the stream that this one takes up; empty if it
 	// takes up none.
 	Resumes domain.RequestID
+	// Software is the version of the software that wrote the events that the caller has: only upstreams with this version
+	// may write the rest. It is empty if the caller has none, or if the version is not known.
+	Software string
 	// Relayed is set if another node sent the request here; it is then run in this
 	// region or refused, never relayed again.
 	Relayed bool
@@ -105,8 +108,9 @@
 // Call is one attempt at an upstream or a node.
 type Call struct {
 	*Request
-	// ResumeAfter replaces the request's value once events were delivered.
+	// ResumeAfter and Software replace the request's values once events were delivered.
 	ResumeAfter string
+	Software    string
 	// PlacedAt is when the upstream was chosen; zero if that is not known.
 	PlacedAt time.Time
 	// SingleUse is set if the connection must be closed after the answer.
