Let a stream that a caller takes up go on only at the software version that began it

Cause: a node that gets a request with Last-Event-Id placed it at any upstream of the service. Who began the stream was known to the node at which it began, if it still ran, and the version to nobody.

Change: each node remembers for ten seconds which version began a stream. While a service has two versions, or had in the last ten seconds, it tells three nodes of its region and one of each other region, chosen by the request's ID, so that any node knows whom to ask and the records outlast the node. With one version nothing is sent. A request whose stream's version cannot be told while there are several is refused at once, as is one whose version has no upstream.

TestStreamIsNotTakenUpAtAnotherSoftwareVersion failed before in its three cases and passes.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -24,6 +24,7 @@
 	"github.com/crocusspread/crocusspread/core/quarantine"
 	"github.com/crocusspread/crocusspread/core/relay"
 	"github.com/crocusspread/crocusspread/core/sharedbounds"
+	"github.com/crocusspread/crocusspread/core/streams"
 )
 
 // Node is an entry node.
@@ -63,6 +64,7 @@
 	// places gets places of brokered services, brokers grants them; brokersActive receives a token
 	// when a broker has work.
 	places        *placeClient
+	streams       *streamOrigins
 	brokersMu     sync.Mutex
 	brokers       map[string]*placeBroker
 	brokersActive chan struct{}
@@ -111,6 +113,7 @@
 	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1),
 		brokers: make(map[string]*placeBroker), brokersActive: make(chan struct{}, 1)}
 	n.places = &placeClient{node: n, brokers: make(map[string]*brokerPath)}
+	n.streams = &streamOrigins{node: n, origins: streams.NewOrigins()}
 	n.seeds.Store(&s.Seeds)
 	n.requests, n.endRequests = context.WithCancelCause(context.Background())
 	n.members = peers.NewMembers(peers.Member{
@@ -135,7 +138,7 @@
 		Self: s.Place, Catalog: n.catalog, Members: n.members, Regions: n.regions,
 		Upstreams: n.upstreams, Nodes: n.mesh,
 		Budget:     sharedbounds.NewRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
-		Quarantine: n.parts, Places: n.places, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
+		Quarantine: n.parts, Places: n.places, Streams: n.streams, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.observePlaces()
 	n.quotas = newQuotas(n)
@@ -293,6 +296,7 @@
 	loop(n.tickCatalog)
 	loop(n.checkHealth)
 	loop(n.propagateStatements)
+	loop(n.streams.share)
 	loop(n.runBrokers)
 	loop(n.keepCurrent)
 	if n.quotas != nil {
--- a/adapters/mesh/server.go
+++ b/adapters/mesh/server.go
@@ -32,6 +32,7 @@
 	FetchOperator(tableNewerThan uint64) OperatorDocuments
 	FetchEntries() UpstreamEntries
 	PlaceBroker
+	StreamRecorder
 	// DrawQuota grants tokens of client accounts, as the authority or as the holder of
 	// the region. It returns false if this node cannot tell at present.
 	// The grants are in the order of the demands; some may have none.
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -51,6 +51,8 @@
 	candidates  []placement.Candidate
 	// removed holds the records of upstreams that were removed in the last removedRetention.
 	removed map[domain.UpstreamID]removedUpstream
+	// software is what is known of versions that are not registered any more.
+	software softwareHistory
 	// idleTimeout is the shortest time after which upstreams close idle connections.
 	idleTimeout idleTimeout
 	// tickedAt is when it was last known that this node is not suspended.
@@ -58,7 +60,7 @@
 }
 
 func newPool(service string, o *Options) *Pool {
-	return &Pool{service: service, options: o, prompts: make(prompts), holders: make(holders), removed: make(map[domain.UpstreamID]removedUpstream), meanSlotTime: defaultSlotTime, latencyRatio: 1,
+	return &Pool{service: service, options: o, prompts: make(prompts), holders: make(holders), removed: make(map[domain.UpstreamID]removedUpstream), software: make(softwareHistory), meanSlotTime: defaultSlotTime, latencyRatio: 1,
 		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}, idleTTFB: idleTTFB{value: defaultIdleTTFB}, sizes: requestSizes{tokenTime: decodeStep}}
 }
 
@@ -117,6 +119,7 @@
 	if u == nil || u.Started != in.Started {
 		if u != nil {
 			p.holders.forget(u)
+			p.software.recordGone(now, u)
 		}
 		replacement := &upstream{Instance: in, idHash: placement.HashID(in.ID), evacuated: evacuated, latencyRatio: p.latencyRatio}
 		replacement.inherit(p.formerRecord(now, u, in.ID))
@@ -153,6 +156,7 @@
 	maps.DeleteFunc(p.removed, func(_ domain.UpstreamID, r removedUpstream) bool { return now.Sub(r.at) > removedRetention })
 	if u := p.find(id); u != nil {
 		p.removed[id] = removedUpstream{u, now}
+		p.software.recordGone(now, u)
 		p.holders.forget(u)
 	}
 	p.upstreams = slices.DeleteFunc(p.upstreams, func(u *upstream) bool { return u.ID == id })
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -28,6 +28,8 @@
 	Budget    *sharedbounds.RetryBudget
 	// Quarantine holds back requests that crash upstreams.
 	Quarantine *quarantine.Table
+	// Streams tells which version of the software began a stream; nil if streams may go on at any.
+	Streams Streams
 	// Places grants the places of services with few of them; nil if there are none.
 	Places  Places
 	Policy  placement.Policy
@@ -63,7 +65,10 @@
 	if r.Route.Resumable {
 		a.delivery.events = &eventSplitter{}
 	}
-	f := a.run(ctx)
+	f := a.takeUp(ctx)
+	if f == nil {
+		f = a.run(ctx)
+	}
 	a.finish(f)
 	return f
 }
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -274,8 +274,12 @@
 
 // recordStreamSoftware records that the caller has events that a version of the software wrote.
 func (a *attempts) recordStreamSoftware(software string) {
-	if a.r.Route.Resumable && a.streamSoftware == "" {
-		a.streamSoftware = software
+	if !a.r.Route.Resumable || a.streamSoftware != "" {
+		return
+	}
+	a.streamSoftware = software
+	if a.Streams != nil && !a.r.Relayed && a.r.ResumeAfter == "" {
+		a.Streams.Began(a.r.Service, a.r.ID, software)
 	}
 }
 
--- a/core/relay/ports.go
+++ b/core/relay/ports.go
@@ -65,6 +65,15 @@
 func (e connectionRefused) Is(target error) bool { return target == ErrConnectionRefused }
 func (e connectionRefused) Unwrap() error        { return e.error }
 
+// Streams knows which version of an upstream's software began a stream.
+type Streams interface {
+	// Began records that the answer to a request has begun a stream.
+	Began(service string, request domain.RequestID, software string)
+	// Origin returns the version of the software that began the stream of a request, at any node. known is false if that
+	// cannot be told and the service has several.
+	Origin(ctx context.Context, service string, request domain.RequestID) (software string, known bool)
+}
+
 // Place is a place at an upstream that a broker granted; see package places.
 type Place struct {
 	Instance domain.UpstreamID
