Record the software versions of services for nodes that start after all were killed

What callers saw: all nodes were killed while two versions served, or just after the older one had left; streams that were taken up afterwards were joined from two versions, though each was answered 200 and ran to its end.

Cause: which versions had served, and which began a stream, was only in the memory of nodes.

Change: the nodes that read the store record there, by service, the versions that are registered or were in the last ten seconds: one write when a version comes or goes. In its first ten seconds a node that finds no record of a stream goes on with it only if the recorded and the registered versions are one; until it has read the record, it refuses.

--- a/adapters/edgenode/dependencies.go
+++ b/adapters/edgenode/dependencies.go
@@ -20,6 +20,8 @@
 	InstancePrefix() string
 	// NodePrefix returns the key prefix of the entries of nodes.
 	NodePrefix() string
+	// SoftwarePrefix returns the key prefix of the records of services' software versions; the service follows.
+	SoftwarePrefix() string
 	// QuotaAuthorityKey returns the key of the node that grants the quotas of client accounts.
 	QuotaAuthorityKey() string
 	// IsTable reports whether a key holds the routing table.
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -65,6 +65,7 @@
 	// when a broker has work.
 	places        *placeClient
 	streams       *streamOrigins
+	software      *softwareRecords
 	brokersMu     sync.Mutex
 	brokers       map[string]*placeBroker
 	brokersActive chan struct{}
@@ -114,6 +115,7 @@
 		brokers: make(map[string]*placeBroker), brokersActive: make(chan struct{}, 1)}
 	n.places = &placeClient{node: n, brokers: make(map[string]*brokerPath)}
 	n.streams = &streamOrigins{node: n, origins: streams.NewOrigins()}
+	n.software = newSoftwareRecords(n)
 	n.seeds.Store(&s.Seeds)
 	n.requests, n.endRequests = context.WithCancelCause(context.Background())
 	n.members = peers.NewMembers(peers.Member{
@@ -297,6 +299,7 @@
 	loop(n.checkHealth)
 	loop(n.propagateStatements)
 	loop(n.streams.share)
+	loop(n.software.run)
 	loop(n.runBrokers)
 	loop(n.keepCurrent)
 	if n.quotas != nil {
--- a/adapters/edgenode/quotafleet_test.go
+++ b/adapters/edgenode/quotafleet_test.go
@@ -36,6 +36,8 @@
 
 func (testDocuments) NodePrefix() string { return "nodes/" }
 
+func (testDocuments) SoftwarePrefix() string { return "software/" }
+
 func (testDocuments) WithoutKeys(table []byte) ([]byte, error) { return table, nil }
 
 func (testDocuments) QuotaAuthorityKey() string { return testQuotaKey }
--- a/adapters/edgenode/streams.go
+++ b/adapters/edgenode/streams.go
@@ -184,7 +184,15 @@
 		return mesh.StreamKnowledge{Software: software}
 	}
 	versions := n.catalog.Pool(service).SoftwareVersions(now, streams.Retention)
-	if len(versions) != 1 {
+	if now.Sub(n.startedAt) < streams.Retention { // others may have served a moment before
+		former, known := n.software.formerVersions(service)
+		if !known {
+			return mesh.StreamKnowledge{}
+		}
+		versions = append(versions, former...)
+	}
+	slices.Sort(versions)
+	if versions = slices.Compact(versions); len(versions) != 1 {
 		return mesh.StreamKnowledge{}
 	}
 	return mesh.StreamKnowledge{OnlySoftware: versions[0]}
