Settle a presumed restart only on evidence that is later than it

What callers would see: an upstream that has started again under its ID gets the full rate of a region although its nodes had noticed.

Cause: evidence against a restart was taken for newer than it was, and one node's wrong finding was told to the region. Bytes of the dead process that were read late refuted refused connections; a message that had been held up for seconds settled losses that were later than it; a list whose entries were from before the restart counted as written now.

Change: a refused connection is not refuted by answers on older connections. Only a warm health response is told, and it is dated by the time at which the node that hears of it asked. Only changes that the store reports settle losses. Nodes that were told of refused connections tell them on, also to nodes that start; urgent statements come first in a message; a cold phase that has ended is not the beginning of a later loss; a node whose path is refused while others find the process running does not go on telling.

Tests: late answers, held messages, old lists, told losses, ended phases and full messages, in core/instances/cold_region_test.go.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -54,13 +54,13 @@
 func (n *Node) exchangeWithAddress(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	sentAt := n.proofSentAt()
+	sentAt, startedAt := n.proofSentAt(), time.Now()
 	reply, roundTrip, err := n.mesh.Exchange(ctx, address, n.newMessage(""))
 	if err != nil {
 		n.metrics.Count("mesh.exchange_failed", 1)
 		return
 	}
-	n.receive(reply, roundTrip)
+	n.receive(reply, roundTrip, startedAt)
 	n.proveByReply(sentAt, &reply)
 }
 
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -97,13 +97,16 @@
 
 // Exchange implements mesh.Handler.
 func (n *Node) Exchange(msg mesh.ExchangeMessage) mesh.ExchangeMessage {
-	n.receive(msg, 0)
+	n.receive(msg, 0, time.Time{})
+	if n.catalog.AwaitsWarm(msg.Statements) {
+		startOnce(&n.askingWarm, func() { n.exchangeWithAddress(context.Background(), msg.Sender.PeerAddress) })
+	}
 	return n.newMessage(msg.Sender.Place.Region)
 }
 
 // receive processes the message of another node; roundTrip is zero if it was not
-// measured.
-func (n *Node) receive(msg mesh.ExchangeMessage, roundTrip time.Duration) {
+// measured. The message was composed after composedAfter, which is zero if it may have been underway for any time.
+func (n *Node) receive(msg mesh.ExchangeMessage, roundTrip time.Duration, composedAfter time.Time) {
 	now := time.Now()
 	n.members.Merge(now, &msg.Sender, msg.Members)
 	n.members.ApplyHeartbeats(now, msg.Heartbeats)
@@ -115,7 +118,7 @@
 		n.exchanged.Store(true)
 		n.regions.MergeViews(now, msg.Views)
 		n.catalog.ApplyRateLimits(now, msg.RateLimits)
-		n.catalog.ApplyStatements(now, msg.Statements)
+		n.catalog.ApplyStatements(now, composedAfter, msg.Statements)
 		n.catalog.ApplySpeeds(now, msg.Speeds)
 		n.metrics.Count("mesh.speeds_heard", int64(len(msg.Speeds)))
 	}
@@ -246,14 +249,14 @@
 func (n *Node) exchange(ctx context.Context, peer peers.Member) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	sentAt := n.proofSentAt()
+	sentAt, startedAt := n.proofSentAt(), time.Now()
 	reply, roundTrip, err := n.mesh.Exchange(ctx, peer.PeerAddress, n.newMessage(peer.Place.Region))
 	if err != nil {
 		n.members.MarkUnreachable(peer.ID)
 		n.metrics.Count("mesh.exchange_failed", 1)
 		return
 	}
-	n.receive(reply, roundTrip)
+	n.receive(reply, roundTrip, startedAt)
 	n.proveByReply(sentAt, &reply)
 }
 
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -79,7 +79,9 @@
 	// fetchingEntries and fetchingOperator limit fetches to one of each kind at a
 	// time; entries do not wait for a large routing table.
 	fetchingEntries, fetchingOperator atomic.Bool
-	closing                           atomic.Bool // responses close their connections
+	// askingWarm limits exchanges for the time of a told health response to one.
+	askingWarm atomic.Bool
+	closing    atomic.Bool // responses close their connections
 	// requests is the context of all requests; endRequests ends it when the node stops.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
--- a/adapters/edgenode/shutdown.go
+++ b/adapters/edgenode/shutdown.go
@@ -29,6 +29,7 @@
 		return // it is already shutting down
 	}
 	n.members.SetState(time.Now(), domain.NodeServing)
+	signal(n.statementsChanged) // statements on upstreams whose entries were missing have been dropped
 	n.ready.Store(true)
 	n.log.Log(event.NodeServing, event.F("node", n.settings.Node), event.F("table", n.state.version()), event.F("members", n.members.Count()))
 }
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -167,7 +167,7 @@
 	}
 	for _, s := range msg.Statements {
 		m.Statements = append(m.Statements, &meshpb.UpstreamStatement{Service: s.Service, Instance: string(s.Instance), Started: s.Started,
-			ColdMs: uint32(s.ColdFor.Milliseconds()), Leaving: s.Leaving, Lost: agesToWire(s.Lost), Settled: agesToWire(s.Settled)})
+			ColdMs: uint32(s.ColdFor.Milliseconds()), Leaving: s.Leaving, Lost: agesToWire(s.Lost), WarmAgeMs: uint32(math.Ceil(float64(s.WarmAge) / float64(time.Millisecond)))})
 	}
 	for _, s := range msg.Speeds {
 		m.Speeds = append(m.Speeds, &meshpb.UpstreamSpeed{Service: s.Service, Instance: string(s.Instance),
@@ -233,7 +233,7 @@
 	}
 	for _, s := range m.GetStatements() {
 		msg.Statements = append(msg.Statements, instances.Statement{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()), Started: s.GetStarted(),
-			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond, Leaving: s.GetLeaving(), Lost: agesFromWire(s.GetLost()), Settled: agesFromWire(s.GetSettled())})
+			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond, Leaving: s.GetLeaving(), Lost: agesFromWire(s.GetLost()), WarmAge: time.Duration(s.GetWarmAgeMs()) * time.Millisecond})
 	}
 	for _, s := range m.GetSpeeds() {
 		msg.Speeds = append(msg.Speeds, instances.Speed{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()),
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -91,14 +91,15 @@
 	}
 }
 
-// Put adds or updates one instance.
+// Put adds or updates one instance, whose entry has just changed.
 func (c *Catalog) Put(now time.Time, in Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.put(now, in)
+	c.put(now, in, true)
 }
 
-func (c *Catalog) put(now time.Time, in Instance) {
+// put adds or updates one instance. changed is set if its entry has just changed; the entries of a list may be old.
+func (c *Catalog) put(now time.Time, in Instance, changed bool) {
 	delete(c.doubtful, in.ID)
 	if c.isOutdated(in) {
 		c.options.Log.Log(event.InstanceOutdated, event.F("instance", in.ID), event.F("leaving", in.Leaving), event.F("sequence", in.Sequence))
@@ -109,7 +110,7 @@
 		c.pool(old).remove(now, in.ID)
 	}
 	c.serviceOf[in.ID] = in.Service
-	c.pool(in.Service).put(now, in, c.evacuated[in.Place.FailureDomain])
+	c.pool(in.Service).put(now, in, changed, c.evacuated[in.Place.FailureDomain])
 }
 
 // Replace applies a complete list of instances; instances that are not in it are
@@ -120,7 +121,7 @@
 	listed := make(map[domain.UpstreamID]bool, len(list))
 	for _, in := range list {
 		listed[in.ID] = true
-		c.put(now, in)
+		c.put(now, in, false)
 	}
 	for _, id := range slices.Collect(maps.Keys(c.serviceOf)) {
 		if !listed[id] {
--- a/core/instances/cold_region_test.go
+++ b/core/instances/cold_region_test.go
@@ -1,6 +1,8 @@
 package instances_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,16 +31,53 @@
 	return r
 }
 
-// propagate applies what one node knows of upstreams at all others.
+// propagate applies what one node knows of upstreams at all others, in answer to their questions.
 func (r coldRegion) propagate(now time.Time, from int) {
-	list := r[from].Statements(now)
-	for i, c := range r {
+	for i := range r {
 		if i != from {
-			c.ApplyStatements(now, list)
+			r.tell(now, now, from, i)
 		}
 	}
 }
 
+// tell applies a message from a node, composed at composedAt, at another one.
+func (r coldRegion) tell(composedAt, now time.Time, from, to int) {
+	r[to].ApplyStatements(now, composedAt, r[from].Statements(composedAt))
+}
+
+// refuse lets a request of a node be refused.
+func (r coldRegion) refuse(now time.Time, node int) {
+	t := placeRequest(r[node], now)
+	t.ConnectionLost(now, instances.LossRefused)
+	t.Done(now, instances.Unreachable)
+}
+
+// health lets a node make the health request that is due.
+func (r coldRegion) health(t *testing.T, now time.Time, node int, coldFor time.Duration) {
+	t.Helper()
+	due := r[node].DueHealthChecks(now, false, func(domain.UpstreamID) bool { return true })
+	if len(due) != 1 {
+		t.Fatalf("%d health requests are due %v after the start, want 1", len(due), now.Sub(start))
+	}
+	r[node].RecordHealth(now, now, due[0], coldFor)
+}
+
+// checkNotFlooded places requests for a second.
+func (r coldRegion) checkNotFlooded(t *testing.T, from time.Time) {
+	t.Helper()
+	if got := r.placedInSecond(from); got > maxColdArrivals {
+		t.Errorf("%d requests in a second were placed on an upstream that may have started again, want at most %v", got, maxColdArrivals)
+	}
+}
+
+// checkServed checks that requests are placed at the full rate.
+func (r coldRegion) checkServed(t *testing.T, from time.Time) {
+	t.Helper()
+	if got, all := r.placedInSecond(from), 10*len(r); got < all {
+		t.Errorf("%d of %d requests were placed on an upstream that has not started again, want all", got, all)
+	}
+}
+
 // placedInSecond returns the number of requests placed if each node places one every 100 ms.
 func (r coldRegion) placedInSecond(from time.Time) int {
 	placed := 0
@@ -56,11 +95,85 @@
 // The entry of the new process is written after requests arrive.
 func TestRestartNoticedByOneNodeDoesNotFloodUpstream(t *testing.T) {
 	r := newColdRegion(t, 12)
-	lost := placeRequest(r[0], start)
-	lost.ConnectionLost(after(10), instances.LossRefused)
-	lost.Done(after(10), instances.Unreachable)
+	r.refuse(after(10), 0)
 	r.propagate(after(20), 0)
-	if got := r.placedInSecond(after(700)); got > maxColdArrivals {
-		t.Errorf("%d requests in a second were placed on an upstream that may have started again, want at most %v", got, maxColdArrivals)
+	r.checkNotFlooded(t, after(700))
+}
+
+func TestAnswerReadLateDoesNotRefuteRefusedConnections(t *testing.T) {
+	r := newColdRegion(t, 12)
+	before := placeRequest(r[0], start)
+	for i := range r {
+		r.refuse(after(1050), i)
+	}
+	before.Progress(after(2200))
+	r.propagate(after(2210), 0)
+	r.checkNotFlooded(t, after(2300))
+}
+
+func TestWarmStatementHeldUpDoesNotSettleLaterLoss(t *testing.T) {
+	r := newColdRegion(t, 2)
+	r.refuse(start, 0)
+	r.health(t, after(1500), 0, 0)
+	composedAt := after(1600)
+	r.refuse(after(1700), 1)
+	r.tell(composedAt, after(4000), 0, 1)
+	if got := countPlaced(r[1], after(4100), 3); got > 1 {
+		t.Errorf("%d requests were placed at once on an upstream that refused a connection after it had been warm, want at most 1", got)
+	}
+}
+
+func TestWarmStatementSettlesLossesOfRegion(t *testing.T) {
+	r := newColdRegion(t, 12)
+	r.refuse(start, 0)
+	r.propagate(after(400), 0) // underway for a time
+	r.health(t, after(1500), 1, 0)
+	r.propagate(after(1600), 1)
+	r.checkServed(t, after(1700))
+}
+
+func TestRefusedConnectionIsToldByNodesThatWereTold(t *testing.T) {
+	r := newColdRegion(t, 3)
+	r.refuse(start, 0)
+	r.tell(after(10), after(10), 0, 1)
+	r.tell(after(500), after(500), 1, 2)
+	if got := countPlaced(r[2], after(600), 3); got > 1 {
+		t.Errorf("%d requests were placed at once by a node that heard of a refused connection from one that was told, want at most 1", got)
+	}
+}
+
+func TestListOfOldEntriesDoesNotSettleRestart(t *testing.T) {
+	r := newColdRegion(t, 1)
+	r.refuse(after(1000), 0)
+	old := newInstance("a")
+	old.Sequence = 7
+	r[0].Replace(after(6000), []instances.Instance{old})
+	if got := countPlaced(r[0], after(6100), 3); got > 1 {
+		t.Errorf("%d requests were placed at once after a list whose entries may be from before the restart, want at most 1", got)
+	}
+}
+
+func TestColdPhaseThatEndedDoesNotCountForLaterLoss(t *testing.T) {
+	r := newColdRegion(t, 1)
+	r.refuse(start, 0)
+	placeRequest(r[0], after(4000)).RecordReport(after(4100), instances.ReportedLoad{})
+	before := placeRequest(r[0], after(20000))
+	placeRequest(r[0], after(20100)).ConnectionLost(after(20200), instances.LossClosed)
+	before.Progress(after(20500))
+	if got := countPlaced(r[0], after(20600), 3); got < 3 {
+		t.Errorf("%d of 3 requests were placed, though an answer from before the loss goes on, want all", got)
+	}
+}
+
+func TestUrgentStatementsAreNotLeftOutOfMessage(t *testing.T) {
+	c := newCatalog(t, instances.Options{})
+	for i := range 100 {
+		id := domain.UpstreamID(fmt.Sprint("u", i))
+		c.Put(start, newInstance(id))
+		c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: id, Leaving: true}})
+	}
+	c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: "u50", Lost: &instances.Ages{}}})
+	if !slices.ContainsFunc(c.Statements(after(10)), func(s instances.Statement) bool { return s.Lost != nil }) {
+		t.Error("the message about a refused connection does not tell of it")
 	}
 }
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -161,7 +161,7 @@
 	leaving := newInstance("b")
 	leaving.Leaving = true
 	c.Put(start, leaving)
-	c.ApplyStatements(start, []instances.Statement{{Service: "app", Instance: "c", ColdFor: 2 * time.Second}})
+	c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: "c", ColdFor: 2 * time.Second}})
 	for _, tc := range []struct {
 		at     time.Duration
 		checks func(domain.UpstreamID) bool
@@ -187,7 +187,7 @@
 	in := newInstance("a")
 	in.Started = 2
 	c.Put(start, in)
-	c.ApplyStatements(start, []instances.Statement{{Service: "app", Instance: "a", Started: 1, ColdFor: time.Minute}})
+	c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: "a", Started: 1, ColdFor: time.Minute}})
 	if got := countPlaced(c, start, 3); got < 3 {
 		t.Errorf("%d of 3 requests were placed on an upstream whose former process was cold, want all", got)
 	}
--- a/core/instances/health.go
+++ b/core/instances/health.go
@@ -52,7 +52,7 @@
 // The one that checks for the region waits until its finding, told to others, is later than the losses that they know of.
 func (p *Pool) mayCheckHealth(now time.Time, u *upstream, checks func(domain.UpstreamID) bool) bool {
 	r := &u.coldness.restart
-	return r.unconfirmed(now) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(u.ID)
+	return r.unconfirmed(now, 2*lossRefutedAfter) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(u.ID)
 }
 
 // needsHealthCheck reports whether the upstream's health tells more than is known.
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -330,7 +330,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.upstream.lastByteAt = now
-	t.pool.recordAnswer(now, t.upstream, t.connectedAt)
+	t.pool.recordAnswer(now, t.record(), t.connectedAt)
 }
 
 // ReceivedWithin reports whether the upstream sent any byte to this node within the
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -112,7 +112,7 @@
 }
 
 // put adds or updates an instance.
-func (p *Pool) put(now time.Time, in Instance, evacuated bool) {
+func (p *Pool) put(now time.Time, in Instance, changed, evacuated bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.find(in.ID)
@@ -135,7 +135,7 @@
 	if in.Leaving != u.Leaving || in.Address != u.Address {
 		defer p.logChange(u, "entry changed")
 	}
-	if lostAt := u.coldness.restart.lost.from; in.Sequence > u.Sequence && u.coldness.restart.recordEntry(now) {
+	if lostAt := u.coldness.restart.lost.from; changed && in.Sequence > u.Sequence && u.coldness.restart.recordEntry(now) {
 		p.recordNotCold(now, u, sameFromEntry, lostAt)
 	}
 	u.Instance = in
--- a/core/instances/pool_test.go
+++ b/core/instances/pool_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	o.Self = localPlace
 	c := instances.NewCatalog(o)
-	table, err := routes.New(1, nil, []routes.Service{{Name: "app", ColdStart: 3 * time.Second, MaxColdRate: 2}}, routes.Limits{})
+	table, err := routes.New(1, nil, []routes.Service{{Name: "app", HealthPath: "/healthz", ColdStart: 3 * time.Second, MaxColdRate: 2}}, routes.Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/instances/restart.go
+++ b/core/instances/restart.go
@@ -22,16 +22,11 @@
 	// lossRefutedAfter is how long after the loss of a connection an answer must arrive to show
 	// that its process still runs; the last bytes before a crash may be read after it.
 	lossRefutedAfter = 100 * time.Millisecond
-	// evidenceRetention is how long other nodes are told of lost connections, and of evidence against a
+	// evidenceRetention is how long other nodes are told of refused connections, and of evidence against a
 	// restart.
 	evidenceRetention = 10 * time.Second
-	// maxMessageDelay is the longest time from the composition of a message between nodes until it is applied. Nodes
-	// tell each other ages, as their clocks differ, and evidence against a restart must not appear newer than it is.
-	maxMessageDelay = 900 * time.Millisecond
 	// repeatTolerance is the maximum difference between the ages of the same loss in repeated messages.
 	repeatTolerance = 300 * time.Millisecond
-	// warmPeriod is how long before the statement of an upstream that it is warm losses do not matter.
-	warmPeriod = 10 * time.Minute
 )
 
 // period is a period of time; it is zero if there is none.
@@ -39,10 +34,7 @@
 
 func (p period) isZero() bool { return p.until.IsZero() }
 
-// covers reports whether q lies within p.
-func (p period) covers(q period) bool { return p.from.Before(q.from) && p.until.After(q.until) }
-
-// Ages is a period of the past, told by the ages of its ends.
+// Ages is a period of the past, told by the ages of its ends, as the clocks of nodes differ.
 type Ages struct{ From, Until time.Duration }
 
 func (p period) ages(now time.Time) *Ages {
@@ -65,21 +57,23 @@
 	// lost is the period of lost connections since it was last known that the process had not ended; while it is
 	// not zero, a restart is presumed.
 	lost period
-	// refused is the part of lost in which connections of this node were refused.
+	// refused is the period in which connections of this node or others were refused: answers that are read later on
+	// older connections are from before it.
 	refused period
 	// told is set if lost includes what another node told of.
 	told bool
+	// pathRefused is set if connections of this node were refused while others found the process running, until this node
+	// gets an answer.
+	pathRefused bool
 	// coldUntil is when the cold phase of a presumed new process ends; zero until the upstream has answered a
 	// request that was sent after the latest loss.
 	coldUntil time.Time
 	// same is a period in which the upstream was one process, because connections stayed open.
 	same period
-	// warmAt is when the upstream last stated that it is warm.
+	// warmAt is when the upstream was last asked for its health and stated that it is warm.
 	warmAt time.Time
 	// settledUntil is the time up to which losses are known to be no sign of a cold upstream, or no longer.
 	settledUntil time.Time
-	// disputedAt is when losses were last refuted, so that other nodes should know the evidence.
-	disputedAt time.Time
 }
 
 func (r *restart) presumed() bool { return !r.lost.isZero() }
@@ -91,61 +85,65 @@
 // recordLoss records that this node lost a connection. It reports whether other nodes should know it at once.
 func (r *restart) recordLoss(now time.Time, loss Loss) (news bool) {
 	r.add(period{now, now})
-	if loss != LossRefused {
+	if loss != LossRefused || r.pathRefused {
 		return false
 	}
 	news = r.refused.isZero()
-	if news {
-		r.refused.from = now
-	}
-	r.refused.until = now
+	r.addRefused(period{now, now})
 	return news
 }
 
-// recordToldLoss records the losses that another node tells of. It reports whether they are news.
-func (r *restart) recordToldLoss(now time.Time, told period) (news bool) {
-	switch {
-	case !told.until.After(r.settledUntil):
-		return false
-	case r.same.covers(period{told.from.Add(-maxMessageDelay), told.until.Add(lossRefutedAfter)}):
-		r.disputedAt = now
-		return false
-	case r.presumed() && !told.until.After(r.lost.until.Add(repeatTolerance)):
-		if told.from.Before(r.lost.from) {
-			r.lost.from = told.from
-		}
+// recordToldLoss records the refused connections that another node tells of. It reports whether they are news.
+func (r *restart) recordToldLoss(told period) (news bool) {
+	if !told.until.After(r.settledUntil) {
 		return false
 	}
-	r.add(told)
+	repeated := r.presumed() && !told.until.After(r.lost.until.Add(repeatTolerance))
+	if repeated {
+		told.until = minTime(told.until, r.lost.until) // does not begin a new wait for an answer
+		r.lost.from = minTime(told.from, r.lost.from)
+	} else {
+		r.add(told)
+	}
+	r.addRefused(told)
 	r.told = true
-	return true
-}
-
-// unconfirmed reports whether this node alone knows of the losses, and for long enough that an answer on an older
-// connection would have refuted them if there were one.
-func (r *restart) unconfirmed(now time.Time) bool {
-	return r.presumed() && !r.told && r.refused.isZero() && now.Sub(r.lost.from) > 2*lossRefutedAfter
+	return !repeated
 }
 
 func (r *restart) add(losses period) {
+	if !r.coldUntil.IsZero() && r.coldUntil.Before(losses.from) { // the phase that followed the earlier ones has ended
+		r.settle()
+	}
 	if !r.presumed() || losses.from.Before(r.lost.from) {
 		r.lost.from = losses.from
 	}
-	if losses.until.After(r.lost.until) {
-		r.lost.until = losses.until
-	}
+	r.lost.until = maxTime(r.lost.until, losses.until)
 	r.coldUntil = time.Time{}
 }
 
+func (r *restart) addRefused(p period) {
+	if r.refused.isZero() || p.from.Before(r.refused.from) {
+		r.refused.from = p.from
+	}
+	r.refused.until = maxTime(r.refused.until, p.until)
+}
+
+// unconfirmed reports whether this node alone knows of the losses, and for longer than a time, within which an answer on an
+// older connection would have refuted them if there were one.
+func (r *restart) unconfirmed(now time.Time, wait time.Duration) bool {
+	return r.presumed() && !r.told && r.refused.isZero() && now.Sub(r.lost.from) > wait
+}
+
 // recordAnswer records that bytes of an answer arrived on a connection that was established at connectedAt. One
 // from before the losses shows that its process still runs; it reports whether all losses are refuted.
 func (r *restart) recordAnswer(now, connectedAt time.Time, coldStart time.Duration) (refuted bool) {
 	r.extendSame(period{connectedAt, now})
+	r.pathRefused = false
 	if !r.presumed() {
 		return false
 	}
-	if refutedUntil := r.same.until.Add(-lossRefutedAfter); r.same.from.Before(r.lost.from) && refutedUntil.After(r.lost.from) {
-		r.disputedAt = now
+	refutedUntil := r.same.until.Add(-lossRefutedAfter)
+	if r.refused.isZero() && r.same.from.Before(r.lost.from) && refutedUntil.After(r.lost.from) {
 		if refutedUntil.After(r.lost.until) {
 			r.settle()
 			return true
@@ -164,12 +162,7 @@
 		r.same = open
 		return
 	}
-	if open.from.Before(r.same.from) {
-		r.same.from = open.from
-	}
-	if open.until.After(r.same.until) {
-		r.same.until = open.until
-	}
+	r.same = period{minTime(r.same.from, open.from), maxTime(r.same.until, open.until)}
 }
 
 // recordEntry records a new entry of the same process. It reports whether it settled the losses.
@@ -181,29 +174,26 @@
 	return true
 }
 
-// recordWarm records that the upstream stated that it is warm in the answer to a health request that was sent at sentAt. It
-// reports whether that settled the losses.
-func (r *restart) recordWarm(now, sentAt time.Time) (settled bool) {
-	r.warmAt, r.disputedAt = sentAt, now
-	return r.recordSettled(period{sentAt.Add(-warmPeriod), sentAt})
-}
-
-// recordSettled records that losses within a period are no sign of a cold upstream. It reports whether it settled the
-// present ones.
-func (r *restart) recordSettled(settled period) bool {
-	if !r.presumed() || !settled.covers(r.lost) {
+// recordWarm records that the upstream stated that it is warm in the answer to a health request that was sent at sentAt, by
+// this node or another. It reports whether that settled the losses.
+func (r *restart) recordWarm(sentAt time.Time, byOther bool) (settled bool) {
+	if !byOther {
+		r.warmAt = sentAt
+	}
+	if !r.presumed() || !r.lost.until.Before(sentAt) {
 		return false
 	}
+	r.pathRefused = byOther && !r.told && !r.refused.isZero()
 	r.settle()
 	return true
 }
 
 func (r *restart) settle() {
-	r.settledUntil = r.lost.until.Add(repeatTolerance)
+	r.settledUntil = maxTime(r.settledUntil, r.lost.until.Add(repeatTolerance))
 	r.lost, r.refused, r.told, r.coldUntil = period{}, period{}, false, time.Time{}
 }
 
-// toldLoss returns the losses that other nodes should know; nil if there are none.
+// toldLoss returns the refused connections that other nodes should know; nil if there are none.
 func (r *restart) toldLoss(now time.Time) *Ages {
 	if !r.presumed() || r.refused.isZero() || now.Sub(r.refused.until) > evidenceRetention {
 		return nil
@@ -211,16 +201,24 @@
 	return r.refused.ages(now)
 }
 
-// toldSettled returns the period within which losses are known to be no sign of a cold upstream, if other nodes should
-// know it; nil otherwise.
-func (r *restart) toldSettled(now time.Time) *Ages {
-	switch {
-	case r.disputedAt.IsZero() || now.Sub(r.disputedAt) > evidenceRetention:
-		return nil
-	case r.warmAt.After(r.same.until):
-		return period{r.warmAt.Add(-warmPeriod), r.warmAt}.ages(now)
-	case r.same.isZero():
-		return nil
+// warmAge returns the time since the upstream stated that it is warm, if other nodes should know it; zero otherwise.
+func (r *restart) warmAge(now time.Time) time.Duration {
+	if age := now.Sub(r.warmAt); !r.warmAt.IsZero() && age <= evidenceRetention {
+		return max(time.Millisecond, age)
+	}
+	return 0
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return r.same.ages(now)
+	return b
 }
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -21,28 +22,40 @@
 	Leaving bool
 	// Lost is when connections to it were refused and a restart is presumed since; nil if none.
 	Lost *Ages
-	// Settled is a period in which lost connections are no sign of a restart, or of one that is still cold; nil if
-	// there is none to tell.
-	Settled *Ages
+	// WarmAge is the time since the node asked for its health and it stated that it is warm; zero if that is not known, or
+	// too long ago to matter.
+	WarmAge time.Duration
 }
 
 func (s *Statement) isEmpty() bool {
-	return s.ColdFor == 0 && !s.Leaving && s.Lost == nil && s.Settled == nil
+	return s.ColdFor == 0 && !s.Leaving && s.Lost == nil && s.WarmAge == 0
 }
 
+// isUrgent reports whether a delay of the statement may flood the upstream.
+func (s *Statement) isUrgent() bool { return s.ColdFor > 0 || s.Lost != nil }
+
 const (
 	// maxStatements is the maximum number of statements in one message.
-	maxStatements = 32
+	maxStatements = 64
 	// maxColdFor is the longest cold phase that an upstream may state.
 	maxColdFor = 10 * time.Minute
 )
 
-// Statements returns the statements in force, at most maxStatements of them.
+// Statements returns the statements in force, at most maxStatements of them, the urgent ones first.
 func (c *Catalog) Statements(now time.Time) []Statement {
 	var list []Statement
 	c.ForEach(func(p *Pool) { list = append(list, p.statements(now)...) })
 	if len(list) > maxStatements { // others are in the next message
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		slices.SortStableFunc(list, func(a, b Statement) int {
+			switch {
+			case a.isUrgent() == b.isUrgent():
+				return 0
+			case a.isUrgent():
+				return -1
+			}
+			return 1
+		})
 	}
 	return list[:min(maxStatements, len(list))]
 }
@@ -53,7 +66,7 @@
 	var list []Statement
 	for _, u := range p.upstreams {
 		s := Statement{Service: p.service, Instance: u.ID, Started: u.Started, Leaving: u.leavingStated,
-			ColdFor: max(0, u.coldness.statedUntil.Sub(now)), Lost: u.coldness.restart.toldLoss(now), Settled: u.coldness.restart.toldSettled(now)}
+			ColdFor: max(0, u.coldness.statedUntil.Sub(now)), Lost: u.coldness.restart.toldLoss(now), WarmAge: u.coldness.restart.warmAge(now)}
 		if !s.isEmpty() {
 			list = append(list, s)
 		}
@@ -61,14 +74,28 @@
 	return list
 }
 
-// ApplyStatements adopts statements that this node or another one received.
-func (c *Catalog) ApplyStatements(now time.Time, list []Statement) {
+// ApplyStatements adopts the statements of a message from another node. The message was composed after composedAfter; zero
+// means that it may have been underway for any time.
+func (c *Catalog) ApplyStatements(now, composedAfter time.Time, list []Statement) {
 	for _, s := range list {
-		c.Pool(s.Service).applyStatement(now, s)
+		c.Pool(s.Service).applyStatement(now, composedAfter, s)
 	}
 }
 
-func (p *Pool) applyStatement(now time.Time, s Statement) {
+// AwaitsWarm reports whether one of the statements of a message would settle lost connections, if it were known when the
+// message was composed.
+func (c *Catalog) AwaitsWarm(list []Statement) bool {
+	return slices.ContainsFunc(list, func(s Statement) bool { return s.WarmAge > 0 && c.Pool(s.Service).presumesRestart(s.Instance) })
+}
+
+func (p *Pool) presumesRestart(id domain.UpstreamID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.find(id)
+	return u != nil && u.coldness.restart.presumed()
+}
+
+func (p *Pool) applyStatement(now, composedAfter time.Time, s Statement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.find(s.Instance)
@@ -86,22 +113,15 @@
 	if !p.hasColdPhase() {
 		return
 	}
-	lostAt := u.coldness.restart.lost.from
-	if s.Settled != nil && u.coldness.restart.recordSettled(s.settledBefore(now)) {
+	// A message that took long must not make the statement look newer than a loss.
+	if lostAt := u.coldness.restart.lost.from; s.WarmAge > 0 && !composedAfter.IsZero() && u.coldness.restart.recordWarm(composedAfter.Add(-s.WarmAge), true) {
 		p.recordNotCold(now, u, sameFromNode, lostAt)
 	}
-	if wasCold := u.cold(now); s.Lost != nil && u.coldness.restart.recordToldLoss(now, s.Lost.before(now)) {
+	if wasCold := u.cold(now); s.Lost != nil && u.coldness.restart.recordToldLoss(s.Lost.before(now)) {
 		p.startColdPace(now, u, wasCold, coldFromToldLoss)
 	}
 }
 
-// settledBefore returns the period in which losses are settled, at its latest possible beginning and earliest possible
-// end.
-func (s *Statement) settledBefore(now time.Time) period {
-	told := s.Settled.before(now)
-	return period{told.from, told.until.Add(-maxMessageDelay)}
-}
-
 // RecordHealthRefused records that the connection for a health request was refused.
 func (c *Catalog) RecordHealthRefused(now time.Time, h HealthCheck) {
 	p := c.Pool(h.Service)
@@ -116,7 +136,7 @@
 func (c *Catalog) RecordHealth(now, sentAt time.Time, h HealthCheck, coldFor time.Duration) {
 	p := c.Pool(h.Service)
 	if coldFor > 0 {
-		p.applyStatement(now, Statement{Service: h.Service, Instance: h.ID, Started: h.Started, ColdFor: coldFor})
+		p.applyStatement(now, time.Time{}, Statement{Service: h.Service, Instance: h.ID, Started: h.Started, ColdFor: coldFor})
 		p.options.StatementsChanged()
 		return
 	}
@@ -127,7 +147,7 @@
 		return
 	}
 	lostAt := u.coldness.restart.lost.from
-	if u.coldness.restart.recordWarm(now, sentAt) {
+	if u.coldness.restart.recordWarm(sentAt, false) {
 		p.recordNotCold(now, u, sameFromHealth, lostAt)
 	}
 	p.options.StatementsChanged()
