Spread the health requests of nodes that notice a restart together, and learn only real idle timeouts

What upstreams would see: a cold upstream whose restart all nodes of a region noticed by their idle connections got one health request from each at once, 24 at 24 nodes. And one connection that ended 20 ms after its use taught an idle timeout that hid all later ends for a minute; ends at an upstream that wanted no requests were ignored.

Cause: each node that alone knew of a loss asked as soon as it could; what was learned had no lower limit; upstreams out of use counted as not worth watching.

Change: the nodes ask one after the other over a second, by rank, and those that have heard what the first one found do not. Idle timeouts below a second are not learned. Only upstreams that get no requests for good are not watched.

--- a/core/instances/cold_region_test.go
+++ b/core/instances/cold_region_test.go
@@ -153,6 +153,29 @@
 	}
 }
 
+func TestNodesThatNoticeRestartTogetherDoNotAllAskForHealth(t *testing.T) {
+	r := newColdRegion(t, 24)
+	for _, c := range r {
+		c.RecordIdleClosed(start, "x:1", time.Second, 0)
+	}
+	asked, found := 0, -1
+	for now := start; now.Before(after(1500)); now = now.Add(10 * time.Millisecond) {
+		if found >= 0 {
+			r.propagate(now, found)
+		}
+		for i, c := range r {
+			for _, check := range c.DueHealthChecks(now, false, func(domain.UpstreamID) bool { return false }) {
+				asked++
+				found = i
+				c.RecordHealth(now, now, check, 3*time.Second)
+			}
+		}
+	}
+	if asked == 0 || asked > maxColdArrivals {
+		t.Errorf("%d health requests were made, want 1 to %v", asked, maxColdArrivals)
+	}
+}
+
 func TestColdPhaseThatEndedDoesNotCountForLaterLoss(t *testing.T) {
 	r := newColdRegion(t, 1)
 	r.refuse(start, 0)
--- a/core/instances/health.go
+++ b/core/instances/health.go
@@ -6,8 +6,13 @@
 	"github.com/crocusspread/crocusspread/core/domain"
 )
 
-// healthInterval is the time between two health requests to an upstream.
-const healthInterval = time.Second
+const (
+	// healthInterval is the time between two health requests to an upstream.
+	healthInterval = time.Second
+	// confirmSpread is the time over which the nodes that noticed the loss of a connection ask for the upstream's health, so
+	// that most of them hear what the first one found.
+	confirmSpread = time.Second
+)
 
 // HealthCheck is a health request that is due.
 type HealthCheck struct {
@@ -52,7 +57,8 @@
 // The one that checks for the region waits until its finding, told to others, is later than the losses that they know of.
 func (p *Pool) mayCheckHealth(now time.Time, u *upstream, checks func(domain.UpstreamID) bool) bool {
 	r := &u.coldness.restart
-	return r.unconfirmed(now, 2*lossRefutedAfter) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(u.ID)
+	wait := 2*lossRefutedAfter + time.Duration(p.options.ColdPhase(u.ID)*float64(confirmSpread))
+	return r.unconfirmed(now, wait) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(u.ID)
 }
 
 // needsHealthCheck reports whether the upstream's health tells more than is known.
--- a/core/instances/idleclose.go
+++ b/core/instances/idleclose.go
@@ -5,6 +5,8 @@
 const (
 	// idleTimeoutTolerance is the part of an idle timeout after which the end of an idle connection is attributed to it.
 	idleTimeoutTolerance = 0.9
+	// minIdleTimeout is the shortest idle timeout that is learned. Whatever ends connections that were just used is no timeout.
+	minIdleTimeout = time.Second
 	// idleTimeoutRetention is how long a learned idle timeout is used.
 	idleTimeoutRetention = time.Minute
 )
@@ -24,10 +26,9 @@
 	return reaches(stated) || now.Sub(t.learnedAt) < idleTimeoutRetention && reaches(t.shortest)
 }
 
-// learn records that a process that closed an idle connection had not ended. idle is how long the connection had been idle; zero
-// if no idle connection ended.
+// learn records that a process that closed an idle connection had not ended. idle is how long the connection had been idle.
 func (t *idleTimeout) learn(now time.Time, idle time.Duration) {
-	if idle > 0 && (now.Sub(t.learnedAt) >= idleTimeoutRetention || idle < t.shortest) {
+	if idle >= minIdleTimeout && (now.Sub(t.learnedAt) >= idleTimeoutRetention || idle < t.shortest) {
 		t.shortest, t.learnedAt = idle, now
 	}
 }
@@ -42,7 +43,7 @@
 			return
 		}
 		for _, u := range p.upstreams {
-			if u.Address != address || !p.accepts(now, u, "") {
+			if a, _ := p.exclusion(now, u); u.Address != address || a <= LeavingRegistered {
 				continue
 			}
 			if u.idleClosedAfter == 0 || idle < u.idleClosedAfter {
--- a/core/instances/idleclose_test.go
+++ b/core/instances/idleclose_test.go
@@ -74,3 +74,19 @@
 	c.RecordIdleClosed(start, "x:1", idleFor, idleFor)
 	checkFullRate(t, c, after(100), true)
 }
+
+func TestConnectionThatEndsRightAfterItsUseTeachesNoTimeout(t *testing.T) {
+	c := newCatalog(t, instances.Options{}, "a")
+	c.RecordIdleClosed(start, "x:1", idleFor/100, 0)
+	recordHealth(t, c, after(300), 0)
+	c.RecordIdleClosed(after(2000), "x:1", idleFor/2, 0)
+	checkFullRate(t, c, after(2100), false)
+}
+
+func TestIdleConnectionOfSilencedUpstreamIsWatched(t *testing.T) {
+	c := newCatalog(t, instances.Options{}, "a")
+	placeRequest(c, start).RecordReport(start, instances.ReportedLoad{Silence: time.Second})
+	c.RecordIdleClosed(after(100), "x:1", idleFor, 0)
+	placeRequest(c, after(1100)).Done(after(1200), instances.Answered)
+	checkFullRate(t, c, after(1300), false)
+}
