Take up a stream of a split route at the service that began it

What callers would see: a stream whose rest came from another service of the route, as a request that takes up a stream has an ID of its own and the split is decided by the ID.

Cause: the class of the faults before: who places the rest of a stream does not ask who began it. The split is now decided by the ID of the request that began the stream.

TestStreamIsTakenUpAtItsServiceOfSplitRoute failed before.

--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -139,9 +139,13 @@
 		}
 	}
 	limit := arrived.Add(timeout(info, route))
+	splitBy := info.ID
+	if route.Resumable && info.Resumes != "" {
+		splitBy = info.Resumes // the stream goes on at its service
+	}
 	req := &relay.Request{
 		Message: relay.Message{ID: info.ID, Method: r.Method, Host: r.Host, RequestTarget: r.RequestURI},
-		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(info.ID), Account: account, TableVersion: table.Version,
+		Prompt:  info.Prompt, Route: route, Service: route.ServiceFor(splitBy), Account: account, TableVersion: table.Version,
 		Arrived: arrived, Deadline: limit, ResumeAfter: info.ResumeAfter, Resumes: info.Resumes,
 	}
 	if err := h.Accept(req); err != nil {
