--- a/adapters/edgenode/streams.go
+++ b/adapters/edgenode/streams.go
@@ -24,9 +24,10 @@
 	// remoteStreamHolders that of each other region: a caller may take it up anywhere.
 	streamHolders       = 3
 	remoteStreamHolders = 1
-	// findStreamTimeout limits the question for the beginning of a stream within the region, findRemoteStreamTimeout to
-	// other regions.
+	// findStreamTimeout limits the question for the beginning of a stream within the region, confirmOnlyTimeout the same
+	// question if this node knows one version only, and findRemoteStreamTimeout that to other regions.
 	findStreamTimeout       = 150 * time.Millisecond
+	confirmOnlyTimeout      = 50 * time.Millisecond
 	findRemoteStreamTimeout = 300 * time.Millisecond
 )
 
@@ -64,17 +65,23 @@
 	if own.Software != "" {
 		return own
 	}
-	now, place := time.Now(), s.node.settings.Place
-	near := s.ask(ctx, findStreamTimeout, holders(s.node.members.Targets(now, place.Region), request, streamHolders), service, request)
+	now, timeout := time.Now(), findStreamTimeout
+	if own.OnlySoftware != "" {
+		timeout = confirmOnlyTimeout
+	}
+	near := s.ask(ctx, timeout, holders(s.node.members.Targets(now, s.node.settings.Place.Region), request, streamHolders), service, request)
 	if near.Software != "" {
 		return near
 	}
+	if only := s.onlySoftware(service, cmp.Or(own.OnlySoftware, near.OnlySoftware)); only != "" {
+		return mesh.StreamKnowledge{OnlySoftware: only}
+	}
 	var remote []peers.Member
 	for _, region := range s.node.otherRegions() {
 		remote = append(remote, holders(s.node.members.Targets(now, region), request, remoteStreamHolders)...)
 	}
 	far := s.ask(ctx, findRemoteStreamTimeout, remote, service, request)
-	return mesh.StreamKnowledge{Software: far.Software, OnlySoftware: s.onlySoftware(service, cmp.Or(own.OnlySoftware, near.OnlySoftware, far.OnlySoftware))}
+	return mesh.StreamKnowledge{Software: far.Software, OnlySoftware: s.onlySoftware(service, far.OnlySoftware)}
 }
 
 // statesSoftware reports whether upstreams of the service state the versions of their software.
@@ -83,7 +90,7 @@
 	return slices.ContainsFunc(versions, func(v string) bool { return v != "" })
 }
 
-// onlySoftware returns a version if this node knows no other one of the service.
+// onlySoftware returns a version that another node takes for the only one, if this node knows no other one of the service.
 func (s *streamOrigins) onlySoftware(service, software string) string {
 	for _, known := range s.node.catalog.Pool(service).SoftwareVersions(time.Now(), streams.Retention) {
 		if known != software {
