Tell idle connections to upstreams from those in use, and watch those no request needed

What callers would see: the end of an idle connection tells a node that an upstream may have started again and is cold. It never learned of the end of some connections, and sent the full rate to a new process; and an upstream that broke off an answer could be taken for one that closed an idle connection.

Cause: net/http calls PutIdleConn after it has handed the connection to a request that waited for one, so that GotConn of the second request may come before PutIdleConn of the first: a connection in use counts as idle. It calls neither for a connection that was dialed for a request which then got another one, so that this connection never counts as idle.

Change: a watched connection knows its latest request. Only the end of that request makes it idle, and it is idle from its dial until the first request gets it.

--- a/adapters/upstream/idle.go
+++ b/adapters/upstream/idle.go
@@ -30,6 +30,8 @@
 	closed  func(IdleClose)
 
 	mu sync.Mutex
+	// user is the latest request that got the connection; nil if none did.
+	user *connUse
 	// idleSince is when the connection became idle; zero while a request uses it.
 	idleSince time.Time
 	// timeout is the idle timeout that the upstream stated last.
@@ -43,14 +45,26 @@
 		if err != nil {
 			return nil, err
 		}
-		return &watchedConn{Conn: c, address: address, closed: closed}, nil
+		// Idle until a request gets it: the one that it was dialed for may have got another connection.
+		return &watchedConn{Conn: c, address: address, closed: closed, idleSince: time.Now()}, nil
 	}
 }
 
-func (c *watchedConn) setIdle(since time.Time) {
+// begin records that a request got the connection.
+func (c *watchedConn) begin(u *connUse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = since
+	c.user, c.idleSince = u, time.Time{}
+}
+
+// end records that a request no longer uses the connection. net/http tells so after it has handed the connection to a
+// request that waited for one.
+func (c *watchedConn) end(u *connUse) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user == u {
+		c.idleSince = time.Now()
+	}
 }
 
 // Read implements net.Conn. net/http reads from idle connections, too.
@@ -76,12 +90,12 @@
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if u.conn, _ = info.Conn.(*watchedConn); u.conn != nil {
-				u.conn.setIdle(time.Time{})
+				u.conn.begin(u)
 			}
 		},
 		PutIdleConn: func(err error) {
 			if err == nil && u.conn != nil {
-				u.conn.setIdle(time.Now())
+				u.conn.end(u)
 			}
 		},
 	}
