Keep the rate limit of an upstream whose entry vanished and came back

What callers would see: an upstream that accepts two requests a second gets the full rate after its entry was away for a moment, and refuses the excess.

Cause: the new record of the same process did not take over the limit; no news of a limit counted as no limit. An answer to a request placed before the entry vanished recorded its limit in the former record.

Evidence: TestLimitOutlastsEntryOfTheSameProcess failed before in its three cases (100 requests in a second, 2 accepted); with the limit taken over alone, the case of the answer that comes after the entry failed still.

Change: a record takes over the limit of the former one if both are of the same process (equal Started), and an answer records its limit in the present record of the process that gave it. The test passes; a new process still has no limit (TestNewIncarnationHasNoLimit).

--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -166,7 +166,7 @@
 	}
 	u.pace = former.pace
 	if former.Started == u.Started {
-		u.coldness, u.silence, u.leavingStated = former.coldness, former.silence, former.leavingStated
+		u.coldness, u.silence, u.leavingStated, u.limit = former.coldness, former.silence, former.leavingStated, former.limit
 	}
 }
 
--- a/core/instances/ratelimit.go
+++ b/core/instances/ratelimit.go
@@ -21,9 +21,10 @@
 // answer without a limit ends one only if its request was sent after the limit was last
 // stated: answers on different connections may overtake each other.
 func (t *Ticket) RecordRateLimit(now time.Time, perSecond float64) {
-	p, u := t.pool, t.upstream
+	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	u := t.record()
 	if perSecond == 0 && (u.limit.perSecond == 0 || !t.SentAt.After(u.limit.statedAt)) {
 		return
 	}
--- a/core/instances/ratelimit_test.go
+++ b/core/instances/ratelimit_test.go
@@ -93,6 +93,29 @@
 	}
 }
 
+func TestLimitOutlastsEntryOfTheSameProcess(t *testing.T) {
+	for name, namedMS := range map[string]int{"named before the entry vanished": 10, "named while there was none": 30, "named after it came back": 50} {
+		t.Run(name, func(t *testing.T) {
+			c := newCatalog(t, instances.Options{}, "a")
+			ticket := placeRequest(c, after(0))
+			events := map[int]func(){
+				namedMS: func() { ticket.RecordRateLimit(after(namedMS), 2) },
+				20:      func() { c.Remove(after(20), "a") },
+				40:      func() { c.Put(after(40), newInstance("a")) },
+			}
+			for ms := 10; ms <= 50; ms += 10 {
+				if event, found := events[ms]; found {
+					event()
+				}
+			}
+			ticket.Done(after(60), instances.Answered)
+			if n := placedFrom(c, 60); n > 2 {
+				t.Errorf("%d requests in a second were placed on an upstream that accepts 2", n)
+			}
+		})
+	}
+}
+
 func TestLimitedRegionReportsLittleCapacity(t *testing.T) {
 	for limit, usable := range map[float64]int{2: 0, 1000: 1} {
 		c := newCatalog(t, instances.Options{}, "a")
