Learn no idle timeout from connections that no request has used

An upstream may close those earlier than used ones, for instance when it waits for a first request. Their end still lets a restart be presumed.

--- a/adapters/upstream/idle.go
+++ b/adapters/upstream/idle.go
@@ -17,7 +17,8 @@
 // IdleClose is the end of an idle connection that its upstream closed.
 type IdleClose struct {
 	Address string
-	// Idle is how long the connection had been idle.
+	// Idle is how long the connection had been idle since its latest request; zero if no request has used it, as that
+	// tells nothing of the idle timeout of used ones.
 	Idle time.Duration
 	// Timeout is the idle timeout that the upstream stated, in whole seconds; zero if it stated none.
 	Timeout time.Duration
@@ -72,12 +73,17 @@
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.mu.Lock()
-		since, timeout := c.idleSince, c.timeout
+		since, timeout, used := c.idleSince, c.timeout, c.user != nil
 		c.idleSince = time.Time{}
 		c.mu.Unlock()
-		if !since.IsZero() {
-			c.closed(IdleClose{Address: c.address, Idle: time.Since(since), Timeout: timeout})
+		if since.IsZero() {
+			return n, err
 		}
+		end := IdleClose{Address: c.address, Timeout: timeout}
+		if used {
+			end.Idle = time.Since(since)
+		}
+		c.closed(end)
 	}
 	return n, err
 }
