Wait in the broker's tests until the connection counts as established

The set-up took the end of a call for the state; it waits for the state now. What the test asks is unchanged.

--- a/adapters/mesh/places_test.go
+++ b/adapters/mesh/places_test.go
@@ -18,6 +18,7 @@
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/event"
 	"github.com/crocusspread/crocusspread/core/instances"
+	"github.com/crocusspread/crocusspread/core/peers"
 	"github.com/crocusspread/crocusspread/core/places"
 )
 
@@ -77,9 +78,20 @@
 	if err := c.ReleasePlaces(context.Background(), l.Addr().String(), nil); err != nil { // connects
 		t.Fatal(err)
 	}
+	awaitConnected(t, c, l.Addr().String())
 	return c, l.Addr().String(), bytes
 }
 
+// awaitConnected waits until the client takes its connection for established; gRPC completes calls on it before that.
+func awaitConnected(t testing.TB, c *Client, address string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !c.Connected(&peers.Member{PeerAddress: address}); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no connection to %s was established within 10 s", address)
+		}
+	}
+}
+
 func TestPlacesKeepTheirMeaningOnTheWire(t *testing.T) {
 	granted := places.Decision{ID: 1 << 60, Upstream: places.Upstream{ID: "small-u1", Started: 5, Place: domain.Place{Region: "east"}}}
 	b := &fakeBroker{decision: granted}
