--- a/core/instances/ratelimit_test.go
+++ b/core/instances/ratelimit_test.go
@@ -125,3 +125,16 @@
 		}
 	}
 }
+
+// A message may be underway for seconds; its ages are those of its composition.
+func TestEndOfLimitInMessageHeldUpDoesNotEndLaterLimit(t *testing.T) {
+	sender, other := newCatalog(t, instances.Options{}, "a"), newCatalog(t, instances.Options{}, "a")
+	answer(t, sender, 0, 10, 2)
+	answer(t, sender, 2000, 2010, 0)
+	heldUp := sender.RateLimits(after(2100))
+	answer(t, other, 3000, 3010, 2)
+	other.ApplyRateLimits(after(4500), heldUp)
+	if n := placedFrom(other, 4600); n > 2 {
+		t.Errorf("%d requests in a second were placed on an upstream that accepts 2", n)
+	}
+}
