Trace each request to an upstream once

Two client traces for each request were joined by net/http/httptrace with reflection, on the path of every request, and a missing Keep-Alive header cost a failed number conversion. One trace records both; behaviour is the same.

--- a/adapters/upstream/idle.go
+++ b/adapters/upstream/idle.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -88,13 +89,21 @@
 	return n, err
 }
 
-// connUse is the use of a watched connection by a request.
-type connUse struct{ conn *watchedConn }
+// connUse is the use of a connection by a request.
+type connUse struct {
+	conn *watchedConn // nil if the connection is not watched
+	// gotAt is when the request got the connection; nil until then. reused is set if earlier requests had used it.
+	gotAt  atomic.Pointer[time.Time]
+	reused atomic.Bool
+}
 
-// trace returns a trace that tells when the connection is idle.
+// trace returns a trace that records the use and tells when the connection is idle.
 func (u *connUse) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			now := time.Now()
+			u.gotAt.Store(&now)
+			u.reused.Store(info.Reused)
 			if u.conn, _ = info.Conn.(*watchedConn); u.conn != nil {
 				u.conn.begin(u)
 			}
@@ -109,9 +118,13 @@
 
 // recordTimeout records the idle timeout that a response states.
 func (u *connUse) recordTimeout(h http.Header) {
-	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+	text := h.Get("Keep-Alive")
+	if text == "" || u.conn == nil {
+		return
+	}
+	for field := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && seconds > 0 && u.conn != nil {
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && seconds > 0 {
 			u.conn.mu.Lock()
 			u.conn.timeout = time.Duration(seconds) * time.Second
 			u.conn.mu.Unlock()
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -11,7 +11,6 @@
 	"net/url"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,23 +81,15 @@
 // the request ran.
 func (r *Routed) Send(ctx context.Context, to *instances.Instance, c *relay.Call) (relay.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	var connectedAt atomic.Pointer[time.Time]
-	var reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		now := time.Now()
-		connectedAt.Store(&now)
-		reused.Store(info.Reused)
-	}}
 	var use connUse
-	traced := httptrace.WithClientTrace(httptrace.WithClientTrace(ctx, use.trace()), trace)
-	req := r.request(context.WithValue(traced, placedAtKey{}, c.PlacedAt), to, c)
+	req := r.request(context.WithValue(httptrace.WithClientTrace(ctx, use.trace()), placedAtKey{}, c.PlacedAt), to, c)
 	transport := r.pooled
 	if c.Route.Kind == routes.AtMostOnce || c.SingleUse {
 		transport = r.unpooled
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		unreachable := connectedAt.Load() == nil // also if the request's time ended before
+		unreachable := use.gotAt.Load() == nil // also if the request's time ended before
 		cancel()
 		if unreachable && errors.Is(err, relay.ErrOutdated) {
 			return nil, err
@@ -114,7 +105,7 @@
 	head.Header = EndToEnd(resp.Header)
 	head.ContentLength = resp.ContentLength
 	head.Framing = framing(resp)
-	head.Reused, head.ConnectedAt = reused.Load(), *connectedAt.Load()
+	head.Reused, head.ConnectedAt = use.reused.Load(), *use.gotAt.Load()
 	return &routedAnswer{
 		resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte),
 		isRunning: func() error { return r.liveness.check(ctx, to.Address) },
