Make exchanges with known and unknown nodes in one place

Both had the same eight lines, and a change of what bounds a reply's age had to be made twice. Known nodes are marked unreachable as before; a told warm upstream is asked for with this node's region, so that the question itself carries statements, too.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -29,7 +29,7 @@
 	sleep(ctx, bootstrapDelay)
 	for ctx.Err() == nil && !(n.state.complete() && n.members.Count() > 1) {
 		for _, address := range n.bootstrapPeers() {
-			go n.exchangeWithAddress(ctx, address)
+			go n.exchangeWithAddress(ctx, address, "")
 			if !n.state.complete() {
 				go n.fetchEntries(address)
 				go n.fetchOperator(address)
@@ -50,20 +50,6 @@
 	return randomSubset(slices.DeleteFunc(list, func(a string) bool { return a == n.settings.PeerAddress }), maxBootstrapPeers)
 }
 
-// exchangeWithAddress makes an exchange with a node whose ID is not known yet.
-func (n *Node) exchangeWithAddress(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	sentAt, startedAt := n.proofSentAt(), time.Now()
-	reply, roundTrip, err := n.mesh.Exchange(ctx, address, n.newMessage(""))
-	if err != nil {
-		n.metrics.Count("mesh.exchange_failed", 1)
-		return
-	}
-	n.receive(reply, roundTrip, startedAt)
-	n.proveByReply(sentAt, &reply)
-}
-
 // fetchTimeout limits one fetch. It allows for a compressed routing table of
 // thousands of routes over a 10 Mbit/s link that a dozen nodes share.
 const fetchTimeout = 4 * time.Second
@@ -101,7 +87,7 @@
 	}
 	n.state.adoptPeerOperator(time.Now(), d)
 	if n.strictKeys() && !n.keys.policy.Honours(n.keys.Proof(), n.keys.now()) {
-		n.exchangeWithAddress(context.Background(), address) // the first table with accounts has no proof yet
+		n.exchangeWithAddress(context.Background(), address, "") // the first table with accounts has no proof yet
 	}
 }
 
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -99,7 +99,7 @@
 func (n *Node) Exchange(msg mesh.ExchangeMessage) mesh.ExchangeMessage {
 	n.receive(msg, 0, time.Time{})
 	if n.catalog.AwaitsWarm(msg.Statements) {
-		startOnce(&n.askingWarm, func() { n.exchangeWithAddress(context.Background(), msg.Sender.PeerAddress) })
+		startOnce(&n.askingWarm, func() { n.exchangeWithAddress(context.Background(), msg.Sender.PeerAddress, msg.Sender.Place.Region) })
 	}
 	return n.newMessage(msg.Sender.Place.Region)
 }
@@ -247,17 +247,25 @@
 
 // exchange makes an exchange with a member.
 func (n *Node) exchange(ctx context.Context, peer peers.Member) {
+	if !n.exchangeWithAddress(ctx, peer.PeerAddress, peer.Place.Region) {
+		n.members.MarkUnreachable(peer.ID)
+	}
+}
+
+// exchangeWithAddress makes an exchange with the node at an address. Its region is empty if it is not known. It returns
+// false if the node did not reply.
+func (n *Node) exchangeWithAddress(ctx context.Context, address string, region domain.Region) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	sentAt, startedAt := n.proofSentAt(), time.Now()
-	reply, roundTrip, err := n.mesh.Exchange(ctx, peer.PeerAddress, n.newMessage(peer.Place.Region))
+	proofSentAt, sentAt := n.proofSentAt(), time.Now()
+	reply, roundTrip, err := n.mesh.Exchange(ctx, address, n.newMessage(region))
 	if err != nil {
-		n.members.MarkUnreachable(peer.ID)
 		n.metrics.Count("mesh.exchange_failed", 1)
-		return
+		return false
 	}
-	n.receive(reply, roundTrip, startedAt)
-	n.proveByReply(sentAt, &reply)
+	n.receive(reply, roundTrip, sentAt)
+	n.proveByReply(proofSentAt, &reply)
+	return true
 }
 
 // jitter returns a random duration within 15 % of d.
