--- a/adapters/edgenode/dependencies.go
+++ b/adapters/edgenode/dependencies.go
@@ -1,6 +1,8 @@
 package edgenode
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/boottime"
@@ -47,6 +49,8 @@
 	// DropStoreConnections closes idle connections to the store, so that the next
 	// call dials a new one.
 	DropStoreConnections func()
+	// DialUpstream opens connections to upstreams; nil means the network of the machine.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	// BootTime reads a clock that goes on while the machine is suspended; nil means that of
 	// the machine.
 	BootTime func() time.Duration
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -136,6 +136,7 @@
 		DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout,
 		IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: maxIdlePerUpstream,
 		IdleClosed: func(c upstream.IdleClose) { n.catalog.RecordIdleClosed(time.Now(), c.Address, c.Idle, c.Timeout) },
+		Dial:       deps.DialUpstream,
 	}, deps.Upstream)
 	n.mesh = mesh.NewClient(s.Node, insecure.NewCredentials(), upstream.Dialer(peerDialTimeout, upstreamUserTimeout), time.Now)
 	n.engine = &relay.Engine{
