--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -61,6 +61,8 @@
 	partsChanged chan struct{}
 	// statementsChanged receives a token when an upstream says something new of itself.
 	statementsChanged chan struct{}
+	// pathsSuspected receives a token when this node may have lost its paths to all upstreams.
+	pathsSuspected chan struct{}
 	// places gets places of brokered services, brokers grants them; brokersActive receives a token
 	// when a broker has work.
 	places        *placeClient
@@ -113,7 +115,7 @@
 
 // New returns a node; Run starts it.
 func New(s *Settings, deps Dependencies, log event.Logger, m *telemetry.Metrics) *Node {
-	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1),
+	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		brokers: make(map[string]*placeBroker), brokersActive: make(chan struct{}, 1)}
 	n.places = &placeClient{node: n, brokers: make(map[string]*brokerPath)}
 	n.streams = &streamOrigins{node: n, origins: streams.NewOrigins()}
@@ -126,7 +128,7 @@
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
 	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, IdleConnectionShare: n.idleConnectionShare, SendNotice: n.enqueueNotice,
-		StatementsChanged: func() { signal(n.statementsChanged) }, MemoryOnDemand: true})
+		StatementsChanged: func() { signal(n.statementsChanged) }, PathsSuspected: func() { signal(n.pathsSuspected) }, MemoryOnDemand: true})
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.era = newStoreEra(log, n.state.markRestored)
@@ -136,6 +138,7 @@
 		DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout,
 		IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: maxIdlePerUpstream,
 		IdleClosed: func(c upstream.IdleClose) { n.catalog.RecordIdleClosed(time.Now(), c.Address, c.Idle, c.Timeout) },
+		Dialed:     n.catalog.RecordDial,
 		Dial:       deps.DialUpstream,
 	}, deps.Upstream)
 	n.mesh = mesh.NewClient(s.Node, insecure.NewCredentials(), upstream.Dialer(peerDialTimeout, upstreamUserTimeout), time.Now)
@@ -301,6 +304,7 @@
 	loop(n.tickCatalog)
 	loop(n.checkHealth)
 	loop(n.propagateStatements)
+	loop(n.watchPaths)
 	loop(n.streams.share)
 	loop(n.software.run)
 	loop(n.runBrokers)
--- a/adapters/upstream/options.go
+++ b/adapters/upstream/options.go
@@ -35,6 +35,8 @@
 	MaxIdlePerUpstream int
 	// IdleClosed is called when an upstream closes an idle connection; it must not block.
 	IdleClosed func(IdleClose)
+	// Dialed is called after each attempt to open a connection, unless it was canceled; it must not block.
+	Dialed func(address string, startedAt time.Time, opened bool)
 	// Dial replaces the dialer, for example in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -65,6 +67,9 @@
 	if o.IdleClosed == nil {
 		o.IdleClosed = func(IdleClose) {}
 	}
+	if o.Dialed == nil {
+		o.Dialed = func(string, time.Time, bool) {}
+	}
 	if o.Dial == nil {
 		o.Dial = o.dialer().DialContext
 	}
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -39,12 +39,14 @@
 	pooled   *http.Transport
 	unpooled *http.Transport
 	liveness *livenessChecker
+	dial     dialFunc
 }
 
 // NewRouted returns a client of instances.
 func NewRouted(o Options, d Dialect) *Routed {
 	o = o.withDefaults()
-	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o)}
+	o.Dial = reportDials(o.Dial, o.Dialed)
+	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o), dial: o.Dial}
 	r.pooled.DialContext, r.unpooled.DialContext = watchIdle(refuseOutdated(o.Dial), o.IdleClosed), refuseOutdated(o.Dial)
 	return r
 }
@@ -70,6 +72,28 @@
 	}
 }
 
+// reportDials returns a dial function that calls dialed for each attempt that was not canceled.
+func reportDials(dial dialFunc, dialed func(address string, startedAt time.Time, opened bool)) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		startedAt := time.Now()
+		c, err := dial(ctx, network, address)
+		if err == nil || ctx.Err() == nil {
+			dialed(address, startedAt, err == nil)
+		}
+		return c, err
+	}
+}
+
+// Connect opens and closes a connection to an upstream. It sends no request.
+func (r *Routed) Connect(ctx context.Context, address string) error {
+	c, err := r.dial(ctx, "tcp", address)
+	if err != nil {
+		return errkind.New(errkind.PeerUnreachable, "connect to %s: %w", address, err)
+	}
+	_ = c.Close() // nothing was sent on it
+	return nil
+}
+
 // dialFunc opens a connection.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -14,6 +14,7 @@
 // Catalog holds the instances of all services.
 type Catalog struct {
 	options Options
+	paths   paths
 
 	mu    sync.RWMutex
 	pools map[string]*Pool
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -35,6 +35,9 @@
 	// StatementsChanged is called when the other nodes of the region should know a statement at once; it must
 	// not block.
 	StatementsChanged func()
+	// PathsSuspected is called when this node may have lost its paths to all upstreams, at each further sign of it; it
+	// must not block.
+	PathsSuspected func()
 	// PrefillRate is the prefill rate of engines, in prompt tokens per millisecond, that is
 	// assumed until answers have been measured.
 	PrefillRate float64
@@ -67,6 +70,9 @@
 	if o.StatementsChanged == nil {
 		o.StatementsChanged = func() {}
 	}
+	if o.PathsSuspected == nil {
+		o.PathsSuspected = func() {}
+	}
 	if o.ColdShare == nil {
 		o.ColdShare = func(rate float64) float64 { return rate }
 	}
