Do not take upstreams for cold because one node has lost its path to them

What callers saw: while one node of a region was refused by all upstreams, the others served 3 to 9 of 100 requests.

Cause: a refused connection means that no process listens, and was told to the region as that. It may also mean that the node has no path. The others had no way to refute it: after a refusal no answer on an older connection counted, and as the refused node went on trying, each refusal moved the time from which a health response would have settled it.

Now a node that fails to connect to several upstreams, and to no other meanwhile, tells none of its refusals until it has opened a connection. The answer to a request that was sent after the refusal, on a connection from before it, refutes it: the process that had accepted that connection still ran, however late the answer is read. In a message that may have been underway for any time, the connection has to be older by a cold phase. Refusals are told again every 3 s at most, so that the health request of another node gets its turn. A node that reaches no upstream asks none for its health.

The connection's time is now that of its establishment, not that at which the request got it.

Evidence: TestRefusedConnectionsOfOneNodeDoNotMakeOthersTakeUpstreamsForCold failed in every run before and passes; of the new tests of core/instances, those of the reply, of the refusals not told and of continued refusals failed on the code before. Those of restarts that one node noticed pass as before.

--- a/adapters/upstream/idle.go
+++ b/adapters/upstream/idle.go
@@ -30,6 +30,8 @@
 	net.Conn
 	address string
 	closed  func(IdleClose)
+	// establishedAt is when the connection was established.
+	establishedAt time.Time
 
 	mu sync.Mutex
 	// user is the latest request that got the connection; nil if none did.
@@ -48,7 +50,8 @@
 			return nil, err
 		}
 		// Idle until a request gets it: the one that it was dialed for may have got another connection.
-		return &watchedConn{Conn: c, address: address, closed: closed, idleSince: time.Now()}, nil
+		now := time.Now()
+		return &watchedConn{Conn: c, address: address, closed: closed, establishedAt: now, idleSince: now}, nil
 	}
 }
 
@@ -116,6 +119,14 @@
 	}
 }
 
+// connectedAt returns when the connection was established, or when the request got it if that is not known.
+func (u *connUse) connectedAt() time.Time {
+	if u.conn != nil {
+		return u.conn.establishedAt
+	}
+	return *u.gotAt.Load()
+}
+
 // recordTimeout records the idle timeout that a response states.
 func (u *connUse) recordTimeout(h http.Header) {
 	text := h.Get("Keep-Alive")
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -129,7 +129,7 @@
 	head.Header = EndToEnd(resp.Header)
 	head.ContentLength = resp.ContentLength
 	head.Framing = framing(resp)
-	head.Reused, head.ConnectedAt = use.reused.Load(), *use.gotAt.Load()
+	head.Reused, head.ConnectedAt = use.reused.Load(), use.connectedAt()
 	return &routedAnswer{
 		resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte),
 		isRunning: func() error { return r.liveness.check(ctx, to.Address) },
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -73,7 +73,7 @@
 func (c *Catalog) pool(service string) *Pool {
 	p := c.pools[service]
 	if p == nil {
-		p = newPool(service, &c.options)
+		p = newPool(service, &c.options, &c.paths)
 		p.configure(c.services[service], c.maxEventGaps[service], c.accounts)
 		c.pools[service] = p
 	}
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -125,7 +125,7 @@
 	p.options.Log.Log(event.InstanceNotCold, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from))
 }
 
-// ConnectedAt records when the request got its connection; zero means that this is not known.
+// ConnectedAt records when the connection of the request was established; zero means that this is not known.
 func (t *Ticket) ConnectedAt(at time.Time) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
@@ -151,6 +151,9 @@
 }
 
 func (p *Pool) recordLoss(now time.Time, u *upstream, loss Loss) {
+	if p.paths.lost() {
+		return // it tells nothing of the upstream
+	}
 	wasCold := u.cold(now)
 	if u.coldness.restart.recordLoss(now, loss) {
 		p.options.StatementsChanged()
--- a/core/instances/cold_region_test.go
+++ b/core/instances/cold_region_test.go
@@ -200,3 +200,78 @@
 		t.Error("the message about a refused connection does not tell of it")
 	}
 }
+
+// answer lets a node get the answer to a request sent at sentAt on a connection from connectedAt; it needs the node's share.
+func (r coldRegion) answer(t *testing.T, node int, sentAt, connectedAt, readAt time.Time) {
+	t.Helper()
+	ticket := placeRequest(r[node], sentAt)
+	if ticket == nil {
+		t.Fatalf("node %d may send no request %v after the start", node, sentAt.Sub(start))
+	}
+	ticket.ConnectedAt(connectedAt)
+	ticket.RecordReport(readAt, instances.ReportedLoad{})
+	ticket.Done(readAt, instances.Answered)
+}
+
+func TestRequestAnsweredOnOlderConnectionRefutesRefusedConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		connectedAt time.Time
+		want        bool
+	}{
+		"connected long before":           {after(500), true},
+		"connected before a held message": {after(7000), false}, // whose losses may be from before the connection
+		"connected after the loss":        {after(10100), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newColdRegion(t, 2)
+			r.refuse(after(10000), 0)
+			r.tell(after(10010), after(10010), 0, 1)
+			r.answer(t, 1, after(11500), c.connectedAt, after(11520))
+			if got := countPlaced(r[1], after(11600), 3) == 3; got != c.want {
+				t.Errorf("placed without a bound: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAnswerToRequestSentBeforeRefusalDoesNotRefuteIt(t *testing.T) {
+	r := newColdRegion(t, 1)
+	before := placeRequest(r[0], start)
+	before.ConnectedAt(start)
+	r.refuse(after(1000), 0)
+	before.RecordReport(after(2000), instances.ReportedLoad{})
+	if got := countPlaced(r[0], after(2100), 3); got > 1 {
+		t.Errorf("%d requests were placed at once on an upstream that refused a connection after the request was sent, want at most 1", got)
+	}
+}
+
+func TestRefusalsOfNodeThatReachesNoUpstreamAreNotTold(t *testing.T) {
+	r := newColdRegion(t, 2)
+	for _, address := range []string{"x:1", "x:2"} {
+		r[0].RecordDial(address, start, false)
+	}
+	r.refuse(after(10), 0)
+	r.propagate(after(20), 0)
+	if got := countPlaced(r[1], after(30), 3); got != 3 {
+		t.Errorf("%d of 3 requests were placed while the refusing path may be the other node's, want all", got)
+	}
+	r[0].RecordDial("x:3", after(1100), true) // it was not the path
+	r.propagate(after(1110), 0)
+	if got := countPlaced(r[1], after(1120), 3); got > 1 {
+		t.Errorf("%d requests were placed at once by a node that heard of a refused connection, want at most 1", got)
+	}
+}
+
+func TestContinuedRefusalsOfOneNodeDoNotDelayHealthRequest(t *testing.T) {
+	r := newColdRegion(t, 3)
+	for ms := 0; ms < 1400; ms += 100 {
+		r[0].RecordHealthRefused(after(ms), instances.HealthCheck{Instance: newInstance("a")})
+		r.propagate(after(ms+10), 0)
+	}
+	r.health(t, after(1450), 1, 0)
+	r.propagate(after(1460), 1)
+	r.propagate(after(1470), 0)
+	if got := countPlaced(r[2], after(1500), 3); got != 3 {
+		t.Errorf("%d of 3 requests were placed on an upstream that one node alone does not reach, want all", got)
+	}
+}
--- a/core/instances/health.go
+++ b/core/instances/health.go
@@ -25,6 +25,9 @@
 // again and, if entriesOutdated is set because the entries are not up to date, all others. checks reports whether this node is
 // the one of its region that checks an upstream. Those known to be cold need no check.
 func (c *Catalog) DueHealthChecks(now time.Time, entriesOutdated bool, checks func(domain.UpstreamID) bool) []HealthCheck {
+	if c.PathsLost() {
+		return nil
+	}
 	var due []HealthCheck
 	c.ForEach(func(p *Pool) { due = append(due, p.dueHealthChecks(now, entriesOutdated, checks)...) })
 	return due
--- a/core/instances/paths.go
+++ b/core/instances/paths.go
@@ -53,6 +53,13 @@
 	return p.lostSince.IsZero() && (!p.suspected() || refusedAt.Before(p.failedSince))
 }
 
+// lost reports whether the node reaches no upstream.
+func (p *paths) lost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.lostSince.IsZero()
+}
+
 // RecordDial records the outcome of an attempt to open a connection to an upstream that began at startedAt.
 func (c *Catalog) RecordDial(address string, startedAt time.Time, opened bool) {
 	trustedAgain, suspected := c.paths.recordDial(address, startedAt, opened)
@@ -72,15 +79,20 @@
 }
 
 // PathsLost reports whether this node reaches no upstream.
-func (c *Catalog) PathsLost() bool {
-	c.paths.mu.Lock()
-	defer c.paths.mu.Unlock()
-	return !c.paths.lostSince.IsZero()
-}
+func (c *Catalog) PathsLost() bool { return c.paths.lost() }
 
 // SetPathsLost records whether this node reaches any upstream, after attempts to connect to several. It reports whether that
 // has changed.
 func (c *Catalog) SetPathsLost(now time.Time, lost bool) (changed bool) {
+	if lost && !c.PathsLost() {
+		c.ForEach(func(p *Pool) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for _, u := range p.upstreams {
+				u.coldness.restart.attributeToPath()
+			}
+		})
+	}
 	c.paths.mu.Lock()
 	defer c.paths.mu.Unlock()
 	since := c.paths.lostSince
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -51,7 +51,7 @@
 	shared        bool
 	priority      int
 	answerStarted bool
-	// connectedAt is when the request got its connection.
+	// connectedAt is when the connection of the request was established, or got if that is not known.
 	connectedAt time.Time
 	// firstByteAt is when the first byte arrived.
 	firstByteAt time.Time
--- a/core/instances/restart.go
+++ b/core/instances/restart.go
@@ -25,6 +25,9 @@
 	// evidenceRetention is how long other nodes are told of refused connections, and of evidence against a
 	// restart.
 	evidenceRetention = 10 * time.Second
+	// refusalInterval is the minimum time between two refused connections that other nodes are told of. In between, the health
+	// of the upstream can show that they were no sign of a restart.
+	refusalInterval = 3 * time.Second
 	// repeatTolerance is the maximum difference between the ages of the same loss in repeated messages.
 	repeatTolerance = 300 * time.Millisecond
 )
@@ -89,7 +92,9 @@
 		return false
 	}
 	news = r.refused.isZero()
-	r.addRefused(period{now, now})
+	if news || now.Sub(r.refused.until) >= refusalInterval {
+		r.addRefused(period{now, now})
+	}
 	return news
 }
 
@@ -156,6 +161,32 @@
 	return false
 }
 
+// recordReply records the answer to a request that was sent after sentAt on a connection from connectedAt. The process that
+// had accepted the connection then still ran, however late the answer is read. It reports whether all losses are refuted.
+func (r *restart) recordReply(sentAt, connectedAt time.Time, coldStart time.Duration) (refuted bool) {
+	if !r.presumed() {
+		return false
+	}
+	if r.told {
+		// The message may have been underway for any time. If that is longer than a cold phase, its losses are of no
+		// consequence any more.
+		connectedAt = connectedAt.Add(coldStart)
+	}
+	if !connectedAt.Before(r.lost.from) || !sentAt.After(r.lost.until) {
+		return false
+	}
+	r.settle()
+	return true
+}
+
+// attributeToPath takes the losses that only this node knows of for those of its own path: its refused connections then tell
+// nothing of the upstream's process.
+func (r *restart) attributeToPath() {
+	if !r.told {
+		r.refused = period{}
+	}
+}
+
 // extendSame adds a period in which one connection stayed open.
 func (r *restart) extendSame(open period) {
 	if !open.from.Before(r.same.until.Add(-lossRefutedAfter)) {
@@ -193,9 +224,10 @@
 	r.lost, r.refused, r.told, r.coldUntil = period{}, period{}, false, time.Time{}
 }
 
-// toldLoss returns the refused connections that other nodes should know; nil if there are none.
-func (r *restart) toldLoss(now time.Time) *Ages {
-	if !r.presumed() || r.refused.isZero() || now.Sub(r.refused.until) > evidenceRetention {
+// toldLoss returns the refused connections that other nodes should know; nil if there are none. Those that may be due to this
+// node's path to the upstream are not told.
+func (r *restart) toldLoss(now time.Time, paths *paths) *Ages {
+	if !r.presumed() || r.refused.isZero() || now.Sub(r.refused.until) > evidenceRetention || !r.told && !paths.trusts(r.refused.until) {
 		return nil
 	}
 	return r.refused.ages(now)
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -66,7 +66,7 @@
 	var list []Statement
 	for _, u := range p.upstreams {
 		s := Statement{Service: p.service, Instance: u.ID, Started: u.Started, Leaving: u.leavingStated,
-			ColdFor: max(0, u.coldness.statedUntil.Sub(now)), Lost: u.coldness.restart.toldLoss(now), WarmAge: u.coldness.restart.warmAge(now)}
+			ColdFor: max(0, u.coldness.statedUntil.Sub(now)), Lost: u.coldness.restart.toldLoss(now, p.paths), WarmAge: u.coldness.restart.warmAge(now)}
 		if !s.isEmpty() {
 			list = append(list, s)
 		}
@@ -177,6 +177,9 @@
 	defer p.mu.Unlock()
 	u := t.record()
 	p.recordAnswer(now, u, t.connectedAt)
+	if lostAt := u.coldness.restart.lost.from; u.coldness.restart.recordReply(t.SentAt, t.connectedAt, p.config.ColdStart) {
+		p.recordNotCold(now, u, sameFromAnswer, lostAt)
+	}
 	if t.endsSilence && r.Silence == 0 {
 		t.endsSilence = false
 		u.silence.answered(now, true)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -132,7 +132,7 @@
 	RequestID domain.RequestID
 	// Reused is set if the connection had served earlier requests.
 	Reused bool
-	// ConnectedAt is when the request got its connection; zero if that is not known.
+	// ConnectedAt is when the connection was established, or the request got it; zero if that is not known.
 	ConnectedAt time.Time
 	// Signed is set if the upstream signed the answer.
 	Signed bool
