Forward requests to another node of the region while none of the upstreams is reached

Cause: a node knew paths only as properties of single upstreams. It tried the next upstream and then refused; it never asked a node of its own region. Its state stayed 'serving', so that other regions, brokers and the directory for callers went on counting on it.

A node that reaches no upstream now announces the state 'forwarding' at once. It sends its callers' requests to a node of its region, of its own failure domain first, which runs or refuses them as it does those of other regions; at most two, then another region, then it refuses at once. Nodes of other regions and brokers leave it out, the directory names it only if no node of the region serves. Nodes still tell it what they know, so that it applies configurations and holds records as before. Older versions of nodes take the state for one that accepts nothing.

--- a/adapters/edgenode/paths.go
+++ b/adapters/edgenode/paths.go
@@ -13,7 +13,8 @@
 )
 
 // watchPaths finds out whether this node reaches any upstream of its region, whenever it failed to connect to several in
-// succession, and until it does again.
+// succession, and until it does again. It tells the other nodes when that changes: they send no requests to one that
+// reaches none, and name it to callers only if there is no other.
 func (n *Node) watchPaths(ctx context.Context) {
 	for ctx.Err() == nil {
 		if n.catalog.PathsLost() {
@@ -31,6 +32,8 @@
 		reached := n.reachesUpstream(ctx)
 		if ctx.Err() == nil && n.catalog.SetPathsLost(time.Now(), !reached) {
 			n.metrics.Count("upstream.paths_changed", 1)
+			n.members.SetForwarding(!reached)
+			n.exchangeWithAll(ctx)
 		}
 	}
 }
--- a/core/peers/directory.go
+++ b/core/peers/directory.go
@@ -16,25 +16,28 @@
 // if none is. The nodes of the first non-empty group are returned:
 //
 //  1. serving nodes of the caller's region, then of the preferred regions;
-//  2. nodes of these regions that drain and still accept requests: elsewhere, requests
+//  2. nodes of these regions that reach no upstream and forward requests;
+//  3. nodes of these regions that drain and still accept requests: elsewhere, requests
 //     of a restricted route cannot run, and the upstreams of the caller's region are out
 //     of reach without a node there;
-//  3. for restricted hosts, all draining nodes of these regions, which refuse requests
+//  4. for restricted hosts, all draining nodes of these regions, which refuse requests
 //     but stay where the requests may run;
-//  4. all serving nodes.
+//  5. all serving nodes, then all that forward requests.
 func (m *Members) EntryAddresses(now time.Time, region domain.Region, preferred []domain.Region) []string {
 	known := m.entryNodes(now)
 	inCallersRegion := func(r *record) bool { return r.Place.Region == region }
 	inPreferred := func(r *record) bool { return slices.Contains(preferred, r.Place.Region) }
 	serving := func(r *record) bool { return r.State == domain.NodeServing }
+	forwarding := func(r *record) bool { return r.State == domain.NodeForwarding }
 	accepting := func(r *record) bool { return r.acceptsWhileDraining(now) }
 	draining := func(r *record) bool { return len(preferred) > 0 && r.State == domain.NodeDraining }
 	anywhere := func(*record) bool { return true }
 	for _, group := range []struct{ place, state func(*record) bool }{
 		{inCallersRegion, serving}, {inPreferred, serving},
+		{inCallersRegion, forwarding}, {inPreferred, forwarding},
 		{inCallersRegion, accepting}, {inPreferred, accepting},
 		{inCallersRegion, draining}, {inPreferred, draining},
-		{anywhere, serving},
+		{anywhere, serving}, {anywhere, forwarding},
 	} {
 		var addresses []string
 		for i := range known {
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// SetForwarding records whether the local node reaches no upstream. It has no effect on a node that starts or stops.
+func (m *Members) SetForwarding(forwarding bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case forwarding && m.self.State == domain.NodeServing:
+		m.self.State = domain.NodeForwarding
+	case !forwarding && m.self.State == domain.NodeForwarding:
+		m.self.State = domain.NodeServing
+	}
+}
+
 // Incarnation returns the incarnation of the local node.
 func (m *Members) Incarnation() domain.Incarnation {
 	m.mu.Lock()
@@ -244,9 +256,21 @@
 // Targets returns the nodes of a region to which requests may be sent, sorted by ID: the
 // serving ones, or if there are none, those that drain and still accept requests.
 func (m *Members) Targets(now time.Time, region domain.Region) []Member {
-	serving := m.filter(func(r *record) bool { return m.isReachable(now, r, region) && r.State == domain.NodeServing })
-	if len(serving) > 0 {
-		return serving
+	return m.reachable(now, region, func(s domain.NodeState) bool { return s == domain.NodeServing })
+}
+
+// Informed returns the nodes of a region that are told what this one knows, sorted by ID: the targets and those that reach
+// no upstream.
+func (m *Members) Informed(now time.Time, region domain.Region) []Member {
+	return m.reachable(now, region, domain.NodeState.AcceptsCallers)
+}
+
+// reachable returns the reachable nodes of a region in certain states, or if there are none, those that drain and still
+// accept requests.
+func (m *Members) reachable(now time.Time, region domain.Region, in func(domain.NodeState) bool) []Member {
+	list := m.filter(func(r *record) bool { return m.isReachable(now, r, region) && in(r.State) })
+	if len(list) > 0 {
+		return list
 	}
 	return m.filter(func(r *record) bool { return m.isReachable(now, r, region) && r.acceptsWhileDraining(now) })
 }
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -96,6 +96,8 @@
 	tried      []domain.UpstreamID
 	last       result
 	placements int
+	// forwarded are the nodes of this region to which the request was sent.
+	forwarded []domain.NodeID
 	// counted is set once the request counts as a first send in the retry budget.
 	counted bool
 	// mayHaveRun is set once it is uncertain whether an attempt ran.
@@ -248,6 +250,10 @@
 func (a *attempts) place(pacedOnly bool) (placement.Decision, *instances.Ticket) {
 	now := a.Now()
 	r := a.r
+	pathsLost := a.Catalog.PathsLost()
+	if pathsLost && a.mayForward(now) {
+		return placement.Decision{Choice: placement.Remote, Region: a.Self.Region, Domain: a.Self.FailureDomain}, nil
+	}
 	q := instances.Query{
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.InputTokens, OutputTokens: r.Prompt.OutputTokens,
@@ -255,7 +261,7 @@
 			Priority: r.Priority(), Urgent: r.urgent(), Excluded: a.tried, Random: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
-		LocalAllowed: r.Allows(a.Self.Region),
+		LocalAllowed: r.Allows(a.Self.Region) && !pathsLost,
 	}
 	q.PacedOnly, q.Software = pacedOnly, a.streamSoftware
 	if !r.Relayed && !pacedOnly {
--- a/core/relay/granted.go
+++ b/core/relay/granted.go
@@ -17,6 +17,10 @@
 // choose chooses where to send the request: by a granted place, or as place does.
 func (a *attempts) choose(ctx context.Context) (placement.Decision, *instances.Ticket) {
 	a.permit, a.refusal, a.granted, a.reported = nil, nil, false, instances.ReportedLoad{}
+	if a.Catalog.PathsLost() {
+		a.r.Place = nil
+		return a.place(false)
+	}
 	if granted := a.r.Place; granted != nil { // the sender's broker granted it
 		a.r.Place = nil
 		if t := a.reserve(granted); t != nil {
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -14,12 +14,24 @@
 	"github.com/crocusspread/crocusspread/core/peers"
 )
 
-// sendRemote sends the request to a node of another region, which runs or refuses it.
+// maxForwards is the maximum number of nodes of its own region to which a node that reaches no upstream sends a request.
+const maxForwards = 2
+
+// mayForward reports whether the request may be sent to a node of this region, as this one reaches no upstream.
+func (a *attempts) mayForward(now time.Time) bool {
+	return !a.r.Relayed && len(a.forwarded) < maxForwards && a.r.Allows(a.Self.Region) && a.Members.HasTarget(now, a.Self.Region)
+}
+
+// sendRemote sends the request to another node, mostly of another region, which runs or refuses it.
 func (a *attempts) sendRemote(ctx context.Context, region domain.Region) result {
 	to, found := a.chooseNode(region, a.decision.Domain)
 	if !found {
 		return failedResult(errkind.PeerUnreachable, domain.RunNo, instances.Unreachable, "no node of region %s is reachable", region)
 	}
+	if region == a.Self.Region {
+		a.forwarded = append(a.forwarded, to.ID)
+		a.Metrics.Count("relay.forwarded", 1)
+	}
 	defer a.Regions.TrackRequest(region, a.r.Service)()
 	a.Metrics.Count("relay.sent_to_region", 1)
 	sentAt := a.Now()
@@ -46,7 +58,7 @@
 	return res
 }
 
-// chooseNode returns a random node of the region among those that this node prefers, if
+// chooseNode returns a random node of the region, if possible one to which the request was not forwarded, among those that this node prefers, if
 // possible one of the failure domain nearDomain, because traffic between failure domains
 // is billed. If none of them is connected, it returns any connected node, and
 // otherwise a preferred one.
@@ -56,12 +68,20 @@
 	slices.SortStableFunc(preferred, func(x, y peers.Member) int {
 		return cmp.Compare(domainDistance(&x, nearDomain), domainDistance(&y, nearDomain))
 	})
+	tried := func(m peers.Member) bool { return slices.Contains(a.forwarded, m.ID) }
+	targets := a.Members.Targets(a.Now(), region)
+	if untried := slices.DeleteFunc(slices.Clone(targets), tried); len(untried) > 0 {
+		preferred, targets = slices.DeleteFunc(preferred, tried), untried
+	}
 	if m, found := a.firstConnected(preferred); found {
 		return m, true
 	}
-	if m, found := a.firstConnected(a.Members.Targets(a.Now(), region)); found {
+	if m, found := a.firstConnected(targets); found {
 		return m, true
 	}
+	if len(preferred) == 0 {
+		preferred = targets
+	}
 	if len(preferred) == 0 {
 		return peers.Member{}, false
 	}
