End a rate limit that another node tells of only if the news is known to be later

What callers saw: in a test, 100 requests in a second at an upstream that had named a limit of 2, from a node to which an older message told the end of an earlier limit.

Cause: the age in a message is that at its composition. Applied at its receipt, it made the end of the earlier limit look newer than the later limit.

A limit is still adopted from either, as that is the safe direction.

--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -120,7 +120,7 @@
 	default:
 		n.exchanged.Store(true)
 		n.regions.MergeViews(now, msg.Views)
-		n.catalog.ApplyRateLimits(now, msg.RateLimits)
+		n.catalog.ApplyRateLimits(now, composedAfter, msg.RateLimits)
 		n.catalog.ApplyStatements(now, composedAfter, msg.Statements)
 		n.catalog.ApplySpeeds(now, msg.Speeds)
 		n.metrics.Count("mesh.speeds_heard", int64(len(msg.Speeds)))
--- a/core/instances/ratelimit.go
+++ b/core/instances/ratelimit.go
@@ -82,13 +82,17 @@
 }
 
 // ApplyRateLimits adopts limits received from another node that upstreams stated later than
-// those known here.
-func (c *Catalog) ApplyRateLimits(now time.Time, limits []RateLimit) {
+// those known here. The message was composed after composedAfter; zero means that it may have been underway for any time, so
+// that the limits whose end it tells may be newer than that.
+func (c *Catalog) ApplyRateLimits(now, composedAfter time.Time, limits []RateLimit) {
 	for _, l := range limits {
 		p := c.Pool(l.Service)
 		p.mu.Lock()
-		statedAt := now.Add(-l.Age)
-		if u := p.find(l.Instance); u != nil && statedAt.After(u.limit.statedAt) {
+		statedAt, ended := now.Add(-l.Age), l.PerSecond == 0
+		if ended {
+			statedAt = composedAfter.Add(-l.Age)
+		}
+		if u := p.find(l.Instance); u != nil && statedAt.After(u.limit.statedAt) && !(ended && composedAfter.IsZero()) {
 			p.setRateLimit(u, rateLimit{l.PerSecond, statedAt}, "another node")
 		}
 		p.mu.Unlock()
--- a/core/instances/ratelimit_test.go
+++ b/core/instances/ratelimit_test.go
@@ -67,16 +67,16 @@
 	sender := newCatalog(t, instances.Options{}, "a")
 	other := newCatalog(t, instances.Options{RateShare: func(domain.UpstreamID, float64) float64 { return 0 }}, "a")
 	answer(t, sender, 0, 10, 2)
-	other.ApplyRateLimits(after(20), sender.RateLimits(after(20)))
+	other.ApplyRateLimits(after(20), time.Time{}, sender.RateLimits(after(20)))
 	if n := placedFrom(other, 30); n != 0 {
 		t.Errorf("%d requests were placed by a node without a share of the limit", n)
 	}
 	answer(t, sender, 2000, 2010, 0)
-	other.ApplyRateLimits(after(2020), sender.RateLimits(after(2020)))
+	other.ApplyRateLimits(after(2020), after(2020), sender.RateLimits(after(2020)))
 	if n := placedFrom(other, 2030); n != 100 {
 		t.Errorf("%d of 100 requests were placed after the limit had ended", n)
 	}
-	sender.ApplyRateLimits(after(2100), []instances.RateLimit{{Service: "app", Instance: "a", PerSecond: 2, Age: time.Second}})
+	sender.ApplyRateLimits(after(2100), after(2100), []instances.RateLimit{{Service: "app", Instance: "a", PerSecond: 2, Age: time.Second}})
 	if n := placedFrom(sender, 2200); n != 100 {
 		t.Errorf("%d of 100 requests were placed after older news of a limit", n)
 	}
@@ -133,8 +133,10 @@
 	answer(t, sender, 2000, 2010, 0)
 	heldUp := sender.RateLimits(after(2100))
 	answer(t, other, 3000, 3010, 2)
-	other.ApplyRateLimits(after(4500), heldUp)
-	if n := placedFrom(other, 4600); n > 2 {
-		t.Errorf("%d requests in a second were placed on an upstream that accepts 2", n)
+	for _, composedAfter := range []time.Time{{}, after(2100)} { // another node's call, and the answer to one of this node
+		other.ApplyRateLimits(after(4500), composedAfter, heldUp)
+		if n := placedFrom(other, 4600); n > 2 {
+			t.Errorf("%d requests in a second were placed on an upstream that accepts 2; the message was composed after %v", n, composedAfter)
+		}
 	}
 }
