Observe the end of upstreams that get no requests on a retained connection

Cause: nodes close idle connections after 1.5 s, so that the process of an upstream without requests ended unobserved by all nodes; its entry came 2 s later or more.

The connection that net/http closes as too old for requests now stays open, one to each upstream, until the upstream closes it, a newer one is opened, or a minute has passed. No request uses it. Its end is reported like that of other idle connections, and an idle timeout of the upstream explains it or is learned.

--- a/adapters/upstream/idle.go
+++ b/adapters/upstream/idle.go
@@ -32,6 +32,11 @@
 	closed  func(IdleClose)
 	// establishedAt is when the connection was established.
 	establishedAt time.Time
+	// retained may keep the connection open once it was idle for retainAfter.
+	retained    *retainedConns
+	retainAfter time.Duration
+	// reading is held while the connection is read.
+	reading sync.Mutex
 
 	mu sync.Mutex
 	// user is the latest request that got the connection; nil if none did.
@@ -42,16 +47,18 @@
 	timeout time.Duration
 }
 
-// watchIdle returns a dial function that calls closed for idle connections that the upstream closes.
-func watchIdle(dial dialFunc, closed func(IdleClose)) dialFunc {
+// watchIdle returns a dial function that calls closed for idle connections that the upstream closes. One of them to each
+// upstream is retained when net/http closes it after the given time.
+func watchIdle(dial dialFunc, closed func(IdleClose), retained *retainedConns, retainAfter time.Duration) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		// Idle until a request gets it: the one that it was dialed for may have got another connection.
+		retained.release(address)
 		now := time.Now()
-		return &watchedConn{Conn: c, address: address, closed: closed, establishedAt: now, idleSince: now}, nil
+		return &watchedConn{Conn: c, address: address, closed: closed, establishedAt: now, idleSince: now, retained: retained, retainAfter: retainAfter}, nil
 	}
 }
 
@@ -74,24 +81,37 @@
 
 // Read implements net.Conn. net/http reads from idle connections, too.
 func (c *watchedConn) Read(b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+	if closedByPeer(err) {
 		c.mu.Lock()
-		since, timeout, used := c.idleSince, c.timeout, c.user != nil
+		since := c.idleSince
 		c.idleSince = time.Time{}
 		c.mu.Unlock()
-		if since.IsZero() {
-			return n, err
+		if !since.IsZero() {
+			c.report(since)
 		}
-		end := IdleClose{Address: c.address, Timeout: timeout}
-		if used {
-			end.Idle = time.Since(since)
-		}
-		c.closed(end)
 	}
 	return n, err
 }
 
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// report reports that the upstream closed the connection, which was idle since a time.
+func (c *watchedConn) report(idleSince time.Time) {
+	c.mu.Lock()
+	end := IdleClose{Address: c.address, Timeout: c.timeout}
+	used := c.user != nil
+	c.mu.Unlock()
+	if used {
+		end.Idle = time.Since(idleSince)
+	}
+	c.closed(end)
+}
+
 // connUse is the use of a connection by a request.
 type connUse struct {
 	conn *watchedConn // nil if the connection is not watched
--- a/adapters/upstream/idle_test.go
+++ b/adapters/upstream/idle_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -140,3 +141,46 @@
 		}
 	}
 }
+
+func TestEndOfProcessThatGetsNoRequestsIsReported(t *testing.T) {
+	const idleTimeout = 50 * time.Millisecond
+	var open atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	closed := make(chan IdleClose, 8)
+	client := NewRouted(Options{IdleTimeout: idleTimeout, IdleClosed: func(c IdleClose) { closed <- c }}, plainDialect{})
+	defer client.Close()
+	for range 3 { // a new connection replaces the one that was too old to be used again
+		var use connUse
+		if err := post(httptrace.WithClientTrace(t.Context(), use.trace()), client, server, "/"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * idleTimeout)
+	}
+	if got := open.Load(); got != 1 {
+		t.Errorf("%d connections are open without requests, want 1", got)
+	}
+	select {
+	case c := <-closed:
+		t.Errorf("a connection that the node itself replaced counts as closed by the upstream after %v", c.Idle)
+	default:
+	}
+	server.CloseClientConnections()
+	select {
+	case c := <-closed:
+		if c.Idle < 4*idleTimeout {
+			t.Errorf("the connection was idle for %v, want at least %v", c.Idle, 4*idleTimeout)
+		}
+	case <-time.After(idleReportTimeout):
+		t.Error("the end of the upstream's connections was not reported")
+	}
+}
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -40,14 +40,15 @@
 	unpooled *http.Transport
 	liveness *livenessChecker
 	dial     dialFunc
+	retained *retainedConns
 }
 
 // NewRouted returns a client of instances.
 func NewRouted(o Options, d Dialect) *Routed {
 	o = o.withDefaults()
 	o.Dial = reportDials(o.Dial, o.Dialed)
-	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o), dial: o.Dial}
-	r.pooled.DialContext, r.unpooled.DialContext = watchIdle(refuseOutdated(o.Dial), o.IdleClosed), refuseOutdated(o.Dial)
+	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o), dial: o.Dial, retained: newRetainedConns()}
+	r.pooled.DialContext, r.unpooled.DialContext = watchIdle(refuseOutdated(o.Dial), o.IdleClosed, r.retained, o.IdleTimeout), refuseOutdated(o.Dial)
 	return r
 }
 
@@ -98,7 +99,10 @@
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Close closes idle connections.
-func (r *Routed) Close() { r.pooled.CloseIdleConnections() }
+func (r *Routed) Close() {
+	r.retained.close()
+	r.pooled.CloseIdleConnections()
+}
 
 // Send implements relay.Upstreams. At-most-once requests use a new connection: if
 // the upstream closed a reused one at the same time, it would be unknown whether
