--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -112,12 +112,9 @@
 	n.members.ApplyHeartbeats(now, msg.Heartbeats)
 	n.parts.Merge(now, msg.Parts)
 	n.quotas.mergeAuthority(msg.QuotaAuthority)
-	switch {
-	case msg.Sender.Place.Region != n.settings.Place.Region && msg.Sender.State == domain.NodeForwarding:
-		// It does not know the present load of its region.
-	case msg.Sender.Place.Region != n.settings.Place.Region:
-		n.regions.SetLoads(now, msg.Sender.Place.Region, msg.Loads, roundTrip)
-	default:
+	if msg.Sender.Place.Region != n.settings.Place.Region {
+		n.regions.SetLoads(now, msg.Sender.Place.Region, msg.Loads, msg.Sender.Unreached, roundTrip)
+	} else {
 		n.exchanged.Store(true)
 		n.regions.MergeViews(now, msg.Views)
 		n.catalog.ApplyRateLimits(now, composedAfter, msg.RateLimits)
@@ -212,7 +209,7 @@
 		if !n.isReader() {
 			return nil
 		}
-		return n.members.Informed(time.Now(), n.settings.Place.Region)
+		return n.members.Targets(time.Now(), n.settings.Place.Region)
 	})
 }
 
--- a/adapters/edgenode/health.go
+++ b/adapters/edgenode/health.go
@@ -34,14 +34,11 @@
 	}
 }
 
-// checksHealth reports whether this node checks an upstream: one node of the region does, as far as
-// they hear of each other.
-func (n *Node) checksHealth(id domain.UpstreamID) bool {
-	if n.catalog.PathsLost() {
-		return false
-	}
+// checksHealth reports whether this node checks an upstream of a service: one node of the region that reaches upstreams of the
+// service does, as far as they hear of each other.
+func (n *Node) checksHealth(service string, id domain.UpstreamID) bool {
 	own := placement.RendezvousWeight(placement.RendezvousWeight(0, domain.UpstreamID(n.settings.Node)), id)
-	return !slices.ContainsFunc(n.members.Targets(time.Now(), n.settings.Place.Region), func(m peers.Member) bool {
+	return !slices.ContainsFunc(n.members.TargetsFor(time.Now(), n.settings.Place.Region, service), func(m peers.Member) bool {
 		return placement.RendezvousWeight(placement.RendezvousWeight(0, domain.UpstreamID(m.ID)), id) > own
 	})
 }
@@ -66,6 +63,6 @@
 // propagateStatements propagates what upstreams say of themselves to the nodes of the region.
 func (n *Node) propagateStatements(ctx context.Context) {
 	n.propagate(ctx, n.statementsChanged, func() []peers.Member {
-		return n.members.Informed(time.Now(), n.settings.Place.Region)
+		return n.members.Targets(time.Now(), n.settings.Place.Region)
 	})
 }
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -61,7 +61,7 @@
 	partsChanged chan struct{}
 	// statementsChanged receives a token when an upstream says something new of itself.
 	statementsChanged chan struct{}
-	// pathsSuspected receives a token when this node may have lost its paths to all upstreams.
+	// pathsSuspected receives a token when this node may have lost its paths to all upstreams of a service.
 	pathsSuspected chan struct{}
 	// places gets places of brokered services, brokers grants them; brokersActive receives a token
 	// when a broker has work.
--- a/adapters/edgenode/notices.go
+++ b/adapters/edgenode/notices.go
@@ -87,7 +87,7 @@
 // random node of each other failure domain of the region.
 func (n *Node) regionTargets() (own, other []peers.Member) {
 	byDomain := make(map[domain.FailureDomain][]peers.Member)
-	for _, m := range n.members.Informed(time.Now(), n.settings.Place.Region) {
+	for _, m := range n.members.Targets(time.Now(), n.settings.Place.Region) {
 		if m.Place == n.settings.Place {
 			own = append(own, m)
 		} else {
--- a/adapters/edgenode/paths.go
+++ b/adapters/edgenode/paths.go
@@ -3,21 +3,24 @@
 import (
 	"context"
 	"time"
+
+	"github.com/crocusspread/crocusspread/core/instances"
 )
 
 const (
-	// pathProbes is the number of upstreams that a node tries to connect to before it concludes that it reaches none.
+	// pathProbes is the number of upstreams of a service that a node tries to connect to before it concludes that it reaches
+	// none.
 	pathProbes = 3
 	// pathProbeInterval is the time between two such attempts while it reaches none.
 	pathProbeInterval = 400 * time.Millisecond
 )
 
-// watchPaths finds out whether this node reaches any upstream of its region, whenever it failed to connect to several in
-// succession, and until it does again. It tells the other nodes when that changes: they send no requests to one that
-// reaches none, and name it to callers only if there is no other.
+// watchPaths finds out whether this node reaches any upstream of a service in its region, whenever it failed to connect to
+// several in succession, and until it does again. It tells the other nodes when that changes: they send it no requests for the
+// service.
 func (n *Node) watchPaths(ctx context.Context) {
 	for ctx.Err() == nil {
-		if n.catalog.PathsLost() {
+		if len(n.catalog.Unreached()) > 0 {
 			sleep(ctx, jitter(pathProbeInterval))
 		} else {
 			select {
@@ -26,28 +29,28 @@
 			case <-n.pathsSuspected:
 			}
 		}
-		if !n.catalog.PathsLost() && !n.catalog.PathsSuspected() {
-			continue
+		changed := false
+		for _, p := range n.catalog.PathProbes(pathProbes) {
+			reached := n.reachesUpstream(ctx, p)
+			changed = ctx.Err() == nil && n.catalog.SetPathsLost(time.Now(), p.Service, !reached) || changed
 		}
-		reached := n.reachesUpstream(ctx)
-		if ctx.Err() == nil && n.catalog.SetPathsLost(time.Now(), !reached) {
+		if changed {
 			n.metrics.Count("upstream.paths_changed", 1)
-			n.members.SetForwarding(!reached)
+			n.members.SetUnreached(n.catalog.Unreached())
 			n.exchangeWithAll(ctx)
 		}
 	}
 }
 
 // reachesUpstream reports whether a connection to any of several upstreams can be opened.
-func (n *Node) reachesUpstream(ctx context.Context) bool {
+func (n *Node) reachesUpstream(ctx context.Context, p instances.PathProbe) bool {
 	ctx, cancel := context.WithTimeout(ctx, upstreamDialTimeout)
 	defer cancel()
-	addresses := n.catalog.PathProbes(time.Now(), pathProbes)
-	outcomes := make(chan error, len(addresses))
-	for _, address := range addresses {
+	outcomes := make(chan error, len(p.Addresses))
+	for _, address := range p.Addresses {
 		go func() { outcomes <- n.upstreams.Connect(ctx, address) }()
 	}
-	for range addresses {
+	for range p.Addresses {
 		if err := <-outcomes; err == nil {
 			return true
 		}
--- a/adapters/edgenode/quota_authority.go
+++ b/adapters/edgenode/quota_authority.go
@@ -111,7 +111,7 @@
 		}
 		return
 	}
-	if !e.reclaimed && q.node.members.State().AcceptsCallers() {
+	if !e.reclaimed && q.node.members.State() == domain.NodeServing {
 		e.reclaimed = true
 		q.attempt(ctx, true)
 		return
@@ -137,11 +137,11 @@
 // candidateRank returns this node's rank among the nodes of the largest capacity, -1 if it is not
 // a candidate.
 func (q *quotas) candidateRank() int {
-	if !q.node.members.State().AcceptsCallers() || time.Since(q.node.startedAt) < candidateDelay {
+	if q.node.members.State() != domain.NodeServing || time.Since(q.node.startedAt) < candidateDelay {
 		return -1
 	}
 	s := q.node.settings
-	list := slices.DeleteFunc(q.node.members.Alive(time.Now()), func(m peers.Member) bool { return !m.State.AcceptsCallers() })
+	list := slices.DeleteFunc(q.node.members.Alive(time.Now()), func(m peers.Member) bool { return m.State != domain.NodeServing })
 	list = rankMembers(authorityHashKey, largest(append(list, peers.Member{ID: s.Node, Capacity: s.CPUCores})))
 	return slices.IndexFunc(list, func(m peers.Member) bool { return m.ID == s.Node })
 }
@@ -316,7 +316,7 @@
 func (q *quotas) announce() {
 	n := q.node
 	for _, region := range n.settings.regions() {
-		ranked := rankMembers(holderHashKey, largest(n.members.Informed(time.Now(), region)))
+		ranked := rankMembers(holderHashKey, largest(n.members.Targets(time.Now(), region)))
 		for _, m := range ranked[:min(announcedPerRegion, len(ranked))] {
 			go n.exchange(context.Background(), m)
 		}
--- a/adapters/edgenode/quota_draws.go
+++ b/adapters/edgenode/quota_draws.go
@@ -101,10 +101,10 @@
 	return best
 }
 
-// holders returns the nodes of the region that accept requests of callers.
+// holders returns the serving nodes of the region.
 func (q *quotas) holders() []peers.Member {
-	list := q.node.members.Informed(time.Now(), q.node.settings.Place.Region)
-	if q.node.members.State().AcceptsCallers() {
+	list := q.node.members.Targets(time.Now(), q.node.settings.Place.Region)
+	if q.node.members.State() == domain.NodeServing {
 		s := q.node.settings
 		list = append(list, peers.Member{ID: s.Node, Place: s.Place, PeerAddress: s.PeerAddress, Capacity: s.CPUCores})
 	}
--- a/adapters/edgenode/streams.go
+++ b/adapters/edgenode/streams.go
@@ -69,7 +69,7 @@
 	if own.OnlySoftware != "" {
 		timeout = confirmOnlyTimeout
 	}
-	near := s.ask(ctx, timeout, holders(s.node.members.Informed(now, s.node.settings.Place.Region), request, streamHolders), service, request)
+	near := s.ask(ctx, timeout, holders(s.node.members.Targets(now, s.node.settings.Place.Region), request, streamHolders), service, request)
 	if near.Software != "" {
 		return near
 	}
@@ -78,7 +78,7 @@
 	}
 	var remote []peers.Member
 	for _, region := range s.node.otherRegions() {
-		remote = append(remote, holders(s.node.members.Informed(now, region), request, remoteStreamHolders)...)
+		remote = append(remote, holders(s.node.members.Targets(now, region), request, remoteStreamHolders)...)
 	}
 	far := s.ask(ctx, findRemoteStreamTimeout, remote, service, request)
 	return mesh.StreamKnowledge{Software: far.Software, OnlySoftware: s.onlySoftware(service, far.OnlySoftware)}
@@ -145,10 +145,10 @@
 	if len(list) == 0 {
 		return parts
 	}
-	near := s.node.members.Informed(now, s.node.settings.Place.Region)
+	near := s.node.members.Targets(now, s.node.settings.Place.Region)
 	var remote [][]peers.Member
 	for _, region := range s.node.otherRegions() {
-		remote = append(remote, s.node.members.Informed(now, region))
+		remote = append(remote, s.node.members.Targets(now, region))
 	}
 	for _, o := range list {
 		for _, m := range holders(near, o.Request, streamHolders) {
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -54,7 +54,7 @@
 		Id: string(m.ID), Region: string(m.Place.Region), FailureDomain: string(m.Place.FailureDomain),
 		EntryAddress: m.EntryAddress, PeerAddress: m.PeerAddress,
 		Incarnation: uint64(m.Incarnation), Beat: m.HeartbeatCounter, State: string(m.State),
-		CapacityMilli: uint32(m.Capacity * milli),
+		CapacityMilli: uint32(m.Capacity * milli), Unreached: m.Unreached,
 	}
 }
 
@@ -64,7 +64,7 @@
 		Place:        domain.Place{Region: domain.Region(m.GetRegion()), FailureDomain: domain.FailureDomain(m.GetFailureDomain())},
 		EntryAddress: m.GetEntryAddress(), PeerAddress: m.GetPeerAddress(),
 		Incarnation: domain.Incarnation(m.GetIncarnation()), HeartbeatCounter: m.GetBeat(), State: domain.NodeState(m.GetState()),
-		Capacity: float64(m.GetCapacityMilli()) / milli,
+		Capacity: float64(m.GetCapacityMilli()) / milli, Unreached: m.GetUnreached(),
 	}
 }
 
--- a/core/domain/domain.go
+++ b/core/domain/domain.go
@@ -83,18 +83,12 @@
 	NodeStarting NodeState = "starting"
 	// NodeServing means that the node accepts requests.
 	NodeServing NodeState = "serving"
-	// NodeForwarding means that the node accepts requests of callers and reaches no upstream: it sends the requests to other
-	// nodes, which must send it none.
-	NodeForwarding NodeState = "forwarding"
 	// NodeDraining means that the node completes its requests and accepts no new ones.
 	NodeDraining NodeState = "draining"
 	// NodeStopped means that the node has left the fleet.
 	NodeStopped NodeState = "stopped"
 )
 
-// AcceptsCallers reports whether a node in the state accepts the requests of callers.
-func (s NodeState) AcceptsCallers() bool { return s == NodeServing || s == NodeForwarding }
-
 // NodeRef identifies a node and contains the addresses and state known to others.
 type NodeRef struct {
 	ID          NodeID
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -67,8 +67,8 @@
 	InstanceLeaving   = Event{410, "instance_leaving", "An upstream said in an answer that it leaves; it gets no more requests from this node until it has started again, whatever its entry says."}
 	InstanceSilenced  = Event{411, "instance_silenced", "An upstream answered 503 and asked for no requests for the stated time; it gets none from this node."}
 	InstanceNotCold   = Event{412, "instance_not_cold", "The node ceased to suppose that an upstream has started again and is cold; the field from names the evidence."}
-	PathsLost         = Event{413, "paths_lost", "The node reaches no upstream of its region; the fields contain how many it failed to connect to, and since when. It forwards its callers' requests to other nodes."}
-	PathsRestored     = Event{414, "paths_restored", "The node reaches upstreams again."}
+	PathsLost         = Event{413, "paths_lost", "The node reaches no upstream of a service in its region; the fields contain how many it failed to connect to, and since when. It forwards its callers' requests for the service to other nodes."}
+	PathsRestored     = Event{414, "paths_restored", "The node reaches upstreams of a service again; the fields contain after which time."}
 	MemberChanged     = Event{501, "member_changed", "This node observed a state change of another node of the fleet."}
 	DirectoryEmpty    = Event{503, "directory_empty", "A caller requested the list of entry nodes and no live node was known, or the response could not be written."}
 	DomainChanged     = Event{502, "failure_domain_changed", "A failure domain became reachable or unreachable from this node."}
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -14,7 +14,6 @@
 // Catalog holds the instances of all services.
 type Catalog struct {
 	options Options
-	paths   paths
 
 	mu    sync.RWMutex
 	pools map[string]*Pool
@@ -73,7 +72,7 @@
 func (c *Catalog) pool(service string) *Pool {
 	p := c.pools[service]
 	if p == nil {
-		p = newPool(service, &c.options, &c.paths)
+		p = newPool(service, &c.options)
 		p.configure(c.services[service], c.maxEventGaps[service], c.accounts)
 		c.pools[service] = p
 	}
--- a/core/instances/cold_region_test.go
+++ b/core/instances/cold_region_test.go
@@ -55,7 +55,7 @@
 // health lets a node make the health request that is due.
 func (r coldRegion) health(t *testing.T, now time.Time, node int, coldFor time.Duration) {
 	t.Helper()
-	due := r[node].DueHealthChecks(now, false, func(domain.UpstreamID) bool { return true })
+	due := r[node].DueHealthChecks(now, false, func(string, domain.UpstreamID) bool { return true })
 	if len(due) != 1 {
 		t.Fatalf("%d health requests are due %v after the start, want 1", len(due), now.Sub(start))
 	}
@@ -164,7 +164,7 @@
 			r.propagate(now, found)
 		}
 		for i, c := range r {
-			for _, check := range c.DueHealthChecks(now, false, func(domain.UpstreamID) bool { return false }) {
+			for _, check := range c.DueHealthChecks(now, false, func(string, domain.UpstreamID) bool { return false }) {
 				asked++
 				found = i
 				c.RecordHealth(now, now, check, 3*time.Second)
@@ -246,20 +246,30 @@
 }
 
 func TestRefusalsOfNodeThatReachesNoUpstreamAreNotTold(t *testing.T) {
-	r := newColdRegion(t, 2)
-	for _, address := range []string{"x:1", "x:2"} {
+	r := coldRegion{newPathCatalog(t, instances.Options{}, 3), newPathCatalog(t, instances.Options{}, 3)}
+	for _, address := range []string{"u0:1", "u1:1"} {
 		r[0].RecordDial(address, start, false)
 	}
 	r.refuse(after(10), 0)
 	r.propagate(after(20), 0)
-	if got := countPlaced(r[1], after(30), 3); got != 3 {
-		t.Errorf("%d of 3 requests were placed while the refusing path may be the other node's, want all", got)
+	if got := countCold(r[1], after(30)); got > 0 {
+		t.Errorf("%d upstreams count as cold while the refusing path may be the other node's, want none", got)
 	}
-	r[0].RecordDial("x:3", after(1100), true) // it was not the path
+	r[0].RecordDial("u2:1", after(1100), true) // it was not the path
 	r.propagate(after(1110), 0)
-	if got := countPlaced(r[1], after(1120), 3); got > 1 {
-		t.Errorf("%d requests were placed at once by a node that heard of a refused connection, want at most 1", got)
+	if got := countCold(r[1], after(1120)); got != 1 {
+		t.Errorf("%d upstreams count as cold at a node that heard of a refused connection, want 1", got)
+	}
+}
+
+func countCold(c *instances.Catalog, now time.Time) int {
+	n := 0
+	for _, s := range c.Statuses(now) {
+		if s.Availability == instances.Cold {
+			n++
+		}
 	}
+	return n
 }
 
 func TestContinuedRefusalsOfOneNodeDoNotDelayHealthRequest(t *testing.T) {
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -151,7 +151,7 @@
 }
 
 func TestHealthIsCheckedOncePerIntervalUnlessTheUpstreamIsKnownToBeCold(t *testing.T) {
-	all := func(domain.UpstreamID) bool { return true }
+	all := func(string, domain.UpstreamID) bool { return true }
 	table, err := routes.New(2, nil, []routes.Service{{Name: "app", HealthPath: "/healthz", ColdStart: 3 * time.Second, MaxColdRate: 2}}, routes.Limits{})
 	if err != nil {
 		t.Fatal(err)
@@ -164,10 +164,10 @@
 	c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: "c", ColdFor: 2 * time.Second}})
 	for _, tc := range []struct {
 		at     time.Duration
-		checks func(domain.UpstreamID) bool
+		checks func(string, domain.UpstreamID) bool
 		want   []domain.UpstreamID
 	}{
-		{0, func(id domain.UpstreamID) bool { return id != "d" }, []domain.UpstreamID{"a"}},
+		{0, func(_ string, id domain.UpstreamID) bool { return id != "d" }, []domain.UpstreamID{"a"}},
 		{500 * time.Millisecond, all, []domain.UpstreamID{"d"}},
 		{1100 * time.Millisecond, all, []domain.UpstreamID{"a"}},
 		{2200 * time.Millisecond, all, []domain.UpstreamID{"a", "c", "d"}},
--- a/core/instances/health.go
+++ b/core/instances/health.go
@@ -24,19 +24,16 @@
 // DueHealthChecks returns the upstreams whose health tells whether they have become cold: those that may have started
 // again and, if entriesOutdated is set because the entries are not up to date, all others. checks reports whether this node is
 // the one of its region that checks an upstream. Those known to be cold need no check.
-func (c *Catalog) DueHealthChecks(now time.Time, entriesOutdated bool, checks func(domain.UpstreamID) bool) []HealthCheck {
-	if c.PathsLost() {
-		return nil
-	}
+func (c *Catalog) DueHealthChecks(now time.Time, entriesOutdated bool, checks func(service string, id domain.UpstreamID) bool) []HealthCheck {
 	var due []HealthCheck
 	c.ForEach(func(p *Pool) { due = append(due, p.dueHealthChecks(now, entriesOutdated, checks)...) })
 	return due
 }
 
-func (p *Pool) dueHealthChecks(now time.Time, entriesOutdated bool, checks func(domain.UpstreamID) bool) []HealthCheck {
+func (p *Pool) dueHealthChecks(now time.Time, entriesOutdated bool, checks func(string, domain.UpstreamID) bool) []HealthCheck {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.hasColdPhase() || p.config.HealthPath == "" {
+	if !p.hasColdPhase() || p.config.HealthPath == "" || p.paths.lost() {
 		return nil
 	}
 	var due []HealthCheck
@@ -58,10 +55,10 @@
 
 // mayCheckHealth reports whether this node may check the upstream's health. A node that alone knows of a presumed restart may.
 // The one that checks for the region waits until its finding, told to others, is later than the losses that they know of.
-func (p *Pool) mayCheckHealth(now time.Time, u *upstream, checks func(domain.UpstreamID) bool) bool {
+func (p *Pool) mayCheckHealth(now time.Time, u *upstream, checks func(string, domain.UpstreamID) bool) bool {
 	r := &u.coldness.restart
 	wait := 2*lossRefutedAfter + time.Duration(p.options.ColdPhase(u.ID)*float64(confirmSpread))
-	return r.unconfirmed(now, wait) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(u.ID)
+	return r.unconfirmed(now, wait) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(p.service, u.ID)
 }
 
 // needsHealthCheck reports whether the upstream's health tells more than is known.
--- a/core/instances/idleclose_test.go
+++ b/core/instances/idleclose_test.go
@@ -41,7 +41,7 @@
 // recordHealth records a health response that is due at now.
 func recordHealth(t *testing.T, c *instances.Catalog, now time.Time, coldFor time.Duration) {
 	t.Helper()
-	due := c.DueHealthChecks(now, false, func(domain.UpstreamID) bool { return false })
+	due := c.DueHealthChecks(now, false, func(string, domain.UpstreamID) bool { return false })
 	if len(due) != 1 {
 		t.Fatalf("%d health requests are due %v after the start, want 1", len(due), now.Sub(start))
 	}
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -35,8 +35,8 @@
 	// StatementsChanged is called when the other nodes of the region should know a statement at once; it must
 	// not block.
 	StatementsChanged func()
-	// PathsSuspected is called when this node may have lost its paths to all upstreams, at each further sign of it; it
-	// must not block.
+	// PathsSuspected is called when this node may have lost its paths to all upstreams of a service, at each further sign
+	// of it; it must not block.
 	PathsSuspected func()
 	// PrefillRate is the prefill rate of engines, in prompt tokens per millisecond, that is
 	// assumed until answers have been measured.
--- a/core/instances/paths.go
+++ b/core/instances/paths.go
@@ -2,55 +2,58 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/event"
 )
 
-// minFailedPaths is the number of upstreams that this node fails to connect to, without connecting to any other meanwhile,
-// from which its paths are suspected.
-const minFailedPaths = 2
-
-// paths is what a node knows of its paths to all upstreams of its region together. A connection that cannot be opened tells
-// nothing by itself: the fault may be the upstream's, or that of the path.
+// paths is what a node knows of its paths to all upstreams of a service in its region together. A connection that cannot be
+// opened tells nothing by itself: the fault may be the upstream's, or that of the path.
 type paths struct {
 	mu sync.Mutex
-	// failed are the addresses to which no connection could be opened since failedSince; none of another address was
-	// opened since.
+	// failed are the addresses to which no connection could be opened since failedSince; none was opened to another one
+	// since.
 	failed      map[string]struct{}
 	failedSince time.Time
 	// lostSince is since when the node reaches no upstream; zero if it reaches some.
 	lostSince time.Time
 }
 
-// recordDial records the outcome of a connection attempt that began at startedAt. It reports whether that ended or raised the
-// suspicion that the paths are lost.
-func (p *paths) recordDial(address string, startedAt time.Time, opened bool) (trustedAgain, suspected bool) {
+// recordDial records the outcome of a connection attempt that began at startedAt. It reports whether paths that were not
+// trusted are again.
+func (p *paths) recordDial(address string, startedAt time.Time, opened bool) (trustedAgain bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if opened {
 		if startedAt.Before(p.failedSince) && p.lostSince.IsZero() {
-			return false, false // it tells nothing of the time since
+			return false // it tells nothing of the time since
 		}
-		trustedAgain = p.suspected()
+		trustedAgain = len(p.failed) > 0
 		p.failed, p.failedSince = nil, time.Time{}
-		return trustedAgain, false
+		return trustedAgain
 	}
 	if p.failed == nil {
 		p.failed, p.failedSince = make(map[string]struct{}), startedAt
 	}
 	p.failed[address] = struct{}{}
-	return false, p.suspected()
+	return false
 }
 
-func (p *paths) suspected() bool { return len(p.failed) >= minFailedPaths }
+// suspected reports whether the paths may be lost.
+func (p *paths) suspected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostSince.IsZero() && len(p.failed) > 0
+}
 
-// trusts reports whether a connection that was refused at a time was refused by the upstream's machine, as far as is known.
-func (p *paths) trusts(refusedAt time.Time) bool {
+// hasFailed reports whether no connection to an address could be opened since others were.
+func (p *paths) hasFailed(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lostSince.IsZero() && (!p.suspected() || refusedAt.Before(p.failedSince))
+	_, failed := p.failed[address]
+	return failed
 }
 
 // lost reports whether the node reaches no upstream.
@@ -60,79 +63,142 @@
 	return !p.lostSince.IsZero()
 }
 
-// RecordDial records the outcome of an attempt to open a connection to an upstream that began at startedAt.
-func (c *Catalog) RecordDial(address string, startedAt time.Time, opened bool) {
-	trustedAgain, suspected := c.paths.recordDial(address, startedAt, opened)
-	if trustedAgain {
-		c.options.StatementsChanged()
+// trusts reports whether a connection that was refused at a time was refused by the upstream's machine, as connections to
+// others were opened since. It cannot tell that of the only upstream, whose refusals count until the paths are known to be lost.
+func (p *paths) trusts(refusedAt time.Time, only bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lostSince.IsZero() && (only || len(p.failed) == 0 || refusedAt.Before(p.failedSince))
+}
+
+// set records whether the node reaches any upstream. It returns for how long the paths had failed or been lost; changed is false
+// if that was known.
+func (p *paths) set(now time.Time, lost bool) (failed int, before time.Duration, changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lost == !p.lostSince.IsZero() {
+		return 0, 0, false
 	}
-	if suspected {
-		c.options.PathsSuspected()
+	failed, before = len(p.failed), now.Sub(p.failedSince)
+	if lost {
+		p.lostSince = now
+		return failed, before, true
 	}
+	before = now.Sub(p.lostSince)
+	p.lostSince, p.failed, p.failedSince = time.Time{}, nil, time.Time{}
+	return 0, before, true
 }
 
-// PathsSuspected reports whether this node may have lost its paths to all upstreams.
-func (c *Catalog) PathsSuspected() bool {
-	c.paths.mu.Lock()
-	defer c.paths.mu.Unlock()
-	return c.paths.suspected() && c.paths.lostSince.IsZero()
+// RecordDial records the outcome of an attempt to open a connection to an upstream that began at startedAt.
+func (c *Catalog) RecordDial(address string, startedAt time.Time, opened bool) {
+	c.ForEach(func(p *Pool) {
+		if !p.hasAddress(address) {
+			return
+		}
+		if p.paths.recordDial(address, startedAt, opened) {
+			c.options.StatementsChanged()
+		}
+		if p.paths.suspected() {
+			c.options.PathsSuspected()
+		}
+	})
 }
 
-// PathsLost reports whether this node reaches no upstream.
-func (c *Catalog) PathsLost() bool { return c.paths.lost() }
-
-// SetPathsLost records whether this node reaches any upstream, after attempts to connect to several. It reports whether that
-// has changed.
-func (c *Catalog) SetPathsLost(now time.Time, lost bool) (changed bool) {
-	if lost && !c.PathsLost() {
-		c.ForEach(func(p *Pool) {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			for _, u := range p.upstreams {
-				u.coldness.restart.attributeToPath()
-			}
-		})
-	}
-	c.paths.mu.Lock()
-	defer c.paths.mu.Unlock()
-	since := c.paths.lostSince
-	if lost == !since.IsZero() {
-		return false
-	}
-	if lost {
-		c.paths.lostSince = now
-		c.options.Log.Log(event.PathsLost, event.F("failed", len(c.paths.failed)), event.F("for_ms", now.Sub(c.paths.failedSince).Milliseconds()))
-		return true
+// hasAddress reports whether an upstream of the service in this region has an address.
+func (p *Pool) hasAddress(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.upstreams, func(u *upstream) bool {
+		return u.Address == address && u.Place.Region == p.options.Self.Region
+	})
+}
+
+// countLocal returns the number of the service's upstreams in this region.
+func (p *Pool) countLocal() int {
+	n := 0
+	for _, u := range p.upstreams {
+		if u.Place.Region == p.options.Self.Region {
+			n++
+		}
 	}
-	c.paths.lostSince, c.paths.failed, c.paths.failedSince = time.Time{}, nil, time.Time{}
-	c.options.Log.Log(event.PathsRestored, event.F("after_ms", now.Sub(since).Milliseconds()))
-	return true
+	return n
 }
 
-// PathProbes returns the addresses of at most n random upstreams of the region that show whether this node reaches any,
-// first those that it has not failed to reach.
-func (c *Catalog) PathProbes(now time.Time, n int) []string {
-	var list []string
+// PathsLost reports whether this node reaches no upstream of the service in its region.
+func (p *Pool) PathsLost() bool { return p.paths.lost() }
+
+// PathProbe is a service of whose upstreams this node may reach none.
+type PathProbe struct {
+	Service string
+	// Addresses are those of some of its upstreams in the region, first such that this node has not failed to reach.
+	Addresses []string
+}
+
+// PathProbes returns the services of whose upstreams this node may reach none, or reaches none, each with at most n addresses.
+func (c *Catalog) PathProbes(n int) []PathProbe {
+	var list []PathProbe
 	c.ForEach(func(p *Pool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		for _, u := range p.upstreams {
-			if a, _ := p.exclusion(now, u); a != Elsewhere {
-				list = append(list, u.Address)
+		if !p.paths.lost() && !p.paths.suspected() {
+			return
+		}
+		var addresses, failed []string
+		for _, i := range rand.Perm(len(p.upstreams)) {
+			switch u := p.upstreams[i]; {
+			case u.Place.Region != p.options.Self.Region:
+			case p.paths.hasFailed(u.Address):
+				failed = append(failed, u.Address)
+			default:
+				addresses = append(addresses, u.Address)
 			}
 		}
+		addresses = append(addresses, failed...)
+		list = append(list, PathProbe{p.service, addresses[:min(n, len(addresses))]})
 	})
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	c.paths.mu.Lock()
-	defer c.paths.mu.Unlock()
-	var untried, failed []string
-	for _, address := range list {
-		if _, found := c.paths.failed[address]; found {
-			failed = append(failed, address)
-		} else {
-			untried = append(untried, address)
+	return list
+}
+
+// SetPathsLost records whether this node reaches any upstream of a service in its region, after attempts to connect to several.
+// It reports whether that has changed.
+func (c *Catalog) SetPathsLost(now time.Time, service string, lost bool) (changed bool) {
+	p := c.Pool(service)
+	if lost && !p.PathsLost() {
+		p.presumeRestarts(now)
+	}
+	failed, before, changed := p.paths.set(now, lost)
+	switch {
+	case changed && lost:
+		c.options.Log.Log(event.PathsLost, event.F("service", service), event.F("failed", failed), event.F("for_ms", before.Milliseconds()))
+	case changed:
+		c.options.Log.Log(event.PathsRestored, event.F("service", service), event.F("after_ms", before.Milliseconds()))
+	}
+	return changed
+}
+
+// presumeRestarts records that from now on nothing shows this node whether an upstream of its region starts again.
+func (p *Pool) presumeRestarts(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.hasColdPhase() {
+		return
+	}
+	for _, u := range p.upstreams {
+		if u.Place.Region == p.options.Self.Region {
+			p.recordLoss(now, u, LossClosed)
+			u.coldness.restart.pathLost = true
 		}
 	}
-	list = append(untried, failed...)
-	return list[:min(n, len(list))]
+}
+
+// Unreached returns the services of whose upstreams in its region this node reaches none, sorted.
+func (c *Catalog) Unreached() []string {
+	var list []string
+	c.ForEach(func(p *Pool) {
+		if p.PathsLost() {
+			list = append(list, p.service)
+		}
+	})
+	slices.Sort(list)
+	return list
 }
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -27,7 +27,7 @@
 type Pool struct {
 	service string
 	options *Options
-	paths   *paths
+	paths   paths
 
 	mu           sync.Mutex
 	config       routes.Service
@@ -60,8 +60,8 @@
 	tickedAt time.Time
 }
 
-func newPool(service string, o *Options, paths *paths) *Pool {
-	return &Pool{service: service, options: o, paths: paths, prompts: make(prompts), holders: make(holders), removed: make(map[domain.UpstreamID]removedUpstream), software: make(softwareHistory), meanSlotTime: defaultSlotTime, latencyRatio: 1,
+func newPool(service string, o *Options) *Pool {
+	return &Pool{service: service, options: o, prompts: make(prompts), holders: make(holders), removed: make(map[domain.UpstreamID]removedUpstream), software: make(softwareHistory), meanSlotTime: defaultSlotTime, latencyRatio: 1,
 		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}, idleTTFB: idleTTFB{value: defaultIdleTTFB}, sizes: requestSizes{tokenTime: decodeStep}}
 }
 
--- a/core/instances/restart.go
+++ b/core/instances/restart.go
@@ -68,6 +68,8 @@
 	// pathRefused is set if connections of this node were refused while others found the process running, until this node
 	// gets an answer.
 	pathRefused bool
+	// pathLost is set if this node has lost its path to the upstream since, so that the losses may be those of the path.
+	pathLost bool
 	// coldUntil is when the cold phase of a presumed new process ends; zero until the upstream has answered a
 	// request that was sent after the latest loss.
 	coldUntil time.Time
@@ -91,6 +93,9 @@
 	if loss != LossRefused || r.pathRefused {
 		return false
 	}
+	if r.pathLost { // the path is back, and those before may have been its own
+		r.pathLost, r.refused = false, period{}
+	}
 	news = r.refused.isZero()
 	if news || now.Sub(r.refused.until) >= refusalInterval {
 		r.addRefused(period{now, now})
@@ -133,10 +138,10 @@
 	r.refused.until = maxTime(r.refused.until, p.until)
 }
 
-// unconfirmed reports whether this node alone knows of the losses, and for longer than a time, within which an answer on an
+// unconfirmed reports whether this node alone knows of the losses, as far as its path lets it know, and for longer than a time, within which an answer on an
 // older connection would have refuted them if there were one.
 func (r *restart) unconfirmed(now time.Time, wait time.Duration) bool {
-	return r.presumed() && !r.told && r.refused.isZero() && now.Sub(r.lost.from) > wait
+	return r.presumed() && !r.told && (r.refused.isZero() || r.pathLost) && now.Sub(r.lost.from) > wait
 }
 
 // recordAnswer records that bytes of an answer arrived on a connection that was established at connectedAt. One
@@ -179,14 +184,6 @@
 	return true
 }
 
-// attributeToPath takes the losses that only this node knows of for those of its own path: its refused connections then tell
-// nothing of the upstream's process.
-func (r *restart) attributeToPath() {
-	if !r.told {
-		r.refused = period{}
-	}
-}
-
 // extendSame adds a period in which one connection stayed open.
 func (r *restart) extendSame(open period) {
 	if !open.from.Before(r.same.until.Add(-lossRefutedAfter)) {
@@ -221,13 +218,13 @@
 
 func (r *restart) settle() {
 	r.settledUntil = maxTime(r.settledUntil, r.lost.until.Add(repeatTolerance))
-	r.lost, r.refused, r.told, r.coldUntil = period{}, period{}, false, time.Time{}
+	r.lost, r.refused, r.told, r.pathLost, r.coldUntil = period{}, period{}, false, false, time.Time{}
 }
 
 // toldLoss returns the refused connections that other nodes should know; nil if there are none. Those that may be due to this
-// node's path to the upstream are not told.
-func (r *restart) toldLoss(now time.Time, paths *paths) *Ages {
-	if !r.presumed() || r.refused.isZero() || now.Sub(r.refused.until) > evidenceRetention || !r.told && !paths.trusts(r.refused.until) {
+// node's path to the upstream are not told. only is set if the service has no other upstream in the region.
+func (r *restart) toldLoss(now time.Time, paths *paths, only bool) *Ages {
+	if !r.presumed() || r.refused.isZero() || now.Sub(r.refused.until) > evidenceRetention || !r.told && (r.pathLost || !paths.trusts(r.refused.until, only)) {
 		return nil
 	}
 	return r.refused.ages(now)
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -64,9 +64,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []Statement
+	only := p.countLocal() == 1
 	for _, u := range p.upstreams {
 		s := Statement{Service: p.service, Instance: u.ID, Started: u.Started, Leaving: u.leavingStated,
-			ColdFor: max(0, u.coldness.statedUntil.Sub(now)), Lost: u.coldness.restart.toldLoss(now, p.paths), WarmAge: u.coldness.restart.warmAge(now)}
+			ColdFor: max(0, u.coldness.statedUntil.Sub(now)), Lost: u.coldness.restart.toldLoss(now, &p.paths, only), WarmAge: u.coldness.restart.warmAge(now)}
 		if !s.isEmpty() {
 			list = append(list, s)
 		}
--- a/core/peers/broker.go
+++ b/core/peers/broker.go
@@ -15,18 +15,18 @@
 const capacityTolerance = 0.05
 
 // Broker returns the node of a region that brokers the places of a service: the first by rendezvous
-// hashing among the live serving nodes of the largest capacity. It may be the local node. Nodes with
+// hashing among the live serving nodes of the largest capacity that reach its upstreams. It may be the local node. Nodes with
 // the same view of the region choose the same one.
 func (m *Members) Broker(now time.Time, region domain.Region, service string) (Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	largest := 0.0
 	each := func(f func(*Member)) {
-		if m.self.Place.Region == region && m.self.State == domain.NodeServing {
+		if m.self.Place.Region == region && m.self.State == domain.NodeServing && m.self.reaches(service) {
 			f(&m.self)
 		}
 		for _, r := range m.records {
-			if r.State == domain.NodeServing && m.isReachable(now, r, region) {
+			if r.State == domain.NodeServing && r.reaches(service) && m.isReachable(now, r, region) {
 				f(&r.Member)
 			}
 		}
--- a/core/peers/directory_test.go
+++ b/core/peers/directory_test.go
@@ -99,11 +99,11 @@
 		}
 		return ids
 	}
-	if got := ids(m.Targets(start, "west")); !slices.Equal(got, []domain.NodeID{"w2"}) || !m.HasTarget(start, "west") {
+	if got := ids(m.Targets(start, "west")); !slices.Equal(got, []domain.NodeID{"w2"}) || !m.HasTarget(start, "west", "app") {
 		t.Errorf("got targets %v, want the draining node", got)
 	}
 	later := start.Add(peers.DrainAcceptPeriod)
-	if got := ids(m.Targets(later, "west")); len(got) > 0 || m.HasTarget(later, "west") {
+	if got := ids(m.Targets(later, "west")); len(got) > 0 || m.HasTarget(later, "west", "app") {
 		t.Errorf("got targets %v, want none that refuses new requests", got)
 	}
 	serving := member("w3", "west", 1)
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -26,8 +26,13 @@
 	State            domain.NodeState
 	// Capacity is the node's relative share of the work, for instance its CPU share.
 	Capacity float64
+	// Unreached are the services of whose upstreams in its region the node reaches none, sorted.
+	Unreached []string
 }
 
+// reaches reports whether the node reaches upstreams of a service.
+func (m *Member) reaches(service string) bool { return !slices.Contains(m.Unreached, service) }
+
 // supersedes reports whether m is newer than old.
 func (m *Member) supersedes(old *Member) bool {
 	if m.Incarnation != old.Incarnation {
@@ -124,16 +129,11 @@
 	}
 }
 
-// SetForwarding records whether the local node reaches no upstream. It has no effect on a node that starts or stops.
-func (m *Members) SetForwarding(forwarding bool) {
+// SetUnreached replaces the services of whose upstreams the local node reaches none.
+func (m *Members) SetUnreached(services []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	switch {
-	case forwarding && m.self.State == domain.NodeServing:
-		m.self.State = domain.NodeForwarding
-	case !forwarding && m.self.State == domain.NodeForwarding:
-		m.self.State = domain.NodeServing
-	}
+	m.self.Unreached = services
 }
 
 // Incarnation returns the incarnation of the local node.
@@ -256,23 +256,24 @@
 // Targets returns the nodes of a region to which requests may be sent, sorted by ID: the
 // serving ones, or if there are none, those that drain and still accept requests.
 func (m *Members) Targets(now time.Time, region domain.Region) []Member {
-	return m.reachable(now, region, func(s domain.NodeState) bool { return s == domain.NodeServing })
+	return m.targets(now, region, func(*Member) bool { return true })
 }
 
-// Informed returns the nodes of a region that are told what this one knows, sorted by ID: the targets and those that reach
-// no upstream.
-func (m *Members) Informed(now time.Time, region domain.Region) []Member {
-	return m.reachable(now, region, domain.NodeState.AcceptsCallers)
+// TargetsFor returns the targets of a region that reach upstreams of a service.
+func (m *Members) TargetsFor(now time.Time, region domain.Region, service string) []Member {
+	return m.targets(now, region, func(t *Member) bool { return t.reaches(service) })
 }
 
-// reachable returns the reachable nodes of a region in certain states, or if there are none, those that drain and still
-// accept requests.
-func (m *Members) reachable(now time.Time, region domain.Region, in func(domain.NodeState) bool) []Member {
-	list := m.filter(func(r *record) bool { return m.isReachable(now, r, region) && in(r.State) })
-	if len(list) > 0 {
-		return list
+func (m *Members) targets(now time.Time, region domain.Region, suitable func(*Member) bool) []Member {
+	serving := m.filter(func(r *record) bool {
+		return m.isReachable(now, r, region) && r.State == domain.NodeServing && suitable(&r.Member)
+	})
+	if len(serving) > 0 {
+		return serving
 	}
-	return m.filter(func(r *record) bool { return m.isReachable(now, r, region) && r.acceptsWhileDraining(now) })
+	return m.filter(func(r *record) bool {
+		return m.isReachable(now, r, region) && r.acceptsWhileDraining(now) && suitable(&r.Member)
+	})
 }
 
 // isReachable reports whether the node belongs to the region, has a recent heartbeat and
@@ -357,12 +358,12 @@
 	return m.mayRunInRegion(r) && now.Sub(r.lastHeartbeatAt) < m.aliveFor
 }
 
-// HasTarget reports whether requests may be sent to any node of the region.
-func (m *Members) HasTarget(now time.Time, region domain.Region) bool {
+// HasTarget reports whether requests for a service may be sent to any node of the region.
+func (m *Members) HasTarget(now time.Time, region domain.Region, service string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range m.records {
-		if m.isReachable(now, r, region) && (r.State == domain.NodeServing || r.acceptsWhileDraining(now)) {
+		if m.isReachable(now, r, region) && r.reaches(service) && (r.State == domain.NodeServing || r.acceptsWhileDraining(now)) {
 			return true
 		}
 	}
--- a/core/peers/members_test.go
+++ b/core/peers/members_test.go
@@ -103,7 +103,7 @@
 
 func TestRegionLoadIsSharedBetweenSendersUntilItExpires(t *testing.T) {
 	r := peers.NewRegions(event.Discard{})
-	r.SetLoads(start, "east", []instances.Load{{Service: "app", Usable: 2, Free: 12, Delay: time.Millisecond}}, 0)
+	r.SetLoads(start, "east", []instances.Load{{Service: "app", Usable: 2, Free: 12, Delay: time.Millisecond}}, nil, 0)
 	all := func(domain.Region) bool { return true }
 	if got := r.Loads(start, "app", 3, all); len(got) != 1 || got[0].FreeCapacity != 4 {
 		t.Errorf("got %+v, want a third of 12", got)
@@ -147,7 +147,7 @@
 	m.Merge(start, &remote, nil)
 	later := start.Add(4 * time.Second)
 	m.Merge(later, nil, nil)
-	if !m.HasTarget(later, "east") {
+	if !m.HasTarget(later, "east", "app") {
 		t.Fatal("the remote node receives no requests after 4 s")
 	}
 	if last := log.alive[len(log.alive)-1]; last != true {
--- a/core/peers/preferred.go
+++ b/core/peers/preferred.go
@@ -14,13 +14,23 @@
 // requests: with two, one may fail while its connections remain open.
 const minPreferred = 2
 
-// Preferred returns the nodes of another region to which this node should send
-// requests, most preferred first: one per failure domain, and further nodes if these
+// Preferred returns the nodes of another region with which this node should make exchanges, as
+// PreferredFor selects them.
+func (m *Members) Preferred(now time.Time, region domain.Region) []Member {
+	return m.selectPreferred(m.Targets(now, region))
+}
+
+// PreferredFor returns the nodes of a region to which this node should send requests for a service, of
+// those that reach its upstreams, most preferred first: one per failure domain, and further nodes if these
 // are fewer than minPreferred. The order differs between senders, so that their
 // requests are distributed over all nodes by capacity.
-func (m *Members) Preferred(now time.Time, region domain.Region) []Member {
+func (m *Members) PreferredFor(now time.Time, region domain.Region, service string) []Member {
+	return m.selectPreferred(m.TargetsFor(now, region, service))
+}
+
+func (m *Members) selectPreferred(targets []Member) []Member {
 	var selected, remaining []Member
-	for _, t := range m.byPreference(m.Targets(now, region)) {
+	for _, t := range m.byPreference(targets) {
 		same := func(c Member) bool { return c.Place == t.Place }
 		if slices.ContainsFunc(selected, same) {
 			remaining = append(remaining, t)
--- a/core/peers/preferred_test.go
+++ b/core/peers/preferred_test.go
@@ -54,7 +54,7 @@
 	reportWithFree := func(free float64) []instances.Load { return []instances.Load{{Service: "app", Usable: 1, Free: free}} }
 	allRegions := func(domain.Region) bool { return true }
 	receiver, other := peers.NewRegions(event.Discard{}), peers.NewRegions(event.Discard{})
-	receiver.SetLoads(start, "east", reportWithFree(6), 0)
+	receiver.SetLoads(start, "east", reportWithFree(6), nil, 0)
 	later := start.Add(time.Second)
 	other.MergeViews(later, receiver.Views(later, 1))
 	if got := other.Loads(later, "app", 1, allRegions); len(got) != 1 || got[0].FreeCapacity != 6 {
@@ -63,7 +63,7 @@
 	if age := other.Age(later, "east"); age != time.Second {
 		t.Errorf("got a report age of %v, want one second", age)
 	}
-	other.SetLoads(later, "east", reportWithFree(2), 0)
+	other.SetLoads(later, "east", reportWithFree(2), nil, 0)
 	other.MergeViews(later, receiver.Views(later, 1))
 	if got := other.Loads(later, "app", 1, allRegions); got[0].FreeCapacity != 2 {
 		t.Errorf("an older report replaced a more recent one: %+v", got)
--- a/core/peers/regions.go
+++ b/core/peers/regions.go
@@ -94,11 +94,18 @@
 	}
 }
 
-// SetLoads records the loads reported by a region, as of now. roundTrip is zero if it was
-// not measured.
-func (r *Regions) SetLoads(now time.Time, region domain.Region, loads []instances.Load, roundTrip time.Duration) {
+// SetLoads records the loads reported by a node of a region, as of now. The node knows nothing of the unreached services.
+// roundTrip is zero if it was not measured.
+func (r *Regions) SetLoads(now time.Time, region domain.Region, loads []instances.Load, unreached []string, roundTrip time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if v := r.views[region]; v != nil {
+		for _, service := range unreached {
+			if l, known := v.loads[service]; known {
+				loads = append(loads, l)
+			}
+		}
+	}
 	r.update(now, region, loads, roundTrip)
 }
 
--- a/core/peers/smallservice_test.go
+++ b/core/peers/smallservice_test.go
@@ -56,7 +56,7 @@
 		for i, view := range views {
 			if (at+time.Duration(i)*step)%reportInterval == 0 { // the nodes receive the report at different times
 				load := instances.Load{Service: "app", Usable: 2, Free: float64(slots - busy), MeanSlotTime: slotTime}
-				view.SetLoads(now, "east", []instances.Load{load}, roundTrip)
+				view.SetLoads(now, "east", []instances.Load{load}, nil, roundTrip)
 			}
 			r := placement.Request{Objective: 500 * ms, Remaining: 4 * time.Second, Random: rng.Uint32()}
 			d := placement.DefaultPolicy().Choose(&r, placement.ServicePerformance{IdleTTFB: 40 * ms, MeanSlotTime: slotTime}, nil, view.Loads(now, "app", nodes, allRegions))
--- a/core/places/load_test.go
+++ b/core/places/load_test.go
@@ -173,7 +173,7 @@
 	for r, region := range regions {
 		if r != n.region {
 			l := s.nodes[r*nodesPerRegion+s.rng.IntN(nodesPerRegion)].pool.Load(s.now())
-			s.after(regionTrip/2, func() { n.views.SetLoads(s.now(), region, []instances.Load{l}, regionTrip) })
+			s.after(regionTrip/2, func() { n.views.SetLoads(s.now(), region, []instances.Load{l}, nil, regionTrip) })
 		}
 	}
 }
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -250,7 +250,7 @@
 func (a *attempts) place(pacedOnly bool) (placement.Decision, *instances.Ticket) {
 	now := a.Now()
 	r := a.r
-	pathsLost := a.Catalog.PathsLost()
+	pathsLost := a.Catalog.Pool(r.Service).PathsLost()
 	if pathsLost && a.mayForward(now) {
 		return placement.Decision{Choice: placement.Remote, Region: a.Self.Region, Domain: a.Self.FailureDomain}, nil
 	}
@@ -267,7 +267,7 @@
 	if !r.Relayed && !pacedOnly {
 		senders := a.Members.RegionSize(now)
 		q.OtherRegions = a.Regions.Loads(now, r.Service, senders, func(region domain.Region) bool {
-			return region != a.Self.Region && r.Allows(region) && a.Members.HasTarget(now, region) && a.regionMayGoOn(region)
+			return region != a.Self.Region && r.Allows(region) && a.Members.HasTarget(now, region, r.Service) && a.regionMayGoOn(region)
 		})
 	}
 	return a.Catalog.Pool(r.Service).Place(now, a.Policy, &q)
@@ -292,6 +292,10 @@
 		a.last = result{err: err.WithRetryAfter(placement.AfterSilence(a.decision.Silence, rand.Float64())), ran: domain.RunNo}
 		return a.fail(ctx)
 	}
+	if a.r.Relayed && a.Catalog.Pool(a.r.Service).PathsLost() { // other nodes of the region may reach them
+		a.last = result{err: errkind.New(errkind.PeerUnreachable, "this node reaches no upstream of service %q", a.r.Service), ran: domain.RunNo}
+		return a.fail(ctx)
+	}
 	kind := errkind.Overloaded
 	if a.decision.Delay == 0 {
 		kind = errkind.NoCapacity
--- a/core/relay/forward_test.go
+++ b/core/relay/forward_test.go
@@ -39,7 +39,7 @@
 			if c.east {
 				f.addEastNode()
 			}
-			f.Catalog.SetPathsLost(now, true)
+			f.Catalog.SetPathsLost(now, "app", true)
 			f.nodes.replies = slices.Clone(c.replies)
 			r := newRequest(routes.AtMostOnce, 2)
 			r.Relayed = c.relayed
--- a/core/relay/granted.go
+++ b/core/relay/granted.go
@@ -17,7 +17,7 @@
 // choose chooses where to send the request: by a granted place, or as place does.
 func (a *attempts) choose(ctx context.Context) (placement.Decision, *instances.Ticket) {
 	a.permit, a.refusal, a.granted, a.reported = nil, nil, false, instances.ReportedLoad{}
-	if a.Catalog.PathsLost() {
+	if a.Catalog.Pool(a.r.Service).PathsLost() {
 		a.r.Place = nil
 		return a.place(false)
 	}
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -14,12 +14,14 @@
 	"github.com/crocusspread/crocusspread/core/peers"
 )
 
-// maxForwards is the maximum number of nodes of its own region to which a node that reaches no upstream sends a request.
+// maxForwards is the maximum number of nodes of its own region to which a node that reaches no upstream of a service sends a
+// request for it.
 const maxForwards = 2
 
-// mayForward reports whether the request may be sent to a node of this region, as this one reaches no upstream.
+// mayForward reports whether the request may be sent to a node of this region, as this one reaches no upstream of
+// its service.
 func (a *attempts) mayForward(now time.Time) bool {
-	return !a.r.Relayed && len(a.forwarded) < maxForwards && a.r.Allows(a.Self.Region) && a.Members.HasTarget(now, a.Self.Region)
+	return !a.r.Relayed && len(a.forwarded) < maxForwards && a.r.Allows(a.Self.Region) && a.Members.HasTarget(now, a.Self.Region, a.r.Service)
 }
 
 // sendRemote sends the request to another node, mostly of another region, which runs or refuses it.
@@ -63,13 +65,13 @@
 // is billed. If none of them is connected, it returns any connected node, and
 // otherwise a preferred one.
 func (a *attempts) chooseNode(region domain.Region, nearDomain domain.FailureDomain) (peers.Member, bool) {
-	preferred := a.Members.Preferred(a.Now(), region)
+	preferred := a.Members.PreferredFor(a.Now(), region, a.r.Service)
 	rand.Shuffle(len(preferred), func(i, j int) { preferred[i], preferred[j] = preferred[j], preferred[i] })
 	slices.SortStableFunc(preferred, func(x, y peers.Member) int {
 		return cmp.Compare(domainDistance(&x, nearDomain), domainDistance(&y, nearDomain))
 	})
 	tried := func(m peers.Member) bool { return slices.Contains(a.forwarded, m.ID) }
-	targets := a.Members.Targets(a.Now(), region)
+	targets := a.Members.TargetsFor(a.Now(), region, a.r.Service)
 	if untried := slices.DeleteFunc(slices.Clone(targets), tried); len(untried) > 0 {
 		preferred, targets = slices.DeleteFunc(preferred, tried), untried
 	}
@@ -109,8 +111,10 @@
 // adopts the other node's verdict.
 func (a *attempts) relayError(ctx context.Context, region domain.Region, err error) result {
 	e := errkind.From(err)
+	_, remote := errors.AsType[*RemoteError](err)
 	if e.Verdict() == domain.RunNo {
-		if !refusedAsHeld(e) && a.streamSoftware == "" { // it may have lacked this version only
+		unreached := remote && e.Kind == errkind.PeerUnreachable
+		if !refusedAsHeld(e) && a.streamSoftware == "" && !unreached { // it may have lacked this version or its paths only
 			a.Regions.MarkFull(region, a.r.Service)
 		}
 		return result{err: e, ran: domain.RunNo, upstreamOutcome: instances.Unreachable, reached: remoteSends(err) > 0}
--- a/core/relay/setup_test.go
+++ b/core/relay/setup_test.go
@@ -160,7 +160,7 @@
 func (r *fixture) addEastNode() {
 	now := time.Now()
 	r.Members.Merge(now, &peers.Member{ID: "e1", Place: domain.Place{Region: "east"}, State: domain.NodeServing, HeartbeatCounter: 1}, nil)
-	r.Regions.SetLoads(now, "east", []instances.Load{{Service: "app", Usable: 1, Free: 50, Delay: 10 * time.Millisecond}}, 0)
+	r.Regions.SetLoads(now, "east", []instances.Load{{Service: "app", Usable: 1, Free: 50, Delay: 10 * time.Millisecond}}, nil, 0)
 }
 
 func newRequest(kind routes.Kind, attempts int) *relay.Request {
