Retain a connection whose idleness is recorded late

net/http starts its idle timer before it says that a connection is idle. A late callback made the connection look too young, and it was closed. Half of the time is enough now.

--- a/adapters/upstream/retain.go
+++ b/adapters/upstream/retain.go
@@ -67,7 +67,8 @@
 	c.mu.Lock()
 	since := c.idleSince
 	c.mu.Unlock()
-	if since.IsZero() || time.Since(since) < c.retainAfter || !c.retained.add(c) {
+	// net/http may say that a connection is idle some time after it began to count.
+	if since.IsZero() || time.Since(since) < c.retainAfter/2 || !c.retained.add(c) {
 		return false
 	}
 	// Ends the read with which net/http waits for the connection's end.
