Let a told rate limit replace a lower one only if it is known to be later

A higher limit in a message that was held up replaced a lower, newer one: 50 requests in a second at an upstream that had named 2. Found by review; TestHigherLimitInMessageHeldUpDoesNotReplaceLaterLowerLimit failed in both cases before. Only a lower limit is adopted at its apparent age now.

--- a/core/instances/ratelimit.go
+++ b/core/instances/ratelimit.go
@@ -83,17 +83,21 @@
 
 // ApplyRateLimits adopts limits received from another node that upstreams stated later than
 // those known here. The message was composed after composedAfter; zero means that it may have been underway for any time, so
-// that the limits whose end it tells may be newer than that.
+// that the limits that it ends or raises may be newer.
 func (c *Catalog) ApplyRateLimits(now, composedAfter time.Time, limits []RateLimit) {
 	for _, l := range limits {
 		p := c.Pool(l.Service)
 		p.mu.Lock()
-		statedAt, ended := now.Add(-l.Age), l.PerSecond == 0
-		if ended {
-			statedAt = composedAfter.Add(-l.Age)
-		}
-		if u := p.find(l.Instance); u != nil && statedAt.After(u.limit.statedAt) && !(ended && composedAfter.IsZero()) {
-			p.setRateLimit(u, rateLimit{l.PerSecond, statedAt}, "another node")
+		if u := p.find(l.Instance); u != nil {
+			// Only a lower limit may safely be taken for newer than it is.
+			lower := l.PerSecond > 0 && (u.limit.perSecond == 0 || l.PerSecond <= u.limit.perSecond)
+			statedAt := now.Add(-l.Age)
+			if !lower {
+				statedAt = composedAfter.Add(-l.Age)
+			}
+			if statedAt.After(u.limit.statedAt) && (lower || !composedAfter.IsZero()) {
+				p.setRateLimit(u, rateLimit{l.PerSecond, statedAt}, "another node")
+			}
 		}
 		p.mu.Unlock()
 	}
