Explain the end of an idle connection only by an idle timeout near its age

A connection that had outlasted a timeout ten times was taken for closed by it, so that one learned timeout blinded the node to restarts for a minute; retained connections grow that old. The end of an idle connection also dates from when it became idle at the earliest: a connection from between may be to the new process.

--- a/core/instances/idleclose.go
+++ b/core/instances/idleclose.go
@@ -5,6 +5,8 @@
 const (
 	// idleTimeoutTolerance is the part of an idle timeout after which the end of an idle connection is attributed to it.
 	idleTimeoutTolerance = 0.9
+	// idleTimeoutSlack is how much later than after twice its idle timeout an upstream may close a connection.
+	idleTimeoutSlack = time.Second
 	// minIdleTimeout is the shortest idle timeout that is learned. Whatever ends connections that were just used is no timeout.
 	minIdleTimeout = time.Second
 	// idleTimeoutRetention is how long a learned idle timeout is used.
@@ -21,7 +23,7 @@
 // timeout that the upstream stated, if it did.
 func (t *idleTimeout) explains(now time.Time, idle, stated time.Duration) bool {
 	reaches := func(timeout time.Duration) bool {
-		return timeout > 0 && float64(idle) >= idleTimeoutTolerance*float64(timeout)
+		return timeout > 0 && float64(idle) >= idleTimeoutTolerance*float64(timeout) && idle <= 2*timeout+idleTimeoutSlack
 	}
 	return reaches(stated) || now.Sub(t.learnedAt) < idleTimeoutRetention && reaches(t.shortest)
 }
@@ -46,10 +48,10 @@
 			if a, _ := p.exclusion(now, u); u.Address != address || a <= LeavingRegistered {
 				continue
 			}
+			p.recordLoss(now, now.Add(-idle), u, LossClosed)
 			if u.idleClosedAfter == 0 || idle < u.idleClosedAfter {
 				u.idleClosedAfter = idle
 			}
-			p.recordLoss(now, u, LossClosed)
 		}
 	})
 }
