Identify the refused connections that nodes tell each other of

What nodes told each other was recognized by its time only, which is that of reading, moves with each hop and with each further refusal.

- A second restart within 3 s was not told; a refusal 300 ms after a settled loss counted as the same; in slow messages a settled one was presumed again for a minute.
A loss has an ID now, and is told again after 1.5 s at most if the node was refused since.
What is settled ends at the time of the evidence.
- The echo of a node's own refusal made it tell refusals of its lost path for ever; once others reach the upstream it stops, until it reaches it itself.
- A refusal told by a node with an older entry was ignored; it concerns the address.
An entry without a cold phase erased a later loss; it is kept for as long as the entry may be late.
- Connections that ended while paths were lost were not recorded.
A refusal from before the paths failed is told.
- The answer of a process that was connected to before the refusal had been read refuted it; the refusal dates from the sending of its request now.
- Idle timeouts were learned from the time of a real restart; a shorter cold statement replaced a longer one.
- If the node that asks for the health for its region is the refused one, others ask after 3 s.

TestRestartSeenByIdleConnectionOfOneNodeDoesNotFloodUpstream is not mended and listed: which node may ask how soon needs a decision of its own.

--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -166,8 +166,12 @@
 			MilliPerSecond: uint32(min(maxMilliRate, math.Ceil(l.PerSecond*milli))), AgeMs: uint32(l.Age.Milliseconds())})
 	}
 	for _, s := range msg.Statements {
-		m.Statements = append(m.Statements, &meshpb.UpstreamStatement{Service: s.Service, Instance: string(s.Instance), Started: s.Started,
-			ColdMs: uint32(s.ColdFor.Milliseconds()), Leaving: s.Leaving, Lost: agesToWire(s.Lost), WarmAgeMs: uint32(math.Ceil(float64(s.WarmAge) / float64(time.Millisecond)))})
+		w := &meshpb.UpstreamStatement{Service: s.Service, Instance: string(s.Instance), Started: s.Started,
+			ColdMs: uint32(s.ColdFor.Milliseconds()), Leaving: s.Leaving, WarmAgeMs: uint32(math.Ceil(float64(s.WarmAge) / float64(time.Millisecond)))}
+		if s.Lost != nil {
+			w.Lost, w.LostId = agesToWire(&s.Lost.Ages), s.Lost.ID
+		}
+		m.Statements = append(m.Statements, w)
 	}
 	for _, s := range msg.Speeds {
 		m.Speeds = append(m.Speeds, &meshpb.UpstreamSpeed{Service: s.Service, Instance: string(s.Instance),
@@ -232,8 +236,12 @@
 			PerSecond: float64(l.GetMilliPerSecond()) / milli, Age: time.Duration(l.GetAgeMs()) * time.Millisecond})
 	}
 	for _, s := range m.GetStatements() {
-		msg.Statements = append(msg.Statements, instances.Statement{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()), Started: s.GetStarted(),
-			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond, Leaving: s.GetLeaving(), Lost: agesFromWire(s.GetLost()), WarmAge: time.Duration(s.GetWarmAgeMs()) * time.Millisecond})
+		in := instances.Statement{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()), Started: s.GetStarted(),
+			ColdFor: time.Duration(s.GetColdMs()) * time.Millisecond, Leaving: s.GetLeaving(), WarmAge: time.Duration(s.GetWarmAgeMs()) * time.Millisecond}
+		if lost := agesFromWire(s.GetLost()); lost != nil {
+			in.Lost = &instances.ToldLoss{ID: s.GetLostId(), Ages: *lost}
+		}
+		msg.Statements = append(msg.Statements, in)
 	}
 	for _, s := range m.GetSpeeds() {
 		msg.Speeds = append(msg.Speeds, instances.Speed{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()),
--- a/adapters/mesh/parts_test.go
+++ b/adapters/mesh/parts_test.go
@@ -34,7 +34,7 @@
 	msg.Parts = evidence()
 	msg.RateLimits = []instances.RateLimit{{Service: "app", Instance: "i-1", PerSecond: 2.1, Age: time.Second}, {Service: "app", Instance: "i-2", Age: 3 * time.Second}}
 	msg.Statements = []instances.Statement{{Service: "app", Instance: "i-3", Started: 1 << 41, ColdFor: 2 * time.Second}, {Service: "app", Instance: "i-4", Leaving: true},
-		{Service: "app", Instance: "i-5", Lost: &instances.Ages{From: 2 * time.Second, Until: time.Second}, WarmAge: time.Minute}}
+		{Service: "app", Instance: "i-5", Lost: &instances.ToldLoss{ID: 7, Ages: instances.Ages{From: 2 * time.Second, Until: time.Second}}, WarmAge: time.Minute}}
 	wire := messageToWire(msg)
 	got := messageFromWire(wire)
 	if fmt.Sprint(got) != fmt.Sprint(msg) {
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -147,30 +147,44 @@
 	if loss == LossTimedOut && now.Sub(u.coldness.lastByteAt) < busyPeriod {
 		return
 	}
-	p.recordLoss(now, u, loss)
+	since := now
+	if loss == LossRefused {
+		since = t.SentAt // the refusal may be read late
+	}
+	p.recordLoss(now, since, u, loss)
 }
 
-func (p *Pool) recordLoss(now time.Time, u *upstream, loss Loss) {
-	if p.paths.lost() {
+// recordLoss records that a connection to an upstream was lost at some time after since.
+func (p *Pool) recordLoss(now, since time.Time, u *upstream, loss Loss) {
+	if loss != LossClosed && p.paths.lost() {
 		return // it tells nothing of the upstream
 	}
 	wasCold := u.cold(now)
-	if u.coldness.restart.recordLoss(now, loss) {
+	if !wasCold {
+		u.idleClosedAfter = 0
+	}
+	if u.coldness.restart.recordLoss(now, since, loss) {
 		p.options.StatementsChanged()
 	}
 	p.startColdPace(now, u, wasCold, coldFromLoss)
 }
 
 // inherit adopts what the former record of the upstream says of its process; it may be nil. The pace
-// is kept for a new process, as the bound concerns the upstream.
-func (u *upstream) inherit(former *upstream) {
+// is kept for a new process, as the bound concerns the upstream, and so is a restart that is presumed since later than the entry
+// may be.
+func (u *upstream) inherit(now time.Time, former *upstream) {
 	if former == nil {
 		return
 	}
 	u.pace = former.pace
 	if former.Started == u.Started {
 		u.coldness, u.silence, u.leavingStated, u.limit = former.coldness, former.silence, former.leavingStated, former.limit
+		return
+	}
+	if lost := former.coldness.restart.lost; !lost.isZero() && u.ColdRemaining == 0 && now.Sub(lost.until) <= entryDelay {
+		u.coldness.restart = former.coldness.restart
 	}
+	u.coldness.restart.lossIDs = former.coldness.restart.lossIDs
 }
 
 // tick records that the node is not suspended. After a suspension its upstreams count as cold until
--- a/core/instances/cold_region_test.go
+++ b/core/instances/cold_region_test.go
@@ -195,7 +195,7 @@
 		c.Put(start, newInstance(id))
 		c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: id, Leaving: true}})
 	}
-	c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: "u50", Lost: &instances.Ages{}}})
+	c.ApplyStatements(start, time.Time{}, []instances.Statement{{Service: "app", Instance: "u50", Lost: &instances.ToldLoss{}}})
 	if !slices.ContainsFunc(c.Statements(after(10)), func(s instances.Statement) bool { return s.Lost != nil }) {
 		t.Error("the message about a refused connection does not tell of it")
 	}
--- a/core/instances/health.go
+++ b/core/instances/health.go
@@ -12,11 +12,15 @@
 	// confirmSpread is the time over which the nodes that noticed the loss of a connection ask for the upstream's health, so
 	// that most of them hear what the first one found.
 	confirmSpread = time.Second
+	// unsettledFor is the time after which nodes ask for the health of an upstream although another one should have.
+	unsettledFor = 3 * time.Second
 )
 
 // HealthCheck is a health request that is due.
 type HealthCheck struct {
 	Instance
+	// SentAt is when it is sent.
+	SentAt time.Time
 	// Path is the path of the service's health requests.
 	Path string
 }
@@ -48,16 +52,20 @@
 			u.pace.Record(now, rate)
 		}
 		u.healthCheckedAt = now
-		due = append(due, HealthCheck{Instance: u.Instance, Path: p.config.HealthPath})
+		due = append(due, HealthCheck{Instance: u.Instance, SentAt: now, Path: p.config.HealthPath})
 	}
 	return due
 }
 
 // mayCheckHealth reports whether this node may check the upstream's health. A node that alone knows of a presumed restart may.
-// The one that checks for the region waits until its finding, told to others, is later than the losses that they know of.
+// The one that checks for the region waits until its finding, told to others, is later than the losses that they know of. If
+// the upstream refuses that one, others ask.
 func (p *Pool) mayCheckHealth(now time.Time, u *upstream, checks func(string, domain.UpstreamID) bool) bool {
 	r := &u.coldness.restart
 	wait := 2*lossRefutedAfter + time.Duration(p.options.ColdPhase(u.ID)*float64(confirmSpread))
+	if r.presumed() && now.Sub(r.lost.until) > healthInterval && now.Sub(r.presumedSince) > unsettledFor+wait {
+		return true
+	}
 	return r.unconfirmed(now, wait) || (!r.presumed() || now.Sub(r.lost.until) > healthInterval) && checks(p.service, u.ID)
 }
 
--- a/core/instances/paths.go
+++ b/core/instances/paths.go
@@ -48,6 +48,13 @@
 	return p.lostSince.IsZero() && len(p.failed) > 0
 }
 
+// since returns since when no connection could be opened.
+func (p *paths) since() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failedSince
+}
+
 // hasFailed reports whether no connection to an address could be opened since others were.
 func (p *paths) hasFailed(address string) bool {
 	p.mu.Lock()
@@ -68,7 +75,10 @@
 func (p *paths) trusts(refusedAt time.Time, only bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lostSince.IsZero() && (only || len(p.failed) == 0 || refusedAt.Before(p.failedSince))
+	if len(p.failed) > 0 && refusedAt.Before(p.failedSince) {
+		return true
+	}
+	return p.lostSince.IsZero() && (only || len(p.failed) == 0)
 }
 
 // set records whether the node reaches any upstream. It returns for how long the paths had failed or been lost; changed is false
@@ -185,8 +195,10 @@
 	}
 	for _, u := range p.upstreams {
 		if u.Place.Region == p.options.Self.Region {
-			p.recordLoss(now, u, LossClosed)
-			u.coldness.restart.pathLost = true
+			p.recordLoss(now, now, u, LossClosed)
+			if r := &u.coldness.restart; r.refused.isZero() || !r.refused.until.Before(p.paths.since()) {
+				r.pathLost = true
+			}
 		}
 	}
 }
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -123,7 +123,7 @@
 			p.software.recordGone(now, u)
 		}
 		replacement := &upstream{Instance: in, idHash: placement.HashID(in.ID), evacuated: evacuated, latencyRatio: p.latencyRatio}
-		replacement.inherit(p.formerRecord(now, u, in.ID))
+		replacement.inherit(now, p.formerRecord(now, u, in.ID))
 		if u == nil {
 			p.upstreams = append(p.upstreams, replacement)
 		} else {
--- a/core/instances/restart.go
+++ b/core/instances/restart.go
@@ -22,13 +22,7 @@
 	// lossRefutedAfter is how long after the loss of a connection an answer must arrive to show
 	// that its process still runs; the last bytes before a crash may be read after it.
 	lossRefutedAfter = 100 * time.Millisecond
-	// evidenceRetention is how long other nodes are told of refused connections, and of evidence against a
-	// restart.
-	evidenceRetention = 10 * time.Second
-	// refusalInterval is the minimum time between two refused connections that other nodes are told of. In between, the health
-	// of the upstream can show that they were no sign of a restart.
-	refusalInterval = 3 * time.Second
-	// repeatTolerance is the maximum difference between the ages of the same loss in repeated messages.
+	// repeatTolerance is the maximum difference between the ages of the same loss in repeated messages without its ID.
 	repeatTolerance = 300 * time.Millisecond
 )
 
@@ -63,6 +57,9 @@
 	// refused is the period in which connections of this node or others were refused: answers that are read later on
 	// older connections are from before it.
 	refused period
+	// announced is what other nodes are told of them.
+	announced announcement
+	lossIDs   lossIDs
 	// told is set if lost includes what another node told of.
 	told bool
 	// pathRefused is set if connections of this node were refused while others found the process running, until this node
@@ -70,6 +67,8 @@
 	pathRefused bool
 	// pathLost is set if this node has lost its path to the upstream since, so that the losses may be those of the path.
 	pathLost bool
+	// presumedSince is when this node began to presume a restart.
+	presumedSince time.Time
 	// coldUntil is when the cold phase of a presumed new process ends; zero until the upstream has answered a
 	// request that was sent after the latest loss.
 	coldUntil time.Time
@@ -87,42 +86,26 @@
 	return r.presumed() && (r.coldUntil.IsZero() || now.Before(r.coldUntil))
 }
 
-// recordLoss records that this node lost a connection. It reports whether other nodes should know it at once.
-func (r *restart) recordLoss(now time.Time, loss Loss) (news bool) {
-	r.add(period{now, now})
+// recordLoss records that this node lost a connection at some time after since. It reports whether other nodes should know it at
+// once.
+func (r *restart) recordLoss(now, since time.Time, loss Loss) (news bool) {
+	r.add(period{since, now})
 	if loss != LossRefused || r.pathRefused {
 		return false
 	}
 	if r.pathLost { // the path is back, and those before may have been its own
 		r.pathLost, r.refused = false, period{}
 	}
-	news = r.refused.isZero()
-	if news || now.Sub(r.refused.until) >= refusalInterval {
-		r.addRefused(period{now, now})
-	}
-	return news
-}
-
-// recordToldLoss records the refused connections that another node tells of. It reports whether they are news.
-func (r *restart) recordToldLoss(told period) (news bool) {
-	if !told.until.After(r.settledUntil) {
-		return false
-	}
-	repeated := r.presumed() && !told.until.After(r.lost.until.Add(repeatTolerance))
-	if repeated {
-		told.until = minTime(told.until, r.lost.until) // does not begin a new wait for an answer
-		r.lost.from = minTime(told.from, r.lost.from)
-	} else {
-		r.add(told)
-	}
-	r.addRefused(told)
-	r.told = true
-	return !repeated
+	r.addRefused(period{since, now})
+	return r.announce(now)
 }
 
 func (r *restart) add(losses period) {
 	if !r.coldUntil.IsZero() && r.coldUntil.Before(losses.from) { // the phase that followed the earlier ones has ended
-		r.settle()
+		r.settle(r.lost.until)
+	}
+	if !r.presumed() {
+		r.presumedSince = losses.until
 	}
 	if !r.presumed() || losses.from.Before(r.lost.from) {
 		r.lost.from = losses.from
@@ -141,7 +124,7 @@
 // unconfirmed reports whether this node alone knows of the losses, as far as its path lets it know, and for longer than a time, within which an answer on an
 // older connection would have refuted them if there were one.
 func (r *restart) unconfirmed(now time.Time, wait time.Duration) bool {
-	return r.presumed() && !r.told && (r.refused.isZero() || r.pathLost) && now.Sub(r.lost.from) > wait
+	return r.presumed() && !r.told && (r.refused.isZero() || r.pathLost) && now.Sub(r.presumedSince) > wait
 }
 
 // recordAnswer records that bytes of an answer arrived on a connection that was established at connectedAt. One
@@ -155,7 +138,7 @@
 	refutedUntil := r.same.until.Add(-lossRefutedAfter)
 	if r.refused.isZero() && r.same.from.Before(r.lost.from) && refutedUntil.After(r.lost.from) {
 		if refutedUntil.After(r.lost.until) {
-			r.settle()
+			r.settle(refutedUntil)
 			return true
 		}
 		r.lost.from = refutedUntil
@@ -180,7 +163,7 @@
 	if !connectedAt.Before(r.lost.from) || !sentAt.After(r.lost.until) {
 		return false
 	}
-	r.settle()
+	r.settle(sentAt)
 	return true
 }
 
@@ -198,7 +181,7 @@
 	if !r.presumed() || now.Sub(r.lost.until) <= entryDelay {
 		return false
 	}
-	r.settle()
+	r.settle(r.lost.until)
 	return true
 }
 
@@ -206,28 +189,26 @@
 // this node or another. It reports whether that settled the losses.
 func (r *restart) recordWarm(sentAt time.Time, byOther bool) (settled bool) {
 	if !byOther {
-		r.warmAt = sentAt
+		r.warmAt, r.pathRefused = sentAt, false
 	}
-	if !r.presumed() || !r.lost.until.Before(sentAt) {
+	if !r.presumed() {
+		return false
+	}
+	if byOther && !r.told && !r.refused.isZero() && r.refused.from.Before(sentAt) {
+		r.pathRefused = true // also if it goes on being refused
+	}
+	if !r.lost.until.Before(sentAt) {
 		return false
 	}
-	r.pathRefused = byOther && !r.told && !r.refused.isZero()
-	r.settle()
+	r.settle(sentAt)
 	return true
 }
 
-func (r *restart) settle() {
-	r.settledUntil = maxTime(r.settledUntil, r.lost.until.Add(repeatTolerance))
+// settle ends the presumption of a restart. Losses up to a time are known to be no sign of one.
+func (r *restart) settle(until time.Time) {
+	r.settledUntil = maxTime(r.settledUntil, until)
 	r.lost, r.refused, r.told, r.pathLost, r.coldUntil = period{}, period{}, false, false, time.Time{}
-}
-
-// toldLoss returns the refused connections that other nodes should know; nil if there are none. Those that may be due to this
-// node's path to the upstream are not told. only is set if the service has no other upstream in the region.
-func (r *restart) toldLoss(now time.Time, paths *paths, only bool) *Ages {
-	if !r.presumed() || r.refused.isZero() || now.Sub(r.refused.until) > evidenceRetention || !r.told && (r.pathLost || !paths.trusts(r.refused.until, only)) {
-		return nil
-	}
-	return r.refused.ages(now)
+	r.announced = announcement{}
 }
 
 // warmAge returns the time since the upstream stated that it is warm, if other nodes should know it; zero otherwise.
--- a/core/instances/restart_test.go
+++ b/core/instances/restart_test.go
@@ -141,10 +141,10 @@
 			r := newColdRegion(t, 3)
 			for i := range r {
 				before := placeRequest(r[i], start)
-				r[i].SetPathsLost(after(500), true)
+				r[i].SetPathsLost(after(500), "app", true)
 				end(r[i], before)
 				before.Done(after(1500), instances.Broken)
-				r[i].SetPathsLost(after(2500), false)
+				r[i].SetPathsLost(after(2500), "app", false)
 			}
 			r.checkNotFlooded(t, after(2600))
 		})
@@ -152,21 +152,23 @@
 }
 
 func TestRefusalFromBeforePathsWereLostIsTold(t *testing.T) {
-	r := newColdRegion(t, 2)
-	r[0].RecordDial("x:1", start, false)
+	r := coldRegion{newPathCatalog(t, instances.Options{}, 3), newPathCatalog(t, instances.Options{}, 3)}
+	r[0].RecordDial("u0:1", start, false)
 	r.refuse(after(10), 0)
-	r[0].RecordDial("x:9", after(20), true) // the path was there
-	r[0].RecordDial("x:2", after(200), false)
-	r[0].RecordDial("x:3", after(200), false)
-	r[0].SetPathsLost(after(300), true)
+	r[0].RecordDial("u1:1", after(20), true) // the path was there
+	r[0].RecordDial("u1:1", after(200), false)
+	r[0].RecordDial("u2:1", after(200), false)
+	r[0].SetPathsLost(after(300), "app", true)
 	r.propagate(after(310), 0)
-	r.checkBounded(t, after(400), 1, "the refusal is from before the paths were lost")
+	if got := countCold(r[1], after(400)); got != 1 {
+		t.Errorf("%d upstreams count as cold, want the one that refused before the paths were lost", got)
+	}
 }
 
 func TestRefusalAfterPathWasRestoredIsTold(t *testing.T) {
 	r := newColdRegion(t, 2)
 	r.settle(t, 0, 0, 1) // only node 0 was refused, by its path
-	due := r[0].DueHealthChecks(after(20000), true, func(domain.UpstreamID) bool { return true })
+	due := r[0].DueHealthChecks(after(20000), true, func(string, domain.UpstreamID) bool { return true })
 	if len(due) != 1 {
 		t.Fatalf("%d health requests are due, want 1", len(due))
 	}
@@ -185,7 +187,7 @@
 	placed := 0
 	for ms := startedAgainMS; ms < startedAgainMS+1000; ms += 50 {
 		now := after(ms)
-		for _, check := range r[observer].DueHealthChecks(now, false, func(domain.UpstreamID) bool { return false }) {
+		for _, check := range r[observer].DueHealthChecks(now, false, func(string, domain.UpstreamID) bool { return false }) {
 			r[observer].RecordHealth(now, now, check, 3*time.Second)
 		}
 		r.propagate(now, observer)
@@ -250,7 +252,7 @@
 			if ms%300 == 0 {
 				r.propagate(now, i)
 			}
-			for _, check := range r[i].DueHealthChecks(now, false, func(domain.UpstreamID) bool { return i == 0 }) {
+			for _, check := range r[i].DueHealthChecks(now, false, func(string, domain.UpstreamID) bool { return i == 0 }) {
 				if i == 0 {
 					r[i].RecordHealthRefused(now, check)
 				} else {
@@ -322,7 +324,7 @@
 		}
 		if ms%250 == 0 {
 			for i := range r {
-				for _, check := range r[i].DueHealthChecks(now, false, func(domain.UpstreamID) bool { return i == 1 }) {
+				for _, check := range r[i].DueHealthChecks(now, false, func(string, domain.UpstreamID) bool { return i == 1 }) {
 					checks++
 					r[i].RecordHealth(now, now, check, 0)
 				}
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -21,7 +21,7 @@
 	// Leaving is set if it said that it leaves.
 	Leaving bool
 	// Lost is when connections to it were refused and a restart is presumed since; nil if none.
-	Lost *Ages
+	Lost *ToldLoss
 	// WarmAge is the time since the node asked for its health and it stated that it is warm; zero if that is not known, or
 	// too long ago to matter.
 	WarmAge time.Duration
@@ -100,12 +100,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.find(s.Instance)
-	if u == nil || u.Started != s.Started {
+	if u == nil {
+		return
+	}
+	p.applyToldLoss(now, u, s.Lost)
+	if u.Started != s.Started {
 		return
 	}
 	if s.ColdFor > 0 {
 		until := now.Add(min(s.ColdFor, maxColdFor))
-		u.coldness.statedUntil = until
+		u.coldness.statedUntil = maxTime(u.coldness.statedUntil, until)
 		p.extendCold(now, u, until, coldFromStatement)
 	}
 	if s.Leaving {
@@ -118,7 +122,11 @@
 	if lostAt := u.coldness.restart.lost.from; s.WarmAge > 0 && !composedAfter.IsZero() && u.coldness.restart.recordWarm(composedAfter.Add(-s.WarmAge), true) {
 		p.recordNotCold(now, u, sameFromNode, lostAt)
 	}
-	if wasCold := u.cold(now); s.Lost != nil && u.coldness.restart.recordToldLoss(s.Lost.before(now)) {
+}
+
+// applyToldLoss adopts the refused connections that another node tells of, whichever process it expected at the address.
+func (p *Pool) applyToldLoss(now time.Time, u *upstream, lost *ToldLoss) {
+	if wasCold := u.cold(now); lost != nil && p.hasColdPhase() && u.coldness.restart.recordToldLoss(now, *lost) {
 		p.startColdPace(now, u, wasCold, coldFromToldLoss)
 	}
 }
@@ -129,7 +137,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if u := p.find(h.ID); u != nil && u.Started == h.Started {
-		p.recordLoss(now, u, LossRefused)
+		p.recordLoss(now, h.SentAt, u, LossRefused)
 	}
 }
 
@@ -144,7 +152,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.find(h.ID)
-	if u == nil || u.Started != h.Started || !u.coldness.restart.presumed() {
+	if u == nil || u.Started != h.Started {
+		return
+	}
+	if !u.coldness.restart.presumed() {
+		u.coldness.restart.pathRefused = false
 		return
 	}
 	lostAt := u.coldness.restart.lost.from
