Pass places that a broker granted to a node without paths on to one that has them

A node that reaches no upstream placed requests of brokered services without their broker, and the node that it forwarded to may use its own region only: places that the broker had borrowed from other regions were out of reach. It asks the broker now, and forwards the request with the place.

--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -252,7 +252,7 @@
 	r := a.r
 	pathsLost := a.Catalog.Pool(r.Service).PathsLost()
 	if pathsLost && a.mayForward(now) {
-		return placement.Decision{Choice: placement.Remote, Region: a.Self.Region, Domain: a.Self.FailureDomain}, nil
+		return a.forwardDecision(), nil
 	}
 	q := instances.Query{
 		Request: placement.Request{
--- a/core/relay/forward_test.go
+++ b/core/relay/forward_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/relay"
 	"github.com/crocusspread/crocusspread/core/routes"
 )
 
@@ -62,3 +64,25 @@
 		})
 	}
 }
+
+func TestPlaceGrantedToNodeThatReachesNoUpstreamIsPassedOn(t *testing.T) {
+	for name, place := range map[string]relay.Place{"of the region": {Instance: "u1", Region: "west"}, "of another region": {Instance: "v", Region: "east"}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.addEastNode()
+			f.Members.Merge(time.Now(), &peers.Member{ID: "w2", Place: localPlace, State: domain.NodeServing, HeartbeatCounter: 1}, nil)
+			f.Catalog.SetPathsLost(time.Now(), "app", true)
+			places := &fakePlaces{grants: []relay.Place{place}}
+			f.Places, f.nodes.replies = places, []reply{success}
+			if failure := f.Serve(context.Background(), newRequest(routes.AtMostOnce, 2), &recordingSink{}); failure != nil {
+				t.Fatalf("the request failed: %v", failure)
+			}
+			if to := map[domain.Region]string{"west": "w2", "east": "e1"}[place.Region]; f.nodes.to[0] != to {
+				t.Errorf("sent to %v, want %s", f.nodes.to, to)
+			}
+			if len(places.reports) != 1 || places.reports[0].Outcome != instances.Answered {
+				t.Errorf("got place returned as %+v, want one that was used", places.reports)
+			}
+		})
+	}
+}
--- a/core/relay/granted.go
+++ b/core/relay/granted.go
@@ -17,7 +17,8 @@
 // choose chooses where to send the request: by a granted place, or as place does.
 func (a *attempts) choose(ctx context.Context) (placement.Decision, *instances.Ticket) {
 	a.permit, a.refusal, a.granted, a.reported = nil, nil, false, instances.ReportedLoad{}
-	if a.Catalog.Pool(a.r.Service).PathsLost() {
+	pathsLost := a.Catalog.Pool(a.r.Service).PathsLost()
+	if pathsLost && a.r.Relayed {
 		a.r.Place = nil
 		return a.place(false)
 	}
@@ -50,7 +51,11 @@
 			a.permit, a.r.Place, a.granted = permit, &p, true
 			return placement.Decision{Choice: placement.Remote, Region: p.Region, Usable: 1}, nil
 		}
-		if t := a.reserve(&p); t != nil {
+		if pathsLost && a.mayForward(a.Now()) {
+			a.permit, a.r.Place, a.granted = permit, &p, true
+			return a.forwardDecision(), nil
+		}
+		if t := a.reserveReachable(&p, pathsLost); t != nil {
 			a.permit, a.granted = permit, true
 			return localDecision(t), t
 		}
@@ -65,6 +70,14 @@
 	return placement.Decision{Choice: placement.Local, Delay: t.Expected, Usable: 1}
 }
 
+// reserveReachable returns the slot of a granted place as reserve does; nil if this node does not reach it.
+func (a *attempts) reserveReachable(p *Place, pathsLost bool) *instances.Ticket {
+	if pathsLost {
+		return nil
+	}
+	return a.reserve(p)
+}
+
 // reserve returns the slot of a granted place; nil if it cannot be used here.
 func (a *attempts) reserve(p *Place) *instances.Ticket {
 	if p.Region != a.Self.Region || slices.Contains(a.tried, p.Instance) {
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -12,6 +12,7 @@
 	"github.com/crocusspread/crocusspread/core/errkind"
 	"github.com/crocusspread/crocusspread/core/instances"
 	"github.com/crocusspread/crocusspread/core/peers"
+	"github.com/crocusspread/crocusspread/core/placement"
 )
 
 // maxForwards is the maximum number of nodes of its own region to which a node that reaches no upstream of a service sends a
@@ -24,6 +25,11 @@
 	return !a.r.Relayed && len(a.forwarded) < maxForwards && a.r.Allows(a.Self.Region) && a.Members.HasTarget(now, a.Self.Region, a.r.Service)
 }
 
+// forwardDecision returns the decision to send the request to a node of this region, of its own failure domain if possible.
+func (a *attempts) forwardDecision() placement.Decision {
+	return placement.Decision{Choice: placement.Remote, Region: a.Self.Region, Domain: a.Self.FailureDomain, Usable: 1}
+}
+
 // sendRemote sends the request to another node, mostly of another region, which runs or refuses it.
 func (a *attempts) sendRemote(ctx context.Context, region domain.Region) result {
 	to, found := a.chooseNode(region, a.decision.Domain)
