Cut nodes of the soak from all upstreams, and check how their callers are served

Only in-process tests had this fault.

The nodes of the soak share 127.0.0.1, and the proxies accept only what the kernel has established, so that they can neither refuse a connection attempt of one node nor leave it without an answer. Each node process now has a seccomp filter that hands its connect calls to the test (pathGate; Linux 5.5 or later). Open connections are found by the ports of the process's sockets. One node or all of a failure domain are cut for 0.5 to 4.5 s: connections hang, are reset, or live on while new ones are refused.

--- a/cmd/faulttest/fault_proxy_test.go
+++ b/cmd/faulttest/fault_proxy_test.go
@@ -177,13 +177,30 @@
 }
 
 // resetOpen resets open connections; new ones are forwarded.
-func (p *faultProxy) resetOpen() {
+func (p *faultProxy) resetOpen() { p.resetWhere(func(*proxiedConn) bool { return true }) }
+
+// resetWhere resets the open connections that match.
+func (p *faultProxy) resetWhere(match func(*proxiedConn) bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for c := range p.open {
-		_ = c.client.(*net.TCPConn).SetLinger(0) // it may be closed already
+		if match(c) {
+			_ = c.client.(*net.TCPConn).SetLinger(0) // it may be closed already
+			c.close()
+			delete(p.open, c)
+		}
+	}
+}
+
+// blackholeWhere drops the bytes of the open connections that match.
+func (p *faultProxy) blackholeWhere(match func(*proxiedConn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		if match(c) {
+			c.mode.Store(int32(linkBlackhole))
+		}
 	}
-	p.mu.Unlock()
-	p.closeOpen()
 }
 
 // blackhole drops all bytes of open and new connections.
--- a/cmd/faulttest/process_test.go
+++ b/cmd/faulttest/process_test.go
@@ -22,7 +22,13 @@
 // Paths of the binaries under test, set by TestMain.
 var nodeBinary, ctlBinary string
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+func TestMain(m *testing.M) {
+	if len(os.Args) > 3 && os.Args[1] == pathGateCommand {
+		fmt.Fprintln(os.Stderr, "run gated:", runGated(os.Args[2], os.Args[3:]))
+		os.Exit(1)
+	}
+	os.Exit(buildAndRun(m))
+}
 
 // parallelTests is the number of parallel tests. It exceeds the number of cores since
 // tests mostly wait; processSlots limits their processes.
--- a/cmd/faulttest/soak_caller_test.go
+++ b/cmd/faulttest/soak_caller_test.go
@@ -16,6 +16,7 @@
 // soakResponse is the response to one request, as the caller received it.
 type soakResponse struct {
 	id, kind string // of the request
+	node     *soakNode
 	key      string // that the request carried; empty means none
 	// sentAt is when the caller began to send the request.
 	sentAt time.Time
@@ -91,7 +92,7 @@
 
 func (n *soakNode) sendKeyedWithin(ctx context.Context, transport http.RoundTripper, kind, sender, key string, deadline time.Duration) soakResponse {
 	number := lastSoakID.Add(1)
-	r := soakResponse{id: fmt.Sprintf("%s-%s-%d", kind, sender, number), kind: kind, key: key}
+	r := soakResponse{id: fmt.Sprintf("%s-%s-%d", kind, sender, number), kind: kind, node: n, key: key}
 	route, hasPrompt := promptKinds[kind]
 	if !hasPrompt {
 		route = kind
--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -47,10 +47,11 @@
 	key                        string // of requests that name no other
 	entryAddress, readyAddress string
 	storeProxy                 *faultProxy
+	gate                       *pathGate
 	// metricsPort is the port of the node's metrics; empty if it serves none.
 	metricsPort string
 	// wrapper is a command that runs the node's binary and its arguments, which follow;
-	// empty if the binary is run itself.
+	// empty if the binary is run with the gate, without which paths cannot be cut.
 	wrapper []string
 
 	mu   sync.Mutex
@@ -139,7 +140,7 @@
 // as a seed for later nodes.
 func (d *soakDeployment) addNode(region string, n int, seeds []string) string {
 	ports := freePorts(d.t, 4)
-	node := &soakNode{name: fmt.Sprintf("n-%s-%d", region, n), region: region, key: d.callerKey, entryAddress: ports[0], readyAddress: ports[1], storeProxy: newFaultProxy(d.t, d.storeAddress)}
+	node := &soakNode{name: fmt.Sprintf("n-%s-%d", region, n), region: region, key: d.callerKey, entryAddress: ports[0], readyAddress: ports[1], storeProxy: newFaultProxy(d.t, d.storeAddress), gate: newPathGate(d.t, ports[0], d.isUpstreamPort)}
 	node.settings = filepath.Join(d.t.TempDir(), "settings.yaml")
 	text, err := json.Marshal(map[string]any{ // JSON is YAML too
 		"node_name": node.name, "zone": region + "-a", "region": region,
@@ -172,7 +173,11 @@
 	if former != nil {
 		n.former = append(n.former, former)
 	}
-	command := append(slices.Clone(n.wrapper), nodeBinary, "--platform", "--settings", n.settings, "--log-lines", "100000")
+	wrapper := n.wrapper
+	if wrapper == nil {
+		wrapper = n.gate.command(t)
+	}
+	command := append(slices.Clone(wrapper), nodeBinary, "--platform", "--settings", n.settings, "--log-lines", "100000")
 	if n.metricsPort != "" {
 		command = append(command, "--metrics-port", n.metricsPort)
 	}
@@ -268,6 +273,7 @@
 		u.SetBehaviour(normalBehaviour.WithEvents(soakEvents))
 		u.Register("ready")
 	}
+	d.restorePaths(d.nodes...)
 	for _, n := range d.nodes {
 		n.storeProxy.restore()
 		p := n.process()
@@ -283,6 +289,16 @@
 	return append(slices.Clone(d.upstreams), d.cold...)
 }
 
+// isUpstreamPort reports whether nodes reach an upstream at a port.
+func (d *soakDeployment) isUpstreamPort(port int) bool {
+	return slices.ContainsFunc(d.allUpstreams(), func(u *soakUpstream) bool { return portOf(u.proxy.listener.Addr()) == port })
+}
+
+// nodesOf returns the nodes of a region, which is one failure domain.
+func (d *soakDeployment) nodesOf(region string) []*soakNode {
+	return slices.DeleteFunc(slices.Clone(d.nodes), func(n *soakNode) bool { return n.region != region })
+}
+
 // runs returns the number of runs of each request id at all upstreams.
 func (d *soakDeployment) runs() map[string]int {
 	total := make(map[string]int)
--- a/cmd/faulttest/soak_faults_test.go
+++ b/cmd/faulttest/soak_faults_test.go
@@ -149,6 +149,31 @@
 	}},
 }
 
+// lostPaths returns an inject function that cuts the paths of a random node, or of all nodes of
+// a random failure domain, to all upstreams for a time.
+func lostPaths(mode pathMode, wholeDomain bool) func(*soakDeployment, *rand.Rand) func() {
+	return func(d *soakDeployment, rng *rand.Rand) func() {
+		n := d.nodes[rng.IntN(len(d.nodes))]
+		nodes := []*soakNode{n}
+		if wholeDomain {
+			nodes = d.nodesOf(n.region)
+		}
+		d.cutPaths(mode, nodes...)
+		time.AfterFunc(time.Duration(500+rng.IntN(4000))*time.Millisecond, func() { d.restorePaths(nodes...) })
+		return nil
+	}
+}
+
+// soakPathFaults are drawn beside soakFaults, from a sequence of their own as soakSignals are.
+var soakPathFaults = []soakFault{
+	{"a node's paths to upstreams hang", lostPaths(pathHangs, false)},
+	{"a node's paths to upstreams are reset", lostPaths(pathReset, false)},
+	{"a node's new connections to upstreams are refused", lostPaths(pathRefusesNew, false)},
+	{"a failure domain's paths to upstreams hang", lostPaths(pathHangs, true)},
+	{"a failure domain's paths to upstreams are reset", lostPaths(pathReset, true)},
+	{"a failure domain's new connections to upstreams are refused", lostPaths(pathRefusesNew, true)},
+}
+
 var soakFaults = []soakFault{
 	{"kill and restart a node", onNode(func(t *testing.T, n *soakNode) { p := n.process(); p.kill(); n.restart(t, p) })},
 	{"stop and restart a node", onNode(func(t *testing.T, n *soakNode) { p := n.process(); p.terminate(); go n.restart(t, p) })},
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -57,6 +57,10 @@
 	signals.Go(func() {
 		signaled = d.injectFaults(rand.New(rand.NewPCG(seed, 2)), soakSignals, soakSignalGap, until)
 	})
+	var lost []string
+	signals.Go(func() {
+		lost = d.injectFaults(rand.New(rand.NewPCG(seed, 4)), soakPathFaults, soakPathGap, until)
+	})
 	var revocations []revocation
 	signals.Go(func() { revocations = d.revokeKeys(rand.New(rand.NewPCG(seed, 3))) })
 	injected := d.injectFaults(rand.New(rand.NewPCG(seed, 0)), soakFaults, soakFaultGap, until)
@@ -80,14 +84,15 @@
 		n.checkLogsWithoutKeys(t)
 	}
 	if t.Failed() {
-		t.Logf("injected faults of seed %d:\n%s\nand signals:\n%s", seed, strings.Join(injected, "\n"), strings.Join(signaled, "\n"))
+		t.Logf("injected faults of seed %d:\n%s\nand signals:\n%s\nand paths:\n%s", seed, strings.Join(injected, "\n"), strings.Join(signaled, "\n"), strings.Join(lost, "\n"))
 	}
 }
 
-// soakFaultGap and soakSignalGap limit the time between two faults.
+// soakFaultGap, soakSignalGap and soakPathGap limit the time between two faults.
 const (
 	soakFaultGap  = 500 * time.Millisecond
 	soakSignalGap = 1500 * time.Millisecond
+	soakPathGap   = 2500 * time.Millisecond
 )
 
 // injectFaults injects random faults until the given time; several may overlap. It
