Check that upstreams that restart while nodes have no paths are not flooded

The check beside the served tries now restarts the upstream in the region of the nodes that were cut, not always in east.

--- a/cmd/faulttest/lost_path_recovery_test.go
+++ b/cmd/faulttest/lost_path_recovery_test.go
@@ -24,6 +24,8 @@
 	noteOfLostPaths = `"paths_lost"`
 )
 
+var cutModes = map[string]pathMode{"connections hang": pathHangs, "connections are reset": pathReset, "new connections are refused": pathRefusesNew}
+
 var cutNodes = map[string]func(*soakDeployment) []*soakNode{
 	"one node":       func(d *soakDeployment) []*soakNode { return d.nodes[1:2] },
 	"failure domain": func(d *soakDeployment) []*soakNode { return d.nodesOf("east") },
@@ -31,8 +33,7 @@
 
 func TestNodesWithoutPathsServeTheirCallers(t *testing.T) {
 	t.Parallel()
-	modes := map[string]pathMode{"connections hang": pathHangs, "connections are reset": pathReset, "new connections are refused": pathRefusesNew}
-	for name, mode := range modes {
+	for name, mode := range cutModes {
 		for which, choose := range cutNodes {
 			t.Run(which+", "+name, func(t *testing.T) {
 				t.Parallel()
@@ -55,11 +56,7 @@
 				if mode != pathRefusesNew && countNotes(noteOfLostPaths, cut) < len(cut) {
 					t.Errorf("%d of %d nodes noticed that their paths were cut", countNotes(noteOfLostPaths, cut), len(cut))
 				}
-				u := d.cold[1]
-				u.Crash(routedsim.Behaviour{RestartAfter: 100 * time.Millisecond, KeepID: true, ColdStart: soakColdPeriod})
-				time.Sleep(500 * time.Millisecond)
-				d.restorePaths(cut...)
-				time.Sleep(soakColdPeriod)
+				d.restartColdAndRestorePaths(cut, 0)
 				responses := callers.finish()
 				d.checkServedDuringCut(cut, responses, began.Add(contactPeriod), began.Add(contactPeriod+cutMeasured))
 				d.check(responses)
@@ -70,6 +67,38 @@
 	}
 }
 
+func TestUpstreamThatRestartsWhileNodesHaveNoPathsIsNotFlooded(t *testing.T) {
+	t.Parallel()
+	for name, mode := range cutModes {
+		for which, choose := range cutNodes {
+			t.Run(which+", "+name, func(t *testing.T) {
+				t.Parallel()
+				d := newSoakDeployment(t)
+				d.setBehaviour(normalBehaviour)
+				callers := startSoakCallers(d, *soakCallerCount, 1)
+				time.Sleep(2 * time.Second)
+				cut := choose(d)
+				d.cutPaths(mode, cut...)
+				time.Sleep(time.Second)
+				d.restartColdAndRestorePaths(cut, -1)
+				d.check(callers.finish())
+				d.checkColdArrivals()
+			})
+		}
+	}
+}
+
+// restartColdAndRestorePaths restarts the upstream with a cold phase that is in the region of the
+// nodes without paths, and restores these while it is cold. Its entry is written after a time, or
+// not at all if that is negative. It returns at the end of the cold phase.
+func (d *soakDeployment) restartColdAndRestorePaths(cut []*soakNode, registerAfter time.Duration) {
+	i := slices.IndexFunc(d.cold, func(u *soakUpstream) bool { return u.region == cut[0].region })
+	d.cold[i].Crash(routedsim.Behaviour{RestartAfter: 100 * time.Millisecond, KeepID: true, ColdStart: soakColdPeriod, RegisterAfter: registerAfter})
+	time.Sleep(500 * time.Millisecond)
+	d.restorePaths(cut...)
+	time.Sleep(soakColdPeriod)
+}
+
 // countNotes returns how often nodes have logged an event.
 func countNotes(note string, nodes []*soakNode) int {
 	count := 0
