--- a/adapters/edgenode/paths.go
+++ b/adapters/edgenode/paths.go
@@ -31,6 +31,7 @@
 		}
 		changed := false
 		for _, p := range n.catalog.PathProbes(pathProbes) {
+			n.tryReference(ctx, p)
 			reached := n.reachesUpstream(ctx, p)
 			changed = ctx.Err() == nil && n.catalog.SetPathsLost(time.Now(), p.Service, !reached) || changed
 		}
@@ -42,6 +43,19 @@
 	}
 }
 
+// tryReference tells the refused connections of a service's only upstream from those of a path that is lost.
+func (n *Node) tryReference(ctx context.Context, p instances.PathProbe) {
+	if len(p.Addresses) != 1 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, upstreamDialTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	if p.Reference == "" || n.upstreams.Connect(ctx, p.Reference) == nil {
+		n.catalog.RecordReference(p.Service, startedAt)
+	}
+}
+
 // reachesUpstream reports whether a connection to any of several upstreams can be opened.
 func (n *Node) reachesUpstream(ctx context.Context, p instances.PathProbe) bool {
 	ctx, cancel := context.WithTimeout(ctx, upstreamDialTimeout)
--- a/core/instances/paths.go
+++ b/core/instances/paths.go
@@ -19,6 +19,9 @@
 	failedSince time.Time
 	// lostSince is since when the node reaches no upstream; zero if it reaches some.
 	lostSince time.Time
+	// referenceAt is when the latest connection to an upstream of another service began that was opened, as the only
+	// upstream of a service cannot be told from the path to it.
+	referenceAt time.Time
 }
 
 // recordDial records the outcome of a connection attempt that began at startedAt. It reports whether paths that were not
@@ -48,13 +51,6 @@
 	return p.lostSince.IsZero() && len(p.failed) > 0
 }
 
-// since returns since when no connection could be opened.
-func (p *paths) since() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.failedSince
-}
-
 // hasFailed reports whether no connection to an address could be opened since others were.
 func (p *paths) hasFailed(address string) bool {
 	p.mu.Lock()
@@ -71,14 +67,14 @@
 }
 
 // trusts reports whether a connection that was refused at a time was refused by the upstream's machine, as connections to
-// others were opened since. It cannot tell that of the only upstream, whose refusals count until the paths are known to be lost.
+// others were opened since. only is set if the service has no other upstream in the region.
 func (p *paths) trusts(refusedAt time.Time, only bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.failed) > 0 && refusedAt.Before(p.failedSince) {
+	if len(p.failed) > 0 && refusedAt.Before(p.failedSince) || only && p.referenceAt.After(refusedAt) {
 		return true
 	}
-	return p.lostSince.IsZero() && (only || len(p.failed) == 0)
+	return p.lostSince.IsZero() && len(p.failed) == 0
 }
 
 // set records whether the node reaches any upstream. It returns for how long the paths had failed or been lost; changed is false
@@ -142,6 +138,8 @@
 	Service string
 	// Addresses are those of some of its upstreams in the region, first such that this node has not failed to reach.
 	Addresses []string
+	// Reference is the address of an upstream of another service if the service has only one upstream in the region.
+	Reference string
 }
 
 // PathProbes returns the services of whose upstreams this node may reach none, or reaches none, each with at most n addresses.
@@ -164,11 +162,44 @@
 			}
 		}
 		addresses = append(addresses, failed...)
-		list = append(list, PathProbe{p.service, addresses[:min(n, len(addresses))]})
+		list = append(list, PathProbe{Service: p.service, Addresses: addresses[:min(n, len(addresses))]})
 	})
+	for i := range list {
+		if len(list[i].Addresses) == 1 {
+			list[i].Reference = c.otherAddress(list[i].Service)
+		}
+	}
 	return list
 }
 
+// otherAddress returns the address of a random upstream of this region of another service; empty if there is none.
+func (c *Catalog) otherAddress(service string) string {
+	var list []string
+	c.ForEach(func(p *Pool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, u := range p.upstreams {
+			if p.service != service && u.Place.Region == p.options.Self.Region {
+				list = append(list, u.Address)
+			}
+		}
+	})
+	if len(list) == 0 {
+		return ""
+	}
+	return list[rand.IntN(len(list))]
+}
+
+// RecordReference records that a connection to an upstream of another service, which began at startedAt, was opened, or that
+// there is no such upstream: refusals of the service's only upstream are told from then on.
+func (c *Catalog) RecordReference(service string, startedAt time.Time) {
+	paths := &c.Pool(service).paths
+	paths.mu.Lock()
+	paths.referenceAt = startedAt
+	paths.mu.Unlock()
+	c.options.StatementsChanged()
+}
+
 // SetPathsLost records whether this node reaches any upstream of a service in its region, after attempts to connect to several.
 // It reports whether that has changed.
 func (c *Catalog) SetPathsLost(now time.Time, service string, lost bool) (changed bool) {
@@ -193,10 +224,11 @@
 	if !p.hasColdPhase() {
 		return
 	}
+	only := p.countLocal() == 1
 	for _, u := range p.upstreams {
 		if u.Place.Region == p.options.Self.Region {
 			p.recordLoss(now, now, u, LossClosed)
-			if r := &u.coldness.restart; r.refused.isZero() || !r.refused.until.Before(p.paths.since()) {
+			if r := &u.coldness.restart; r.refused.isZero() || !p.paths.trusts(r.refused.until, only) {
 				r.pathLost = true
 			}
 		}
