Take a version for the only one only if other nodes or the store confirm it

Cause: a node that found no record took the one version that it knew for the only one, however old its entries were. An answer of another node that did not come, one that came late and one of a node that knows several versions counted alike, as consent; nodes cut off together confirmed each other.

A version now counts as the only one if all holders of the region that are asked say so, or more than half of those of all regions and none otherwise, at a node that reaches a majority of its region. Otherwise the store is asked, in 300 ms at most, by one question for all requests that wait; then the stream is refused. While the holders answer, nothing is asked that was not before.

TestStreamOfOnlyVersionGoesOnAtNodeOutOfStep holds that streams of one version go on with the store or the other nodes away, and that the store is asked only without the latter. Stopped processes did not show the fault. The stand-in states its version in its first entry, which these tests need.

--- a/adapters/edgenode/dependencies.go
+++ b/adapters/edgenode/dependencies.go
@@ -51,11 +51,20 @@
 	DropStoreConnections func()
 	// DialUpstream opens connections to upstreams; nil means the network of the machine.
 	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialPeer opens connections to other nodes; nil means the network of the machine.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
 	// BootTime reads a clock that goes on while the machine is suspended; nil means that of
 	// the machine.
 	BootTime func() time.Duration
 }
 
+func (d *Dependencies) dialPeer() func(ctx context.Context, address string) (net.Conn, error) {
+	if d.DialPeer != nil {
+		return d.DialPeer
+	}
+	return upstream.Dialer(peerDialTimeout, upstreamUserTimeout)
+}
+
 func (d *Dependencies) bootTime() func() time.Duration {
 	if d.BootTime != nil {
 		return d.BootTime
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -118,7 +118,7 @@
 	n := &Node{settings: s, deps: deps, log: log, metrics: m, startedAt: time.Now(), notices: make(chan instances.Notice, noticeQueueSize), partsChanged: make(chan struct{}, 1), statementsChanged: make(chan struct{}, 1), pathsSuspected: make(chan struct{}, 1),
 		brokers: make(map[string]*placeBroker), brokersActive: make(chan struct{}, 1)}
 	n.places = &placeClient{node: n, brokers: make(map[string]*brokerPath)}
-	n.streams = &streamOrigins{node: n, origins: streams.NewOrigins()}
+	n.streams = &streamOrigins{node: n, origins: streams.NewOrigins(), checks: newSoftwareChecks(n)}
 	n.software = newSoftwareRecords(n)
 	n.seeds.Store(&s.Seeds)
 	n.requests, n.endRequests = context.WithCancelCause(context.Background())
@@ -141,7 +141,7 @@
 		Dialed:     n.catalog.RecordDial,
 		Dial:       deps.DialUpstream,
 	}, deps.Upstream)
-	n.mesh = mesh.NewClient(s.Node, insecure.NewCredentials(), upstream.Dialer(peerDialTimeout, upstreamUserTimeout), time.Now)
+	n.mesh = mesh.NewClient(s.Node, insecure.NewCredentials(), deps.dialPeer(), time.Now)
 	n.engine = &relay.Engine{
 		Self: s.Place, Catalog: n.catalog, Members: n.members, Regions: n.regions,
 		Upstreams: n.upstreams, Nodes: n.mesh,
--- a/adapters/edgenode/streams.go
+++ b/adapters/edgenode/streams.go
@@ -24,11 +24,6 @@
 	// remoteStreamHolders that of each other region: a caller may take it up anywhere.
 	streamHolders       = 3
 	remoteStreamHolders = 1
-	// findStreamTimeout limits the question for the beginning of a stream within the region, confirmOnlyTimeout the same
-	// question if this node knows one version only, and findRemoteStreamTimeout that to other regions.
-	findStreamTimeout       = 150 * time.Millisecond
-	confirmOnlyTimeout      = 50 * time.Millisecond
-	findRemoteStreamTimeout = 300 * time.Millisecond
 )
 
 // streamOrigins knows which version of an upstream's software began a stream. While a service has more than one version, the
@@ -37,6 +32,7 @@
 type streamOrigins struct {
 	node    *Node
 	origins *streams.Origins
+	checks  *softwareChecks
 }
 
 // Began implements relay.Streams.
@@ -52,77 +48,17 @@
 	if !s.statesSoftware(service) {
 		return "", true
 	}
-	k := s.find(ctx, service, request)
-	software = cmp.Or(k.Software, k.OnlySoftware)
-	known = software != ""
-	s.node.log.Log(event.StreamTakenUp, event.F("service", service), event.F("began", request), event.F("software", software), event.F("known", known), event.F("recorded", k.Software != ""))
-	return software, known
+	o := s.find(ctx, service, request)
+	known = o.software != ""
+	s.node.log.Log(event.StreamTakenUp, event.F("service", service), event.F("began", request), event.F("software", o.software), event.F("known", known), event.F("recorded", o.from == originRecorded), event.F("from", o.from))
+	return o.software, known
 }
 
-// find returns what is known of the beginning of a stream, here or at the nodes that hold it.
-func (s *streamOrigins) find(ctx context.Context, service string, request domain.RequestID) mesh.StreamKnowledge {
-	own := s.node.FindStream(service, request)
-	if own.Software != "" {
-		return own
-	}
-	now, timeout := time.Now(), findStreamTimeout
-	if own.OnlySoftware != "" {
-		timeout = confirmOnlyTimeout
-	}
-	near := s.ask(ctx, timeout, holders(s.node.members.Informed(now, s.node.settings.Place.Region), request, streamHolders), service, request)
-	if near.Software != "" {
-		return near
-	}
-	if only := s.onlySoftware(service, cmp.Or(own.OnlySoftware, near.OnlySoftware)); only != "" {
-		return mesh.StreamKnowledge{OnlySoftware: only}
-	}
-	var remote []peers.Member
-	for _, region := range s.node.otherRegions() {
-		remote = append(remote, holders(s.node.members.Informed(now, region), request, remoteStreamHolders)...)
-	}
-	far := s.ask(ctx, findRemoteStreamTimeout, remote, service, request)
-	return mesh.StreamKnowledge{Software: far.Software, OnlySoftware: s.onlySoftware(service, far.OnlySoftware)}
-}
-
-// statesSoftware reports whether upstreams of the service state the versions of their software.
+// statesSoftware reports whether upstreams of the service state the versions of their software, as those do that this node
+// does not know yet.
 func (s *streamOrigins) statesSoftware(service string) bool {
 	versions := s.node.catalog.Pool(service).SoftwareVersions(time.Now(), streams.Retention)
-	return slices.ContainsFunc(versions, func(v string) bool { return v != "" })
-}
-
-// onlySoftware returns a version that another node takes for the only one, if this node knows no other one of the service.
-func (s *streamOrigins) onlySoftware(service, software string) string {
-	for _, known := range s.node.catalog.Pool(service).SoftwareVersions(time.Now(), streams.Retention) {
-		if known != software {
-			return ""
-		}
-	}
-	return software
-}
-
-// ask asks nodes for the beginning of a stream and returns the first answer that tells the version, or else one that says that
-// there is only one.
-func (s *streamOrigins) ask(ctx context.Context, timeout time.Duration, nodes []peers.Member, service string, request domain.RequestID) (found mesh.StreamKnowledge) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	answers := make(chan mesh.StreamKnowledge, len(nodes))
-	for _, m := range nodes {
-		go func() {
-			k, err := s.node.mesh.FindStream(ctx, m.PeerAddress, service, request)
-			if err != nil {
-				s.node.metrics.Count("mesh.find_stream_failed", 1)
-			}
-			answers <- k
-		}()
-	}
-	for range nodes {
-		k := <-answers
-		if k.Software != "" {
-			return k
-		}
-		found.OnlySoftware = cmp.Or(found.OnlySoftware, k.OnlySoftware)
-	}
-	return found
+	return len(versions) == 0 || slices.ContainsFunc(versions, func(v string) bool { return v != "" })
 }
 
 // share tells other nodes of streams of services with several versions until ctx ends.
@@ -191,16 +127,17 @@
 		return mesh.StreamKnowledge{Software: software}
 	}
 	versions := n.catalog.Pool(service).SoftwareVersions(now, streams.Retention)
+	unknown := false
 	if now.Sub(n.startedAt) < streams.Retention { // others may have served a moment before
 		former, known := n.software.formerVersions(service)
-		if !known {
-			return mesh.StreamKnowledge{}
-		}
-		versions = append(versions, former...)
+		versions, unknown = append(versions, former...), !known
 	}
 	slices.Sort(versions)
-	if versions = slices.Compact(versions); len(versions) != 1 {
+	switch versions = slices.Compact(versions); {
+	case len(versions) > 1:
 		return mesh.StreamKnowledge{}
+	case unknown || len(versions) == 0:
+		return mesh.StreamKnowledge{Unknown: true}
 	}
 	return mesh.StreamKnowledge{OnlySoftware: versions[0]}
 }
--- a/adapters/mesh/streams.go
+++ b/adapters/mesh/streams.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"github.com/crocusspread/crocusspread/adapters/mesh/meshpb"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
@@ -25,6 +28,8 @@
 	// OnlySoftware is the only version that the service has had since before the stream can have begun; empty if there
 	// were others, or if that is not known.
 	OnlySoftware string
+	// Unknown is set if the node knows of no version, or not yet which there were before it started; it does not answer then.
+	Unknown bool
 }
 
 // maxStreamOrigins is the maximum number of streams in one message.
@@ -75,5 +80,8 @@
 
 func (s *server) FindStream(_ context.Context, m *meshpb.FindStreamRequest) (*meshpb.FindStreamReply, error) {
 	k := s.handler.FindStream(m.GetService(), domain.RequestID(m.GetRequestId()))
+	if k.Unknown {
+		return nil, status.Error(codes.Unavailable, "the node does not know the versions of the service")
+	}
 	return &meshpb.FindStreamReply{Software: k.Software, OnlySoftware: k.OnlySoftware}, nil
 }
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -125,13 +125,22 @@
 
 // Start starts a server and registers it in the store.
 func Start(store *storesim.Store, service, zone, id string) *Server {
-	return StartWithAddress(store, service, zone, id, func(address string) string { return address })
+	return StartVersion(store, service, zone, id, "")
+}
+
+// StartVersion starts a server with a version of the software, which its first entry states, and registers it.
+func StartVersion(store *storesim.Store, service, zone, id, software string) *Server {
+	return start(store, service, zone, id, software, func(address string) string { return address })
 }
 
 // StartWithAddress starts a server and registers the address that via returns for the
 // server's own address, for instance that of a proxy in front of it.
 func StartWithAddress(store *storesim.Store, service, zone, id string, via func(address string) string) *Server {
-	s := &Server{ID: id, Service: service, Zone: zone, Slots: 8, store: store, executions: make(map[string]int), arrivals: make(map[string]int), connections: make(map[net.Conn]bool)}
+	return start(store, service, zone, id, "", via)
+}
+
+func start(store *storesim.Store, service, zone, id, software string, via func(address string) string) *Server {
+	s := &Server{ID: id, Service: service, Zone: zone, Slots: 8, Software: software, store: store, executions: make(map[string]int), arrivals: make(map[string]int), connections: make(map[net.Conn]bool)}
 	if err := s.listen("127.0.0.1:0"); err != nil {
 		panic(err) // a free port of the loopback interface can always be opened
 	}
--- a/core/peers/member.go
+++ b/core/peers/member.go
@@ -330,6 +330,24 @@
 	return size
 }
 
+// ReachesMajority reports whether this node reaches more than half of the nodes of the local region that may run,
+// itself included. Of nodes that are cut off together it is false for the smaller part.
+func (m *Members) ReachesMajority(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total, reached := 1, 1
+	for _, r := range m.records {
+		if !m.mayRunInRegion(r) {
+			continue
+		}
+		total++
+		if m.isReachable(now, r, m.self.Place.Region) {
+			reached++
+		}
+	}
+	return 2*reached > total
+}
+
 // MayRunInRegion returns the IDs of the nodes of the local region that may run, including the local
 // node and those that this node does not hear of, in any order.
 func (m *Members) MayRunInRegion() []domain.NodeID {
