Send brittle upstreams no more requests at once than they have slots

Cause: nothing decoded the statement. Nodes let requests wait at upstreams for up to half of the objective, and sent each rejected one to the next upstream; all nodes together sent far more than fits once the queues were shorter.

From the first statement of any upstream of the service on, until an answer without it or for 30 s after the latest, each node has at most its share of an upstream's slots in flight. The shares follow from the lists of nodes and upstreams alone and sum up to the slots, so that they hold without news from other nodes or upstreams, and also for upstreams that do not report their load. The slot of a request that was given up counts as taken for half a second or more. After a rejection the node sends the upstream nothing for a second, twice as long after each further one, and then one request until one is answered; a rejected request is not sent to another upstream. What finds no slot is refused at once. Services whose upstreams do not say that they are brittle are placed as before.

--- a/adapters/edgenode/health.go
+++ b/adapters/edgenode/health.go
@@ -53,6 +53,9 @@
 	n.metrics.Count("upstream.health_checks", 1)
 	sentAt := time.Now()
 	health, err := n.upstreams.CheckHealth(ctx, c.Address, c.Path)
+	if err == nil && health.Instance == c.ID {
+		n.catalog.Pool(c.Service).RecordBrittle(time.Now(), sentAt, instances.ReportedLoad{Brittle: health.Brittle, MaxRejections: health.MaxRejections})
+	}
 	switch {
 	case errors.Is(err, relay.ErrConnectionRefused):
 		n.catalog.RecordHealthRefused(time.Now(), c)
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -127,7 +127,7 @@
 		Incarnation: domain.Incarnation(time.Now().UnixMilli()), State: domain.NodeStarting, Capacity: s.CPUCores,
 	}, 0, log)
 	n.regions = peers.NewRegions(log)
-	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, ConnectionShare: n.connectionShare, IdleConnectionShare: n.idleConnectionShare, SendNotice: n.enqueueNotice,
+	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, SlotShares: n.slotShares, ConnectionShare: n.connectionShare, IdleConnectionShare: n.idleConnectionShare, SendNotice: n.enqueueNotice,
 		StatementsChanged: func() { signal(n.statementsChanged) }, PathsSuspected: func() { signal(n.pathsSuspected) }, MemoryOnDemand: true})
 	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
--- a/adapters/standin/routedsim/cold.go
+++ b/adapters/standin/routedsim/cold.go
@@ -63,8 +63,9 @@
 	now := time.Now()
 	s.healthRequests++
 	s.acceptedTimes = append(s.acceptedTimes, now)
-	instance, cold := s.currentID(), s.coldRemaining(now)
+	instance, cold, b := s.currentID(), s.coldRemaining(now), s.behaviour
 	s.mu.Unlock()
+	s.setBrittle(w.Header(), b)
 	w.Header().Set("X-Instance-Id", instance)
 	if s.statesSlowdown() {
 		w.Header().Set("X-Server-Load", s.loadAt(now))
--- a/adapters/standin/routedsim/serve.go
+++ b/adapters/standin/routedsim/serve.go
@@ -39,6 +39,7 @@
 	if b.RateLimit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(b.RateLimit, 'f', -1, 64))
 	}
+	s.setBrittle(w.Header(), b)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != instance {
 		w.Header().Set("X-Instance-Id", instance)
 		w.Header().Set("X-Request-Id", id)
@@ -52,14 +53,15 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	if b.RejectAll {
-		if b.RetryAfter != "" {
-			w.Header().Set("Retry-After", b.RetryAfter)
-		}
-		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("X-Request-Id", id)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		rejectNotRun(w, r, b)
 		return
 	}
+	if b.Brittle > 0 {
+		if !s.enter(w, r, b) {
+			return
+		}
+		defer s.leave()
+	}
 	deadline := timeLeft(r, b)
 	if !s.sleep(r, min(b.QueueTime, deadline)) {
 		return
@@ -93,7 +95,9 @@
 	header := w.Header()
 	header.Set("X-Request-Id", id)
 	header.Set("X-Response-Seal", "seal-"+id)
-	header.Set("X-Server-Load", s.loadAt(time.Now()))
+	if !b.NoLoad {
+		header.Set("X-Server-Load", s.loadAt(time.Now()))
+	}
 	if b.Events > 0 && !neverStreams(r.URL.Path) {
 		s.stream(w, r, b)
 		return
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -83,6 +83,12 @@
 	// RegisterAfter is the time from the restart after a crash until the server writes its new
 	// entry and removes the old one; negative means never.
 	RegisterAfter time.Duration
+	// Brittle is how many requests the server may reject in a second for want of room; at one more it
+	// crashes. It says so in all responses. While it is not zero, the server runs no more requests at
+	// once than it has slots, and lets up to MaxWaiting wait.
+	Brittle, MaxWaiting int
+	// NoLoad omits the load from the responses.
+	NoLoad bool
 }
 
 // Server is a simulated upstream.
@@ -119,6 +125,8 @@
 	registrationSeq int
 	state           string // as last registered
 	slowdown        func(time.Time) int
+	room            room
+	rejections      int
 	recording       bool
 	requests        []*Request
 }
@@ -299,7 +307,11 @@
 func (s *Server) loadAt(now time.Time) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	text := fmt.Sprintf("1,0,%d", s.Slots)
+	running, waiting := 1, 0
+	if s.behaviour.Brittle > 0 {
+		running, waiting = s.room.running, len(s.room.queue)
+	}
+	text := fmt.Sprintf("%d,%d,%d", running, waiting, s.Slots)
 	if s.slowdown != nil {
 		text += fmt.Sprintf(",%d", s.slowdown(now))
 	}
--- a/adapters/upstream/health.go
+++ b/adapters/upstream/health.go
@@ -17,6 +17,9 @@
 	Instance domain.UpstreamID
 	// ColdFor is the remaining time for which it is cold.
 	ColdFor time.Duration
+	// Brittle and MaxRejections are as in instances.ReportedLoad.
+	Brittle       bool
+	MaxRejections int
 	// Healthy is set if it considers itself healthy.
 	Healthy bool
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -69,6 +69,7 @@
 	InstanceNotCold   = Event{412, "instance_not_cold", "The node ceased to suppose that an upstream has started again and is cold; the field from names the evidence."}
 	PathsLost         = Event{413, "paths_lost", "The node reaches no upstream of its region; the fields contain how many it failed to connect to, and since when. It forwards its callers' requests to other nodes."}
 	PathsRestored     = Event{414, "paths_restored", "The node reaches upstreams again."}
+	InstancesBrittle  = Event{415, "instances_brittle", "The upstreams of a service said in answers that they fail if they have to reject more than the stated number of requests in a second, or no longer say so; while they do, this node sends them no more requests at once than its share of their slots."}
 	MemberChanged     = Event{501, "member_changed", "This node observed a state change of another node of the fleet."}
 	DirectoryEmpty    = Event{503, "directory_empty", "A caller requested the list of entry nodes and no live node was known, or the response could not be written."}
 	DomainChanged     = Event{502, "failure_domain_changed", "A failure domain became reachable or unreachable from this node."}
@@ -94,7 +95,7 @@
 		QuotaAuthority, QuotaExceeded, QuotaUnanswered,
 		ClientsCut, ClientsRefused,
 		BrokerStarted, BrokerLost, BrokerFound, PlaceRefused, PlacesBorrowed,
-		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced, InstanceNotCold, PathsLost, PathsRestored,
+		UpstreamChanged, InstanceChanged, InstanceGone, InstanceDoubtful, InstanceSuspect, InstanceRefused, InstanceLimited, InstanceOutdated, InstanceCold, InstanceLeaving, InstanceSilenced, InstanceNotCold, PathsLost, PathsRestored, InstancesBrittle,
 		MemberChanged, DomainChanged, DirectoryEmpty,
 		OperationRefused, OperationUnknown,
 		PlatformFailed, PlatformRestored, StoreHistoryLost, Registered, RegistrationLost, StoreRestored,
--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -178,6 +178,7 @@
 func (p *Pool) tick(now time.Time) {
 	last := p.tickedAt
 	p.tickedAt = now
+	p.endBrittle(now)
 	if last.IsZero() || elapsed(last, now) <= maxTickGap || !p.hasColdPhase() {
 		return
 	}
--- a/core/instances/instance.go
+++ b/core/instances/instance.go
@@ -44,6 +44,10 @@
 	RateLimit float64
 	// Leaving is set if the upstream says that it leaves.
 	Leaving bool
+	// Brittle is set if the upstream says that it fails if it has to reject more than MaxRejections
+	// requests in a second for want of room.
+	Brittle       bool
+	MaxRejections int
 	// Silence is the time for which the upstream wants no requests from this node; zero if it
 	// does not say so.
 	Silence time.Duration
--- a/core/instances/options.go
+++ b/core/instances/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/event"
+	"github.com/crocusspread/crocusspread/core/sharedbounds"
 )
 
 // Options configures a catalog.
@@ -23,6 +24,9 @@
 	ColdPhase func(id domain.UpstreamID) float64
 	// RateShare returns this node's share of the rate that an instance named as its limit.
 	RateShare func(id domain.UpstreamID, rate float64) float64
+	// SlotShares returns how many slots of each of the region's instances this node may use while
+	// they are brittle.
+	SlotShares func(list []sharedbounds.UpstreamSlots) []int
 	// ConnectionShare returns how many of an upstream's maximum connections this
 	// node may use.
 	ConnectionShare func(all int) int
@@ -82,6 +86,9 @@
 	if o.RateShare == nil {
 		o.RateShare = func(_ domain.UpstreamID, rate float64) float64 { return rate }
 	}
+	if o.SlotShares == nil {
+		o.SlotShares = allSlots
+	}
 	if o.ConnectionShare == nil {
 		o.ConnectionShare = func(all int) int { return all }
 	}
@@ -90,3 +97,12 @@
 	}
 	return o
 }
+
+// allSlots gives all slots to the only node.
+func allSlots(list []sharedbounds.UpstreamSlots) []int {
+	shares := make([]int, len(list))
+	for i, u := range list {
+		shares[i] = u.Slots
+	}
+	return shares
+}
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -100,6 +100,7 @@
 	if d.Choice != placement.Local {
 		if d.Choice == placement.Refuse && q.LocalAllowed && d.Usable == 0 {
 			d.Silence = p.shortestSilence(now)
+			d.Delay = p.delayWithoutRoom(now, &d)
 		}
 		return d, nil
 	}
@@ -199,7 +200,7 @@
 		if p.config.Engine != nil {
 			c.LessUrgent = u.lessUrgent(q.Priority) + c.OthersInFlight*(1-p.urgency.shareUpTo(q.Priority))
 		}
-		c.Usable = c.Usable && q.allowsSoftware(u) && u.inFlight < connections && (!q.PacedOnly || p.paced(now, u))
+		c.Usable = c.Usable && q.allowsSoftware(u) && u.inFlight < connections && (!q.PacedOnly || p.paced(now, u)) && p.hasRoom(now, u)
 		if tracksMemory {
 			p.setMemory(now, c, u, need)
 		}
@@ -363,6 +364,7 @@
 		p.updateMeanSlotTime(t, now)
 		p.sizes.recordDuration(t.outputTokens, t.atUsualSpeed(now.Sub(t.firstByteAt)))
 	}
+	p.recordRoom(now, t.SentAt, u, o)
 	p.recordOutcome(now, u, o, failureGain)
 }
 
--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -49,6 +49,7 @@
 	accounts    bool
 	failureRate float64
 	urgency     urgencyMix
+	brittle     brittleness
 	candidates  []placement.Candidate
 	// removed holds the records of upstreams that were removed in the last removedRetention.
 	removed map[domain.UpstreamID]removedUpstream
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -177,6 +177,7 @@
 	defer p.mu.Unlock()
 	u := t.record()
 	p.recordAnswer(now, u, t.connectedAt)
+	p.recordBrittle(now, t.SentAt, r)
 	if lostAt := u.coldness.restart.lost.from; u.coldness.restart.recordReply(t.SentAt, t.connectedAt, p.config.ColdStart) {
 		p.recordNotCold(now, u, sameFromAnswer, lostAt)
 	}
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -48,6 +48,7 @@
 	pace      sharedbounds.Pacer
 	limit     rateLimit
 	silence   silence
+	room      room
 	// leavingStated is set once the process has said in an answer that it leaves. It outlasts any
 	// entry of the same process.
 	leavingStated bool
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -235,6 +235,9 @@
 	if a.delivery.started && a.delivery.events == nil {
 		return false
 	}
+	if res.upstreamOutcome == instances.Shed && a.ticket != nil && a.Catalog.Pool(a.r.Service).Brittle(a.Now()) {
+		return false // the others are full as well, and fail if they reject too many
+	}
 	granted := a.Budget.Take(a.Now(), a.r.Service, a.budgetNodes())
 	if !granted {
 		a.Metrics.Count("relay.budget_exhausted", 1)
