Grant no more places at brittle upstreams than they have slots

What callers saw (LIMIT): an upstream with 5 slots, one rejection a second that it bears and no queue fell over 3 times in 15 s in the test (at most 2 allowed), and 10 requests were served in 10 s of 500.

Cause: the broker raises its limit of an upstream until requests wait there, and learns from rejections that none may. Nodes left a rejecting upstream alone, so that granted places could not be used.

The limit of a brittle upstream is its slots at most. The place of a request that was given up is granted again only after some answers, as the upstream may still work on it. Places of brittle upstreams are not lent to other regions, which get several permits for each. The pause of a node after a rejection does not apply to granted places, whose broker lowers its limit instead.

Evidence: the case of TestBrittleUpstreamsDoNotFallOver with a broker and no queue failed before with these figures; now no crash, no rejection, 485 of 500 requests served. TestBrittleUpstreamsGetNoMorePermitsThanSlots.

--- a/adapters/edgenode/placebroker.go
+++ b/adapters/edgenode/placebroker.go
@@ -119,7 +119,7 @@
 	s.offersAt = now
 	var list []places.Upstream
 	for _, o := range s.node.catalog.Pool(s.service).Offers(now) {
-		list = append(list, places.Upstream{ID: o.ID, Started: o.Started, Place: o.Place, Slots: o.Slots, Others: o.OthersInFlight, MaxConnections: o.MaxConnections})
+		list = append(list, places.Upstream{ID: o.ID, Started: o.Started, Place: o.Place, Slots: o.Slots, Others: o.OthersInFlight, MaxConnections: o.MaxConnections, Brittle: o.Brittle})
 	}
 	s.broker.SetUpstreams(now, list)
 }
--- a/core/instances/availability.go
+++ b/core/instances/availability.go
@@ -86,7 +86,7 @@
 
 // usable reports whether a request may be sent to an upstream now.
 func (p *Pool) usable(now time.Time, u *upstream, model string) bool {
-	if !p.accepts(now, u, model) || p.pausesAfterRejection(now, u) {
+	if !p.accepts(now, u, model) {
 		return false
 	}
 	rate, bounded := p.ownRate(now, u)
--- a/core/instances/brittle.go
+++ b/core/instances/brittle.go
@@ -108,6 +108,9 @@
 	if !p.brittle.at(now) {
 		return true
 	}
+	if now.Before(u.room.fullUntil) {
+		return false
+	}
 	p.divideSlots(now)
 	share := u.room.share
 	if u.room.pause > 0 {
@@ -138,11 +141,6 @@
 	}
 }
 
-// pausesAfterRejection reports whether the upstream is brittle and has just rejected a request.
-func (p *Pool) pausesAfterRejection(now time.Time, u *upstream) bool {
-	return p.brittle.at(now) && now.Before(u.room.fullUntil)
-}
-
 // recordRoom records what the end of a request tells of the room at a brittle upstream. One that was given
 // up may keep its slot for as long as it works.
 func (p *Pool) recordRoom(now, sentAt time.Time, u *upstream, o Outcome) {
--- a/core/instances/granted.go
+++ b/core/instances/granted.go
@@ -37,6 +37,8 @@
 	OthersInFlight int
 	// MaxConnections is the number of connections that the upstream accepts; zero means no limit.
 	MaxConnections int
+	// Brittle is set if the upstream fails if it has to reject too many requests.
+	Brittle bool
 }
 
 // Offers returns the upstreams of the region whose places may be granted to any node. Cold and
@@ -49,7 +51,7 @@
 	for _, u := range p.upstreams {
 		a, _ := p.availability(now, u)
 		if a == Available || a == Suspect && !spareSuspects && !p.paced(now, u) {
-			list = append(list, Offer{Instance: u.Instance, OthersInFlight: int(u.otherRequestsAt(now, meanOthers)), MaxConnections: p.config.MaxConnections})
+			list = append(list, Offer{Instance: u.Instance, OthersInFlight: int(u.otherRequestsAt(now, meanOthers)), MaxConnections: p.config.MaxConnections, Brittle: p.brittle.at(now)})
 		}
 	}
 	return list
--- a/core/places/broker.go
+++ b/core/places/broker.go
@@ -146,6 +146,9 @@
 			u.limit = max(1, u.limit+float64(in.Slots-u.Slots))
 		}
 		u.Upstream, u.listed = in, true
+		if u.Brittle {
+			u.limit = min(u.limit, u.maxLimit())
+		}
 	}
 	b.upstreams = slices.DeleteFunc(b.upstreams, func(u *upstream) bool {
 		return !u.borrowed() && !u.listed && u.outstanding == 0
--- a/core/places/loans.go
+++ b/core/places/loans.go
@@ -49,6 +49,9 @@
 	free := 0.0
 	for _, u := range b.upstreams {
 		if !u.borrowed() && u.listed {
+			if u.Brittle { // borrowers have more permits than places
+				return nil, lendFor
+			}
 			lenders = append(lenders, u)
 			free += min(float64(u.Slots), u.limit) - u.lent
 		}
--- a/core/places/upstream.go
+++ b/core/places/upstream.go
@@ -18,6 +18,8 @@
 	Others int
 	// MaxConnections is the number of connections that it accepts; zero if it is not known.
 	MaxConnections int
+	// Brittle is set if it fails if it has to reject too many requests: none may wait there then.
+	Brittle bool
 }
 
 type upstream struct {
@@ -43,6 +45,9 @@
 
 func (u *upstream) maxLimit() float64 {
 	highest := float64(maxLimitFactor * u.Slots)
+	if u.Brittle {
+		highest = float64(u.Slots)
+	}
 	if u.MaxConnections > 0 {
 		highest = min(highest, maxConnectionShare*float64(u.MaxConnections))
 	}
@@ -54,6 +59,8 @@
 	switch {
 	case r.Outcome == instances.Shed:
 		u.limit = max(1, min(u.limit, float64(u.outstanding+1))*rejectedLimitFactor)
+	case u.Brittle && r.Used > 0 && (r.Outcome == instances.Canceled || r.Outcome == instances.Broken):
+		u.limit = max(1, u.limit-1) // the upstream may still work on it
 	case r.Load.Slots == 0:
 	case r.Load.Waiting > reserve:
 		u.limit = max(1, u.limit-limitGain*min(float64(u.Slots), float64(r.Load.Waiting-reserve)))
