Free the slots of requests that were given up at brittle upstreams earlier

Cause: the slot of a request that was given up counted as taken for half a second or more, whatever time such requests take.

It counts as taken for the rest of the usual time now, 0.1 to 0.5 s: upstreams that go on working have ended then, most others have ended at once.

--- a/core/instances/brittle.go
+++ b/core/instances/brittle.go
@@ -18,8 +18,10 @@
 	// doubles with each further rejection, up to maxRejectionPause, until a request is answered after it.
 	rejectionPause    = time.Second
 	maxRejectionPause = 8 * time.Second
-	// minEnding is the shortest time for which the slot of a request that was given up counts as taken.
-	minEnding = 500 * time.Millisecond
+	// minEnding and maxEnding bound the time for which the slot of a request that was given up counts as
+	// taken.
+	minEnding = 100 * time.Millisecond
+	maxEnding = 500 * time.Millisecond
 	// slotSharesInterval is the time between two divisions of the slots.
 	slotSharesInterval = 200 * time.Millisecond
 )
@@ -158,7 +160,8 @@
 		}
 		u.room.fullUntil = now.Add(u.room.pause)
 	case Canceled, Broken:
-		u.room.ending = append(u.room.ending, now.Add(max(minEnding, p.meanSlotTime)))
+		left := min(maxEnding, max(minEnding, p.meanSlotTime-now.Sub(sentAt)))
+		u.room.ending = append(u.room.ending, now.Add(left))
 	}
 }
 
--- a/core/sharedbounds/slots_test.go
+++ b/core/sharedbounds/slots_test.go
@@ -45,3 +45,18 @@
 		t.Errorf("a node that is not in the list gets %d slots", got[0])
 	}
 }
+
+// BenchmarkDivideSlots divides the slots of 44 upstreams among 30 nodes.
+func BenchmarkDivideSlots(b *testing.B) {
+	var nodes []domain.NodeID
+	var list []sharedbounds.UpstreamSlots
+	for i := range 30 {
+		nodes = append(nodes, domain.NodeID(fmt.Sprint("n", i)))
+	}
+	for i := range 44 {
+		list = append(list, sharedbounds.UpstreamSlots{ID: domain.UpstreamID(fmt.Sprint("u", i)), Slots: 8})
+	}
+	for b.Loop() {
+		sharedbounds.DivideSlots("n3", nodes, list)
+	}
+}
