--- a/core/instances/cold.go
+++ b/core/instances/cold.go
@@ -192,6 +192,7 @@
 func (p *Pool) tick(now time.Time) {
 	last := p.tickedAt
 	p.tickedAt = now
+	p.endBrittle(now)
 	if last.IsZero() || elapsed(last, now) <= maxTickGap || !p.hasColdPhase() {
 		return
 	}
