--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -59,6 +59,7 @@
 	msg.RateLimits = n.catalog.RateLimits(now)
 	msg.Statements = n.catalog.Statements(now)
 	msg.Speeds = n.catalog.Speeds(now)
+	msg.Brittle = n.catalog.BrittleServices(now)
 	msg.Views = n.regions.Views(now, maxViews)
 	localLimit := localSample
 	if now.Sub(n.startedAt) < startupPeriod {
@@ -120,6 +121,7 @@
 		n.catalog.ApplyRateLimits(now, composedAfter, msg.RateLimits)
 		n.catalog.ApplyStatements(now, composedAfter, msg.Statements)
 		n.catalog.ApplySpeeds(now, msg.Speeds)
+		n.catalog.ApplyBrittle(now, msg.Brittle)
 		n.metrics.Count("mesh.speeds_heard", int64(len(msg.Speeds)))
 	}
 	n.synchronize(now, msg)
--- a/adapters/mesh/convert.go
+++ b/adapters/mesh/convert.go
@@ -108,6 +108,8 @@
 	Statements []instances.Statement
 	// Speeds holds slowdowns that upstreams of the region stated.
 	Speeds []instances.Speed
+	// Brittle holds the services whose upstreams in the region are brittle.
+	Brittle []instances.BrittleService
 	// QuotaAuthority is the node that grants quotas; its term is zero if none is known.
 	QuotaAuthority quota.Announcement
 }
@@ -177,6 +179,9 @@
 		m.Speeds = append(m.Speeds, &meshpb.UpstreamSpeed{Service: s.Service, Instance: string(s.Instance),
 			SlowdownPercent: slowdownToWire(s.Slowdown), AgeMs: uint32(math.Ceil(float64(s.Age) / float64(time.Millisecond)))})
 	}
+	for _, b := range msg.Brittle {
+		m.Brittle = append(m.Brittle, &meshpb.BrittleService{Service: b.Service, MaxRejections: uint32(b.MaxRejections), AgeMs: uint32(b.Age.Milliseconds())})
+	}
 	m.Loads = loadsToWire(msg.Loads)
 	for _, v := range msg.Views {
 		m.Views = append(m.Views, &meshpb.RegionView{Region: string(v.Region), AgeMs: uint32(v.Age.Milliseconds()), Loads: loadsToWire(v.Loads)})
@@ -247,6 +252,9 @@
 		msg.Speeds = append(msg.Speeds, instances.Speed{Service: s.GetService(), Instance: domain.UpstreamID(s.GetInstance()),
 			Slowdown: float64(s.GetSlowdownPercent()) / percent, Age: time.Duration(s.GetAgeMs()) * time.Millisecond})
 	}
+	for _, b := range m.GetBrittle() {
+		msg.Brittle = append(msg.Brittle, instances.BrittleService{Service: b.GetService(), MaxRejections: int(b.GetMaxRejections()), Age: time.Duration(b.GetAgeMs()) * time.Millisecond})
+	}
 	msg.Loads = loadsFromWire(m.GetLoads())
 	for _, v := range m.GetViews() {
 		msg.Views = append(msg.Views, peers.View{Region: domain.Region(v.GetRegion()), Age: time.Duration(v.GetAgeMs()) * time.Millisecond, Loads: loadsFromWire(v.GetLoads())})
--- a/adapters/mesh/message_test.go
+++ b/adapters/mesh/message_test.go
@@ -32,6 +32,7 @@
 		}
 		msg.Members = append(msg.Members, m)
 	}
+	msg.Brittle = []instances.BrittleService{{Service: "assistent-llm", MaxRejections: 5, Age: 40 * time.Millisecond}}
 	msg.Speeds = []instances.Speed{{Service: "assistent-llm", Instance: "llm-region-a-17", Slowdown: 2.5, Age: 120 * time.Millisecond}}
 	return msg
 }
--- a/core/instances/brittle.go
+++ b/core/instances/brittle.go
@@ -66,6 +66,40 @@
 	p.recordBrittle(now, sentAt, r)
 }
 
+// BrittleService tells the other nodes of the region of a service whose upstreams are brittle.
+type BrittleService struct {
+	Service       string
+	MaxRejections int
+	// Age is the time since an upstream stated it to some node.
+	Age time.Duration
+}
+
+// BrittleServices returns the services whose upstreams are brittle.
+func (c *Catalog) BrittleServices(now time.Time) []BrittleService {
+	var list []BrittleService
+	c.ForEach(func(p *Pool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.brittle.at(now) {
+			list = append(list, BrittleService{p.service, p.brittle.maxRejections, now.Sub(p.brittle.statedAt)})
+		}
+	})
+	return list
+}
+
+// ApplyBrittle adopts what another node tells of services whose upstreams stated it later than is known here. A message that
+// took long makes them count as brittle for longer.
+func (c *Catalog) ApplyBrittle(now time.Time, list []BrittleService) {
+	for _, b := range list {
+		p := c.Pool(b.Service)
+		p.mu.Lock()
+		if statedAt := now.Add(-b.Age); statedAt.After(p.brittle.statedAt) {
+			p.recordBrittle(statedAt, statedAt, ReportedLoad{Brittle: true, MaxRejections: b.MaxRejections})
+		}
+		p.mu.Unlock()
+	}
+}
+
 func (p *Pool) recordBrittle(now, sentAt time.Time, r ReportedLoad) {
 	b := &p.brittle
 	p.endBrittle(now)
--- a/core/instances/brittle_test.go
+++ b/core/instances/brittle_test.go
@@ -171,3 +171,16 @@
 		t.Errorf("%d requests were placed on the 6 slots of two upstreams, the second of which is new", n)
 	}
 }
+
+func TestNodeThatGotNoAnswerLearnsThatUpstreamsAreBrittle(t *testing.T) {
+	told, heard := newCatalog(t, instances.Options{}, "a"), newCatalog(t, instances.Options{}, "a")
+	state(t, told, 0, 10, brittle)
+	heard.ApplyBrittle(after(500), told.BrittleServices(after(500)))
+	if n := len(placeAll(heard, 510)); n != 4 {
+		t.Errorf("%d requests were placed on 4 slots by a node that another one told", n)
+	}
+	state(t, told, 3000, 3010, instances.ReportedLoad{})
+	if got := told.BrittleServices(after(3020)); len(got) > 0 {
+		t.Errorf("%+v is told after the end of the brittle time", got)
+	}
+}
