Keep an answer of a silent upstream unless another one can take the request

Callers saw: a sound upstream that was silent for 1.3 s and had the only place cost them their answers: 504 "upstream sent no data within the timeout" for idempotent requests and streams whose first byte was pending, streams broken off after 1.7 s without an event, and idempotent answers over 64 KB cut in the middle. With another upstream, resumable streams ran twice side by side, the first run until its upstream went on, and the upstream was excluded as suspect.

Cause: watchSilence gave up a repeatable request after 0.7 s of silence (0.9 s for its first byte) whenever the retry budget allowed another attempt, whether or not another upstream could take it and whether that could gain anything.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -120,6 +120,7 @@
 	state           string // as last registered
 	slowdown        func(time.Time) int
 	recording       bool
+	pausedUntil     time.Time
 	requests        []*Request
 }
 
@@ -153,7 +154,7 @@
 	}
 	server := &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}
 	s.address, s.http = listener.Addr().String(), server
-	go func() { _ = server.Serve(listener) }() // it returns once the server crashes or stops
+	go func() { _ = server.Serve(pausingListener{listener, s}) }() // it returns once the server crashes or stops
 	return nil
 }
 
--- a/core/relay/engine.go
+++ b/core/relay/engine.go
@@ -142,6 +142,8 @@
 	// lastEventAt is when the attempt was sent or, if later, when the caller was sent a new
 	// event of a resumable stream, in Unix nanoseconds.
 	lastEventAt atomic.Int64
+	// unrepeatable is set once the caller gets a part of an answer that is not a resumable stream.
+	unrepeatable atomic.Bool
 }
 
 // recordBytes records the arrival of n bytes of the answer.
@@ -249,33 +251,39 @@
 // upstreams of this region whose rate of requests is bounded.
 func (a *attempts) place(pacedOnly bool) (placement.Decision, *instances.Ticket) {
 	now := a.Now()
-	r := a.r
-	pathsLost := a.Catalog.PathsLost()
-	if pathsLost && a.mayForward(now) {
+	if a.Catalog.PathsLost() && a.mayForward(now) {
 		return placement.Decision{Choice: placement.Remote, Region: a.Self.Region, Domain: a.Self.FailureDomain}, nil
 	}
+	q := a.query(now, now.Sub(a.objectiveFrom), a.streamSoftware, pacedOnly)
+	return a.Catalog.Pool(a.r.Service).Place(now, a.Policy, &q)
+}
+
+// query describes the request for a placement; elapsed counts against the objective, and software, unless it is
+// empty, is the version that must run the request.
+func (a *attempts) query(now time.Time, elapsed time.Duration, software string, pacedOnly bool) instances.Query {
+	r := a.r
 	q := instances.Query{
 		Request: placement.Request{
 			Prompt: r.Prompt.Parts, PromptTokens: r.Prompt.InputTokens, OutputTokens: r.Prompt.OutputTokens,
-			Objective: r.Route.Objective, Elapsed: now.Sub(a.objectiveFrom), Remaining: r.Deadline.Sub(now) - r.Reserve,
+			Objective: r.Route.Objective, Elapsed: elapsed, Remaining: r.Deadline.Sub(now) - r.Reserve,
 			Priority: r.Priority(), Urgent: r.urgent(), Excluded: a.tried, Random: rand.Uint32(),
 		},
 		Model:        r.Prompt.Model,
-		LocalAllowed: r.Allows(a.Self.Region) && !pathsLost,
+		LocalAllowed: r.Allows(a.Self.Region) && !a.Catalog.PathsLost(),
+		PacedOnly:    pacedOnly, Software: software,
 	}
-	q.PacedOnly, q.Software = pacedOnly, a.streamSoftware
 	if !r.Relayed && !pacedOnly {
 		senders := a.Members.RegionSize(now)
 		q.OtherRegions = a.Regions.Loads(now, r.Service, senders, func(region domain.Region) bool {
-			return region != a.Self.Region && r.Allows(region) && a.Members.HasTarget(now, region) && a.regionMayGoOn(region)
+			return region != a.Self.Region && r.Allows(region) && a.Members.HasTarget(now, region) && a.regionMayRun(region, software)
 		})
 	}
-	return a.Catalog.Pool(r.Service).Place(now, a.Policy, &q)
+	return q
 }
 
-// regionMayGoOn reports whether a region has an upstream that may write the rest of the stream.
-func (a *attempts) regionMayGoOn(region domain.Region) bool {
-	return a.streamSoftware == "" || a.Catalog.Pool(a.r.Service).HasSoftware(region, a.streamSoftware)
+// regionMayRun reports whether a region has an upstream with a version of the software; any version if it is empty.
+func (a *attempts) regionMayRun(region domain.Region, software string) bool {
+	return software == "" || a.Catalog.Pool(a.r.Service).HasSoftware(region, software)
 }
 
 // refuse ends a request that no upstream can serve now.
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"time"
 
 	"github.com/crocusspread/crocusspread/core/domain"
@@ -14,32 +13,10 @@
 	"github.com/crocusspread/crocusspread/core/routes"
 )
 
-const (
-	// maxBufferedBytes is the maximum size of an answer that is buffered until it is
-	// complete; larger ones are passed on as they arrive. Hundreds of answers without an
-	// end must fit a node's memory.
-	maxBufferedBytes = 64 << 10
-	// silenceTimeout is how long an upstream may send nothing to this node, on any
-	// connection, before a repeatable request is sent elsewhere.
-	silenceTimeout = 700 * time.Millisecond
-	// silenceTimeoutFactor replaces silenceTimeout until the first byte of an answer if it is
-	// longer, as a multiple of the expected time. Most upstreams run one request of this node, and
-	// prefill a long prompt, at the speed of the moment, without sending anything.
-	silenceTimeoutFactor = 3
-	// streamSilenceTimeout is the same for an answer that has begun: engines pause a
-	// stream for over a second when they run out of memory, and callers disconnect after
-	// two seconds at the earliest.
-	streamSilenceTimeout = 1700 * time.Millisecond
-	// stallGapFactor is the time without a new event, as a multiple of the longest pause that
-	// meets the objective, after which a resumable stream continues elsewhere. Callers
-	// disconnect after eight times that pause at the earliest.
-	stallGapFactor = 6
-	// firstByteTimeoutFactor and minFirstByteTimeout set the timeout for the first byte
-	// of a repeatable request with attempts left; the factor is a multiple of the
-	// expected time.
-	firstByteTimeoutFactor = 6
-	minFirstByteTimeout    = 900 * time.Millisecond
-)
+// maxBufferedBytes is the maximum size of an answer that is buffered until it is
+// complete; larger ones are passed on as they arrive. Hundreds of answers without an
+// end must fit a node's memory.
+const maxBufferedBytes = 64 << 10
 
 // sendLocal sends the request to an upstream of this node's region.
 func (a *attempts) sendLocal(ctx context.Context, t *instances.Ticket) result {
@@ -90,45 +67,6 @@
 	return &Call{Request: a.r, ResumeAfter: a.delivery.resumeAfter(a.r.ResumeAfter), Software: a.streamSoftware, TimeLeft: max(time.Millisecond, left), Priority: a.r.Priority()}
 }
 
-// errSilent is the cancellation cause of an attempt whose upstream stopped sending.
-var errSilent = errors.New("upstream sent no data within the timeout")
-
-// watchSilence cancels the attempt of a repeatable request when its upstream stops
-// sending and another attempt may follow.
-func (a *attempts) watchSilence(t *instances.Ticket, cancel context.CancelCauseFunc) (stop func()) {
-	if !a.r.Route.Repeatable() || a.r.SendCount+1 >= a.r.Route.MaxAttempts {
-		return func() {}
-	}
-	start := a.Now()
-	a.lastEventAt.Store(start.UnixNano())
-	firstByteTimeout := max(minFirstByteTimeout, firstByteTimeoutFactor*t.Expected)
-	var timer *time.Timer
-	timer = time.AfterFunc(math.MaxInt64, func() {
-		now := a.Now()
-		waited := now.Sub(start)
-		limit := max(silenceTimeout, silenceTimeoutFactor*t.Expected)
-		if t.AnswerStarted() {
-			limit = streamSilenceTimeout
-		}
-		silent := !t.ReceivedWithin(now, limit) || a.stalled(t, now)
-		if (silent || !t.AnswerStarted() && waited > firstByteTimeout) && a.Budget.Available(now, a.r.Service, a.budgetNodes()) {
-			cancel(errSilent)
-			return
-		}
-		timer.Reset(silenceTimeout / 3)
-	})
-	timer.Reset(silenceTimeout) // only now, as the function uses timer
-	return func() { timer.Stop() }
-}
-
-// stalled reports whether a resumable stream has begun and brings no new event, although
-// its upstream may be sending something: comments, a part of an event, or the events of
-// other requests.
-func (a *attempts) stalled(t *instances.Ticket, now time.Time) bool {
-	limit := max(streamSilenceTimeout, stallGapFactor*a.r.Route.MaxEventGap)
-	return a.r.Route.Resumable && t.AnswerStarted() && now.Sub(time.Unix(0, a.lastEventAt.Load())) > limit
-}
-
 // sendError classifies an attempt without an answer.
 func (a *attempts) sendError(ctx context.Context, err error) result {
 	kind := errkind.From(err)
@@ -230,6 +168,7 @@
 
 // streamRest delivers a large answer whose beginning is buffered.
 func (a *attempts) streamRest(ctx context.Context, answer Answer, h Head, body []byte) result {
+	a.unrepeatable.Store(true)
 	if err := a.deliver(h, body); err != nil {
 		return a.interrupted(ctx, err)
 	}
