End the suspicion of a silent upstream when it is heard again

Callers saw: for half a second and, after several silences, up to four seconds a sound upstream got no requests, because requests had been sent elsewhere while it was silent.

Cause: each such request counted as a broken answer, and the suspicion lasted its time whatever the upstream sent meanwhile.

Ticket.GiveUp now keeps the record of failures from before; the first byte of the upstream brings it back, unless other failures came in between.

Evidence, failed without the change: TestSuspicionOfSilentUpstreamEndsWhenItIsHeard (silent, then heard). TestUpstreamThatWasSilentIsUsedAgain, with nodes, passed before too: there the half second was over before the silence was.

--- a/core/instances/availability.go
+++ b/core/instances/availability.go
@@ -109,6 +109,7 @@
 }
 
 func (p *Pool) isSuspect(now time.Time, u *upstream) bool {
+	u.restoreIfHeard()
 	return now.Before(u.suspectUntil) || p.config.Engine != nil && u.silent(now)
 }
 
--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -74,6 +74,7 @@
 // recordOutcome updates the failure rates and marks the upstream suspect if they
 // are too high.
 func (p *Pool) recordOutcome(now time.Time, u *upstream, o Outcome, gain float64) {
+	u.restoreIfHeard()
 	bad := 0.0
 	switch o {
 	case Canceled:
@@ -88,6 +89,7 @@
 		return
 	case ServerError, Broken, Unreachable:
 		bad = 1
+		u.givenUp.recordFailure(o)
 	}
 	u.failureRate += gain * (bad - u.failureRate)
 	p.failureRate += poolGain * (bad - p.failureRate)
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -85,6 +85,7 @@
 	// answered at its address.
 	misdirectedUntil time.Time
 	suspectFor       time.Duration
+	givenUp          givenUp
 }
 
 // otherRequestsAt returns the estimated number of other nodes' requests at now. As a
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -57,6 +57,9 @@
 	if res.connectionLost() {
 		t.ConnectionLost(a.Now(), res.loss())
 	}
+	if res.upstreamOutcome == instances.Broken && errors.Is(res.err, errSilent) {
+		t.GiveUp(a.Now())
+	}
 	t.Done(a.Now(), res.upstreamOutcome)
 	a.logAttempt(string(t.ID), sentAt, t.Expected, res)
 	return res
