Set the number of keep-alive probes that Linux sends before it gives up

Operators read: three keep-alive probes, so that a silent connection ends after 11 s. Connections to upstreams, the store and other nodes ended after 7 s, at the first probe that stayed unanswered.

Cause: TCP_USER_TIMEOUT, 2 s there, also decides when the probes give up, and TCP_KEEPCNT is not looked at. With the user timeout of 10 s of the other gateway the count of three agrees by chance.

Evidence, failed before: TestSilentConnectionIsGivenUpAfterTheSetProbes/2s (ended after 7.2 s, set were 11 s), with a socket filter that drops what arrives; it needs no privileges. 10 s passed before too. TestGRPCLeavesUserTimeoutsOfConnections and TestUserTimeoutThatGRPCSetsIsTheOneOfPings read the options back.

--- a/adapters/upstream/options.go
+++ b/adapters/upstream/options.go
@@ -26,7 +26,8 @@
 	// IdleTimeout is the time after which an idle pooled connection is closed.
 	IdleTimeout time.Duration
 	// UserTimeout is TCP_USER_TIMEOUT, the time for which sent data may remain
-	// unacknowledged before the kernel closes the connection.
+	// unacknowledged before the kernel closes the connection. It also decides when
+	// keep-alive probes give up.
 	UserTimeout time.Duration
 	// CallTimeout is the timeout of load, order, cancel and cache event calls.
 	CallTimeout time.Duration
@@ -52,9 +53,15 @@
 	defaultMaxIdle             = 64
 	keepAliveIdle              = 5 * time.Second
 	keepAliveInterval          = 2 * time.Second
-	keepAliveProbes            = 3
 )
 
+// keepAliveProbes returns the number of keep-alive probes after which Linux gives a connection up. With a user timeout
+// TCP_KEEPCNT does not count: the connection ends at the first probe that is due after the timeout has passed since
+// the last byte arrived, if at least one probe remained unanswered.
+func keepAliveProbes(userTimeout time.Duration) int {
+	return max(1, int((userTimeout-keepAliveIdle+keepAliveInterval-1)/keepAliveInterval))
+}
+
 func (o Options) withDefaults() Options {
 	setDefault(&o.DialTimeout, defaultDialTimeout)
 	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
@@ -89,7 +96,7 @@
 			Enable:   true,
 			Idle:     keepAliveIdle,
 			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
+			Count:    keepAliveProbes(o.UserTimeout),
 		},
 		Control: setUserTimeout(o.UserTimeout),
 	}
