Do not take an upstream for slow after one silence

Callers saw: after a silence of 1.3 s a sound upstream got no requests for over eight seconds, the others all of them.

Cause: a dozen answers that had waited for the end of the silence made its latency ratio several times that of the others, and without requests it only halves every five seconds.

The silence, 0.6 to 2 s without a byte, now does not count for the ratio, down to the expected time of the answer and once in 10 s, so that an upstream that is slow for long is still avoided.

With the limit of once in 10 s taken away, TestUpstreamThatIsSlowForLongIsAvoided fails (60 of 60 requests at the slow upstream).

--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -40,7 +40,7 @@
 const minExpectedDelay = 20 * time.Millisecond
 
 func (p *Pool) updateLatencyRatio(t *Ticket, now time.Time) {
-	took := t.atUsualSpeed(now.Sub(t.SentAt))
+	took := t.atUsualSpeed(t.withoutLull(now, t.Expected))
 	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.SentAt, t.upstream)/t.expectedSlowdown))
 	ratio := min(10, max(0.1, float64(took)/float64(expected)))
 	if t.reserved {
--- a/core/instances/upstream.go
+++ b/core/instances/upstream.go
@@ -86,6 +86,8 @@
 	misdirectedUntil time.Time
 	suspectFor       time.Duration
 	givenUp          givenUp
+	// lull is the latest period in which the upstream was silent for a moment.
+	lull period
 }
 
 // otherRequestsAt returns the estimated number of other nodes' requests at now. As a
