--- a/adapters/standin/routedsim/serve.go
+++ b/adapters/standin/routedsim/serve.go
@@ -13,6 +13,8 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/standin/storesim"
@@ -101,6 +102,7 @@
 	// own if requests pass through a proxy.
 	registeredAddress string
 
+	inFlight        atomic.Int64
 	mu              sync.Mutex
 	http            *http.Server // nil while the server is down
 	closed          bool
@@ -347,6 +349,9 @@
 	return s.lastHeader
 }
 
+// InFlight returns the number of requests that the server works on.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
 // Canceled returns the number of requests whose client disconnected before the
 // response was complete.
 func (s *Server) Canceled() int {
