--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/standin/storesim"
@@ -107,6 +108,7 @@
 	// own if requests pass through a proxy.
 	registeredAddress string
 
+	inFlight        atomic.Int64
 	mu              sync.Mutex
 	http            *http.Server // nil while the server is down
 	closed          bool
@@ -128,6 +130,7 @@
 	room            room
 	rejections      int
 	recording       bool
+	pausedUntil     time.Time
 	requests        []*Request
 }
 
@@ -170,7 +173,7 @@
 	}
 	server := &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}
 	s.address, s.http = listener.Addr().String(), server
-	go func() { _ = server.Serve(listener) }() // it returns once the server crashes or stops
+	go func() { _ = server.Serve(pausingListener{listener, s}) }() // it returns once the server crashes or stops
 	return nil
 }
 
@@ -367,6 +370,9 @@
 	return s.lastHeader
 }
 
+// InFlight returns the number of requests that the server works on.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
 // Canceled returns the number of requests whose client disconnected before the
 // response was complete.
 func (s *Server) Canceled() int {
--- a/core/instances/outcomes.go
+++ b/core/instances/outcomes.go
@@ -40,7 +40,7 @@
 const minExpectedDelay = 20 * time.Millisecond
 
 func (p *Pool) updateLatencyRatio(t *Ticket, now time.Time) {
-	took := t.atUsualSpeed(now.Sub(t.SentAt))
+	took := t.atUsualSpeed(t.withoutLull(now, t.Expected))
 	expected := max(minExpectedDelay, time.Duration(float64(t.Expected)/p.relativeLatency(t.SentAt, t.upstream)/t.expectedSlowdown))
 	ratio := min(10, max(0.1, float64(took)/float64(expected)))
 	if t.reserved {
@@ -74,6 +74,7 @@
 // recordOutcome updates the failure rates and marks the upstream suspect if they
 // are too high.
 func (p *Pool) recordOutcome(now time.Time, u *upstream, o Outcome, gain float64) {
+	u.restoreIfHeard()
 	bad := 0.0
 	switch o {
 	case Canceled:
@@ -88,6 +89,7 @@
 		return
 	case ServerError, Broken, Unreachable:
 		bad = 1
+		u.givenUp.recordFailure(o)
 	}
 	u.failureRate += gain * (bad - u.failureRate)
 	p.failureRate += poolGain * (bad - p.failureRate)
--- a/core/relay/remote.go
+++ b/core/relay/remote.go
@@ -19,6 +19,9 @@
 // request for it.
 const maxForwards = 2
 
+// pathsLost reports whether this node reaches no upstream of the request's service in its region.
+func (a *attempts) pathsLost() bool { return a.Catalog.Pool(a.r.Service).PathsLost() }
+
 // mayForward reports whether the request may be sent to a node of this region, as this one reaches no upstream of
 // its service.
 func (a *attempts) mayForward(now time.Time) bool {
