Log which nodes did not answer the question for a stream's beginning

What operators saw: stream_taken_up with an unknown version, and nothing of the nodes that had not answered: their errors were only counted.

Each is logged now (fetch_failed), unless the question was cancelled, by another node's record or as the caller left; such ones are not counted as failed any more. A service without any version is logged as unknown, not as one with several.

Evidence: no test covers the log lines. The tests of adapters/edgenode, adapters/telemetry and those for software versions in platform pass.

--- a/adapters/edgenode/findstream.go
+++ b/adapters/edgenode/findstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/crocusspread/crocusspread/adapters/mesh"
@@ -106,7 +107,9 @@
 	case err != nil:
 		s.node.log.Log(event.PlatformFailed, event.F("call", "check software versions"), event.F("service", service), event.F("error", err))
 		return streamOrigin{from: originUnknown}
-	case len(versions) != 1:
+	case len(versions) == 0:
+		return streamOrigin{from: originUnknown}
+	case len(versions) > 1:
 		return streamOrigin{from: originSeveral}
 	}
 	return streamOrigin{versions[0], originOnlyByStore}
@@ -164,8 +167,9 @@
 	for _, m := range nodes {
 		go func() {
 			k, err := s.node.mesh.FindStream(ctx, m.PeerAddress, service, request)
-			if err != nil {
+			if err != nil && !errors.Is(ctx.Err(), context.Canceled) { // another node had the record, or the caller left
 				s.node.metrics.Count("mesh.find_stream_failed", 1)
+				s.node.log.Log(event.FetchFailed, event.F("what", "the beginning of a stream"), event.F("from", m.ID), event.F("request", request), event.F("error", err))
 			}
 			replies <- reply{k, err}
 		}()
