--- a/cmd/faulttest/soak_faults_test.go
+++ b/cmd/faulttest/soak_faults_test.go
@@ -164,8 +164,20 @@
 	}
 }
 
-// soakPathFaults are drawn beside soakFaults, from a sequence of their own as soakSignals are.
-var soakPathFaults = []soakFault{
+// soundSilence is how long a sound upstream may be silent.
+const soundSilence = 1200 * time.Millisecond
+
+// soakUpstreamFaults are faults of upstreams and of the paths to them. They are drawn beside soakFaults, from a sequence of their
+// own as soakSignals are.
+var soakUpstreamFaults = []soakFault{
+	{"upstream is silent for a moment", onUpstream(func(u *soakUpstream) { u.Pause(soundSilence) }, nil)},
+	{"all upstreams are silent for a moment", func(d *soakDeployment, _ *rand.Rand) func() {
+		for _, u := range d.upstreams {
+			u.Pause(soundSilence)
+		}
+		return nil
+	}},
+	{"upstream is brittle", upstreamFault(routedsim.Behaviour{ProcessingTime: normalBehaviour.ProcessingTime, Brittle: 5, MaxWaiting: 2, RestartAfter: time.Second, KeepID: true})},
 	{"a node's paths to upstreams hang", lostPaths(pathHangs, false)},
 	{"a node's paths to upstreams are reset", lostPaths(pathReset, false)},
 	{"a node's new connections to upstreams are refused", lostPaths(pathRefusesNew, false)},
--- a/cmd/faulttest/soak_test.go
+++ b/cmd/faulttest/soak_test.go
@@ -59,7 +59,7 @@
 	})
 	var lost []string
 	signals.Go(func() {
-		lost = d.injectFaults(rand.New(rand.NewPCG(seed, 4)), soakPathFaults, soakPathGap, until)
+		lost = d.injectFaults(rand.New(rand.NewPCG(seed, 4)), soakUpstreamFaults, soakUpstreamGap, until)
 	})
 	var revocations []revocation
 	signals.Go(func() { revocations = d.revokeKeys(rand.New(rand.NewPCG(seed, 3))) })
@@ -84,15 +84,15 @@
 		n.checkLogsWithoutKeys(t)
 	}
 	if t.Failed() {
-		t.Logf("injected faults of seed %d:\n%s\nand signals:\n%s\nand paths:\n%s", seed, strings.Join(injected, "\n"), strings.Join(signaled, "\n"), strings.Join(lost, "\n"))
+		t.Logf("injected faults of seed %d:\n%s\nand signals:\n%s\nand of upstreams and paths:\n%s", seed, strings.Join(injected, "\n"), strings.Join(signaled, "\n"), strings.Join(lost, "\n"))
 	}
 }
 
-// soakFaultGap, soakSignalGap and soakPathGap limit the time between two faults.
+// soakFaultGap, soakSignalGap and soakUpstreamGap limit the time between two faults.
 const (
-	soakFaultGap  = 500 * time.Millisecond
-	soakSignalGap = 1500 * time.Millisecond
-	soakPathGap   = 2500 * time.Millisecond
+	soakFaultGap    = 500 * time.Millisecond
+	soakSignalGap   = 1500 * time.Millisecond
+	soakUpstreamGap = 2500 * time.Millisecond
 )
 
 // injectFaults injects random faults until the given time; several may overlap. It
--- a/core/instances/restart.go
+++ b/core/instances/restart.go
@@ -93,7 +93,7 @@
 	if loss != LossRefused || r.pathRefused {
 		return false
 	}
-	if r.pathLost { // the path is back, and those before may have been its own
+	if r.pathLost { // the refusals before may have been due to the path, which is back
 		r.pathLost, r.refused = false, period{}
 	}
 	r.addRefused(period{since, now})
@@ -121,8 +121,8 @@
 	r.refused.until = maxTime(r.refused.until, p.until)
 }
 
-// unconfirmed reports whether this node alone knows of the losses, as far as its path lets it know, and for longer than a time, within which an answer on an
-// older connection would have refuted them if there were one.
+// unconfirmed reports whether this node alone knows of the losses, as far as its path lets it know, and for longer than a time,
+// within which an answer on an older connection would have refuted them if there were one.
 func (r *restart) unconfirmed(now time.Time, wait time.Duration) bool {
 	return r.presumed() && !r.told && (r.refused.isZero() || r.pathLost) && now.Sub(r.presumedSince) > wait
 }
--- a/core/relay/granted.go
+++ b/core/relay/granted.go
@@ -51,11 +51,12 @@
 			a.permit, a.r.Place, a.granted = permit, &p, true
 			return placement.Decision{Choice: placement.Remote, Region: p.Region, Usable: 1}, nil
 		}
-		if pathsLost && a.mayForward(a.Now()) {
-			a.permit, a.r.Place, a.granted = permit, &p, true
-			return a.forwardDecision(), nil
-		}
-		if t := a.reserveReachable(&p, pathsLost); t != nil {
+		if pathsLost {
+			if a.mayForward(a.Now()) {
+				a.permit, a.r.Place, a.granted = permit, &p, true
+				return a.forwardDecision(), nil
+			}
+		} else if t := a.reserve(&p); t != nil {
 			a.permit, a.granted = permit, true
 			return localDecision(t), t
 		}
@@ -70,14 +71,6 @@
 	return placement.Decision{Choice: placement.Local, Delay: t.Expected, Usable: 1}
 }
 
-// reserveReachable returns the slot of a granted place as reserve does; nil if this node does not reach it.
-func (a *attempts) reserveReachable(p *Place, pathsLost bool) *instances.Ticket {
-	if pathsLost {
-		return nil
-	}
-	return a.reserve(p)
-}
-
 // reserve returns the slot of a granted place; nil if it cannot be used here.
 func (a *attempts) reserve(p *Place) *instances.Ticket {
 	if p.Region != a.Self.Region || slices.Contains(a.tried, p.Instance) {
