--- a/adapters/edgenode/paths.go
+++ b/adapters/edgenode/paths.go
@@ -15,9 +15,8 @@
 	pathProbeInterval = 400 * time.Millisecond
 )
 
-// watchPaths finds out whether this node reaches any upstream of a service in its region, whenever it failed to connect to
-// several in succession, and until it does again. It tells the other nodes when that changes: they send it no requests for the
-// service.
+// watchPaths finds out whether this node reaches any upstream of a service in its region, whenever it failed to connect to one,
+// and until it reaches one again. It tells the other nodes when that changes: they send it no requests for the service.
 func (n *Node) watchPaths(ctx context.Context) {
 	for ctx.Err() == nil {
 		if len(n.catalog.Unreached()) > 0 {
@@ -32,7 +31,7 @@
 		changed := false
 		for _, p := range n.catalog.PathProbes(pathProbes) {
 			n.tryReference(ctx, p)
-			reached := n.reachesUpstream(ctx, p)
+			reached := len(p.Addresses) == 0 || n.reachesUpstream(ctx, p) // without upstreams there is no path to lose
 			changed = ctx.Err() == nil && n.catalog.SetPathsLost(time.Now(), p.Service, !reached) || changed
 		}
 		if changed {
--- a/core/instances/paths.go
+++ b/core/instances/paths.go
@@ -83,6 +83,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if lost == !p.lostSince.IsZero() {
+		if !lost {
+			p.failed, p.failedSince = nil, time.Time{}
+		}
 		return 0, 0, false
 	}
 	failed, before = len(p.failed), now.Sub(p.failedSince)
