Log and publish how old a node's copy of the store is

A node that keeps an upstream whose entry is missing did not say whether the store answers it and others, and a change that waits for a fetch left no trace of the wait. instance_doubtful has store_answers_node and confirmed_ms, fetch_failed has after_ms, and three gauges tell whether calls fail and how old the documents are.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -59,9 +59,10 @@
 func (n *Node) fetchEntries(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	e, err := n.mesh.FetchEntries(ctx, address)
 	if err != nil {
-		n.recordFetchFailure(address, "entries", err)
+		n.recordFetchFailure(address, "entries", startedAt, err)
 		return
 	}
 	if n.state.adoptPeerEntries(time.Now(), e) {
@@ -73,13 +74,14 @@
 func (n *Node) fetchOperator(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	d, err := n.mesh.FetchOperator(ctx, address, n.state.version())
 	var table []byte
 	if err == nil && len(d.Table) > 0 {
 		table, err = decompress(d.Table)
 	}
 	if err != nil {
-		n.recordFetchFailure(address, "operator's documents", err)
+		n.recordFetchFailure(address, "operator's documents", startedAt, err)
 		return
 	}
 	if len(table) > 0 {
@@ -92,9 +94,9 @@
 }
 
 // recordFetchFailure counts and logs a failed fetch.
-func (n *Node) recordFetchFailure(address, what string, err error) {
+func (n *Node) recordFetchFailure(address, what string, startedAt time.Time, err error) {
 	n.metrics.Count("mesh.fetch_failed", 1)
-	n.log.Log(event.FetchFailed, event.F("from", address), event.F("what", what), event.F("error", err))
+	n.log.Log(event.FetchFailed, event.F("from", address), event.F("what", what), event.F("after_ms", time.Since(startedAt).Milliseconds()), event.F("error", err))
 }
 
 // FetchOperator implements mesh.Handler.
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -149,6 +149,7 @@
 		Quarantine: n.parts, Places: n.places, Streams: n.streams, Policy: placement.DefaultPolicy(), Log: log, Metrics: m, Now: time.Now,
 	}
 	n.observePlaces()
+	n.observeStore()
 	n.quotas = newQuotas(n)
 	n.limits = connlimit.Divide(s.MaxOpenFiles, s.MemoryBytes, connlimit.BytesPerRequest)
 	n.guard = connlimit.New(n.limits.HeadBytes, log, m)
--- a/adapters/edgenode/storehealth.go
+++ b/adapters/edgenode/storehealth.go
@@ -22,6 +22,23 @@
 	unavailableSince time.Time
 }
 
+// observeStore publishes as gauges whether the store answers this node and how long ago it confirmed to any node what this one has.
+func (n *Node) observeStore() {
+	n.metrics.ObserveGauge("store.failing", n.health.failing)
+	n.metrics.ObserveGauge("store.operator_age_ms", func() int64 { return n.state.operatorAge().Milliseconds() })
+	n.metrics.ObserveGauge("store.entries_age_ms", func() int64 { return n.state.entriesAge().Milliseconds() })
+}
+
+// failing returns 1 if the latest calls to the store failed, otherwise 0.
+func (h *storeHealth) failing() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.unavailable {
+		return 1
+	}
+	return 0
+}
+
 // recordOutcome records the outcome of a call to the store.
 func (h *storeHealth) recordOutcome(ctx context.Context, what string, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -31,7 +31,7 @@
 	ListsUnavailable  = Event{203, "lists_unavailable", "Neither the key-value service nor a peer returned lists; the node keeps its present lists and retries."}
 	PeerDocuments     = Event{204, "peer_documents", "The node adopted another node's documents, because it has received none from the store yet."}
 	EvacuationChanged = Event{205, "evacuation_changed", "Evacuation of a failure domain was switched on or off; during an evacuation its upstreams get no requests."}
-	FetchFailed       = Event{206, "fetch_failed", "Documents could not be fetched from another node; the fields what and error contain the documents and the reason."}
+	FetchFailed       = Event{206, "fetch_failed", "Documents could not be fetched from another node; the fields contain the documents, how long the fetch took and the reason."}
 	RequestFailed     = Event{301, "request_failed", "A request failed; the fields contain the error kind and the run verdict that the caller received."}
 	RequestRetried    = Event{302, "request_retried", "An attempt was refused or lost in a way that allows another attempt."}
 	AnswerResumed     = Event{303, "answer_resumed", "A generation was resumed over a new connection after its stream broke or stalled."}
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -33,6 +33,8 @@
 	accounts         bool
 	storeUnavailable bool
 	storeRestoredAt  time.Time
+	// confirmedAt is as of when the store last confirmed the entries to any node.
+	confirmedAt time.Time
 }
 
 // NewCatalog returns an empty catalog.
@@ -153,7 +155,8 @@
 			until = time.Time{} // set by MarkStoreAvailable
 		}
 		c.doubtful[id] = until
-		c.options.Log.Log(event.InstanceDoubtful, event.F("instance", id), event.F("service", service))
+		c.options.Log.Log(event.InstanceDoubtful, event.F("instance", id), event.F("service", service),
+			event.F("store_answers_node", !c.storeUnavailable), event.F("confirmed_ms", now.Sub(c.confirmedAt).Milliseconds()))
 		return
 	}
 	c.removeInstance(now, id, service, "entry removed")
@@ -243,6 +246,11 @@
 
 // ConfirmEntries records that the entries of all upstreams are known as of a time.
 func (c *Catalog) ConfirmEntries(asOf time.Time) {
+	c.mu.Lock()
+	if asOf.After(c.confirmedAt) {
+		c.confirmedAt = asOf
+	}
+	c.mu.Unlock()
 	c.ForEach(func(p *Pool) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
