Tell the removal of an entry from a lapse by what the store confirms to others

Callers of a node that the store turns away were sent to upstreams whose entry had been removed, seconds after all other nodes had dropped them (DRAIN).

Cause: that the node's own calls fail was taken for an outage of the store. A missing entry then counted as lapsed until 2.5 s after the node's own next success, although what reached the node through others had been confirmed by the store all the while.

Each exchange already tells when the store last confirmed the entries to any node. A period of such confirmations without a gap of two seconds, in which an entry could lapse, shows that the store was there. Once it is as long as the time that upstreams have to write lapsed entries again, a missing entry was removed. After a real outage, or a copy, the period begins anew and the entry is kept as before; the end of the doubt does not depend on the node's own path any more. Without any change the entries are now confirmed every 1.6 s instead of 2.5 s.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -328,8 +328,9 @@
 	operatorInterval  = 150 * time.Millisecond
 	// entriesInterval is the time between two reads of the entries of upstreams,
 	// which change about once a second each; a draining upstream must be known
-	// within three seconds.
-	entriesWatchWait = 1500 * time.Millisecond
+	// within three seconds. Also without any change the store confirms the entries often enough
+	// that an outage in which some may lapse shows; see instances.Catalog.
+	entriesWatchWait = 600 * time.Millisecond
 	entriesInterval  = time.Second
 	nodesWatchWait   = 15 * time.Second
 	nodesInterval    = 500 * time.Millisecond
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -150,7 +150,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entriesPosition.advance(at, confirmed)
-	s.catalog.ConfirmEntries(confirmed)
+	if s.entriesPosition.at == at { // otherwise the position is from before those that this node has
+		s.catalog.ConfirmEntries(time.Now(), confirmed)
+	}
 	if s.entriesPosition.digest != s.notifiedDigest {
 		s.notifiedDigest = s.entriesPosition.digest
 		signal(s.entriesChanged)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -58,7 +58,7 @@
 	UpstreamChanged   = Event{401, "upstream_changed", "An upstream changed its life cycle state."}
 	InstanceChanged   = Event{402, "instance_changed", "An upstream registered itself or changed its entry; it gets requests unless it is leaving."}
 	InstanceGone      = Event{403, "instance_gone", "An upstream's entry was removed; it gets no more requests."}
-	InstanceDoubtful  = Event{404, "instance_doubtful", "An upstream's entry disappeared around an outage of the store; the upstream is retained until the store has been available again for some time."}
+	InstanceDoubtful  = Event{404, "instance_doubtful", "An upstream's entry disappeared while this node's own calls to the store failed, or soon after; the upstream is retained until it is known that the entry cannot have lapsed in an outage, or that it is not written again. The fields contain whether the store answers this node and how long ago it confirmed the entries to any."}
 	InstanceSuspect   = Event{405, "instance_suspect", "An upstream failed more often than its peers and is excluded for the stated time."}
 	InstanceRefused   = Event{406, "entry_refused", "An entry in the store could not be decoded or is invalid; no upstream or node is used from it."}
 	InstanceLimited   = Event{407, "instance_limited", "An upstream named, changed or no longer names the rate of requests that it accepts from all nodes; zero means no limit."}
--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -19,9 +19,9 @@
 	pools map[string]*Pool
 	// serviceOf maps each instance, of any region, to its service.
 	serviceOf map[domain.UpstreamID]string
-	// doubtful maps each instance whose entry disappeared around a store outage
-	// to the time at which it is removed unless it registers again.
-	doubtful map[domain.UpstreamID]time.Time
+	// doubtful holds the instances whose entry disappeared around a store outage and may have lapsed.
+	doubtful map[domain.UpstreamID]bool
+	outage   outage
 	// newest holds the newest entry of each instance, also for a time after its removal.
 	newest    map[domain.UpstreamID]*newestEntry
 	evacuated map[domain.FailureDomain]bool
@@ -30,11 +30,7 @@
 	// that its routes allow.
 	maxEventGaps map[string]time.Duration
 	// accounts is set if the deployment has client accounts.
-	accounts         bool
-	storeUnavailable bool
-	storeRestoredAt  time.Time
-	// confirmedAt is as of when the store last confirmed the entries to any node.
-	confirmedAt time.Time
+	accounts bool
 }
 
 // NewCatalog returns an empty catalog.
@@ -43,7 +39,7 @@
 		options:   o.withDefaults(),
 		pools:     make(map[string]*Pool),
 		serviceOf: make(map[domain.UpstreamID]string),
-		doubtful:  make(map[domain.UpstreamID]time.Time),
+		doubtful:  make(map[domain.UpstreamID]bool),
 		newest:    make(map[domain.UpstreamID]*newestEntry),
 		evacuated: make(map[domain.FailureDomain]bool),
 		services:  make(map[string]routes.Service),
@@ -139,81 +135,6 @@
 	c.handleMissing(now, id)
 }
 
-// handleMissing removes an instance whose entry is missing, or marks it doubtful
-// around a store outage.
-func (c *Catalog) handleMissing(now time.Time, id domain.UpstreamID) {
-	service, known := c.serviceOf[id]
-	if !known {
-		return
-	}
-	if _, doubtful := c.doubtful[id]; doubtful {
-		return
-	}
-	until := c.storeRestoredAt.Add(c.options.MissingGrace)
-	if c.storeUnavailable || now.Before(until) {
-		if c.storeUnavailable {
-			until = time.Time{} // set by MarkStoreAvailable
-		}
-		c.doubtful[id] = until
-		c.options.Log.Log(event.InstanceDoubtful, event.F("instance", id), event.F("service", service),
-			event.F("store_answers_node", !c.storeUnavailable), event.F("confirmed_ms", now.Sub(c.confirmedAt).Milliseconds()))
-		return
-	}
-	c.removeInstance(now, id, service, "entry removed")
-}
-
-func (c *Catalog) removeInstance(now time.Time, id domain.UpstreamID, service, why string) {
-	c.recordRemoval(now, id)
-	delete(c.serviceOf, id)
-	delete(c.doubtful, id)
-	c.pool(service).remove(now, id)
-	c.options.Log.Log(event.InstanceGone, event.F("instance", id), event.F("service", service), event.F("why", why))
-}
-
-// MarkStoreUnavailable records that the store does not respond to this node.
-func (c *Catalog) MarkStoreUnavailable() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.storeUnavailable = true
-}
-
-// MarkStoreAvailable records that the store responds again.
-func (c *Catalog) MarkStoreAvailable(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.storeUnavailable {
-		return
-	}
-	c.storeUnavailable = false
-	c.storeRestoredAt = now
-	for id := range c.doubtful {
-		c.doubtful[id] = now.Add(c.options.MissingGrace)
-	}
-}
-
-// MarkStoreRestored records that the store came back from an older copy, which may lack
-// entries. It has the effect of an outage that ends now.
-func (c *Catalog) MarkStoreRestored(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.storeRestoredAt = now
-}
-
-// RemoveExpired removes doubtful instances whose grace period has expired.
-func (c *Catalog) RemoveExpired(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.forgetRemoved(now)
-	if c.storeUnavailable {
-		return
-	}
-	for id, until := range c.doubtful {
-		if !now.Before(until) {
-			c.removeInstance(now, id, c.serviceOf[id], "missing after the store was restored")
-		}
-	}
-}
-
 // SetEvacuated sets the failure domains whose instances receive no requests.
 func (c *Catalog) SetEvacuated(now time.Time, domains map[domain.FailureDomain]bool) {
 	c.mu.Lock()
@@ -243,19 +164,3 @@
 		p.tick(now)
 	})
 }
-
-// ConfirmEntries records that the entries of all upstreams are known as of a time.
-func (c *Catalog) ConfirmEntries(asOf time.Time) {
-	c.mu.Lock()
-	if asOf.After(c.confirmedAt) {
-		c.confirmedAt = asOf
-	}
-	c.mu.Unlock()
-	c.ForEach(func(p *Pool) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for _, u := range p.upstreams {
-			u.coldness.confirmEntry(asOf)
-		}
-	})
-}
--- a/core/instances/cold_test.go
+++ b/core/instances/cold_test.go
@@ -71,11 +71,11 @@
 	if got := countPlaced(c, resumedAt, many); got > 1 {
 		t.Errorf("%d requests were placed at once after a suspension, want at most 1", got)
 	}
-	c.ConfirmEntries(resumedAt.Add(10 * time.Millisecond)) // read from the buffer of a connection
+	c.ConfirmEntries(resumedAt.Add(10*time.Millisecond), resumedAt.Add(10*time.Millisecond)) // read from the buffer of a connection
 	if got := countPlaced(c, resumedAt.Add(100*time.Millisecond), many); got > 1 {
 		t.Errorf("%d requests were placed on entries from before the suspension, want at most 1", got)
 	}
-	c.ConfirmEntries(resumedAt.Add(time.Second))
+	c.ConfirmEntries(resumedAt.Add(time.Second), resumedAt.Add(time.Second))
 	if got := countPlaced(c, resumedAt.Add(time.Second), many); got < many {
 		t.Errorf("%d of %d requests were placed once newer entries were known, want all", got, many)
 	}
