Read the store in time when it turns the readers of a failure domain away

Callers got 404 for routes that had been added, and requests went to upstreams whose entry had been removed, at nodes that the store answered (CONFIG, DRAIN).

Cause: two nodes of a failure domain, chosen by a hash of their IDs, read the store for the others. These read for themselves only when the last confirmation was 6 s old (operator's documents) or 4 s (entries), and then once. Where the store turns just the readers away and the failure domain hears of no other, a change took that long; the bounds are 3 and 5 s.

Now every node reads when the last confirmation is 2.5 s old, and readers let the store hold a watch of the operator's documents for 1 s instead of 3 s, so that the age stays below that without a fault; it also finds a watch that hangs after 2 s instead of 4 s. A node that is not a reader watches from the position that it has instead of listing the whole routing table. The position sent with documents is taken before the table, so that it never stands for a newer one. Health requests in place of entries begin at 4 s, as before.

Evidence: the two listed tests fail before (404 after 3 s; 23 of 40 requests at a removed upstream) and pass, twice.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -111,15 +111,15 @@
 // routing table only if its version is greater than tableNewerThan.
 func (s *state) operatorDocuments(tableNewerThan uint64) mesh.OperatorDocuments {
 	var d mesh.OperatorDocuments
-	if s.version() > tableNewerThan {
-		d.Table = s.compressTable()
-	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.hasEvacuated {
 		d.Position = s.operatorPosition.position(time.Now())
 		d.Evacuated = slices.Collect(maps.Keys(s.evacuated))
 	}
+	s.mu.Unlock()
+	if s.version() > tableNewerThan { // after the position: the table may be newer, not older
+		d.Table = s.compressTable()
+	}
 	return d
 }
 
--- a/adapters/edgenode/currency.go
+++ b/adapters/edgenode/currency.go
@@ -140,15 +140,19 @@
 
 // resumeOperator returns the position from which a node that is not a reader can watch the
 // operator's documents without listing them; ok is false if it has to list them. Lists with the
-// routing table are large, and many nodes may need a proof at once.
+// routing table are large, and many nodes may miss their readers or need a proof at once.
 func (n *Node) resumeOperator() (at ports.StorePosition, ok bool) {
-	if !n.strictKeys() || n.isReader() {
+	if n.isReader() {
 		return ports.StorePosition{}, false
 	}
+	strict, era := n.strictKeys(), n.era.latest()
 	n.state.mu.Lock()
 	defer n.state.mu.Unlock()
 	at = n.state.operatorPosition.at
-	return at, n.state.proving.known && n.state.proving.era == at.Era && !at.IsZero()
+	if strict {
+		return at, n.state.proving.known && n.state.proving.era == at.Era && !at.IsZero()
+	}
+	return at, n.state.hasEvacuated && n.state.version() != 0 && at.Era == era && !at.IsZero()
 }
 
 // keepCurrent looks for a more recent proof when that of the node ages.
--- a/adapters/edgenode/health.go
+++ b/adapters/edgenode/health.go
@@ -28,7 +28,7 @@
 		if !n.state.complete() {
 			continue
 		}
-		for _, c := range n.catalog.DueHealthChecks(time.Now(), n.state.entriesAge() > maxEntriesAge, n.checksHealth) {
+		for _, c := range n.catalog.DueHealthChecks(time.Now(), n.state.entriesAge() > outdatedEntriesAge, n.checksHealth) {
 			go n.checkUpstream(ctx, c)
 		}
 	}
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -282,9 +282,9 @@
 		group.Go(func() error { f(ctx); return nil })
 	}
 	operator := &watcher{store: n.deps.Store, prefix: n.deps.Documents.OperatorPrefix(), wait: n.operatorWait, interval: operatorInterval,
-		replace: n.state.replaceOperator, change: n.state.changeOperator, confirm: n.state.confirmOperator, health: n.health, era: n.era, shouldRead: n.shouldReadOperator}
+		replace: n.state.replaceOperator, change: n.state.changeOperator, confirm: n.state.confirmOperator, resume: n.resumeOperator, health: n.health, era: n.era, shouldRead: n.shouldReadOperator}
 	if n.settings.StrictRevocation {
-		operator.prove, operator.bootTime, operator.resume = n.proveByStore, n.keys.now, n.resumeOperator
+		operator.prove, operator.bootTime = n.proveByStore, n.keys.now
 	}
 	entries := &watcher{store: n.deps.Store, prefix: n.deps.Documents.InstancePrefix(), wait: constant(entriesWatchWait), interval: entriesInterval,
 		replace: n.state.replaceEntries, change: n.state.changeEntries, confirm: n.state.confirmEntries, health: n.health, era: n.era, shouldRead: n.shouldReadEntries}
@@ -321,10 +321,10 @@
 
 const (
 	// operatorWatchWait limits how long a watch that no longer delivers changes
-	// remains undetected: an evacuation must take effect within five seconds.
+	// remains undetected, and keeps the age of the documents below maxDocumentAge.
 	// operatorInterval limits the rate of calls while changes arrive in quick
 	// succession.
-	operatorWatchWait = 3 * time.Second
+	operatorWatchWait = time.Second
 	operatorInterval  = 150 * time.Millisecond
 	// entriesInterval is the time between two reads of the entries of upstreams,
 	// which change about once a second each; a draining upstream must be known
--- a/adapters/edgenode/readers.go
+++ b/adapters/edgenode/readers.go
@@ -21,11 +21,14 @@
 	// readerHashKey is the key by which the nodes of a failure domain are ranked when
 	// readers are selected.
 	readerHashKey = 0x7265616465727321
-	// maxOperatorAge and maxEntriesAge are the ages of the last confirmed revision
-	// above which a node reads the store itself: the read interval of a reader, plus
-	// time for a few rounds of exchanges.
-	maxOperatorAge = operatorWatchWait + 3*time.Second
-	maxEntriesAge  = entriesInterval + 3*time.Second
+	// maxDocumentAge is the age of the last confirmed revision above which a node reads the
+	// store itself: the read interval of a reader, plus time for a few rounds of exchanges.
+	// The store may turn the readers of a failure domain away while it is cut off from the
+	// others; a change must then still be in force everywhere within three seconds.
+	maxDocumentAge = 2500 * time.Millisecond
+	// outdatedEntriesAge is the age from which on a node asks the upstreams for their health
+	// instead. It covers some failed reads.
+	outdatedEntriesAge = 4 * time.Second
 )
 
 // selectReaders returns the nodes that read the store for a failure domain, out of
@@ -81,11 +84,11 @@
 // shouldReadOperator reports whether this node reads the operator's documents from
 // the store.
 func (n *Node) shouldReadOperator() bool {
-	return n.isReader() || n.state.operatorAge() > maxOperatorAge || n.strictKeys() && n.keys.refresher.ReadStore(n.keys.now(), n.keys.Proof())
+	return n.isReader() || n.state.operatorAge() > maxDocumentAge || n.strictKeys() && n.keys.refresher.ReadStore(n.keys.now(), n.keys.Proof())
 }
 
 // shouldReadEntries reports whether this node reads the entries of upstreams from
 // the store.
 func (n *Node) shouldReadEntries() bool {
-	return n.isReader() || n.state.entriesAge() > maxEntriesAge
+	return n.isReader() || n.state.entriesAge() > maxDocumentAge
 }
