Fetch documents from another node if one does not answer

Cause: one fetch of the routing table at a time, limited to 4 s. If the node that told of a change is cut off, suspended or ended before it answers, nothing else was tried meanwhile; the bounds are 3 and 5 s. All nodes of a region fetch from the reader that tells them of a change, so that its fault at this moment held them all up. Entries of upstreams had the same fault.

Now another node is asked after 0.7 s, up to three at a time. Answers are compared and applied one after the other.

--- a/adapters/edgenode/bootstrap.go
+++ b/adapters/edgenode/bootstrap.go
@@ -136,6 +136,8 @@
 // adoptPeerOperator applies the evacuations received from another node if they are
 // from a later position in the store's history, or if this node has none yet.
 func (s *state) adoptPeerOperator(now time.Time, d mesh.OperatorDocuments) {
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
 	s.mu.Lock()
 	adopt := d.Position.Compare(s.operatorPosition.at) > 0 || !s.hasEvacuated && !d.Position.IsZero()
 	s.mu.Unlock()
@@ -158,6 +160,8 @@
 // they are from a later position in the store's history, or if this node has none
 // yet. It reports whether it applied them.
 func (s *state) adoptPeerEntries(now time.Time, e mesh.UpstreamEntries) bool {
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
 	s.mu.Lock()
 	adopt := e.Position.Compare(s.entriesPosition.at) > 0 || !s.hasEntries && !e.Position.IsZero()
 	s.mu.Unlock()
--- a/adapters/edgenode/exchange.go
+++ b/adapters/edgenode/exchange.go
@@ -145,10 +145,10 @@
 		n.state.confirmEntries(msg.Entries.StorePosition, now.Add(-msg.Entries.Age))
 	}
 	if needEntries {
-		startOnce(&n.fetchingEntries, func() { n.fetchEntries(msg.Sender.PeerAddress) })
+		n.entryFetches.start(now, msg.Sender.PeerAddress, n.fetchEntries)
 	}
 	if needOperator {
-		startOnce(&n.fetchingOperator, func() { n.fetchOperator(msg.Sender.PeerAddress) })
+		n.operatorFetches.start(now, msg.Sender.PeerAddress, n.fetchOperator)
 	}
 }
 
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -78,9 +78,9 @@
 	// guard enforces limits on clients, which are derived from the settings.
 	guard  *connlimit.Guard
 	limits connlimit.Shares
-	// fetchingEntries and fetchingOperator limit fetches to one of each kind at a
-	// time; entries do not wait for a large routing table.
-	fetchingEntries, fetchingOperator atomic.Bool
+	// entryFetches and operatorFetches limit the fetches of each kind; entries do not wait for
+	// a large routing table.
+	entryFetches, operatorFetches fetches
 	// askingWarm limits exchanges for the time of a told health response to one.
 	askingWarm atomic.Bool
 	closing    atomic.Bool // responses close their connections
--- a/adapters/edgenode/state.go
+++ b/adapters/edgenode/state.go
@@ -21,6 +21,10 @@
 
 	table atomic.Pointer[routes.Table]
 
+	// adopting is held while documents of another node are compared with the present ones and
+	// applied, as several nodes may answer at once.
+	adopting sync.Mutex
+
 	mu sync.Mutex
 	// tableDocument is the routing table as read from the store, without keys of client
 	// accounts.
