Refuse unknown paths for good only by a recent routing table

Callers got 404, which is final for them, for a route that had been added, from a node that had heard nothing of the operator's documents for seconds (CONFIG: "refused as an older version says").

Cause: the age of the table did not count. A node cannot know whether a path is unknown or new if no confirmation of its table reached it.

Beyond 3 s it now refuses with 503 lists_outdated and a Retry-After, so that callers come back or try another node. Without a fault the age stays below 2.5 s. Both refusals name the age.

--- a/adapters/edge/handler.go
+++ b/adapters/edge/handler.go
@@ -31,6 +31,9 @@
 	Engine  Server
 	// Table returns the current routing table, nil if none is loaded.
 	Table func() *routes.Table
+	// TableAge returns the time since the routing table was last known to be the newest; a table that is older than
+	// maxFinalAge decides on no path for good. Nil stands for one that is always current.
+	TableAge func() time.Duration
 	// CheckAccepting returns nil while the node accepts requests, otherwise the reason why
 	// it does not.
 	CheckAccepting func(ctx context.Context) *errkind.Error
@@ -126,7 +129,7 @@
 	}
 	route := table.Match(hostOf(r), rawPath(r))
 	if route == nil {
-		return nil, 0, errkind.New(errkind.UnknownTarget, "no route for %s%s in routing table version %d", r.Host, r.URL.Path, table.Version)
+		return nil, 0, h.unknownTarget(r, table)
 	}
 	if headerErr != nil {
 		return nil, 0, errkind.New(errkind.BadRequest, "%w", headerErr)
@@ -173,6 +176,23 @@
 	return req, size, nil
 }
 
+// maxFinalAge is the age of the routing table up to which an unknown path is refused for good. Without a fault the
+// table is confirmed more often; beyond it a route may have been added.
+const maxFinalAge = 3 * time.Second
+
+// unknownTarget returns the error for a request without a route.
+func (h *Handler) unknownTarget(r *http.Request, table *routes.Table) *errkind.Error {
+	age := time.Duration(0)
+	if h.TableAge != nil {
+		age = h.TableAge()
+	}
+	if age > maxFinalAge {
+		return errkind.New(errkind.ListsOutdated, "no route for %s%s in routing table version %d, but there may be a newer one: it was confirmed %d ms ago",
+			r.Host, r.URL.Path, table.Version, age.Milliseconds())
+	}
+	return errkind.New(errkind.UnknownTarget, "no route for %s%s in routing table version %d, which was confirmed %d ms ago", r.Host, r.URL.Path, table.Version, age.Milliseconds())
+}
+
 // refund returns what was charged for a request that was not run.
 func (h *Handler) refund(r *relay.Request) {
 	if r.Charge.Tokens > 0 {
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -155,7 +155,7 @@
 	n.guard = connlimit.New(n.limits.HeadBytes, log, m)
 	n.guard.ShareSockets(n.limits, n.inFlight)
 	n.handler = edge.New(edge.Config{
-		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, CheckAccepting: n.checkAccepting, Accept: n.accept, Authorize: n.authorize, CloseConnections: n.closing.Load,
+		Dialect: deps.Edge, Engine: n.engine, Table: n.state.table.Load, TableAge: n.state.operatorAge, CheckAccepting: n.checkAccepting, Accept: n.accept, Authorize: n.authorize, CloseConnections: n.closing.Load,
 		Log: log, Metrics: m,
 		MaxRequests:       n.guard.MaxRequests,
 		MaxTotalBodyBytes: int64(connlimit.BodyFraction * float64(s.MemoryBytes)), OtherBodyBytes: n.relayedBytes.Load,
