Remember that a process leaves if its entry is not known yet

Requests could reach an upstream that had said in an answer that it leaves (DRAIN), at a node that was told so by another one before it had the entry of the process, or after the entry had been removed for a moment.

Cause: a statement about a process without a record was dropped. Nodes repeat statements only while they have the record themselves, and the one that heard the answer may end.

--- a/core/instances/pool.go
+++ b/core/instances/pool.go
@@ -53,6 +53,8 @@
 	candidates  []placement.Candidate
 	// removed holds the records of upstreams that were removed in the last removedRetention.
 	removed map[domain.UpstreamID]removedUpstream
+	// toldLeaving holds the processes without a record of which other nodes told that they leave.
+	toldLeaving toldLeaving
 	// software is what is known of versions that are not registered any more.
 	software softwareHistory
 	// idleTimeout is the shortest time after which upstreams close idle connections.
@@ -62,7 +64,7 @@
 }
 
 func newPool(service string, o *Options) *Pool {
-	return &Pool{service: service, options: o, prompts: make(prompts), holders: make(holders), removed: make(map[domain.UpstreamID]removedUpstream), software: make(softwareHistory), meanSlotTime: defaultSlotTime, latencyRatio: 1,
+	return &Pool{service: service, options: o, prompts: make(prompts), holders: make(holders), removed: make(map[domain.UpstreamID]removedUpstream), toldLeaving: make(toldLeaving), software: make(softwareHistory), meanSlotTime: defaultSlotTime, latencyRatio: 1,
 		prefillRate: prefillRate{tokensPerMS: o.PrefillRate}, idleTTFB: idleTTFB{value: defaultIdleTTFB}, sizes: requestSizes{tokenTime: decodeStep}}
 }
 
@@ -131,6 +133,9 @@
 			p.upstreams[slices.Index(p.upstreams, u)] = replacement
 		}
 		p.logChange(replacement, "registered")
+		if p.toldLeaving.has(now, process{in.ID, in.Started}) {
+			p.setLeaving(replacement, leavingFromNode)
+		}
 		p.extendCold(now, replacement, now.Add(in.ColdRemaining), coldFromEntry)
 		return
 	}
--- a/core/instances/statement.go
+++ b/core/instances/statement.go
@@ -100,6 +100,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.find(s.Instance)
+	if s.Leaving && (u == nil || u.Started != s.Started) {
+		p.toldLeaving.record(now, process{s.Instance, s.Started})
+	}
 	if u == nil {
 		return
 	}
@@ -113,7 +116,7 @@
 		p.extendCold(now, u, until, coldFromStatement)
 	}
 	if s.Leaving {
-		p.setLeaving(u, "another node")
+		p.setLeaving(u, leavingFromNode)
 	}
 	if !p.hasColdPhase() {
 		return
@@ -166,13 +169,6 @@
 	p.options.StatementsChanged()
 }
 
-func (p *Pool) setLeaving(u *upstream, from string) {
-	if !u.leavingStated {
-		u.leavingStated = true
-		p.options.Log.Log(event.InstanceLeaving, event.F("instance", u.ID), event.F("service", p.service), event.F("from", from))
-	}
-}
-
 // record returns the present record of the upstream's process. Since the slot was reserved, the process may have
 // been removed and registered again.
 func (t *Ticket) record() *upstream {
@@ -203,7 +199,7 @@
 		p.options.Log.Log(event.InstanceSilenced, event.F("instance", u.ID), event.F("service", p.service), event.F("for_ms", min(r.Silence, maxSilence).Milliseconds()))
 	}
 	if r.Leaving && !u.leavingStated {
-		p.setLeaving(u, "answer")
+		p.setLeaving(u, leavingFromAnswer)
 		p.options.StatementsChanged()
 	}
 }
