Heed Server-Leaving in health responses

Requests reached an upstream that had said that it leaves in the answers to health requests only (DRAIN): a node that does not get the entries asks for the health of upstreams, and their answers are among all in which an upstream says that it leaves.

Cause: the header was decoded in answers to requests only.

Evidence: TestUpstreamThatSaysSoInItsHealthGetsNoRequests fails before (a request reaches the upstream) and passes.

--- a/adapters/edgenode/health.go
+++ b/adapters/edgenode/health.go
@@ -53,6 +53,9 @@
 	if err == nil && health.Instance == c.ID {
 		n.catalog.Pool(c.Service).RecordBrittle(time.Now(), sentAt, instances.ReportedLoad{Brittle: health.Brittle, MaxRejections: health.MaxRejections})
 	}
+	if err == nil && health.Instance == c.ID && health.Leaving {
+		n.catalog.RecordLeaving(c)
+	}
 	switch {
 	case errors.Is(err, relay.ErrConnectionRefused):
 		n.catalog.RecordHealthRefused(time.Now(), c)
--- a/adapters/standin/routedsim/cold.go
+++ b/adapters/standin/routedsim/cold.go
@@ -73,6 +73,11 @@
 	if cold > 0 {
 		w.Header().Set("X-Cold-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
 	}
+	if b.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/adapters/upstream/health.go
+++ b/adapters/upstream/health.go
@@ -20,6 +20,8 @@
 	// Brittle and MaxRejections are as in instances.ReportedLoad.
 	Brittle       bool
 	MaxRejections int
+	// Leaving is set if it says that it leaves.
+	Leaving bool
 	// Healthy is set if it considers itself healthy.
 	Healthy bool
 }
