Take an answer that ends during the upload for broken off

Callers got a part of an answer as a complete one (MIXED): an upstream answers a long request at once with a 200 that has neither a length nor chunks, sends part of the body and resets the connection while the request is still being written.

Cause: a connection that was reset reports that once. If it is the write that fails, the read finds the end of the connection as if the upstream had closed it, and the upstream still runs, so that the end counted.

The end of such an answer now counts only if the request was written without an error.

--- a/adapters/upstream/idle.go
+++ b/adapters/upstream/idle.go
@@ -118,8 +118,12 @@
 	// gotAt is when the request got the connection; nil until then. reused is set if earlier requests had used it.
 	gotAt  atomic.Pointer[time.Time]
 	reused atomic.Bool
+	// written holds the result of the latest write of the request once it has ended; nil if nobody waits for it.
+	written chan error
 }
 
+func newConnUse() *connUse { return &connUse{written: make(chan error, 1)} }
+
 // trace returns a trace that records the use and tells when the connection is idle.
 func (u *connUse) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
@@ -131,6 +135,7 @@
 				u.conn.begin(u)
 			}
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { u.recordWritten(info.Err) },
 		PutIdleConn: func(err error) {
 			if err == nil && u.conn != nil {
 				u.conn.end(u)
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -109,7 +109,7 @@
 // the request ran.
 func (r *Routed) Send(ctx context.Context, to *instances.Instance, c *relay.Call) (relay.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	var use connUse
+	use := newConnUse()
 	req := r.request(context.WithValue(httptrace.WithClientTrace(ctx, use.trace()), placedAtKey{}, c.PlacedAt), to, c)
 	transport := r.pooled
 	if c.Route.Kind == routes.AtMostOnce || c.SingleUse {
@@ -136,6 +136,7 @@
 	head.Reused, head.ConnectedAt = use.reused.Load(), use.connectedAt()
 	return &routedAnswer{
 		resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte),
+		isWritten: func() error { return use.checkWritten(ctx) },
 		isRunning: func() error { return r.liveness.check(ctx, to.Address) },
 	}, nil
 }
@@ -200,6 +201,8 @@
 	load   instances.ReportedLoad
 	buffer *[]byte
 	ended  bool
+	// isWritten returns an error unless the whole request was written.
+	isWritten func() error
 	// isRunning returns an error unless the upstream runs after the call.
 	isRunning func() error
 }
@@ -212,8 +215,8 @@
 
 // Next implements relay.Answer. net/http returns io.ErrUnexpectedEOF for a response
 // that is shorter than its framing specifies, and an error for a connection reset. The end
-// of one that is framed by the end of the connection counts only if the upstream still
-// runs; its last bytes are returned before.
+// of one that is framed by the end of the connection counts only if the request was written
+// and the upstream still runs; its last bytes are returned before.
 func (a *routedAnswer) Next() ([]byte, error) {
 	n, err := a.resp.Body.Read(*a.buffer)
 	b := (*a.buffer)[:n]
@@ -227,6 +230,9 @@
 	if n > 0 {
 		return b, nil // the next call gets io.EOF from the body again
 	}
+	if err := a.isWritten(); err != nil {
+		return nil, markClosed(err)
+	}
 	if err := a.isRunning(); err != nil {
 		return nil, markClosed(err)
 	}
@@ -236,7 +242,7 @@
 // markClosed marks an error that means that the upstream closed or reset the connection.
 // Time-outs don't: they may be caused by the network.
 func markClosed(err error) error {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNotRunning} {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNotRunning, errNotWritten} {
 		if errors.Is(err, closed) {
 			return relay.ConnectionClosed(err)
 		}
