Take an answer whose status is none of HTTP's for no answer

A final status is one from 200 to 599. Others are treated like a malformed head: the request may have run, and a repeatable one is sent elsewhere. The clients of upstreams of both interfaces and the client of other nodes, which may be of an earlier version, check it where they decode the head.

Evidence: TestAnswerWithoutAStatusIsNoAnswer fails before for 000, 001, 099, 101, 600 and 999.

--- a/adapters/mesh/client.go
+++ b/adapters/mesh/client.go
@@ -264,6 +264,10 @@
 		}
 		return nil, errkind.New(errkind.PeerLost, "node %s sent no head frame", target.ID)
 	}
+	if !relay.ValidStatus(int(head.GetStatus())) {
+		cancel()
+		return nil, errkind.New(errkind.PeerLost, "node %s passed on an answer with status %03d, which is none", target.ID, head.GetStatus())
+	}
 	return &remoteResponse{stream: stream, cancel: cancel, target: target, sent: int(head.GetSent()), head: relay.Head{
 		Status: int(head.GetStatus()), Header: headerFromWire(head.GetHeader()), ContentLength: head.GetContentLength(),
 		Framing: relay.FramedByNode, RequestID: call.ID, Signed: true, RanAt: domain.UpstreamID(head.GetRanAt()), Software: head.GetSoftware(),
--- a/adapters/upstream/early_answer_test.go
+++ b/adapters/upstream/early_answer_test.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// TestAnswerWithoutAStatusIsNoAnswer guards against a head whose status is none of HTTP's, such as 000.
+func TestAnswerWithoutAStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		address := earlyUpstream(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 5\r\n\r\nwhole", 50*time.Millisecond)
+		client := NewRouted(Options{}, plainDialect{})
+		if text, err := sendBody(client, address, routes.AtMostOnce, nil); err == nil || errors.Is(err, io.EOF) {
+			t.Errorf("status %s: got the answer %q, want an error", status, text)
+		}
+		client.Close()
+	}
+}
+
 // sendBody sends a request with a body and returns the body of the answer, with the error that ended it.
 func sendBody(client *Routed, address string, kind routes.Kind, body []byte) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/adapters/upstream/exchange.go
+++ b/adapters/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/crocusspread/crocusspread/core/answer"
 	"github.com/crocusspread/crocusspread/core/domain"
 	"github.com/crocusspread/crocusspread/core/errkind"
+	"github.com/crocusspread/crocusspread/core/relay"
 )
 
 // exchange is one request and its response, with a timer that cancels it when there
@@ -50,6 +51,11 @@
 		x.cancel()
 		return nil, x.headError(err)
 	}
+	if !relay.ValidStatus(resp.StatusCode) {
+		x.cancel()
+		_ = resp.Body.Close() // nothing of it counts
+		return nil, errkind.New(errkind.UpstreamFailed, "answer with status %03d, which is none", resp.StatusCode).WithRun(domain.RunUnknown)
+	}
 	x.resp = resp
 	return x, nil
 }
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -127,6 +127,11 @@
 		}
 		return nil, errkind.New(errkind.UpstreamFailed, "send to %s: %w", to.Address, markClosed(err))
 	}
+	if !relay.ValidStatus(resp.StatusCode) {
+		_ = resp.Body.Close() // nothing of it counts
+		cancel()
+		return nil, errkind.New(errkind.UpstreamFailed, "answer of %s with status %03d, which is none", to.Address, resp.StatusCode)
+	}
 	use.recordTimeout(resp.Header)
 	head, load := r.dialect.DecodeResponse(resp.StatusCode, resp.Header)
 	head.Status = resp.StatusCode
--- a/core/relay/outcome.go
+++ b/core/relay/outcome.go
@@ -8,6 +8,9 @@
 	"github.com/crocusspread/crocusspread/core/instances"
 )
 
+// ValidStatus reports whether a status is one of a final answer. Upstreams in trouble may send others, such as 000.
+func ValidStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // result is the outcome of one attempt.
 type result struct {
 	// delivered is set once the caller has the complete answer.
