--- a/cmd/faulttest/soak_deployment_test.go
+++ b/cmd/faulttest/soak_deployment_test.go
@@ -48,6 +48,8 @@
 	entryAddress, readyAddress string
 	storeProxy                 *faultProxy
 	gate                       *pathGate
+	// binary is the build of the node that is started next.
+	binary string
 	// metricsPort is the port of the node's metrics; empty if it serves none.
 	metricsPort string
 	// wrapper is a command that runs the node's binary and its arguments, which follow;
@@ -93,6 +95,11 @@
 // newSoakDeployment starts a deployment with the given client accounts. Requests carry the key
 // of the first one unless they name another.
 func newSoakDeployment(t *testing.T, accounts ...soakAccount) *soakDeployment {
+	return newSoakDeploymentOf(t, nodeBinary, accounts...)
+}
+
+// newSoakDeploymentOf does the same with nodes of another build.
+func newSoakDeploymentOf(t *testing.T, binary string, accounts ...soakAccount) *soakDeployment {
 	store := storesim.New()
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
@@ -116,6 +123,7 @@
 		}
 	}
 	for _, n := range d.nodes {
+		n.binary = binary
 		n.start(t, nil)
 	}
 	d.waitServing("after the start")
@@ -140,7 +148,7 @@
 // as a seed for later nodes.
 func (d *soakDeployment) addNode(region string, n int, seeds []string) string {
 	ports := freePorts(d.t, 4)
-	node := &soakNode{name: fmt.Sprintf("n-%s-%d", region, n), region: region, key: d.callerKey, entryAddress: ports[0], readyAddress: ports[1], storeProxy: newFaultProxy(d.t, d.storeAddress), gate: newPathGate(d.t, ports[0], d.isUpstreamPort)}
+	node := &soakNode{binary: nodeBinary, name: fmt.Sprintf("n-%s-%d", region, n), region: region, key: d.callerKey, entryAddress: ports[0], readyAddress: ports[1], storeProxy: newFaultProxy(d.t, d.storeAddress), gate: newPathGate(d.t, ports[0], d.isUpstreamPort)}
 	node.settings = filepath.Join(d.t.TempDir(), "settings.yaml")
 	text, err := json.Marshal(map[string]any{ // JSON is YAML too
 		"node_name": node.name, "zone": region + "-a", "region": region,
@@ -177,7 +185,7 @@
 	if wrapper == nil {
 		wrapper = n.gate.command(t)
 	}
-	command := append(slices.Clone(wrapper), nodeBinary, "--platform", "--settings", n.settings, "--log-lines", "100000")
+	command := append(slices.Clone(wrapper), n.binary, "--platform", "--settings", n.settings, "--log-lines", "100000")
 	if n.metricsPort != "" {
 		command = append(command, "--metrics-port", n.metricsPort)
 	}
