Wait for a confirmation before a missing entry counts as removed

An upstream whose entry had lapsed in a real outage could be dropped at once by a node whose first news of it was a change, not a list: doubtful upstreams were looked at between the change and its confirmation, with the period of confirmations from before the outage.

A doubtful upstream is now dropped by confirmations to others only after one that followed the missing entry, which begins a new period if there was an outage.

Evidence: the table test looks at the upstream before the confirmation; it fails without the change in the case of a store that was away. The tests with nodes that the store turns away pass.

--- a/core/instances/catalog.go
+++ b/core/instances/catalog.go
@@ -20,7 +20,7 @@
 	// serviceOf maps each instance, of any region, to its service.
 	serviceOf map[domain.UpstreamID]string
 	// doubtful holds the instances whose entry disappeared around a store outage and may have lapsed.
-	doubtful map[domain.UpstreamID]bool
+	doubtful map[domain.UpstreamID]doubt
 	outage   outage
 	// newest holds the newest entry of each instance, also for a time after its removal.
 	newest    map[domain.UpstreamID]*newestEntry
@@ -39,7 +39,7 @@
 		options:   o.withDefaults(),
 		pools:     make(map[string]*Pool),
 		serviceOf: make(map[domain.UpstreamID]string),
-		doubtful:  make(map[domain.UpstreamID]bool),
+		doubtful:  make(map[domain.UpstreamID]doubt),
 		newest:    make(map[domain.UpstreamID]*newestEntry),
 		evacuated: make(map[domain.FailureDomain]bool),
 		services:  make(map[string]routes.Service),
--- a/core/instances/doc.go
+++ b/core/instances/doc.go
@@ -3,8 +3,8 @@
 // node's own requests. Each service has a pool with its own lock. The current time
 // is passed in by the caller.
 //
-// An entry that disappears while the store is unavailable is doubtful rather than
-// removed: its lease may have expired because it could not be renewed. The
+// An entry that disappears while the calls of this node to the store fail is doubtful
+// rather than removed: its lease may have expired because it could not be renewed. The
 // instance remains usable until the store has been available again for
-// Options.MissingGrace.
+// Options.MissingGrace, or has confirmed the entries to some node for that long.
 package instances
--- a/core/instances/outage.go
+++ b/core/instances/outage.go
@@ -8,9 +8,20 @@
 )
 
 // maxConfirmationGap is the longest time between two confirmations of the entries, by the store to any node, within which no
-// entry can have lapsed: an entry lapses after three heartbeats of its upstream are missing, which are a second apart.
+// entry can have lapsed: an entry lapses once three heartbeats of its upstream are missing, which are at least a second apart.
 const maxConfirmationGap = 2 * time.Second
 
+// doubt is the state of an instance whose entry is missing and may have lapsed.
+type doubt uint8
+
+const (
+	// unconfirmed means that no confirmation of the entries has followed yet. The list or change without the entry may be the
+	// first one after an outage.
+	unconfirmed doubt = iota
+	// confirmedMissing means that the store confirmed that the entry is missing.
+	confirmedMissing
+)
+
 // outage is what a node knows of whether entries may have lapsed because the store was away. That its own calls fail shows only that
 // its path to the store is lost, or that the store turns it away; what the store confirms to other nodes shows the rest.
 type outage struct {
@@ -38,13 +49,14 @@
 	o.confirmed = period{}
 }
 
-// mayHaveLapsed reports whether an entry that is missing may be one that lapsed and that its upstream has not written again yet.
-// grace is the time for which that is possible after an outage.
-func (o *outage) mayHaveLapsed(now time.Time, grace time.Duration) bool {
-	if !o.unavailable && !now.Before(o.endedAt.Add(grace)) {
-		return false
-	}
-	return o.confirmed.until.Sub(o.confirmed.from) < grace
+// over reports whether the calls of this node succeed for longer than upstreams need to write lapsed entries again.
+func (o *outage) over(now time.Time, grace time.Duration) bool {
+	return !o.unavailable && !now.Before(o.endedAt.Add(grace))
+}
+
+// refuted reports whether the store has confirmed the entries for longer than that, to whichever node.
+func (o *outage) refuted(grace time.Duration) bool {
+	return o.confirmed.until.Sub(o.confirmed.from) >= grace
 }
 
 // MarkStoreUnavailable records that the store does not respond to this node.
@@ -75,15 +87,14 @@
 // around a store outage.
 func (c *Catalog) handleMissing(now time.Time, id domain.UpstreamID) {
 	service, known := c.serviceOf[id]
-	if !known || c.doubtful[id] {
+	if _, doubtful := c.doubtful[id]; !known || doubtful {
 		return
 	}
-	if !c.outage.unavailable && !now.Before(c.outage.endedAt.Add(c.options.MissingGrace)) {
+	if c.outage.over(now, c.options.MissingGrace) {
 		c.removeInstance(now, id, service, "entry removed")
 		return
 	}
-	// The list without the entry is not confirmed yet; it may be the first one after an outage.
-	c.doubtful[id] = true
+	c.doubtful[id] = unconfirmed
 	c.options.Log.Log(event.InstanceDoubtful, event.F("instance", id), event.F("service", service),
 		event.F("store_answers_node", !c.outage.unavailable), event.F("confirmed_ms", now.Sub(c.outage.confirmed.until).Milliseconds()))
 }
@@ -96,17 +107,16 @@
 	c.options.Log.Log(event.InstanceGone, event.F("instance", id), event.F("service", service), event.F("why", why))
 }
 
-// removeDoubtful removes the doubtful instances if their entries cannot have lapsed, or have not been written again in time.
+// removeDoubtful removes the doubtful instances whose entries cannot have lapsed, or have not been written again in time.
 func (c *Catalog) removeDoubtful(now time.Time) {
-	if len(c.doubtful) == 0 || c.outage.mayHaveLapsed(now, c.options.MissingGrace) {
-		return
-	}
-	why := "missing after the store was restored"
-	if c.outage.unavailable || now.Before(c.outage.endedAt.Add(c.options.MissingGrace)) {
-		why = "missing while the store answered other nodes"
-	}
-	for id := range c.doubtful {
-		c.removeInstance(now, id, c.serviceOf[id], why)
+	over, refuted := c.outage.over(now, c.options.MissingGrace), c.outage.refuted(c.options.MissingGrace)
+	for id, d := range c.doubtful {
+		switch {
+		case over:
+			c.removeInstance(now, id, c.serviceOf[id], "missing after the store was restored")
+		case refuted && d == confirmedMissing:
+			c.removeInstance(now, id, c.serviceOf[id], "missing while the store answered other nodes")
+		}
 	}
 }
 
@@ -122,6 +132,9 @@
 func (c *Catalog) ConfirmEntries(now, asOf time.Time) {
 	c.mu.Lock()
 	c.outage.confirm(asOf)
+	for id := range c.doubtful {
+		c.doubtful[id] = confirmedMissing
+	}
 	c.removeDoubtful(now)
 	c.mu.Unlock()
 	c.ForEach(func(p *Pool) {
--- a/core/instances/outage_test.go
+++ b/core/instances/outage_test.go
@@ -41,6 +41,10 @@
 				cat.MarkStoreAvailable(at(c.restore))
 			}
 			cat.Replace(at(c.missing), []instances.Instance{newInstance("b")})
+			cat.RemoveExpired(at(c.missing)) // may come before the confirmation
+			if !receivesRequest(cat, at(c.missing), "a") {
+				t.Error("removed before the missing entry was confirmed")
+			}
 			cat.ConfirmEntries(at(c.missing), at(c.missing))
 			after := c.after
 			for ms := c.missing; ms <= 60000; ms += 100 {
