--- /dev/null
+++ b/review/lab2/server.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// heartbeat is the interval at which servers write their entries.
+const heartbeat = 1200 * time.Millisecond
+
+// upstream is a server: it registers itself, runs requests and says so in the record. After a crash it may
+// start again under its ID.
+type upstream struct {
+	lab           *lab
+	id            string
+	service, zone string
+	// events is the number of events of a stream, gap the time between two of them.
+	events int
+	gap    time.Duration
+	// crashesOn reports whether the server crashes when it begins to answer a request.
+	crashesOn func(r *http.Request) bool
+	// back is how long after a crash that a request caused the server runs again, under another ID.
+	back time.Duration
+
+	mu       sync.Mutex
+	address  string
+	software string
+	born     int64
+	seq      int
+	starts   int
+	http     *http.Server // nil while it is down
+	running  atomic.Int64
+	// storeAway reports whether the server's writes to the store fail.
+	stopBeat chan struct{}
+}
+
+// run is a request that a server began to work on.
+type run struct {
+	at                           time.Time
+	server, software, id, target string
+	resumed                      string
+}
+
+// runs holds all of them in order.
+type runs struct {
+	mu   sync.Mutex
+	list []run
+}
+
+func (r *runs) add(x run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, x)
+}
+
+func (r *runs) all() []run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]run(nil), r.list...)
+}
+
+var ran runs
+
+// storeAway is set while the store is away: the writes of servers fail, too.
+var storeAway atomic.Bool
+
+func (l *lab) upstream(service, zone, id, software string) *upstream {
+	u := &upstream{lab: l, id: id, service: service, zone: zone, software: software, events: 6, gap: 150 * time.Millisecond}
+	u.begin("127.0.0.1:0")
+	return u
+}
+
+// begin starts a process of the server at an address.
+func (u *upstream) begin(address string) {
+	var listener net.Listener
+	var err error
+	for range 100 {
+		if listener, err = net.Listen("tcp", address); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		fail("server %s cannot listen: %v", u.id, err)
+	}
+	u.mu.Lock()
+	u.starts++
+	u.address, u.born, u.seq = listener.Addr().String(), time.Now().UnixMilli(), 0
+	u.http = &http.Server{Handler: http.HandlerFunc(u.serve)}
+	server, software := u.http, u.software
+	u.stopBeat = make(chan struct{})
+	stop := u.stopBeat
+	u.mu.Unlock()
+	u.lab.note("server %s of %s starts at %s, software %s", u.id, u.service, u.address, software)
+	go func() { _ = server.Serve(listener) }()
+	go u.beat(stop)
+}
+
+// beat writes the server's entry about every heartbeat.
+func (u *upstream) beat(stop chan struct{}) {
+	for {
+		u.register("ready")
+		wait := heartbeat
+		if storeAway.Load() {
+			wait = 100 * time.Millisecond
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (u *upstream) register(state string) {
+	if storeAway.Load() {
+		return
+	}
+	u.mu.Lock()
+	u.seq++
+	text, err := json.Marshal(map[string]any{"service": u.service, "address": u.address, "zone": u.zone, "version": u.software,
+		"slots": 24, "state": state, "cold_remaining_ms": 0, "seq": u.seq, "born": u.born})
+	id, first, software := u.id, u.seq == 1, u.software
+	u.mu.Unlock()
+	if err != nil {
+		fail("encode an entry: %v", err)
+	}
+	u.lab.store.Put("servers/"+id, text)
+	if first {
+		u.lab.note("the entry of server %s, software %s, is in the store", id, software)
+	}
+}
+
+// crash ends the server's process.
+func (u *upstream) crash() {
+	u.mu.Lock()
+	server, stop := u.http, u.stopBeat
+	u.http = nil
+	u.mu.Unlock()
+	if server == nil {
+		return
+	}
+	close(stop)
+	u.lab.note("server %s crashes with %d requests", u.id, u.running.Load())
+	_ = server.Close()
+}
+
+func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	u.mu.Lock()
+	id, software, process := u.id, u.software, u.born
+	up := u.http != nil
+	u.mu.Unlock()
+	if !up {
+		panic(http.ErrAbortHandler)
+	}
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("X-Instance-Id", id)
+		return
+	}
+	request := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", request)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != id {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	running := u.running.Add(1)
+	defer u.running.Add(-1)
+	last := r.Header.Get("Last-Event-Id")
+	ran.add(run{time.Now(), id, software, request, r.RequestURI, last})
+	u.lab.log("server %s (software %s, born %d) runs %s, Last-Event-Id %q", id, software, process, request, last)
+	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,24", running))
+	w.Header().Set("X-Response-Seal", "seal."+request)
+	if u.crashesOn != nil && u.crashesOn(r) {
+		time.Sleep(40 * time.Millisecond)
+		u.crashAndReturn()
+		panic(http.ErrAbortHandler)
+	}
+	if !strings.HasPrefix(r.URL.Path, "/s/") {
+		time.Sleep(60 * time.Millisecond)
+		_, _ = fmt.Fprintf(w, "%s %s %d", id, request, len(body))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(last)
+	for n := from + 1; n <= u.events; n++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(u.gap):
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, software); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// crashAndReturn crashes the server, which is back after some time as another incarnation.
+func (u *upstream) crashAndReturn() {
+	u.crash()
+	time.AfterFunc(u.back, func() {
+		u.mu.Lock()
+		former, address := u.id, u.address
+		base, _, _ := strings.Cut(u.id, ".")
+		u.id = fmt.Sprintf("%s.%d", base, u.starts+1)
+		u.mu.Unlock()
+		if !storeAway.Load() {
+			u.lab.store.Delete("servers/" + former)
+		}
+		u.begin(address)
+	})
+}
