Review case 7: whole answers that end with their connection are broken off once their server accepts no new ones

Claim: a stream without length or chunks that a leaving server finishes is reset towards the client, also around a planned stop of the machine (LOST).

--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -27,6 +27,8 @@
 	gap    time.Duration
 	// crashesOn reports whether the server crashes when it begins to answer a request.
 	crashesOn func(r *http.Request) bool
+	// unframed sends answers with neither a length nor chunks, which end with their connection.
+	unframed bool
 	// back is how long after a crash that a request caused the server runs again, under another ID.
 	back time.Duration
 
@@ -38,7 +40,6 @@
 	starts   int
 	http     *http.Server // nil while it is down
 	running  atomic.Int64
-	// storeAway reports whether the server's writes to the store fail.
 	stopBeat chan struct{}
 }
 
@@ -188,6 +189,10 @@
 		u.crashAndReturn()
 		panic(http.ErrAbortHandler)
 	}
+	if u.unframed && strings.HasPrefix(r.URL.Path, "/s/") {
+		u.writeUnframed(w, request, software)
+		return
+	}
 	if !strings.HasPrefix(r.URL.Path, "/s/") {
 		time.Sleep(60 * time.Millisecond)
 		_, _ = fmt.Fprintf(w, "%s %s %d", id, request, len(body))
@@ -208,6 +213,56 @@
 	}
 }
 
+// writeUnframed sends a whole stream that ends with its connection.
+func (u *upstream) writeUnframed(w http.ResponseWriter, request, software string) {
+	header := w.Header().Clone()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Connection", "close")
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		fail("server %s: %v", u.id, err)
+	}
+	defer conn.Close()
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = header.Write(&head) // writing to a builder never fails
+	head.WriteString("\r\n")
+	if _, err := io.WriteString(conn, head.String()); err != nil {
+		return
+	}
+	for n := 1; n <= u.events; n++ {
+		time.Sleep(u.gap)
+		if _, err := fmt.Fprintf(conn, "id: %d\ndata: piece %d of %s\n\n", n, n, software); err != nil {
+			u.lab.log("server %s: %s is cut off after %d pieces: %v", u.id, request, n-1, err)
+			return
+		}
+	}
+	u.lab.log("server %s has answered %s whole, %d pieces", u.id, request, u.events)
+	whole.Add(1)
+}
+
+// whole is the number of streams that servers have sent to their end.
+var whole atomic.Int64
+
+// leave ends the server as planned: it says so in the store, goes on serving for a time, then accepts no more
+// connections and ends once nothing runs.
+func (u *upstream) leave(serving time.Duration) {
+	u.mu.Lock()
+	server, stop := u.http, u.stopBeat
+	u.mu.Unlock()
+	close(stop)
+	u.register("draining")
+	u.lab.note("server %s reports draining", u.id)
+	time.Sleep(serving)
+	u.lab.note("server %s accepts no more connections and finishes its %d requests", u.id, u.running.Load())
+	_ = server.Close() // streams have their connections to themselves
+	for u.running.Load() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	u.lab.note("server %s has finished and ends", u.id)
+	u.lab.store.Delete("servers/" + u.id)
+}
+
 // crashAndReturn crashes the server, which is back after some time as another incarnation.
 func (u *upstream) crashAndReturn() {
 	u.crash()
