--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -140,18 +140,19 @@
 	}
 }
 
-// crash ends the server's process.
-func (u *upstream) crash() {
+// crash ends the server's process, and reports whether there was one.
+func (u *upstream) crash() (crashed bool) {
 	u.mu.Lock()
 	server, stop := u.http, u.stopBeat
 	u.http = nil
 	u.mu.Unlock()
 	if server == nil {
-		return
+		return false
 	}
 	close(stop)
 	u.lab.note("server %s crashes with %d requests", u.id, u.running.Load())
 	_ = server.Close()
+	return true
 }
 
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
@@ -263,9 +264,15 @@
 	u.lab.store.Delete("servers/" + u.id)
 }
 
+// fallen is the number of crashes that requests caused.
+var fallen atomic.Int64
+
 // crashAndReturn crashes the server, which is back after some time as another incarnation.
 func (u *upstream) crashAndReturn() {
-	u.crash()
+	if !u.crash() {
+		return
+	}
+	fallen.Add(1)
 	time.AfterFunc(u.back, func() {
 		u.mu.Lock()
 		former, address := u.id, u.address
