Review case 8: reads that servers failed for four seconds stay refused for good

Claim: requests whose connections sound servers reset for 4 s (srv_grey) are held as requests that crash servers, and refused with 422 long after (DENIED).

--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -29,6 +29,8 @@
 	crashesOn func(r *http.Request) bool
 	// unframed sends answers with neither a length nor chunks, which end with their connection.
 	unframed bool
+	// resets reports whether the server resets the connection of a request that it ran, instead of an answer.
+	resets func(r *http.Request) bool
 	// back is how long after a crash that a request caused the server runs again, under another ID.
 	back time.Duration
 
@@ -196,6 +198,16 @@
 	}
 	if !strings.HasPrefix(r.URL.Path, "/s/") {
 		time.Sleep(60 * time.Millisecond)
+		if u.resets != nil && u.resets(r) {
+			u.lab.log("server %s resets the connection of %s", id, request)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				fail("server %s: %v", u.id, err)
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			return
+		}
 		_, _ = fmt.Fprintf(w, "%s %s %d", id, request, len(body))
 		return
 	}
