--- a/review/lab2/crashes.go
+++ b/review/lab2/crashes.go
@@ -24,7 +24,7 @@
 	var arrived atomic.Int64
 	for i := range 8 {
 		u := l.upstream("llm", zones[i/4].name, fmt.Sprintf("i-%d", i+1), "v1")
-		u.gap, u.back = 30*time.Millisecond, 2*time.Second
+		u.gap, u.back = 100*time.Millisecond, 2*time.Second
 		u.crashesOn = func(r *http.Request) bool {
 			if bad(r) {
 				arrived.Add(1)
@@ -43,14 +43,19 @@
 		return l.nodes[i%4].send(context.Background(), id, http.MethodPost, "/s/1", "", "X-Model", "m", "X-Token-Count", "540,48", "X-Prompt-Prefix", fmt.Sprintf("c0ffee:300,%s:200,%x:40", crashingPart, 0x10000+l.sent))
 	}
 	time.Sleep(2 * time.Second)
+	var broken atomic.Int64 // sound requests that their servers began and did not end
 	stop := make(chan struct{})
 	go func() {
 		for i := 0; ; i++ {
 			select {
 			case <-stop:
 				return
-			case <-time.After(150 * time.Millisecond):
-				go sound(i)
+			case <-time.After(40 * time.Millisecond):
+				go func() {
+					if a := sound(i); a.status == http.StatusOK && a.err != nil || a.status == http.StatusBadGateway {
+						broken.Add(1)
+					}
+				}()
 			}
 		}
 	}()
@@ -81,6 +86,7 @@
 	// Machines are in touch contact_ms after they run again.
 	time.Sleep(5500 * time.Millisecond)
 	counted := 0
+	brokenBefore := broken.Load()
 	for i := 0; time.Since(back) < 78*time.Second; i++ {
 		before := arrived.Load()
 		a := poison(i)
@@ -94,6 +100,7 @@
 	}
 	close(stop)
 	time.Sleep(time.Second)
+	l.note("%d sound requests were broken off with the servers in that time", broken.Load()-brokenBefore)
 	l.note("%d requests with the part reached servers later than contact_ms after the fifth crash; more than 3 break BUDGET", counted)
 	return counted > 3
 }
