Judge the end of an unframed answer by its process's other connections

Cause: after the end of the connection the node opened a new one, and took a refusal for a crash. Whether an address accepts connections says little about the process that wrote the answer.

A reset, an end inside an event and a cut by the stopping node are ruled out.

Why this works: the kernel ends all connections of a process that exits at one moment; one that has finished an answer ends that connection, right after the last bytes. A new connection decides only where the process has no other one.

--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -139,6 +139,7 @@
 		IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: maxIdlePerUpstream,
 		IdleClosed: func(c upstream.IdleClose) { n.catalog.RecordIdleClosed(time.Now(), c.Address, c.Idle, c.Timeout) },
 		Dialed:     n.catalog.RecordDial,
+		EndJudged:  n.logAnswerEnd,
 		Dial:       deps.DialUpstream,
 	}, deps.Upstream)
 	n.mesh = mesh.NewClient(s.Node, insecure.NewCredentials(), deps.dialPeer(), time.Now)
@@ -167,6 +168,20 @@
 	return n
 }
 
+// logAnswerEnd counts an answer that ended with its connection, and logs it unless nothing spoke against its being complete.
+func (n *Node) logAnswerEnd(e upstream.EndOfAnswer) {
+	result := "cut_off"
+	if e.Complete {
+		result = "complete"
+	}
+	n.metrics.Count("upstream.unframed_end."+result, 1)
+	if e.Complete && e.Accepted() && e.Cut == 0 {
+		return
+	}
+	n.log.Log(event.AnswerEndJudged, event.F("instance", e.Instance), event.F("complete", e.Complete), event.F("connect", e.Connect), event.F("leaving", e.Leaving),
+		event.F("orderly", e.Orderly), event.F("heard", e.Heard), event.F("open", e.Open), event.F("cut", e.Cut), event.F("closed_listener", e.ClosedListener))
+}
+
 // Reload applies the settings that may change while the node runs: the seeds.
 func (n *Node) Reload(s *Settings) {
 	n.seeds.Store(&s.Seeds)
--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -4,6 +4,7 @@
 package routedsim
 
 import (
+	"context"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -238,6 +239,16 @@
 	s.closeDirect()
 }
 
+// StopAccepting closes the listener and idle connections; the server finishes what it runs.
+func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	server := s.http
+	s.mu.Unlock()
+	if server != nil {
+		go func() { _ = server.Shutdown(context.Background()) }() // it waits for the requests that run
+	}
+}
+
 // crash closes the listener and all connections. The entry remains until the server runs
 // again.
 func (s *Server) crash(b Behaviour) {
--- a/adapters/upstream/idle.go
+++ b/adapters/upstream/idle.go
@@ -115,6 +115,9 @@
 // connUse is the use of a connection by a request.
 type connUse struct {
 	conn *watchedConn // nil if the connection is not watched
+	// process is the process that the request is sent to, and onConn its connection; nil until the request has one.
+	process processKey
+	onConn  atomic.Pointer[trackedConn]
 	// gotAt is when the request got the connection; nil until then. reused is set if earlier requests had used it.
 	gotAt  atomic.Pointer[time.Time]
 	reused atomic.Bool
@@ -131,8 +134,14 @@
 			now := time.Now()
 			u.gotAt.Store(&now)
 			u.reused.Store(info.Reused)
-			if u.conn, _ = info.Conn.(*watchedConn); u.conn != nil {
+			conn := info.Conn
+			if u.conn, _ = conn.(*watchedConn); u.conn != nil {
 				u.conn.begin(u)
+				conn = u.conn.Conn
+			}
+			if tracked, ok := conn.(*trackedConn); ok {
+				u.onConn.Store(tracked)
+				tracked.begin(u)
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { u.recordWritten(info.Err) },
@@ -144,6 +153,23 @@
 	}
 }
 
+// tracked returns the connection of the request; nil if it is not tracked.
+func (u *connUse) tracked() *trackedConn { return u.onConn.Load() }
+
+// confirm records that the process answers the request.
+func (u *connUse) confirm() {
+	if c := u.tracked(); c != nil {
+		c.confirm()
+	}
+}
+
+// release records that the request no longer uses its connection.
+func (u *connUse) release() {
+	if c := u.tracked(); c != nil {
+		c.end(u)
+	}
+}
+
 // connectedAt returns when the connection was established, or when the request got it if that is not known.
 func (u *connUse) connectedAt() time.Time {
 	if u.conn != nil {
--- a/adapters/upstream/options.go
+++ b/adapters/upstream/options.go
@@ -38,6 +38,8 @@
 	IdleClosed func(IdleClose)
 	// Dialed is called after each attempt to open a connection, unless it was canceled; it must not block.
 	Dialed func(address string, startedAt time.Time, opened bool)
+	// EndJudged is called for each answer that ended with its connection; it must not block.
+	EndJudged func(EndOfAnswer)
 	// Dial replaces the dialer, for example in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -77,6 +79,9 @@
 	if o.Dialed == nil {
 		o.Dialed = func(string, time.Time, bool) {}
 	}
+	if o.EndJudged == nil {
+		o.EndJudged = func(EndOfAnswer) {}
+	}
 	if o.Dial == nil {
 		o.Dial = o.dialer().DialContext
 	}
--- a/adapters/upstream/routed.go
+++ b/adapters/upstream/routed.go
@@ -41,14 +41,18 @@
 	liveness *livenessChecker
 	dial     dialFunc
 	retained *retainedConns
+	// processes tracks the connections of the transports; endJudged is called for each answer that ended with its connection.
+	processes *processes
+	endJudged func(EndOfAnswer)
 }
 
 // NewRouted returns a client of instances.
 func NewRouted(o Options, d Dialect) *Routed {
 	o = o.withDefaults()
 	o.Dial = reportDials(o.Dial, o.Dialed)
-	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o), dial: o.Dial, retained: newRetainedConns()}
-	r.pooled.DialContext, r.unpooled.DialContext = watchIdle(refuseOutdated(o.Dial), o.IdleClosed, r.retained, o.IdleTimeout), refuseOutdated(o.Dial)
+	r := &Routed{dialect: d, pooled: o.pooled(), unpooled: o.unpooled(), liveness: newLivenessChecker(o), dial: o.Dial, retained: newRetainedConns(), processes: newProcesses(), endJudged: o.EndJudged}
+	tracked := r.processes.track(refuseOutdated(o.Dial))
+	r.pooled.DialContext, r.unpooled.DialContext = watchIdle(tracked, o.IdleClosed, r.retained, o.IdleTimeout), tracked
 	return r
 }
 
@@ -110,6 +114,7 @@
 func (r *Routed) Send(ctx context.Context, to *instances.Instance, c *relay.Call) (relay.Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	use := newConnUse()
+	use.process = keyOf(to)
 	req := r.request(context.WithValue(httptrace.WithClientTrace(ctx, use.trace()), placedAtKey{}, c.PlacedAt), to, c)
 	transport := r.pooled
 	if c.Route.Kind == routes.AtMostOnce || c.SingleUse {
@@ -117,6 +122,7 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		use.release()
 		unreachable := use.gotAt.Load() == nil // also if the request's time ended before
 		cancel()
 		if unreachable && errors.Is(err, relay.ErrOutdated) {
@@ -129,6 +135,7 @@
 	}
 	if !relay.ValidStatus(resp.StatusCode) {
 		_ = resp.Body.Close() // nothing of it counts
+		use.release()
 		cancel()
 		return nil, errkind.New(errkind.UpstreamFailed, "answer of %s with status %03d, which is none", to.Address, resp.StatusCode)
 	}
@@ -139,10 +146,16 @@
 	head.ContentLength = resp.ContentLength
 	head.Framing = framing(resp)
 	head.Reused, head.ConnectedAt = use.reused.Load(), use.connectedAt()
+	if !head.Misdirected {
+		use.confirm()
+	}
 	return &routedAnswer{
 		resp: resp, cancel: cancel, head: head, load: load, buffer: buffers.Get().(*[]byte),
 		isWritten: func() error { return use.checkWritten(ctx) },
-		isRunning: func() error { return r.liveness.check(ctx, to.Address) },
+		checkEnd: func(at time.Time) error {
+			return r.checkEnd(ctx, ending{process: use.process, conn: use.tracked(), at: at, leaving: c.Leaving})
+		},
+		release: use.release,
 	}, nil
 }
 
@@ -208,8 +221,12 @@
 	ended  bool
 	// isWritten returns an error unless the whole request was written.
 	isWritten func() error
-	// isRunning returns an error unless the upstream runs after the call.
-	isRunning func() error
+	// checkEnd returns an error unless the answer, whose connection ended at a time, is complete.
+	checkEnd func(at time.Time) error
+	// release ends the use of the connection.
+	release func()
+	// connEndedAt is when the connection ended, with which the answer ends.
+	connEndedAt time.Time
 }
 
 func (a *routedAnswer) Head() relay.Head { return a.head }
@@ -221,7 +238,7 @@
 // Next implements relay.Answer. net/http returns io.ErrUnexpectedEOF for a response
 // that is shorter than its framing specifies, and an error for a connection reset. The end
 // of one that is framed by the end of the connection counts only if the request was written
-// and the upstream still runs; its last bytes are returned before.
+// and checkEnd returns no error; its last bytes are returned before.
 func (a *routedAnswer) Next() ([]byte, error) {
 	n, err := a.resp.Body.Read(*a.buffer)
 	b := (*a.buffer)[:n]
@@ -229,6 +246,9 @@
 		return b, markClosed(err)
 	}
 	a.ended = true
+	if a.connEndedAt.IsZero() {
+		a.connEndedAt = time.Now()
+	}
 	if a.head.Framing != relay.FramedByClose {
 		return b, io.EOF
 	}
@@ -238,7 +258,7 @@
 	if err := a.isWritten(); err != nil {
 		return nil, markClosed(err)
 	}
-	if err := a.isRunning(); err != nil {
+	if err := a.checkEnd(a.connEndedAt); err != nil {
 		return nil, markClosed(err)
 	}
 	return nil, io.EOF
@@ -247,7 +267,7 @@
 // markClosed marks an error that means that the upstream closed or reset the connection.
 // Time-outs don't: they may be caused by the network.
 func markClosed(err error) error {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNotRunning, errNotWritten} {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNotRunning, errProcessEnded, errNotWritten} {
 		if errors.Is(err, closed) {
 			return relay.ConnectionClosed(err)
 		}
@@ -270,6 +290,7 @@
 	if !a.ended {
 		a.cancel()
 	}
+	a.release()
 	_ = a.resp.Body.Close() // the body is no longer needed
 	a.cancel()
 	if a.buffer != nil {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -43,6 +43,7 @@
 	PartReleased      = Event{309, "part_released", "Requests with a part of a prompt, or one request, are no longer refused; the field why contains the reason."}
 	PartTried         = Event{310, "part_tried", "One request that is held, or has a held part, was sent to an upstream, to find out whether it still crashes it."}
 	StreamTakenUp     = Event{311, "stream_taken_up", "A caller takes up a stream; the fields contain the request that began it and the version of the upstream's software at which it goes on, if that is known: recorded when it began, or the only one of the service. Otherwise the request is refused. The field from contains who says so, or why it is not known."}
+	AnswerEndJudged   = Event{312, "answer_end_judged", "An answer with neither a length nor chunks ended with its connection, and the upstream accepted no new one or other answers of it ended at the same moment. The field complete contains the judgement, the others what it rests on: the result of connecting, whether the upstream leaves, and how many other connections of its process were used later, remained open, or were cut at that moment."}
 	KeysNotHonoured   = Event{320, "keys_not_honoured", "The node can no longer prove that its routing table is current, and refuses requests with keys as lists_outdated. Check its way to the store and to other nodes."}
 	KeysHonoured      = Event{321, "keys_honoured", "The node has proved again that its routing table is current; requests with keys are served."}
 	QuotaAuthority    = Event{330, "quota_authority", "This node became, or ceased to be, the node that grants the quotas of client accounts."}
@@ -91,7 +92,7 @@
 		NodeStarted, NodeServing, NodeDraining, NodeStopped, SettingsReloaded, SettingsRefused, SettingsKept, SignalReceived, RequestsEnded,
 		ListsAdopted, ListsRefused, ListsUnavailable, PeerDocuments, EvacuationChanged, FetchFailed,
 		RequestFailed, RequestRetried, AnswerResumed, AnswerCrossed,
-		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried, StreamTakenUp, KeysNotHonoured, KeysHonoured,
+		AttemptFailed, RequestServed, RequestRefused, PartHeld, PartReleased, PartTried, StreamTakenUp, AnswerEndJudged, KeysNotHonoured, KeysHonoured,
 		QuotaAuthority, QuotaExceeded, QuotaUnanswered,
 		ClientsCut, ClientsRefused,
 		BrokerStarted, BrokerLost, BrokerFound, PlaceRefused, PlacesBorrowed,
--- a/core/instances/place.go
+++ b/core/instances/place.go
@@ -377,6 +377,14 @@
 	return u == t.upstream && !u.Leaving && !u.leavingStated
 }
 
+// LeavesAsPlanned reports whether the process is known to stop as planned: it said so, or its entry was removed.
+func (t *Ticket) LeavesAsPlanned() bool {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	u := t.pool.find(t.ID)
+	return u == nil || u == t.upstream && (u.Leaving || u.leavingStated)
+}
+
 // AnswerStarted reports whether the first byte of the answer has arrived.
 func (t *Ticket) AnswerStarted() bool {
 	t.pool.mu.Lock()
--- a/core/relay/local.go
+++ b/core/relay/local.go
@@ -27,7 +27,7 @@
 		a.Budget.RecordFirstSend(a.Now(), a.r.Service)
 	}
 	call := a.newCall()
-	call.PlacedAt, call.SingleUse = t.SentAt, t.BeyondShare
+	call.PlacedAt, call.SingleUse, call.Leaving = t.SentAt, t.BeyondShare, t.LeavesAsPlanned
 	sentAt := a.Now()
 	stop := a.watchSilence(t, cancel)
 	answer, err := a.Upstreams.Send(ctx, &t.Instance, call)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -115,6 +115,8 @@
 	PlacedAt time.Time
 	// SingleUse is set if the connection must be closed after the answer.
 	SingleUse bool
+	// Leaving reports whether the upstream is known to stop as planned; nil if that is not known.
+	Leaving func() bool
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
 	// Priority is the request's priority at model engines; 0 is the highest.
