--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -96,15 +96,6 @@
 	return r.Priority() == 0
 }
 
-// Fingerprint identifies a request that is sent again with another request ID. The caller is
-// the client account, whose key is not known at every node, or else that of the message.
-func (r *Request) Fingerprint() uint64 {
-	if r.Account == nil {
-		return r.Message.Fingerprint()
-	}
-	return r.fingerprint([]string{r.Account.Name})
-}
-
 // Call is one attempt at an upstream or a node.
 type Call struct {
 	*Request
