Refuse only requests that have all parts which may be the cause

Cause: of parts that were present at the same crashes and never answered, the last one in the prompt was held. Evidence cannot tell such parts apart, and refusing all requests with one of them kept out the request that would.

Evidence: with the crashing part behind the document all were served, before it none. part_held says that each node judged by itself.

Failed before: TestSoundRequestsWithDocumentSeenOnlyBesideCrashingPart- AreServed (8 of 9 cases), TestSoundPromptsOfPartsSeenOnlyBesideDeadly- OneAreServed, TestNodeThatLearnsOfAlternativesHoldsThemTogether.

Why this works: what was present at all crashes of a held suspect, and is as little known to be sound, is its alternative. A request is refused only if it has all alternatives; any other one is answered, which clears what it has, or crashes one upstream more, which rules out the rest.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -69,10 +69,11 @@
 	return list[:min(maxRecords, len(list))]
 }
 
-// partRecords returns the records of held parts, then of those with the latest news.
+// partRecords returns the records of held parts, then of those that several crashes implicate, which nodes must learn together
+// to compare them, then of those with the latest news.
 func (t *Table) partRecords(now time.Time) []Record {
 	return t.records(now, false, func(a, b *suspect) int {
-		return cmp.Or(compareBool(b.held(), a.held()), b.latest().Compare(a.latest()), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareBool(b.held(), a.held()), compareBool(len(b.crashes) > 1, len(a.crashes) > 1), b.latest().Compare(a.latest()), cmp.Compare(a.ID, b.ID))
 	})
 }
 
--- a/core/quarantine/retention.go
+++ b/core/quarantine/retention.go
@@ -63,6 +63,7 @@
 			if now.Sub(p.requestedAt) > heldRetention || now.Sub(p.heldAt) > maxHeldFor {
 				p.crashes = nil
 				p.release()
+				t.changed = true
 				t.logRelease(p, "expired")
 			}
 			continue
--- a/core/quarantine/suspect.go
+++ b/core/quarantine/suspect.go
@@ -42,7 +42,7 @@
 // those whose prompt has the part, or the whole request itself.
 type suspect struct {
 	Subject
-	// position is the greatest index of the subject among those of a request.
+	// position is the greatest index of the subject among those of a request. Nodes of earlier builds judge by it.
 	position int
 	// crashes holds the crashes that implicate the suspect.
 	crashes []crash
@@ -57,6 +57,8 @@
 	requestedAt time.Time
 	// probedAt is when this node last sent the request on probation.
 	probedAt time.Time
+	// alternatives are the others that may be the cause of its crashes instead, while it is held.
+	alternatives []Subject
 	// trials is the number of trial requests that were sent since the suspect was held.
 	trials int
 }
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -145,11 +145,11 @@
 		return
 	}
 	c := crash{process, now}
-	if i := slices.IndexFunc(tracked, t.isHeld); i >= 0 {
-		tracked = tracked[i : i+1] // the held suspect explains the crash
-		offset += i
-	}
+	_, explained := t.decisive(tracked, subjects)
 	for i, s := range tracked {
+		if explained && t.suspects[s] == nil {
+			continue
+		}
 		if t.suspectFor(now, s, offset+i).addCrash(now, c, t.runAgain[process]) {
 			t.changed = true
 		}
@@ -205,11 +205,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judge(now)
-	if i := slices.IndexFunc(tracked, t.isHeld); i >= 0 {
-		return t.checkHeld(now, t.suspects[tracked[i]]), tracked[i]
+	if held, ok := t.decisive(tracked, subjects); ok {
+		return t.checkHeld(now, t.suspects[held], subjects), held
 	}
 	for _, s := range tracked {
-		if p := t.suspects[s]; p != nil && p.onProbation() {
+		if p := t.suspects[s]; p != nil && !p.held() && p.onProbation() {
 			return t.checkProbation(now, p), s
 		}
 	}
@@ -217,8 +217,12 @@
 }
 
 // checkHeld decides whether a request with a held suspect is sent as a trial.
-func (t *Table) checkHeld(now time.Time, p *suspect) Decision {
-	p.requestedAt = now
+func (t *Table) checkHeld(now time.Time, p *suspect, subjects []Subject) Decision {
+	for _, s := range subjects {
+		if other := t.suspects[s]; other != nil && other.held() {
+			other.requestedAt = now
+		}
+	}
 	if !p.trialDue(now) || t.options.MayTry == nil || !t.options.MayTry(p.ID) {
 		return Refuse
 	}
@@ -242,11 +246,6 @@
 	return Try
 }
 
-func (t *Table) isHeld(s Subject) bool {
-	p := t.suspects[s]
-	return p != nil && p.held()
-}
-
 // trialDue reports whether the time of the next trial has come.
 func (p *suspect) trialDue(now time.Time) bool {
 	if p.trials >= maxTrials {
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -29,6 +29,7 @@
 		}
 		if best == nil {
 			t.changed = waiting
+			t.findAlternatives()
 			return
 		}
 		best.heldAt, best.requestedAt, best.trials = now, now, 0
@@ -39,6 +40,42 @@
 	}
 }
 
+// alternativeTo reports whether p may be the cause of the crashes that implicate q instead of q: it was present at all of them, and
+// it is not known to have been answered if q is not.
+func (p *suspect) alternativeTo(q *suspect) bool {
+	return p != q && (p.answeredAt.IsZero() || !q.answeredAt.IsZero()) && len(p.crashes) >= len(q.crashes) &&
+		!slices.ContainsFunc(q.crashes, func(c crash) bool { return !p.hasCrash(c) })
+}
+
+// findAlternatives finds the alternatives of each held suspect. A request without one of them may be sound, and shows which one is
+// the cause.
+func (t *Table) findAlternatives() {
+	for _, h := range t.suspects {
+		h.alternatives = nil
+		if !h.held() {
+			continue
+		}
+		for _, p := range t.suspects {
+			if p.alternativeTo(h) {
+				h.alternatives = append(h.alternatives, p.Subject)
+			}
+		}
+	}
+}
+
+// decisive returns the first held subject of a request by which it is refused: the request has all others that may be the
+// cause instead. It returns false if there is none.
+func (t *Table) decisive(tracked, all []Subject) (Subject, bool) {
+	i := slices.IndexFunc(tracked, func(s Subject) bool {
+		p := t.suspects[s]
+		return p != nil && p.held() && !slices.ContainsFunc(p.alternatives, func(q Subject) bool { return !slices.Contains(all, q) })
+	})
+	if i < 0 {
+		return Subject{}, false
+	}
+	return tracked[i], true
+}
+
 // accused reports whether the crashes until settled suffice to hold the suspect.
 func (p *suspect) accused(settled time.Time) bool {
 	if p.processes() < minProcesses {
@@ -53,26 +90,24 @@
 }
 
 // morePlausible reports whether p is more likely than q to be the cause of the crashes:
-// it was present at more of them; it was never answered, or longer ago; or it is the more
-// specific one, as a sound part is shared by more prompts than it appears to.
+// it was present at more of them, or it was never answered, or longer ago.
 func morePlausible(p, q *suspect, settled time.Time) bool {
 	return cmp.Or(
 		cmp.Compare(q.moments(settled), p.moments(settled)),
 		p.answeredAt.Compare(q.answeredAt),
-		cmp.Compare(q.position, p.position),
 		cmp.Compare(p.ID, q.ID),
 	) < 0
 }
 
 // removeExplained removes the crashes that a held suspect explains from the evidence
-// against the others.
+// against the others, except against its alternatives.
 func (t *Table) removeExplained() {
 	for _, h := range t.suspects {
 		if !h.held() {
 			continue
 		}
 		for _, p := range t.suspects {
-			if !p.held() {
+			if !p.held() && !p.alternativeTo(h) {
 				p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return h.hasCrash(c) })
 			}
 		}
