Adopt holds whose crashes are older than evidence is kept

A node that started more than ten minutes after a part had been held did not hold it, though the others did, and after a rolling restart none would.

Cause: a record's crashes were dropped by the retention of evidence, and a hold without a crash is not adopted.

Failed before: TestHoldIsAdoptedLongAfterItsCrashes.

Trials are told at once, and Held returns what a store is to keep.

--- a/core/quarantine/alternatives_test.go
+++ b/core/quarantine/alternatives_test.go
@@ -94,3 +94,20 @@
 		t.Error("a crash without the other part at one node does not decide at another one")
 	}
 }
+
+// TestHoldIsAdoptedLongAfterItsCrashes: a node that started later than the retention of evidence forgot it.
+func TestHoldIsAdoptedLongAfterItsCrashes(t *testing.T) {
+	holding := New(Options{})
+	end := crashes(holding, 0, 3, deadly)
+	last := 2 * evidenceRetention.Seconds()
+	for s := end; s <= last; s += 60 {
+		if !isHeld(holding, s, deadly) {
+			t.Fatalf("the part is not held after %v s", s)
+		}
+	}
+	started := New(Options{})
+	started.Merge(at(last), holding.Message(at(last)))
+	if !isHeld(started, last, deadly) {
+		t.Error("a node that starts does not hold a part that another one has held for longer than evidence is kept")
+	}
+}
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -38,8 +38,40 @@
 	Refuted []CrashRecord
 }
 
-// maxRecords is the maximum number of records of each kind in one message.
-const maxRecords = 16
+// Held returns the records of held suspects and of their alternatives, those held last first, for a store that outlasts all nodes.
+func (t *Table) Held(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	t.judge(now)
+	wanted := make(map[Subject]bool)
+	for s, p := range t.suspects {
+		if p.held() {
+			wanted[s] = true
+			for _, q := range p.alternatives {
+				wanted[q] = true
+			}
+		}
+	}
+	var list []*suspect
+	for s := range wanted {
+		if p := t.suspects[s]; p != nil {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b *suspect) int { return cmp.Or(b.heldAt.Compare(a.heldAt), cmp.Compare(a.ID, b.ID)) })
+	records := make([]Record, 0, min(len(list), maxStoredRecords))
+	for _, p := range list[:min(len(list), maxStoredRecords)] {
+		records = append(records, p.record(now))
+	}
+	return records
+}
+
+// maxRecords is the maximum number of records of each kind in one message, maxStoredRecords that of records in a store.
+const (
+	maxRecords       = 16
+	maxStoredRecords = 64
+)
 
 // never is a duration in a record that stands for a time that never was.
 const never = time.Duration(-1)
@@ -103,16 +135,20 @@
 	list = list[:min(maxRecords, len(list))]
 	records := make([]Record, 0, len(list))
 	for _, p := range list {
-		r := Record{Subject: p.Subject, Position: p.position, SinceAnswer: since(now, p.answeredAt), SinceHeld: since(now, p.heldAt),
-			SinceRequest: since(now, p.requestedAt), Trials: p.trials}
-		for _, c := range p.crashes {
-			r.Crashes = append(r.Crashes, CrashRecord{c.process, now.Sub(c.at)})
-		}
-		records = append(records, r)
+		records = append(records, p.record(now))
 	}
 	return records
 }
 
+func (p *suspect) record(now time.Time) Record {
+	r := Record{Subject: p.Subject, Position: p.position, SinceAnswer: since(now, p.answeredAt), SinceHeld: since(now, p.heldAt),
+		SinceRequest: since(now, p.requestedAt), Trials: p.trials}
+	for _, c := range p.crashes {
+		r.Crashes = append(r.Crashes, CrashRecord{c.process, now.Sub(c.at)})
+	}
+	return r
+}
+
 func since(now, t time.Time) time.Duration {
 	if t.IsZero() {
 		return never
@@ -141,15 +177,17 @@
 }
 
 // merge adopts a record. A hold is not adopted if an answer that this node knows of is later
-// than all its evidence.
+// than all its evidence. The evidence of a hold counts as long as the hold does.
 func (t *Table) merge(now time.Time, r *Record) {
+	heldAt := before(now, r.SinceHeld)
+	holds := !heldAt.IsZero() && r.SinceHeld <= maxHeldFor && r.SinceRequest <= heldRetention
 	p := t.suspectFor(now, r.Subject, r.Position)
 	if at := before(now, r.SinceAnswer); at.After(p.answeredAt) {
 		t.applyAnswer(p, now, at, "answered elsewhere")
 	}
 	for _, c := range r.Crashes {
 		at := before(now, c.Since)
-		if c.Since > evidenceRetention || !at.After(t.refuted[c.Process]) {
+		if c.Since > evidenceRetention && !holds || !at.After(t.refuted[c.Process]) {
 			continue
 		}
 		if known, ok := t.crashed[c.Process]; !ok || at.Before(known) && !t.runAgain[c.Process].After(at) {
@@ -159,8 +197,7 @@
 			t.changed = true
 		}
 	}
-	heldAt := before(now, r.SinceHeld)
-	if heldAt.IsZero() || len(p.crashes) == 0 || !heldAt.After(p.answeredAt) || r.SinceHeld > maxHeldFor || r.SinceRequest > heldRetention {
+	if !holds || len(p.crashes) == 0 || !heldAt.After(p.answeredAt) {
 		return
 	}
 	if !p.held() {
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -79,7 +79,7 @@
 	// Chosen reports whether this node is the one, of those it hears of, that sends a request on
 	// which several upstreams have crashed. If it is nil, every node does.
 	Chosen func(id uint64) bool
-	// Changed is called when a suspect is held or released; it must not block. It may be nil.
+	// Changed is called when a suspect is held, tried or released; it must not block. It may be nil.
 	Changed func()
 	Log     event.Logger
 }
@@ -228,6 +228,7 @@
 	}
 	p.trials++
 	t.options.Log.Log(event.PartTried, event.F("part", format(p.ID)), event.F("kind", p.kind()), event.F("trial", p.trials))
+	t.notify() // no other node is to repeat it
 	return Try
 }
 
