Record in the store what is held because it crashes upstreams

Cause: what is held was in the memory of the processes only. What must outlast all of them belongs in the store.

Why this works: the record has the evidence, the alternatives and the number of trials, so that a node that starts continues where the former ones ended. It ends with the hold, is replaced after the store has gone back, and is read with a call that starting nodes make anyway.

--- a/adapters/edgenode/dependencies.go
+++ b/adapters/edgenode/dependencies.go
@@ -24,6 +24,9 @@
 	NodePrefix() string
 	// SoftwarePrefix returns the key prefix of the records of services' software versions; the service follows.
 	SoftwarePrefix() string
+	// HeldKey returns the key of the record of what is held because it crashes upstreams. It lies under SoftwarePrefix, as a
+	// starting node reads both with one call, and is that of no service.
+	HeldKey() string
 	// QuotaAuthorityKey returns the key of the node that grants the quotas of client accounts.
 	QuotaAuthorityKey() string
 	// IsTable reports whether a key holds the routing table.
--- a/adapters/edgenode/node.go
+++ b/adapters/edgenode/node.go
@@ -68,6 +68,7 @@
 	places        *placeClient
 	streams       *streamOrigins
 	software      *softwareRecords
+	held          *heldRecords
 	brokersMu     sync.Mutex
 	brokers       map[string]*placeBroker
 	brokersActive chan struct{}
@@ -120,6 +121,7 @@
 	n.places = &placeClient{node: n, brokers: make(map[string]*brokerPath)}
 	n.streams = &streamOrigins{node: n, origins: streams.NewOrigins(), checks: newSoftwareChecks(n)}
 	n.software = newSoftwareRecords(n)
+	n.held = newHeldRecords(n)
 	n.seeds.Store(&s.Seeds)
 	n.requests, n.endRequests = context.WithCancelCause(context.Background())
 	n.members = peers.NewMembers(peers.Member{
@@ -129,7 +131,7 @@
 	n.regions = peers.NewRegions(log)
 	n.catalog = instances.NewCatalog(instances.Options{Self: s.Place, Log: log, ColdShare: n.coldShare, ColdPhase: n.coldPhase, RateShare: n.rateShare, SlotShares: n.slotShares, ConnectionShare: n.connectionShare, IdleConnectionShare: n.idleConnectionShare, SendNotice: n.enqueueNotice,
 		StatementsChanged: func() { signal(n.statementsChanged) }, PathsSuspected: func() { signal(n.pathsSuspected) }, MemoryOnDemand: true})
-	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged) }, Log: log})
+	n.parts = quarantine.New(quarantine.Options{MayTry: n.mayTryPart, Chosen: n.chosenForSuspect, Changed: func() { signal(n.partsChanged); signal(n.held.changed) }, Log: log})
 	n.state = newState(deps.Documents, n.catalog, log)
 	n.era = newStoreEra(log, n.state.markRestored)
 	n.keys = newKeyCurrency(s, deps.bootTime())
@@ -323,6 +325,7 @@
 	loop(n.watchPaths)
 	loop(n.streams.share)
 	loop(n.software.run)
+	loop(n.held.run)
 	loop(n.runBrokers)
 	loop(n.keepCurrent)
 	if n.quotas != nil {
--- a/adapters/edgenode/quotafleet_test.go
+++ b/adapters/edgenode/quotafleet_test.go
@@ -37,6 +37,7 @@
 func (testDocuments) NodePrefix() string { return "nodes/" }
 
 func (testDocuments) SoftwarePrefix() string { return "software/" }
+func (testDocuments) HeldKey() string        { return "software/@held" }
 
 func (testDocuments) WithoutKeys(table []byte) ([]byte, error) { return table, nil }
 
--- a/adapters/edgenode/softwarerecords.go
+++ b/adapters/edgenode/softwarerecords.go
@@ -72,18 +72,24 @@
 	}
 }
 
-// read reads the records. It returns false if that failed.
+// read reads the records, and with them that of what is held. It returns false if that failed.
 func (r *softwareRecords) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	prefix := r.node.deps.Documents.SoftwarePrefix()
-	items, _, err := r.node.deps.Store.Range(ctx, prefix)
+	items, at, err := r.node.deps.Store.Range(ctx, prefix)
 	r.node.health.recordOutcome(ctx, "read software versions", err)
 	if err != nil {
 		return false
 	}
+	isHeld := func(i ports.Item) bool { return i.Key == r.node.deps.Documents.HeldKey() }
+	var held ports.Item
+	if i := slices.IndexFunc(items, isHeld); i >= 0 {
+		held = items[i]
+	}
+	r.node.held.load(held, at.Era)
 	former := make(map[string][]string, len(items))
-	for _, i := range items {
+	for _, i := range slices.DeleteFunc(items, isHeld) {
 		versions, err := decodeSoftwareRecord(i)
 		if err != nil {
 			r.node.log.Log(event.InstanceRefused, event.F("key", i.Key), event.F("error", err))
