Keep the ends of connections as long as a liveness check may take

How the judged connection itself ended was forgotten after a second, the time that a check without a result takes, so that the last answer of an upstream whose host is gone counted as cut off. No caller was seen to meet this; found in reading.

--- a/adapters/standin/routedsim/upstream.go
+++ b/adapters/standin/routedsim/upstream.go
@@ -4,8 +4,8 @@
 package routedsim
 
 import (
-	"context"
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
--- a/adapters/upstream/processes.go
+++ b/adapters/upstream/processes.go
@@ -27,14 +27,15 @@
 type processes struct {
 	mu          sync.Mutex
 	connections map[processKey]map[*trackedConn]bool
-	// ends holds the latest ends of connections in use, at most maxEnds in endRetention.
+	// ends holds the ends of connections in use in the last endRetention, at most maxEnds.
 	ends []connEnd
 	// closedListeners holds the processes that were seen to run while they refused connections, and when.
 	closedListeners map[processKey]time.Time
 }
 
 const (
-	endRetention = time.Second
+	// endRetention is how long ends are kept. It covers a liveness check that gets no result.
+	endRetention = 2 * livenessTimeout
 	maxEnds      = 1024
 	// closedListenerRetention is how long a process is known to refuse connections while it runs; it covers the requests that it
 	// still completes.
--- a/cmd/faulttest/upgrade_test.go
+++ b/cmd/faulttest/upgrade_test.go
@@ -11,7 +11,7 @@
 )
 
 // earlierBuilds are the commits of earlier landings whose nodes must serve beside those of this one.
-var earlierBuilds = []string{"00ab19e", "2f402a2"}
+var earlierBuilds = []string{"2f402a2", "a50bc60"}
 
 const (
 	// applyPeriod is the users' config_apply_ms.
