Compare ends that are read late with all that they may have come with

Found in reading, not seen by callers. The end of an answer whose caller does not read on is read long after it came, so that the ends of other connections of the same crash seemed to be earlier ones, and the answer complete if another process had taken the address. And a connection that ended before its answer was confirmed stayed in the table for good.

Failed before: TestEndThatIsReadLateIsComparedWithEarlierEnds, TestConnectionThatEndsBeforeItsAnswerIsConfirmedIsForgotten.

Why this works: an end that is there at once when it is read may have come at any time since the last bytes; and a connection that has ended is not added any more.

--- a/adapters/upstream/ending_test.go
+++ b/adapters/upstream/ending_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"errors"
+	"io"
+	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // TestEndOfAnswerIsJudgedByOtherConnectionsOfItsProcess: whether the address accepts connections decided alone.
@@ -38,3 +42,62 @@
 		}
 	}
 }
+
+// scriptedConn returns reads of given results, each after a time.
+type scriptedConn struct {
+	net.Conn
+	reads []scriptedRead
+}
+
+type scriptedRead struct {
+	after time.Duration
+	n     int
+	err   error
+}
+
+func (c *scriptedConn) Read([]byte) (int, error) {
+	r := c.reads[0]
+	c.reads = c.reads[1:]
+	time.Sleep(r.after)
+	return r.n, r.err
+}
+
+func (c *scriptedConn) Close() error { return nil }
+
+// inUse returns a connection of the process on which an answer has begun.
+func (p *processes) inUse(process processKey, reads ...scriptedRead) *trackedConn {
+	c := &trackedConn{Conn: &scriptedConn{reads: reads}, processes: p}
+	c.begin(&connUse{process: process})
+	c.confirm()
+	return c
+}
+
+// TestEndThatIsReadLateIsComparedWithEarlierEnds: the caller of an answer had not read on while its upstream crashed.
+func TestEndThatIsReadLateIsComparedWithEarlierEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, process := newProcesses(), processKey{id: "u1"}
+		late := p.inUse(process, scriptedRead{n: 1}, scriptedRead{err: io.EOF})
+		other := p.inUse(process, scriptedRead{after: 300 * time.Millisecond, err: io.EOF})
+		_, _ = late.Read(nil)  // its bytes
+		_, _ = other.Read(nil) // cut off in the middle of an answer
+		time.Sleep(500 * time.Millisecond)
+		_, _ = late.Read(nil)
+		endedAt := time.Now()
+		time.Sleep(livenessObservation)
+		if e := p.evidence(process, late, endedAt); e.cut != 1 || e.outlived() {
+			t.Errorf("got %+v, want one connection that was cut in the time in which the other may have ended", e)
+		}
+	})
+}
+
+// TestConnectionThatEndsBeforeItsAnswerIsConfirmedIsForgotten: net/http reads the end of one without a body first.
+func TestConnectionThatEndsBeforeItsAnswerIsConfirmedIsForgotten(t *testing.T) {
+	p := newProcesses()
+	c := &trackedConn{Conn: &scriptedConn{reads: []scriptedRead{{err: io.EOF}}}, processes: p}
+	c.begin(&connUse{process: processKey{id: "u1"}})
+	_, _ = c.Read(nil)
+	c.confirm()
+	if n := len(p.connections); n > 0 {
+		t.Errorf("connections of %d processes are kept after all have ended, want none", n)
+	}
+}
--- a/adapters/upstream/processes.go
+++ b/adapters/upstream/processes.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,7 +47,9 @@
 type connEnd struct {
 	conn    *trackedConn
 	process processKey
-	at      time.Time
+	// at is when the end was read, and notBefore the time since which it may have been there to be read: it waits while the
+	// caller of the answer does not read on.
+	at, notBefore time.Time
 	// orderly is set if the upstream closed it, without a reset, right after its last bytes.
 	orderly bool
 }
@@ -81,6 +84,8 @@
 	// readingSince is when the read in progress began; zero while there is none.
 	readingSince time.Time
 	lastBytesAt  time.Time
+	// ended is set once the connection has ended or was closed.
+	ended bool
 }
 
 // promptEnd is the time after the last bytes of an answer within which an upstream that is done closes the connection. A crash
@@ -100,20 +105,35 @@
 	if n > 0 {
 		c.lastBytesAt = now
 	}
-	process, inUse := c.process, c.user != nil
+	end := connEnd{conn: c, process: c.process, at: now, notBefore: now}
+	if now.Sub(startedAt) <= promptEnd {
+		end.notBefore, end.orderly = c.lastBytesAt, errors.Is(err, io.EOF)
+	}
+	inUse := c.user != nil
 	c.mu.Unlock()
 	if closedByPeer(err) {
-		c.processes.recordEnd(connEnd{c, process, now, errors.Is(err, io.EOF) && now.Sub(startedAt) <= promptEnd}, inUse)
+		c.finish()
+		if inUse {
+			c.processes.recordEnd(end)
+		}
 	}
 	return n, err
 }
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
-	c.processes.remove(c)
+	c.finish()
 	return c.Conn.Close()
 }
 
+// finish records that the connection has ended or is closed.
+func (c *trackedConn) finish() {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.processes.remove(c)
+}
+
 // begin records that a request uses the connection.
 func (c *trackedConn) begin(u *connUse) {
 	c.mu.Lock()
@@ -156,6 +176,11 @@
 func (p *processes) add(process processKey, c *trackedConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended { // meanwhile
+		return
+	}
 	if p.connections[process] == nil {
 		p.connections[process] = make(map[*trackedConn]bool)
 	}
@@ -174,11 +199,7 @@
 	}
 }
 
-func (p *processes) recordEnd(e connEnd, inUse bool) {
-	p.remove(e.conn)
-	if !inUse {
-		return
-	}
+func (p *processes) recordEnd(e connEnd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first := 0
@@ -211,19 +232,22 @@
 	defer p.mu.Unlock()
 	closedAt, closed := p.closedListeners[process]
 	evidence := endEvidence{closedListener: closed && time.Since(closedAt) <= closedListenerRetention}
+	own := connEnd{at: endedAt, notBefore: endedAt}
+	if i := slices.IndexFunc(p.ends, func(e connEnd) bool { return e.conn == ended }); i >= 0 {
+		own = p.ends[i]
+		evidence.orderly = own.orderly
+	}
 	for c := range p.connections[process] {
 		if c != ended {
-			c.addTo(&evidence, process, endedAt)
+			c.addTo(&evidence, process, own.at)
 		}
 	}
 	for _, e := range p.ends {
 		switch {
-		case e.conn == ended:
-			evidence.orderly = e.orderly
-		case e.process != process:
-		case e.at.Sub(endedAt) > livenessObservation:
+		case e.conn == ended || e.process != process:
+		case e.notBefore.Sub(own.at) > livenessObservation:
 			evidence.heard++
-		case endedAt.Sub(e.at) <= livenessObservation && !e.orderly:
+		case own.notBefore.Sub(e.at) <= livenessObservation && !e.orderly:
 			evidence.cut++
 		}
 	}
