Judge suspects without scanning the table once more for alternatives

Finding the alternatives scanned the whole table at every verdict, also while nothing was held, on top of two scans before.

Held suspects are collected once, nothing is compared while there are none, and suspects with fewer crashes than any verdict needs are passed over before their processes are counted.

--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -13,7 +13,8 @@
 	if !t.changed {
 		return
 	}
-	t.removeExplained()
+	held := t.heldSuspects()
+	t.removeExplained(held)
 	settled := now.Add(-settleTime)
 	waiting := false
 	for {
@@ -29,33 +30,46 @@
 		}
 		if best == nil {
 			t.changed = waiting
-			t.findAlternatives()
+			t.findAlternatives(held)
 			return
 		}
 		best.heldAt, best.requestedAt, best.trials = now, now, 0
 		t.options.Log.Log(event.PartHeld, event.F("part", format(best.ID)), event.F("kind", best.kind()), event.F("crashes", len(best.crashes)),
 			event.F("moments", best.moments(settled)), event.F("answered", !best.answeredAt.IsZero()), event.F("from", "own verdict"))
 		t.notify()
-		t.removeExplained()
+		held = append(held, best)
+		t.removeExplained(held)
 	}
 }
 
+func (t *Table) heldSuspects() []*suspect {
+	var held []*suspect
+	for _, p := range t.suspects {
+		if p.held() {
+			held = append(held, p)
+		}
+	}
+	return held
+}
+
 // alternativeTo reports whether p may be the cause of the crashes that implicate q instead of q: it was present at all of them, and
 // it is not known to have been answered if q is not.
 func (p *suspect) alternativeTo(q *suspect) bool {
-	return p != q && (p.answeredAt.IsZero() || !q.answeredAt.IsZero()) && len(p.crashes) >= len(q.crashes) &&
+	return len(p.crashes) >= len(q.crashes) && p != q && (p.answeredAt.IsZero() || !q.answeredAt.IsZero()) &&
 		!slices.ContainsFunc(q.crashes, func(c crash) bool { return !p.hasCrash(c) })
 }
 
-// findAlternatives finds the alternatives of each held suspect. A request without one of them may be sound, and shows which one is
+// findAlternatives finds the alternatives of the held suspects. A request without one of them may be sound, and shows which one is
 // the cause.
-func (t *Table) findAlternatives() {
-	for _, h := range t.suspects {
+func (t *Table) findAlternatives(held []*suspect) {
+	for _, h := range held {
 		h.alternatives = nil
-		if !h.held() {
-			continue
-		}
-		for _, p := range t.suspects {
+	}
+	if len(held) == 0 {
+		return
+	}
+	for _, p := range t.suspects {
+		for _, h := range held {
 			if p.alternativeTo(h) {
 				h.alternatives = append(h.alternatives, p.Subject)
 			}
@@ -78,7 +92,7 @@
 
 // accused reports whether the crashes until settled suffice to hold the suspect.
 func (p *suspect) accused(settled time.Time) bool {
-	if p.processes() < minProcesses {
+	if len(p.crashes) < minMoments || p.processes() < minProcesses { // most have a single crash
 		return false
 	}
 	moments := p.moments(settled)
@@ -101,13 +115,16 @@
 
 // removeExplained removes the crashes that a held suspect explains from the evidence
 // against the others, except against its alternatives.
-func (t *Table) removeExplained() {
-	for _, h := range t.suspects {
-		if !h.held() {
+func (t *Table) removeExplained(held []*suspect) {
+	if len(held) == 0 {
+		return
+	}
+	for _, p := range t.suspects {
+		if p.held() {
 			continue
 		}
-		for _, p := range t.suspects {
-			if !p.held() && !p.alternativeTo(h) {
+		for _, h := range held {
+			if len(p.crashes) > 0 && !p.alternativeTo(h) {
 				p.crashes = slices.DeleteFunc(p.crashes, func(c crash) bool { return h.hasCrash(c) })
 			}
 		}
